--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,36 @@
+#!/usr/bin/env bash
+# Installs what the build needs, builds, checks format and lint, and runs all tests. Exits non-zero
+# on any failure. Usage: test.sh [--sanitize=thread|address] [--no-lint]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+sanitize=
+lint=yes
+for argument in "$@"; do
+  case $argument in
+    --sanitize=thread | --sanitize=address) sanitize=${argument#--sanitize=} ;;
+    --no-lint) lint=no ;;
+    *)
+      echo "usage: scripts/test.sh [--sanitize=thread|address] [--no-lint]" >&2
+      exit 64
+      ;;
+  esac
+done
+scripts/install.sh
+build=build${sanitize:+-$sanitize}
+cmake -S . -B "$build" -G Ninja -DREDWINGDOCK_SANITIZE="$sanitize" >/dev/null
+cmake --build "$build"
+if [ "$lint" = yes ] && [ -z "$sanitize" ]; then
+  scripts/lint.sh "$build"
+fi
+
+# Tests named in KNOWN-RED.txt ("test: SUITE.NAME") are left out of the verdict, run apart and printed.
+red=
+if [ -f KNOWN-RED.txt ]; then
+  red=$(sed -n 's/^test: *//p' KNOWN-RED.txt | paste -sd: -)
+fi
+export GTEST_FILTER="*${red:+-$red}"
+ctest --test-dir "$build" --output-on-failure -j "${REDWINGDOCK_TEST_JOBS:-8}"
+if [ -n "$red" ]; then
+  echo "known red tests (KNOWN-RED.txt):"
+  GTEST_FILTER="$red" ctest --test-dir "$build" -j 4 2>&1 | grep -E 'Failed|Timeout' || true
+fi
--- /dev/null
+++ b/src/base/time.h
@@ -0,0 +1,38 @@
+#ifndef REDWINGDOCK_BASE_TIME_H
+#define REDWINGDOCK_BASE_TIME_H
+
+#include <chrono>
+#include <cstdint>
+#include <ratio>
+
+// Time as the core sees it: microseconds of a steady clock that the front end posts.
+//
+//   instant deadline = now + std::chrono::milliseconds(72);
+
+namespace redwingdock {
+
+using micros = std::chrono::microseconds;
+
+// Has no now(): the core learns the time from the front end.
+struct core_clock
+{
+  using rep = std::int64_t;
+  using period = std::micro;
+  using duration = micros;
+  using time_point = std::chrono::time_point<core_clock>;
+  static constexpr bool is_steady = true;
+};
+
+using instant = core_clock::time_point;
+
+inline constexpr instant kNever = instant::max();
+
+// Converts a duration to milliseconds, rounding down.
+constexpr std::int64_t ToMs(micros aDuration)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count();
+}
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/blackboard/blackboard.h
@@ -0,0 +1,171 @@
+#ifndef REDWINGDOCK_BLACKBOARD_BLACKBOARD_H
+#define REDWINGDOCK_BLACKBOARD_BLACKBOARD_H
+
+#include <condition_variable>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <typeindex>
+#include <utility>
+#include <vector>
+
+// A store of immutable values that controllers read and write. Values and pending news sit in
+// shards by key; each shard has its own lock. Workers run the hooks for the news of one shard at
+// a time, without holding its lock.
+//
+//   blackboard board(16);
+//   board.OnFact<caller_query>([&](const std::string& aKey, const caller_query& aQuery) { ... });
+//   board.Post("17", caller_query{ ... });
+//   board.RunUntilIdle(); // or Work() on several threads
+
+namespace redwingdock {
+
+namespace detail {
+
+struct entry_id
+{
+  std::type_index mType;
+  std::string mKey;
+
+  auto operator<=>(const entry_id&) const = default;
+};
+
+// A fact that was posted, or (no fact) an entry that was written or erased.
+struct news
+{
+  entry_id mId;
+  std::shared_ptr<const void> mFact;
+};
+
+} // namespace detail
+
+class blackboard
+{
+public:
+  explicit blackboard(std::size_t aShards);
+
+  // Hooks are registered before the first worker runs. Hooks of one shard never run at the same
+  // time; hooks of different shards do.
+  template<typename T>
+  void OnFact(std::function<void(const std::string&, const T&)> aHook)
+  {
+    mFactHooks[typeid(T)].push_back(
+      [hook = std::move(aHook)](const std::string& aKey, const void* aFact) {
+        hook(aKey, *static_cast<const T*>(aFact));
+      });
+  }
+
+  // Called with the key after an entry of type T was written with a different value or erased.
+  template<typename T>
+  void OnChange(std::function<void(const std::string&)> aHook)
+  {
+    mChangeHooks[typeid(T)].push_back(std::move(aHook));
+  }
+
+  // Queues a fact for the hooks of its type, in the shard of the key. Facts of one key are
+  // processed in the order they were posted.
+  template<typename T>
+  void Post(const std::string& aKey, T aFact)
+  {
+    PostNews({ { typeid(T), aKey }, std::make_shared<const T>(std::move(aFact)) });
+  }
+
+  // The current value, or null.
+  template<typename T>
+  std::shared_ptr<const T> Read(const std::string& aKey) const
+  {
+    return std::static_pointer_cast<const T>(ReadEntry({ typeid(T), aKey }));
+  }
+
+  // Replaces the value. Equal values are no news.
+  template<typename T>
+  void Write(const std::string& aKey, T aValue)
+  {
+    Update<T>(aKey, [&aValue](const T*) { return std::optional<T>(std::move(aValue)); });
+  }
+
+  // Replaces the value by what the function makes of the present one (null when there is none),
+  // under the lock of the shard; nullopt keeps it. The function must not use the blackboard.
+  // Returns whether the value changed.
+  template<typename T>
+  bool Update(const std::string& aKey, const std::function<std::optional<T>(const T*)>& aChange)
+  {
+    return UpdateEntry({ typeid(T), aKey },
+                       [&aChange](const void* aOld) -> std::shared_ptr<const void> {
+                         const T* old = static_cast<const T*>(aOld);
+                         std::optional<T> next = aChange(old);
+                         if (!next || (old != nullptr && *next == *old)) {
+                           return nullptr;
+                         }
+                         return std::make_shared<const T>(std::move(*next));
+                       });
+  }
+
+  template<typename T>
+  void Erase(const std::string& aKey)
+  {
+    EraseEntry({ typeid(T), aKey });
+  }
+
+  // All entries of a type by key. Shards are visited one after the other, so the list is not an
+  // atomic view over all of them.
+  template<typename T>
+  std::map<std::string, std::shared_ptr<const T>> List() const
+  {
+    std::map<std::string, std::shared_ptr<const T>> entries;
+    for (auto& [key, value] : ListEntries(typeid(T))) {
+      entries.emplace(key, std::static_pointer_cast<const T>(value));
+    }
+    return entries;
+  }
+
+  // Processes news on the calling thread until there is none; deterministic when no other thread
+  // uses the blackboard.
+  void RunUntilIdle();
+
+  // Processes news until Stop(); blocks while there is none. Run by each worker thread.
+  void Work();
+  void Stop();
+
+private:
+  struct shard
+  {
+    mutable std::mutex mLock;
+    std::map<detail::entry_id, std::shared_ptr<const void>> mEntries;
+    std::deque<detail::news> mNews;
+    bool mScheduled = false; // in the ready queue or being processed
+  };
+
+  using change = std::function<std::shared_ptr<const void>(const void*)>;
+
+  std::size_t ShardOf(const std::string& aKey) const;
+  void PostNews(detail::news aNews);
+  std::shared_ptr<const void> ReadEntry(const detail::entry_id& aId) const;
+  bool UpdateEntry(const detail::entry_id& aId, const change& aChange);
+  void EraseEntry(const detail::entry_id& aId);
+  std::vector<std::pair<std::string, std::shared_ptr<const void>>> ListEntries(
+    std::type_index aType) const;
+  void Schedule(std::size_t aShard);
+  void Process(std::size_t aShard);
+  void Dispatch(const detail::news& aNews) const;
+
+  std::vector<std::unique_ptr<shard>> mShards;
+  std::map<std::type_index, std::vector<std::function<void(const std::string&, const void*)>>>
+    mFactHooks;
+  std::map<std::type_index, std::vector<std::function<void(const std::string&)>>> mChangeHooks;
+
+  std::mutex mReadyLock; // never held together with a shard lock
+  std::condition_variable mReadyChanged;
+  std::deque<std::size_t> mReady;
+  bool mStopped = false;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/core/context.cc
@@ -0,0 +1,102 @@
+#include "core/context.h"
+
+#include <iterator>
+#include <optional>
+
+namespace redwingdock {
+
+core_context::core_context(core_config aConfig, std::size_t aShards)
+  : mConfig(std::move(aConfig))
+  , mBoard(aShards)
+  , mRandomState(mConfig.mSeed)
+{
+}
+
+micros core_context::Advance(instant aNow)
+{
+  const std::int64_t now = aNow.time_since_epoch().count();
+  std::int64_t before = mNow.load(std::memory_order_relaxed);
+  while (before < now && !mNow.compare_exchange_weak(before, now)) {
+  }
+  std::vector<std::function<void()>> due;
+  {
+    const std::lock_guard lock(mTimerLock);
+    const auto end = mTimers.upper_bound(aNow);
+    for (auto it = mTimers.begin(); it != end; ++it) {
+      due.push_back(std::move(it->second));
+    }
+    mTimers.erase(mTimers.begin(), end);
+  }
+  for (const auto& post : due) {
+    post();
+  }
+  return micros(now > before ? now - before : 0);
+}
+
+instant core_context::NextDue() const
+{
+  const std::lock_guard lock(mTimerLock);
+  return mTimers.empty() ? kNever : mTimers.begin()->first;
+}
+
+void core_context::AddTimer(instant aDue, std::function<void()> aPost)
+{
+  bool first = false;
+  {
+    const std::lock_guard lock(mTimerLock);
+    first = mTimers.empty() || aDue < mTimers.begin()->first;
+    mTimers.emplace(aDue, std::move(aPost));
+  }
+  if (first && mOnWork) {
+    mOnWork();
+  }
+}
+
+void core_context::Emit(command aCommand)
+{
+  bool first = false;
+  {
+    const std::lock_guard lock(mCommandLock);
+    first = mCommands.empty();
+    mCommands.push_back(std::move(aCommand));
+  }
+  if (first && mOnWork) {
+    mOnWork();
+  }
+}
+
+void core_context::Log(const char* aPart, std::string aText, log_level aLevel)
+{
+  if (mConfig.mLogDecisions) {
+    Emit(log_line{ aLevel, aPart, std::move(aText) });
+  }
+}
+
+std::vector<command> core_context::TakeCommands()
+{
+  std::vector<command> taken;
+  const std::lock_guard lock(mCommandLock);
+  taken.swap(mCommands);
+  return taken;
+}
+
+std::uint64_t core_context::Random(std::uint64_t aBelow)
+{
+  // splitmix64; small state, so that one generator per core is cheap to share under a lock.
+  const std::lock_guard lock(mRandomLock);
+  mRandomState += 0x9e3779b97f4a7c15ULL;
+  std::uint64_t mixed = mRandomState;
+  mixed = (mixed ^ (mixed >> 30U)) * 0xbf58476d1ce4e5b9ULL;
+  mixed = (mixed ^ (mixed >> 27U)) * 0x94d049bb133111ebULL;
+  mixed ^= mixed >> 31U;
+  return aBelow == 0 ? 0 : mixed % aBelow;
+}
+
+void core_context::Count(const std::string& aName, std::uint64_t aBy)
+{
+  mBoard.Update<counter>(aName, [aBy](const counter* aOld) {
+    return std::optional<counter>(counter{ (aOld != nullptr ? aOld->mCount : 0) + aBy });
+  });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/core/core.cc
@@ -0,0 +1,104 @@
+#include "core/core.h"
+
+#include "entry/entry_controller.h"
+#include "gate/gate_controller.h"
+#include "membership/membership_controller.h"
+#include "query/query_controller.h"
+#include "safety/safety_controller.h"
+#include "tables/table_controller.h"
+
+#include <type_traits>
+
+namespace redwingdock {
+
+namespace {
+
+// Key of the shard that processes a fact or message.
+struct key_of
+{
+  std::string operator()(const query_arrived& aFact) const { return QueryKey(aFact.mQuery); }
+  std::string operator()(const caller_gone& aFact) const { return QueryKey(aFact.mQuery); }
+  std::string operator()(const entry_asked&) const { return kSelfKey; }
+  std::string operator()(const table_read&) const { return kTablesKey; }
+  std::string operator()(const table_unchanged&) const { return kTablesKey; }
+  std::string operator()(const table_read_failed&) const { return kTablesKey; }
+  std::string operator()(const connection_changed& aFact) const { return aFact.mServer; }
+  std::string operator()(const part_replied& aFact) const { return aFact.mServer; }
+  std::string operator()(const check_answered& aFact) const { return aFact.mServer; }
+  std::string operator()(const peer_connection&) const { return kMembersKey; }
+  std::string operator()(const stop_asked&) const { return kSelfKey; }
+
+  std::string operator()(const view_message&) const { return kMembersKey; }
+  std::string operator()(const probe_message&) const { return kMembersKey; }
+  std::string operator()(const probe_reply_message&) const { return kMembersKey; }
+  std::string operator()(const table_pull_message&) const { return kTablesKey; }
+  std::string operator()(const table_message&) const { return kTablesKey; }
+  std::string operator()(const forward_part_message& aMessage) const
+  {
+    return aMessage.mRequest.mServer;
+  }
+  std::string operator()(const part_reply_message& aMessage) const
+  {
+    return QueryKey(QueryOf(aMessage.mReply.mAttempt));
+  }
+  std::string operator()(const cancel_part_message& aMessage) const { return aMessage.mServer; }
+  std::string operator()(const server_stage_message& aMessage) const { return aMessage.mServer; }
+  std::string operator()(const suspect_message&) const { return kSuspectsKey; }
+  std::string operator()(const permit_release_message&) const { return kMembersKey; }
+  std::string operator()(const forward_query_message&) const { return kSelfKey; }
+  std::string operator()(const query_answer_message& aMessage) const
+  {
+    return QueryKey(aMessage.mNumber);
+  }
+};
+
+} // namespace
+
+core::core(core_config aConfig, const core_hooks& aHooks, std::size_t aShards)
+  : mContext(std::move(aConfig), aShards)
+{
+  AddTableController(mContext);
+  AddMembershipController(mContext);
+  AddGateController(mContext, aHooks.mGate);
+  AddSafetyController(mContext);
+  AddQueryController(mContext, aHooks.mQuery);
+  AddEntryController(mContext);
+}
+
+void core::Advance(instant aNow)
+{
+  // A pause is posted before the overdue timers, so that they run with an unconfirmed view.
+  const instant before = mContext.Now();
+  if (before != instant{} && aNow - before > mContext.mConfig.mPauseLimit) {
+    mContext.mBoard.Post(kMembersKey, process_paused{ aNow - before });
+  }
+  mContext.Advance(aNow);
+}
+
+void core::Post(fact aFact)
+{
+  std::visit(
+    [this](auto& aEach) {
+      using type = std::decay_t<decltype(aEach)>;
+      if constexpr (std::is_same_v<type, peer_received>) {
+        PostMessage(aEach);
+      } else {
+        const std::string key = key_of()(aEach);
+        mContext.mBoard.Post(key, std::move(aEach));
+      }
+    },
+    aFact);
+}
+
+void core::PostMessage(const peer_received& aReceived)
+{
+  std::visit(
+    [this, &aReceived](const auto& aMessage) {
+      using type = std::decay_t<decltype(aMessage)>;
+      mContext.mBoard.Post(key_of()(aMessage),
+                           received<type>{ aReceived.mFrom, aReceived.mFromIncarnation, aMessage });
+    },
+    aReceived.mMessage);
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/core/facts.h
@@ -0,0 +1,131 @@
+#ifndef REDWINGDOCK_CORE_FACTS_H
+#define REDWINGDOCK_CORE_FACTS_H
+
+#include "core/messages.h"
+
+// Facts that a front end posts to the core. Post them through `core::Post`, which picks the key
+// of the shard that processes them.
+
+namespace redwingdock {
+
+// A caller's request arrived. mQuery is chosen by the front end and unique while the core lives.
+struct query_arrived
+{
+  std::uint64_t mQuery = 0;
+  query_request mRequest;
+
+  auto operator<=>(const query_arrived&) const = default;
+};
+
+// The caller closed its connection; nobody waits for the answer.
+struct caller_gone
+{
+  std::uint64_t mQuery = 0;
+
+  auto operator<=>(const caller_gone&) const = default;
+};
+
+// A caller asks which VM to use.
+struct entry_asked
+{
+  std::uint64_t mAsk = 0;
+  std::string mCaller;
+  std::string mZone; // empty when unknown
+
+  auto operator<=>(const entry_asked&) const = default;
+};
+
+// A table was read from the configuration service. mReadSince is the time the read was started.
+struct table_read
+{
+  table_kind mKind = table_kind::Routes;
+  std::uint64_t mRevision = 0;
+  std::string mText;
+  instant mReadSince{};
+
+  auto operator<=>(const table_read&) const = default;
+};
+
+// A watch ended without news: the service still has mRevision. mReadSince as above.
+struct table_unchanged
+{
+  table_kind mKind = table_kind::Routes;
+  std::uint64_t mRevision = 0;
+  instant mReadSince{};
+
+  auto operator<=>(const table_unchanged&) const = default;
+};
+
+struct table_read_failed
+{
+  table_kind mKind = table_kind::Routes;
+  reason mReason;
+
+  auto operator<=>(const table_read_failed&) const = default;
+};
+
+enum class connection_event
+{
+  Opened,
+  Refused, // never opened, or refused by the server's cap
+  Closed,  // orderly, by the server while idle
+  Lost,    // reset or end of stream with parts in flight
+};
+
+// State of a connection to a backend server, by the id of the open_connection command.
+struct connection_changed
+{
+  std::string mServer;
+  std::uint64_t mConnection = 0;
+  connection_event mEvent = connection_event::Opened;
+  reason mReason;
+
+  auto operator<=>(const connection_changed&) const = default;
+};
+
+// A backend server answered or refused an attempt, or the front end could not send it.
+struct part_replied
+{
+  std::string mServer;
+  std::uint64_t mConnection = 0;
+  part_reply mReply;
+
+  auto operator<=>(const part_replied&) const = default;
+};
+
+// The server answered a check_connection command on its own new connection.
+struct check_answered
+{
+  std::string mServer;
+  bool mAlive = false;
+
+  auto operator<=>(const check_answered&) const = default;
+};
+
+struct peer_received
+{
+  std::string mFrom; // VM name
+  std::string mFromIncarnation;
+  peer_message mMessage;
+
+  auto operator<=>(const peer_received&) const = default;
+};
+
+// The stream to a peer went up or down.
+struct peer_connection
+{
+  std::string mVm;
+  bool mConnected = false;
+
+  auto operator<=>(const peer_connection&) const = default;
+};
+
+// An operator asks this daemon to stop when its work is done.
+struct stop_asked
+{
+  auto operator<=>(const stop_asked&) const = default;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/core/hooks.h
@@ -0,0 +1,21 @@
+#ifndef REDWINGDOCK_CORE_HOOKS_H
+#define REDWINGDOCK_CORE_HOOKS_H
+
+#include "core/values.h"
+#include "gate/gate_hooks.h"
+#include "query/query_hooks.h"
+
+// Behaviour that varies. Each module declares its hooks with their defaults; tests replace one to
+// show what it protects against.
+
+namespace redwingdock {
+
+struct core_hooks
+{
+  gate_hooks mGate;
+  query_hooks mQuery;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/core/values.h
@@ -0,0 +1,275 @@
+#ifndef REDWINGDOCK_CORE_VALUES_H
+#define REDWINGDOCK_CORE_VALUES_H
+
+#include "base/reason.h"
+#include "base/time.h"
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+// Immutable values that more than one module reads from the blackboard. Values used by a single
+// module live in that module.
+//
+//   auto tables = board.Read<tables_in_force>(kTablesKey);
+
+namespace redwingdock {
+
+// Half-open range of record positions, 0 <= mFrom < mTo <= kPositions.
+struct position_range
+{
+  std::uint32_t mFrom = 0;
+  std::uint32_t mTo = 0;
+
+  auto operator<=>(const position_range&) const = default;
+};
+
+using position_ranges = std::vector<position_range>;
+
+struct server_spec
+{
+  std::string mName;
+  std::string mPool;
+  std::string mShard;
+  std::string mZone;
+  std::string mAddress; // "ip:port"
+  bool mDraining = false;
+
+  auto operator<=>(const server_spec&) const = default;
+};
+
+struct shard_spec
+{
+  std::string mName;
+  std::map<std::uint32_t, position_ranges> mRanges; // by partition map id
+
+  auto operator<=>(const shard_spec&) const = default;
+};
+
+// One pool of backend servers; the limits are per server.
+struct pool_spec
+{
+  std::string mName;
+  std::uint32_t mSlots = 1;
+  std::uint32_t mConnections = 2;
+  micros mConnectCost{ 0 };
+  std::vector<shard_spec> mShards;
+  std::vector<server_spec> mServers;
+
+  auto operator<=>(const pool_spec&) const = default;
+};
+
+struct pools_table
+{
+  std::uint64_t mRevision = 0;
+  std::set<std::string> mClosedZones;
+  std::vector<pool_spec> mPools;
+
+  auto operator<=>(const pools_table&) const = default;
+};
+
+// Search reads every shard of the route's pools; Submit is not idempotent and goes to the one
+// shard that owns the position of the record it names.
+enum class operation
+{
+  Search,
+  Submit,
+};
+
+enum class urgency
+{
+  Urgent,
+  Normal,
+  Background,
+};
+
+struct route_spec
+{
+  std::string mName;
+  std::vector<std::string> mPools;
+  operation mOperation = operation::Search;
+  urgency mUrgency = urgency::Normal;
+  micros mDeadline = std::chrono::seconds(1);
+  bool mHedge = true;
+
+  auto operator<=>(const route_spec&) const = default;
+};
+
+struct routes_table
+{
+  std::uint64_t mRevision = 0;
+  std::vector<route_spec> mRoutes;
+
+  auto operator<=>(const routes_table&) const = default;
+};
+
+// A pair of tables whose join holds, with indexes for lookups by name.
+struct tables_in_force
+{
+  std::shared_ptr<const routes_table> mRoutes;
+  std::shared_ptr<const pools_table> mPools;
+
+  std::uint64_t RoutesRevision() const { return mRoutes ? mRoutes->mRevision : 0; }
+  std::uint64_t PoolsRevision() const { return mPools ? mPools->mRevision : 0; }
+  const route_spec* FindRoute(const std::string& aName) const;
+  const pool_spec* FindPool(const std::string& aName) const;
+  const server_spec* FindServer(const std::string& aName) const;
+
+  // Revisions name contents: two tables with one revision are the same table.
+  bool operator==(const tables_in_force& aOther) const
+  {
+    return RoutesRevision() == aOther.RoutesRevision() && PoolsRevision() == aOther.PoolsRevision();
+  }
+};
+
+enum class vm_state
+{
+  Live,
+  Leaving,
+};
+
+struct vm_spec
+{
+  std::string mName;
+  std::string mAddress;     // peer address, "ip:port"
+  std::string mCallAddress; // address for callers, "ip:port"
+  std::string mZone;
+  vm_state mState = vm_state::Live;
+
+  auto operator<=>(const vm_spec&) const = default;
+};
+
+// Published list of the entry VMs.
+struct vm_list
+{
+  std::uint64_t mRevision = 0;
+  std::vector<vm_spec> mVms; // by name
+
+  const vm_spec* Find(const std::string& aName) const;
+
+  auto operator<=>(const vm_list&) const = default;
+};
+
+// What this daemon knows about another one, from its messages or relayed by others.
+struct peer_state
+{
+  std::string mVm;
+  std::string mIncarnation; // changes with every start of the process
+  std::uint64_t mVmRevision = 0;
+  std::uint64_t mRoutesRevision = 0;
+  std::uint64_t mPoolsRevision = 0;
+  bool mDraining = false;
+  instant mHeardAt{}; // when the information was true at the latest; corrected for its age
+  bool mConnected = false;
+
+  auto operator<=>(const peer_state&) const = default;
+};
+
+// Membership as seen by this daemon. `mConfirmedUntil` is the end of the keep rule of the permits.
+struct member_view
+{
+  std::string mSelf;
+  std::string mIncarnation;
+  vm_list mVms;
+  instant mConfirmedUntil{};
+
+  auto operator<=>(const member_view&) const = default;
+};
+
+// Permit `mIndex` of a server, the VM that holds it, and the time before which a new holder must
+// not use it.
+struct permit
+{
+  std::uint32_t mIndex = 0;
+  std::string mHolder;
+  instant mUsableFrom{};
+
+  auto operator<=>(const permit&) const = default;
+};
+
+// All permits of one server, by index. Entry key: server name.
+struct server_permits
+{
+  std::string mServer;
+  std::vector<permit> mPermits;
+
+  auto operator<=>(const server_permits&) const = default;
+};
+
+// A version of the index that a server can serve, and the partition map it was built with.
+struct index_version
+{
+  std::uint64_t mVersion = 0;
+  std::uint32_t mMap = 0;
+
+  auto operator<=>(const index_version&) const = default;
+};
+
+// What replies have shown of a server, here or at another daemon. Entry key: server name.
+// mStage 0 is cold or unknown; permit k may be used at stage >= k.
+struct server_status
+{
+  std::string mServer;
+  std::string mInstance; // changes with every start of the server process; empty when unknown
+  std::uint32_t mStage = 0;
+  bool mDraining = false;
+  std::vector<index_version> mVersions; // ascending; empty when unknown
+  instant mSeenAt{};                    // when this was last confirmed
+  std::uint32_t mQueueLength = 0;       // parts waiting at this daemon's gate
+
+  auto operator<=>(const server_status&) const = default;
+};
+
+// State of this daemon's own service. Entry key: kSelfKey.
+enum class drain_phase
+{
+  Serving,
+  Draining, // still serves its callers, no longer named as entry VM
+  Stopped,
+};
+
+struct drain_state
+{
+  drain_phase mPhase = drain_phase::Serving;
+  instant mStopNotBefore{};
+
+  auto operator<=>(const drain_state&) const = default;
+};
+
+enum class suspicion
+{
+  Suspect,
+  Quarantined,
+};
+
+// A request fingerprint that was in flight when a server was lost. Entry key: fingerprint in hex.
+struct suspect
+{
+  std::uint64_t mFingerprint = 0;
+  suspicion mLevel = suspicion::Suspect;
+  std::set<std::string> mServersLost;
+  instant mUntil{};
+
+  auto operator<=>(const suspect&) const = default;
+};
+
+inline constexpr char kTablesKey[] = "tables";
+inline constexpr char kMembersKey[] = "members";
+inline constexpr char kSelfKey[] = "self";
+
+// Counts of decisions, for metrics and for operators; the front end reads them. Entry key: name.
+struct counter
+{
+  std::uint64_t mCount = 0;
+
+  auto operator<=>(const counter&) const = default;
+};
+
+} // namespace redwingdock
+
+#endif
