--- a/src/base/time.h
+++ b/src/base/time.h
@@ -20,7 +20,6 @@
   using period = std::micro;
   using duration = micros;
   using time_point = std::chrono::time_point<core_clock>;
-  static constexpr bool is_steady = true;
 };
 
 using instant = core_clock::time_point;
