--- a/src/core/core_facts.h
+++ b/src/core/core_facts.h
@@ -55,6 +55,16 @@
   auto operator<=>(const server_lost&) const = default;
 };
 
+// Evidence about a server from a reply that came through another daemon's gate.
+// Key: server name.
+struct server_evidence_seen
+{
+  std::string mServer;
+  server_evidence mEvidence;
+
+  auto operator<=>(const server_evidence_seen&) const = default;
+};
+
 // The clock jumped by more than mPauseLimit: this process did not run for a while. Posted to
 // kMembersKey before any other fact of that time.
 struct process_paused
@@ -79,6 +89,12 @@
   return "query/" + std::to_string(aQuery);
 }
 
+// Key of the suspect entry of a request fingerprint.
+inline std::string SuspectKey(std::uint64_t aFingerprint)
+{
+  return "suspect/" + std::to_string(aFingerprint);
+}
+
 } // namespace redwingdock
 
 #endif
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -247,7 +247,7 @@
   Quarantined,
 };
 
-// A request fingerprint that was in flight when a server was lost. Entry key: fingerprint in hex.
+// A request fingerprint that was in flight when a server was lost. Entry key: SuspectKey.
 struct suspect
 {
   std::uint64_t mFingerprint = 0;
