Send parts to backend servers under permits

Cause: the gate was an empty controller. Change: gate_state per server with queue, connections, permits in use and cold-start stage; pure functions per concern; a controller that applies them. Before: no part was sent.

--- a/src/gate/gate_controller.cc
+++ b/src/gate/gate_controller.cc
@@ -1,7 +1,148 @@
 #include "gate/gate_controller.h"
 
+#include "gate/gate_events.h"
+#include "gate/settle.h"
+#include "gate/stage_news.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+
 namespace redwingdock {
 
-void AddGateController(core_context& /*aContext*/, const gate_hooks& /*aHooks*/) {}
+namespace {
+
+// Asks the gate of a server to look at the entries it goes by. Key: server name.
+struct gate_review
+{
+  auto operator<=>(const gate_review&) const = default;
+};
+
+// A timer of the gate of a server. Key: server name.
+struct gate_timer
+{
+  instant mDue{};
+
+  auto operator<=>(const gate_timer&) const = default;
+};
+
+class gate_runner
+{
+public:
+  gate_runner(core_context& aContext, gate_hooks aHooks)
+    : mContext(aContext)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  // Loads the gate of the server, applies the change, settles and stores it.
+  void Run(const std::string& aServer, const std::function<void(gate_turn&)>& aChange) const
+  {
+    gate_turn turn = LoadTurn(mContext, mHooks, aServer);
+    aChange(turn);
+    Settle(turn);
+    const instant due = NextDue(turn);
+    std::set<instant>& timers = turn.mState.mTimers;
+    if (due != kNever && (timers.empty() || due < *timers.begin())) {
+      timers.insert(due);
+      mContext.After(std::max(micros(0), due - turn.mNow), aServer, gate_timer{ due });
+    }
+    StoreTurn(turn);
+  }
+
+  void Review(const std::string& aServer) const { mContext.mBoard.Post(aServer, gate_review{}); }
+
+  void ReviewWaiting() const
+  {
+    for (const auto& [server, state] : mContext.mBoard.List<gate_state>()) {
+      if (!state->mQueue.empty()) {
+        Review(server);
+      }
+    }
+  }
+
+  // A closed zone is noted for servers that were never used too, so that its reopening is seen.
+  void ReviewTables() const
+  {
+    std::set<std::string> servers;
+    for (const auto& [server, state] : mContext.mBoard.List<gate_state>()) {
+      servers.insert(server);
+    }
+    const auto tables = mContext.mBoard.Read<tables_in_force>(kTablesKey);
+    if (tables && tables->mPools && !tables->mPools->mClosedZones.empty()) {
+      for (const pool_spec& pool : tables->mPools->mPools) {
+        for (const server_spec& server : pool.mServers) {
+          if (tables->mPools->mClosedZones.contains(server.mZone)) {
+            servers.insert(server.mName);
+          }
+        }
+      }
+    }
+    for (const std::string& server : servers) {
+      Review(server);
+    }
+  }
+
+  core_context& mContext;
+  const gate_hooks mHooks;
+};
+
+template<typename T>
+void OnServerFact(const std::shared_ptr<const gate_runner>& aRunner,
+                  const std::function<void(gate_turn&, const T&)>& aChange)
+{
+  aRunner->mContext.mBoard.OnFact<T>(
+    [aRunner, aChange](const std::string& aServer, const T& aFact) {
+      aRunner->Run(aServer, [&](gate_turn& aTurn) { aChange(aTurn, aFact); });
+    });
+}
+
+} // namespace
+
+void AddGateController(core_context& aContext, const gate_hooks& aHooks)
+{
+  const auto runner = std::make_shared<const gate_runner>(aContext, aHooks);
+  OnServerFact<gate_request>(runner, [](gate_turn& aTurn, const gate_request& aFact) {
+    OnRequest(aTurn, { aFact.mFrom, aFact.mRequest });
+  });
+  OnServerFact<received<forward_part_message>>(
+    runner, [](gate_turn& aTurn, const received<forward_part_message>& aFact) {
+      waiting_part part{ aFact.mFrom, aFact.mMessage.mRequest };
+      part.mRequest.mDeadline = aTurn.mNow + aFact.mMessage.mRemaining;
+      OnRequest(aTurn, std::move(part));
+    });
+  OnServerFact<gate_cancel>(runner, [](gate_turn& aTurn, const gate_cancel& aFact) {
+    OnCancel(aTurn, aFact.mAttempt, aTurn.mContext.mConfig.mVm);
+  });
+  OnServerFact<received<cancel_part_message>>(
+    runner, [](gate_turn& aTurn, const received<cancel_part_message>& aFact) {
+      OnCancel(aTurn, aFact.mMessage.mAttempt, aFact.mFrom);
+    });
+  OnServerFact<received<server_stage_message>>(runner, OnStageMessage);
+  OnServerFact<part_replied>(runner, OnReply);
+  OnServerFact<connection_changed>(runner, OnConnection);
+  OnServerFact<check_answered>(runner, OnCheck);
+  OnServerFact<server_evidence_seen>(runner,
+                                     [](gate_turn& aTurn, const server_evidence_seen& aFact) {
+                                       OnForeignEvidence(aTurn, aFact.mEvidence);
+                                     });
+  OnServerFact<gate_review>(runner, [](gate_turn&, const gate_review&) {});
+  OnServerFact<gate_timer>(runner, [](gate_turn& aTurn, const gate_timer& aFact) {
+    aTurn.mState.mTimers.erase(aFact.mDue);
+  });
+
+  blackboard& board = aContext.mBoard;
+  board.OnChange<server_permits>([runner](const std::string& aServer) {
+    if (runner->mContext.mBoard.Read<gate_state>(aServer)) {
+      runner->Review(aServer);
+    }
+  });
+  board.OnChange<tables_in_force>([runner](const std::string&) { runner->ReviewTables(); });
+  board.OnChange<member_view>([runner](const std::string&) { runner->ReviewWaiting(); });
+  board.OnFact<process_paused>([runner](const std::string&, const process_paused&) {
+    runner->mContext.mBoard.Write(kMembersKey, gate_pause{ runner->mContext.Now() });
+    runner->ReviewWaiting();
+  });
+}
 
 } // namespace redwingdock
--- /dev/null
+++ b/src/gate/gate_events.cc
@@ -0,0 +1,374 @@
+#include "gate/gate_events.h"
+
+#include "gate/stage_news.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Pause between attempts to connect after a refusal; doubles up to the limit. A lost server would
+// otherwise get a connection attempt for every part.
+constexpr micros kReopenFirst = std::chrono::milliseconds(50);
+constexpr micros kReopenMost = std::chrono::seconds(1);
+
+// A cancellation is answered at once; its connection is counted for this long at most.
+constexpr micros kCancelTime = std::chrono::seconds(1);
+
+void RefuseAllWaiting(gate_turn& aTurn, part_failure aFailure, const std::string& aText)
+{
+  gate_queue waiting;
+  waiting.swap(aTurn.mState.mQueue);
+  for (const waiting_part& each : waiting) {
+    Finish(aTurn, each, part_result::NotRun, aFailure, aText);
+  }
+}
+
+// Room for a short connection of the front end; an idle connection gives way to it.
+bool TakeSide(gate_turn& aTurn, std::uint32_t aPermit, micros aFor)
+{
+  connections& all = aTurn.mState.mConnections;
+  if (CountOf(all, aPermit) >= ConnectionCap(aTurn)) {
+    const auto idle = IdleBeyond(all, aPermit, 0);
+    if (idle.empty()) {
+      return false;
+    }
+    aTurn.mContext.Emit(close_connection{ aTurn.mState.mServer, idle.front() });
+    all = Without(std::move(all), idle.front());
+  }
+  all = WithSide(std::move(all), aPermit, aTurn.mNow, aTurn.mNow + aFor);
+  return true;
+}
+
+// Ends a use whose connection broke. The server may still be running the part, so that the permit
+// stays in use.
+void LoseUse(gate_turn& aTurn, permit_use aUse, part_failure aFailure, const std::string& aText)
+{
+  aUse.mConnection = 0;
+  aUse.mFreeAt = aTurn.mHooks.mReleaseAt(aUse.mPart.mRequest, aTurn.mNow, aTurn.mContext.mConfig);
+  const bool report = !aUse.mReported;
+  aUse.mReported = true;
+  aTurn.mState = WithUse(std::move(aTurn.mState), aUse);
+  if (report) {
+    Finish(aTurn, aUse.mPart, part_result::Unknown, aFailure, aText);
+  }
+}
+
+// Names every request that the server may be running, once.
+void PostLoss(gate_turn& aTurn)
+{
+  std::set<std::uint64_t> fingerprints;
+  for (permit_use& use : aTurn.mState.mUses) {
+    if (!use.mLost) {
+      fingerprints.insert(use.mPart.mRequest.mFingerprint);
+      use.mLost = true;
+    }
+  }
+  if (!fingerprints.empty()) {
+    aTurn.mContext.Count("gate.server_lost");
+    aTurn.mContext.mBoard.Post(kSuspectsKey,
+                               server_lost{ aTurn.mState.mServer, std::move(fingerprints) });
+  }
+}
+
+void Cold(gate_turn& aTurn, std::string aReason)
+{
+  ApplyRamp(aTurn, { AfterCold(aTurn.mState.mRamp, aTurn.mNow), std::move(aReason) }, true);
+}
+
+void AfterOpenFailure(gate_turn& aTurn, const std::string& aText)
+{
+  gate_state& state = aTurn.mState;
+  const micros pause =
+    std::min(kReopenMost, kReopenFirst * (1U << std::min(state.mOpenFailures, 5U)));
+  ++state.mOpenFailures;
+  state.mOpenNotBefore = aTurn.mNow + pause;
+  if (!AnyOpen(state.mConnections)) {
+    RefuseAllWaiting(aTurn, part_failure::NotSent, aText);
+    if (StageNow(aTurn) > 0) {
+      Cold(aTurn, aText);
+    }
+  }
+}
+
+// The process exited when its last connection ended: what runs next may be cold and no longer
+// draining.
+void AfterLastClose(gate_turn& aTurn)
+{
+  gate_state& state = aTurn.mState;
+  if (!AnyOpen(state.mConnections)) {
+    state.mFacts.mDraining = false;
+    if (StageNow(aTurn) > 0) {
+      Cold(aTurn, "last connection closed");
+    }
+  }
+}
+
+void AfterLoss(gate_turn& aTurn, std::uint64_t aConnection, const std::string& aText)
+{
+  if (const permit_use* use = UseOfConnection(aTurn.mState, aConnection)) {
+    LoseUse(aTurn, *use, part_failure::ConnectionLost, aText);
+  }
+}
+
+} // namespace
+
+void HoldConnection(gate_turn& aTurn, std::uint64_t aConnection)
+{
+  aTurn.mContext.Emit(close_connection{ aTurn.mState.mServer, aConnection });
+  aTurn.mState.mConnections =
+    HeldUntil(std::move(aTurn.mState.mConnections),
+              aConnection,
+              aTurn.mNow,
+              aTurn.mHooks.mHoldUntil(aTurn.mNow, aTurn.mContext.mConfig));
+}
+
+void OnRequest(gate_turn& aTurn, waiting_part aPart)
+{
+  gate_state& state = aTurn.mState;
+  const part_request& request = aPart.mRequest;
+  const auto fate = FateOf(state.mRecent, request.mAttempt);
+  if (FindWaiting(state.mQueue, request.mAttempt) != nullptr ||
+      FindUse(state, request.mAttempt) != nullptr || fate == attempt_fate::Finished) {
+    aTurn.mContext.Count("gate.repeated");
+    aTurn.mContext.Log(
+      "gate", "ignored repeated attempt " + ToString(request.mAttempt) + " to " + state.mServer);
+    return;
+  }
+  const auto refuse = [&](part_failure aFailure, std::string aText) {
+    Finish(aTurn, aPart, part_result::NotRun, aFailure, std::move(aText));
+  };
+  if (fate == attempt_fate::Cancelled) {
+    refuse(part_failure::Cancelled, "cancelled before it arrived");
+  } else if (const auto refusal = RefusalOf(aTurn)) {
+    refuse(refusal->mFailure, refusal->mText);
+  } else if (IsQuarantined(aTurn, request)) {
+    refuse(part_failure::Shed, "request is quarantined");
+  } else if (request.mDeadline <= aTurn.mNow) {
+    refuse(part_failure::DeadlinePassed, "deadline passed before it was queued");
+  } else if (aTurn.mNow < state.mOpenNotBefore && !AnyOpen(state.mConnections)) {
+    refuse(part_failure::NotSent, "server refused connections lately");
+  } else {
+    queue_step step = AfterArrival(std::move(state.mQueue),
+                                   std::move(aPart),
+                                   aTurn.mContext.mConfig.mQueueLimit,
+                                   aTurn.mHooks.mBefore);
+    state.mQueue = std::move(step.mQueue);
+    for (const waiting_part& each : step.mRemoved) {
+      Finish(aTurn, each, part_result::NotRun, part_failure::Shed, "queue is full");
+    }
+  }
+}
+
+void OnCancel(gate_turn& aTurn, const attempt_id& aAttempt, const std::string& aFrom)
+{
+  gate_state& state = aTurn.mState;
+  if (const waiting_part* waiting = FindWaiting(state.mQueue, aAttempt)) {
+    if (waiting->mFrom != aFrom) {
+      return;
+    }
+    queue_step step = AfterRemoval(
+      state.mQueue, [&](const waiting_part& aEach) { return aEach.mRequest.mAttempt == aAttempt; });
+    state.mQueue = std::move(step.mQueue);
+    for (const waiting_part& each : step.mRemoved) {
+      Finish(aTurn, each, part_result::NotRun, part_failure::Cancelled, "cancelled in the queue");
+    }
+    return;
+  }
+  if (const permit_use* found = FindUse(state, aAttempt)) {
+    if (found->mPart.mFrom != aFrom || found->mReported) {
+      return;
+    }
+    permit_use use = *found;
+    use.mReported = true;
+    state = WithUse(std::move(state), use);
+    if (aTurn.mServer != nullptr && TakeSide(aTurn, use.mPermit, kCancelTime)) {
+      aTurn.mContext.Emit(cancel_part{ state.mServer, aTurn.mServer->mAddress, aAttempt });
+    }
+    Finish(aTurn, use.mPart, part_result::Unknown, part_failure::Cancelled, "cancelled");
+    return;
+  }
+  if (!FateOf(state.mRecent, aAttempt)) {
+    const core_config& config = aTurn.mContext.mConfig;
+    state.mRecent = WithAttempt(std::move(state.mRecent),
+                                aAttempt,
+                                attempt_fate::Cancelled,
+                                aTurn.mNow,
+                                aTurn.mNow + config.mLongestDeadline + config.mDeadlineSlack);
+  }
+}
+
+void OnReply(gate_turn& aTurn, const part_replied& aReplied)
+{
+  gate_state& state = aTurn.mState;
+  const part_reply& reply = aReplied.mReply;
+  const permit_use* found = FindUse(state, reply.mAttempt);
+  if (found == nullptr) {
+    aTurn.mContext.Count("gate.late_reply");
+    if (reply.mEvidence) {
+      OnForeignEvidence(aTurn, *reply.mEvidence);
+    }
+    return;
+  }
+  const permit_use use = *found;
+  if (reply.mResult == part_result::Unknown && !reply.mEvidence &&
+      reply.mFailure != part_failure::Malformed) {
+    // The front end gave up; the server may still be running the part.
+    if (use.mConnection != 0) {
+      HoldConnection(aTurn, use.mConnection);
+    }
+    LoseUse(aTurn, use, reply.mFailure, Describe(reply.mReason));
+    return;
+  }
+  // The server is done with the part, or never got it.
+  state = WithoutUse(std::move(state), reply.mAttempt);
+  if (use.mConnection == aReplied.mConnection) {
+    if (reply.mFailure == part_failure::Malformed) {
+      aTurn.mContext.Emit(close_connection{ state.mServer, use.mConnection });
+      state.mConnections = Without(std::move(state.mConnections), use.mConnection);
+    } else {
+      state.mConnections =
+        InPhase(std::move(state.mConnections), use.mConnection, connection_phase::Idle, aTurn.mNow);
+    }
+  } else if (use.mConnection != 0) {
+    HoldConnection(aTurn, use.mConnection);
+  }
+  if (reply.mEvidence) {
+    state.mFacts = AfterSight(std::move(state.mFacts),
+                              reply.mEvidence->mMode == server_mode::Draining,
+                              reply.mEvidence->mVersions,
+                              aTurn.mNow);
+  }
+  if (reply.mEvidence || reply.mFailure == part_failure::Shed) {
+    const reply_sample sample{
+      reply.mResult,  reply.mFailure, reply.mEvidence.value_or(server_evidence{}),
+      use.mSentAt,    aTurn.mNow,     Leads(aTurn),
+      TopStage(aTurn)
+    };
+    ApplyRamp(
+      aTurn,
+      AfterReply(
+        state.mRamp, sample, aTurn.mHooks.mMayRaise, aTurn.mHooks.mIsSlow, aTurn.mContext.mConfig),
+      true);
+  }
+  if (use.mReported) {
+    aTurn.mContext.Count("gate.late_reply");
+    return;
+  }
+  aTurn.mContext.Count(reply.mResult == part_result::Answered ? "gate.answered" : "gate.failed");
+  part_reply result = reply;
+  result.mServer = state.mServer;
+  if (result.mResult != part_result::Answered && result.mReason == reason{}) {
+    result.mReason = { "gate", state.mServer, ToString(reply.mFailure) };
+  }
+  Finish(aTurn, use.mPart, std::move(result));
+}
+
+void OnConnection(gate_turn& aTurn, const connection_changed& aChanged)
+{
+  gate_state& state = aTurn.mState;
+  const connection* found = FindConnection(state.mConnections, aChanged.mConnection);
+  const bool live = found != nullptr && found->mPhase != connection_phase::Held;
+  const std::string text = aChanged.mReason.mText;
+  if (!live) {
+    // The end of a held connection on this side says nothing about the server's count.
+    if (aChanged.mEvent == connection_event::Opened) {
+      aTurn.mContext.Emit(close_connection{ state.mServer, aChanged.mConnection });
+    }
+    return;
+  }
+  if (aChanged.mEvent != connection_event::Opened) {
+    state.mConnections = Without(std::move(state.mConnections), aChanged.mConnection);
+  }
+  switch (aChanged.mEvent) {
+    case connection_event::Opened:
+      if (found->mPhase == connection_phase::Opening) {
+        state.mConnections = InPhase(
+          std::move(state.mConnections), aChanged.mConnection, connection_phase::Idle, aTurn.mNow);
+        state.mOpenFailures = 0;
+        state.mOpenNotBefore = {};
+      }
+      return;
+    case connection_event::Refused:
+      AfterOpenFailure(aTurn, "connection refused");
+      return;
+    case connection_event::Closed:
+      AfterLoss(aTurn, aChanged.mConnection, "connection closed");
+      AfterLastClose(aTurn);
+      return;
+    case connection_event::Lost:
+      aTurn.mContext.Log("gate",
+                         "lost connection " + std::to_string(aChanged.mConnection) + " to " +
+                           state.mServer + (text.empty() ? "" : ": " + text),
+                         log_level::Warning);
+      PostLoss(aTurn);
+      AfterLoss(aTurn, aChanged.mConnection, "connection lost");
+      state.mFacts.mDraining = state.mFacts.mDraining && AnyOpen(state.mConnections);
+      Cold(aTurn, "connection lost");
+      return;
+  }
+}
+
+void OnCheck(gate_turn& aTurn, const check_answered& aAnswered)
+{
+  gate_state& state = aTurn.mState;
+  if (!state.mCheckPermit) {
+    return;
+  }
+  state.mConnections = WithoutSide(std::move(state.mConnections), *state.mCheckPermit);
+  state.mCheckPermit.reset();
+  const std::vector<permit_use> uses = state.mUses;
+  if (aAnswered.mAlive) {
+    for (permit_use use : uses) {
+      if (!use.mChecked || use.mConnection == 0) {
+        continue;
+      }
+      HoldConnection(aTurn, use.mConnection);
+      use.mConnection = 0;
+      use.mFreeAt = aTurn.mHooks.mReleaseAt(use.mPart.mRequest, aTurn.mNow, aTurn.mContext.mConfig);
+      const bool report = !use.mReported;
+      use.mReported = true;
+      state = WithUse(std::move(state), use);
+      aTurn.mContext.Count("gate.silent");
+      if (report) {
+        Finish(aTurn, use.mPart, part_result::Unknown, part_failure::Silent, "connection silent");
+      }
+    }
+    return;
+  }
+  // Nothing accepts connections at the address: the process is gone, and its connections with it.
+  aTurn.mContext.Log(
+    "gate", "lost server " + state.mServer + ": check refused", log_level::Warning);
+  PostLoss(aTurn);
+  for (const permit_use& use : uses) {
+    if (use.mConnection != 0) {
+      LoseUse(aTurn, use, part_failure::ConnectionLost, "server refused a check");
+    }
+  }
+  const connections all = state.mConnections;
+  for (const connection& each : all) {
+    if (each.mPhase == connection_phase::Idle || each.mPhase == connection_phase::Busy ||
+        each.mPhase == connection_phase::Opening) {
+      aTurn.mContext.Emit(close_connection{ state.mServer, each.mId });
+      state.mConnections = Without(std::move(state.mConnections), each.mId);
+    }
+  }
+  state.mFacts.mDraining = false;
+  Cold(aTurn, "check refused");
+  AfterOpenFailure(aTurn, "server refused a check");
+}
+
+void OnForeignEvidence(gate_turn& aTurn, const server_evidence& aEvidence)
+{
+  const std::string instance = aTurn.mState.mRamp.mInstance;
+  ApplyRamp(aTurn, AfterForeignEvidence(aTurn.mState.mRamp, aEvidence, aTurn.mNow), true);
+  if (aEvidence.mInstance == aTurn.mState.mRamp.mInstance) {
+    aTurn.mState.mFacts = AfterSight(std::move(aTurn.mState.mFacts),
+                                     aEvidence.mMode == server_mode::Draining,
+                                     aEvidence.mVersions,
+                                     aTurn.mNow);
+  }
+}
+
+} // namespace redwingdock
--- a/src/gate/gate_hooks.cc
+++ b/src/gate/gate_hooks.cc
@@ -1,11 +1,47 @@
 #include "gate/gate_hooks.h"
 
+#include <algorithm>
+
 namespace redwingdock {
 
+namespace {
+
+// A send that waits longer in the front end is decided again.
+constexpr micros kSendWindow = std::chrono::milliseconds(100);
+
+} // namespace
+
 bool MayUsePermit(const permit& aPermit, const member_view& aView, instant aNow)
 {
   return aPermit.mHolder == aView.mSelf && aPermit.mUsableFrom <= aNow &&
          aNow < aView.mConfirmedUntil;
 }
 
+std::uint32_t HalfOfShare(const pool_spec& aPool)
+{
+  return std::max(1U, aPool.mConnections / std::max(1U, aPool.mSlots) / 2);
+}
+
+micros SilentAfter(micros aUsual, const core_config& aConfig)
+{
+  return std::max(aConfig.mSilenceLimit, aConfig.mSilenceFactor * aUsual);
+}
+
+instant HoldSilent(instant aNow, const core_config& aConfig)
+{
+  return aNow + aConfig.mSilentHold;
+}
+
+instant ReleaseAfterDeadline(const part_request& aRequest,
+                             instant /*aNow*/,
+                             const core_config& aConfig)
+{
+  return aRequest.mDeadline + aConfig.mDeadlineSlack;
+}
+
+instant SendLimit(const part_request& aRequest, const member_view& aView, instant aNow)
+{
+  return std::min({ aView.mConfirmedUntil, aRequest.mDeadline, aNow + kSendWindow });
+}
+
 } // namespace redwingdock
--- /dev/null
+++ b/src/gate/ramp.cc
@@ -0,0 +1,242 @@
+#include "gate/ramp.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Scheduling delays on a busy VM reach several milliseconds; shorter replies say nothing about the
+// server.
+constexpr micros kLatencyFloor = std::chrono::milliseconds(10);
+constexpr int kLatencyFactor = 4;
+
+// Replies of an instance before the last few have passed their deadlines.
+constexpr std::size_t kPastInstances = 4;
+
+// Reports of one cold start by several holders arrive within this time.
+constexpr micros kSameColdStart = std::chrono::milliseconds(250);
+
+bool IsPast(const ramp_state& aRamp, const std::string& aInstance)
+{
+  return std::find(aRamp.mPastInstances.begin(), aRamp.mPastInstances.end(), aInstance) !=
+         aRamp.mPastInstances.end();
+}
+
+ramp_state WithInstance(ramp_state aRamp, const std::string& aInstance, instant aNow)
+{
+  if (!aRamp.mInstance.empty()) {
+    aRamp.mPastInstances.push_back(aRamp.mInstance);
+  }
+  std::erase(aRamp.mPastInstances, aInstance);
+  if (aRamp.mPastInstances.size() > kPastInstances) {
+    aRamp.mPastInstances.erase(aRamp.mPastInstances.begin());
+  }
+  aRamp.mInstance = aInstance;
+  aRamp.mInstanceSince = aNow;
+  return aRamp;
+}
+
+// A sample above twice the usual latency counts as twice, so that a cold server becomes the usual
+// case only after many replies.
+micros NextUsual(micros aUsual, micros aLatency)
+{
+  if (aUsual.count() == 0) {
+    return std::max(aLatency, micros(1));
+  }
+  return std::max(aUsual + (std::min(aLatency, 2 * aUsual) - aUsual) / 8, micros(1));
+}
+
+} // namespace
+
+bool RaiseAfterReplies(const ramp_state& aRamp, instant aNow, const core_config& aConfig)
+{
+  return aRamp.mGoodReplies >= aConfig.mRampReplies &&
+         aNow - aRamp.mStageSince >= aConfig.mRampInterval;
+}
+
+bool SlowAboveFactor(micros aLatency, micros aUsual)
+{
+  return aUsual.count() > 0 && aLatency > kLatencyFactor * aUsual && aLatency > kLatencyFloor;
+}
+
+std::optional<instant> EvidenceAt(const ramp_state& aRamp)
+{
+  return std::max({ aRamp.mOwnAt, aRamp.mToldAt, aRamp.mColdAt });
+}
+
+std::uint32_t StageByEvidence(const ramp_state& aRamp, instant aNow, const core_config& aConfig)
+{
+  const auto evidence = EvidenceAt(aRamp);
+  const bool fresh = evidence && aNow - *evidence <= aConfig.mEvidenceTtl;
+  return fresh && !aRamp.mSlow ? aRamp.mStage : 0;
+}
+
+ramp_state AfterCold(ramp_state aRamp, instant aNow)
+{
+  aRamp.mStage = 0;
+  aRamp.mKnown = true;
+  aRamp.mStageSince = aNow;
+  aRamp.mGoodReplies = 0;
+  aRamp.mOwnAt.reset();
+  aRamp.mToldAt.reset();
+  aRamp.mColdAt = aNow;
+  aRamp.mColdAcknowledged = false;
+  aRamp.mSlow = false;
+  return aRamp;
+}
+
+ramp_step AfterReply(ramp_state aRamp,
+                     const reply_sample& aSample,
+                     const raise_rule& aMayRaise,
+                     const slow_rule& aIsSlow,
+                     const core_config& aConfig)
+{
+  const server_evidence& evidence = aSample.mEvidence;
+  const instant now = aSample.mNow;
+  if (evidence.mInstance != aRamp.mInstance && !evidence.mInstance.empty()) {
+    if (aRamp.mInstance.empty()) {
+      aRamp = WithInstance(std::move(aRamp), evidence.mInstance, now);
+    } else if (IsPast(aRamp, evidence.mInstance) && aSample.mSentAt < aRamp.mInstanceSince) {
+      return { std::move(aRamp), "" }; // a late reply of the replaced process
+    } else {
+      aRamp = WithInstance(std::move(aRamp), evidence.mInstance, now);
+      aRamp.mUsual = micros(0);
+      return { AfterCold(std::move(aRamp), now), "new instance " + evidence.mInstance };
+    }
+  }
+  if (evidence.mMode == server_mode::Cold) {
+    return { AfterCold(std::move(aRamp), now), "mode cold" };
+  }
+  if (aSample.mFailure == part_failure::Shed) {
+    return { AfterCold(std::move(aRamp), now), "request shed" };
+  }
+  if (aSample.mResult != part_result::Answered || evidence.mMode != server_mode::Warm) {
+    return { std::move(aRamp), "" };
+  }
+  const micros latency = now - aSample.mSentAt;
+  const bool slow = aIsSlow(latency, aRamp.mUsual);
+  aRamp.mUsual = NextUsual(aRamp.mUsual, latency);
+  if (slow) {
+    // A single straggler only suspends the stage; a second slow reply in a row ends it.
+    if (aRamp.mSlow) {
+      return { AfterCold(std::move(aRamp), now), "latency above the usual" };
+    }
+    aRamp.mSlow = true;
+    return { std::move(aRamp), "" };
+  }
+  aRamp.mSlow = false;
+  aRamp.mOwnAt = now;
+  if (aRamp.mStageSince == instant{}) {
+    aRamp.mStageSince = aSample.mSentAt; // the first reply since this daemon started
+  }
+  if (aSample.mSentAt >= aRamp.mStageSince) {
+    ++aRamp.mGoodReplies;
+  }
+  if (aSample.mLeads && aRamp.mStage < aSample.mTopStage && aMayRaise(aRamp, now, aConfig)) {
+    ++aRamp.mStage;
+    aRamp.mKnown = true;
+    aRamp.mStageSince = now;
+    aRamp.mGoodReplies = 0;
+  }
+  return { std::move(aRamp), "" };
+}
+
+ramp_step AfterForeignEvidence(ramp_state aRamp, const server_evidence& aEvidence, instant aNow)
+{
+  if (IsPast(aRamp, aEvidence.mInstance)) {
+    return { std::move(aRamp), "" };
+  }
+  if (aRamp.mInstance.empty()) {
+    aRamp = WithInstance(std::move(aRamp), aEvidence.mInstance, aNow);
+  } else if (aEvidence.mInstance != aRamp.mInstance && !aEvidence.mInstance.empty()) {
+    aRamp = WithInstance(std::move(aRamp), aEvidence.mInstance, aNow);
+    return { AfterCold(std::move(aRamp), aNow), "new instance " + aEvidence.mInstance };
+  }
+  if (aEvidence.mMode == server_mode::Cold && aRamp.mStage > 0) {
+    return { AfterCold(std::move(aRamp), aNow), "mode cold at another gate" };
+  }
+  return { std::move(aRamp), "" };
+}
+
+namespace {
+
+ramp_step AfterReport(ramp_state aRamp,
+                      const server_stage_message& aMessage,
+                      bool aLeads,
+                      std::uint32_t aTopStage,
+                      instant aNow,
+                      const core_config& aConfig)
+{
+  const instant at = aNow - aMessage.mAge;
+  const bool sameInstance = aMessage.mInstance == aRamp.mInstance || aMessage.mInstance.empty();
+  if (!sameInstance && !aRamp.mInstance.empty()) {
+    aRamp = WithInstance(std::move(aRamp), aMessage.mInstance, aNow);
+    return { AfterCold(std::move(aRamp), aNow), "new instance at another holder" };
+  }
+  if (aMessage.mStage == 0) {
+    const bool news = !aRamp.mColdAt || at > *aRamp.mColdAt + kSameColdStart;
+    return news ? ramp_step{ AfterCold(std::move(aRamp), aNow), "cold at another holder" }
+                : ramp_step{ std::move(aRamp), "" };
+  }
+  if (!aLeads || aNow - at > aConfig.mEvidenceTtl) {
+    return { std::move(aRamp), "" };
+  }
+  if (!aRamp.mKnown) {
+    if (aRamp.mInstance.empty()) {
+      aRamp = WithInstance(std::move(aRamp), aMessage.mInstance, aNow);
+    }
+    aRamp.mStage = std::min(aMessage.mStage, aTopStage);
+    aRamp.mKnown = true;
+    aRamp.mStageSince = aNow;
+    aRamp.mGoodReplies = 0;
+  }
+  aRamp.mToldAt = std::max(aRamp.mToldAt, std::optional(at));
+  return { std::move(aRamp), "" };
+}
+
+} // namespace
+
+ramp_step AfterMessage(ramp_state aRamp,
+                       const server_stage_message& aMessage,
+                       bool aFromLeader,
+                       bool aLeads,
+                       std::uint32_t aTopStage,
+                       instant aNow,
+                       const core_config& aConfig)
+{
+  if (IsPast(aRamp, aMessage.mInstance)) {
+    return { std::move(aRamp), "" };
+  }
+  if (!aFromLeader || aLeads) {
+    return AfterReport(std::move(aRamp), aMessage, aLeads, aTopStage, aNow, aConfig);
+  }
+  const instant at = aNow - aMessage.mAge;
+  if (aMessage.mInstance != aRamp.mInstance && !aMessage.mInstance.empty()) {
+    // Own replies within the evidence time are more recent than what the leader names.
+    if (aRamp.mOwnAt && aNow - *aRamp.mOwnAt <= aConfig.mEvidenceTtl) {
+      return { std::move(aRamp), "" };
+    }
+    aRamp = WithInstance(std::move(aRamp), aMessage.mInstance, aNow);
+    aRamp.mUsual = micros(0);
+  }
+  // The leader may have sent a higher stage before it heard of the cold start. Its stage 0 shows
+  // that it knows. Messages can be lost with a connection, so the wait is bounded.
+  if (aRamp.mColdAt && !aRamp.mColdAcknowledged) {
+    if (aMessage.mStage > 0 && aNow - *aRamp.mColdAt < 2 * aConfig.mEvidenceTtl) {
+      return { std::move(aRamp), "" };
+    }
+    aRamp.mColdAcknowledged = true;
+  }
+  if (aRamp.mStage != aMessage.mStage) {
+    aRamp.mStage = std::min(aMessage.mStage, aTopStage);
+    aRamp.mStageSince = aNow;
+    aRamp.mGoodReplies = 0;
+  }
+  aRamp.mKnown = true;
+  aRamp.mSlow = false;
+  aRamp.mToldAt = std::max(aRamp.mToldAt, std::optional(at));
+  return { std::move(aRamp), "" };
+}
+
+} // namespace redwingdock
