Add the query, safety and entry controllers

Cause: the core had empty controllers. Request keys run only in the process that they name. Requests in flight on a lost server become suspects.

--- a/src/core/values.h
+++ b/src/core/values.h
@@ -225,11 +225,21 @@
   auto operator<=>(const server_status&) const = default;
 };
 
+// Attempts of this daemon's gate that the server may be running. Entry key: server name.
+struct gate_load
+{
+  std::string mServer;
+  std::uint32_t mInFlight = 0;
+
+  auto operator<=>(const gate_load&) const = default;
+};
+
 // State of this daemon's own service. Entry key: kSelfKey.
 enum class drain_phase
 {
   Serving,
   Draining, // still serves its callers, no longer named as entry VM
+  Closing,  // finishes what runs; new work is passed on or refused before it runs
   Stopped,
 };
 
--- a/src/entry/entry_controller.cc
+++ b/src/entry/entry_controller.cc
@@ -1,7 +1,130 @@
 #include "entry/entry_controller.h"
 
+#include "core/core_facts.h"
+#include "entry/entry_choice.h"
+#include "query/query_state.h"
+
 namespace redwingdock {
 
-void AddEntryController(core_context& /*aContext*/) {}
+namespace {
+
+constexpr micros kStopCheck = std::chrono::milliseconds(100);
+
+// Time until the other daemons know of a drain and no longer name this VM: views are exchanged
+// every 500 ms, and a lost one is made up for by the next.
+constexpr micros kDrainNotice = std::chrono::seconds(2);
+
+// Key: kSelfKey.
+struct stop_check
+{
+  auto operator<=>(const stop_check&) const = default;
+};
+
+std::vector<entry_candidate> CandidatesOf(core_context& aContext, const member_view& aView)
+{
+  std::vector<entry_candidate> candidates;
+  for (const vm_spec& vm : aView.mVms.mVms) {
+    entry_candidate candidate;
+    candidate.mVm = vm;
+    if (vm.mName == aContext.mConfig.mVm) {
+      const auto drain = aContext.mBoard.Read<drain_state>(kSelfKey);
+      candidate.mIncarnation = aContext.mConfig.mIncarnation;
+      candidate.mReachable = true;
+      candidate.mDraining = drain && drain->mPhase != drain_phase::Serving;
+    } else if (const auto peer = aContext.mBoard.Read<peer_state>("peer/" + vm.mName)) {
+      candidate.mIncarnation = peer->mIncarnation;
+      candidate.mReachable = peer->mConnected;
+      candidate.mDraining = peer->mDraining;
+    }
+    candidates.push_back(std::move(candidate));
+  }
+  return candidates;
+}
+
+void OnAsked(core_context& aContext, const entry_asked& aFact)
+{
+  const auto view = aContext.mBoard.Read<member_view>(kMembersKey);
+  const auto tables = aContext.mBoard.Read<tables_in_force>(kTablesKey);
+  const std::set<std::string> closed =
+    tables && tables->mPools ? tables->mPools->mClosedZones : std::set<std::string>();
+  const std::optional<entry_candidate> chosen =
+    view ? ChooseEntry(CandidatesOf(aContext, *view), aFact.mCaller, aFact.mZone, closed)
+         : std::nullopt;
+  if (!chosen) {
+    aContext.Log("entry", "no VM for caller " + aFact.mCaller, log_level::Warning);
+    aContext.Emit(answer_entry{
+      aFact.mAsk, Failure<entry_answer>("choose entry VM", "", "no VM list is known yet") });
+    return;
+  }
+  entry_answer answer{
+    chosen->mVm.mName, chosen->mVm.mCallAddress, aContext.mConfig.mEntryLifetime, ""
+  };
+  if (!chosen->mIncarnation.empty()) {
+    answer.mKeyPrefix = chosen->mVm.mName + "." + chosen->mIncarnation + ".";
+  }
+  aContext.Count("entry.answers");
+  aContext.Log("entry", "caller " + aFact.mCaller + " is told to use " + answer.mVm);
+  aContext.Emit(answer_entry{ aFact.mAsk, Success(std::move(answer)) });
+}
+
+void OnStopAsked(core_context& aContext)
+{
+  const auto old = aContext.mBoard.Read<drain_state>(kSelfKey);
+  if (old && old->mPhase != drain_phase::Serving) {
+    return;
+  }
+  // Callers told to use this VM a moment ago keep the answer for its whole lifetime.
+  const instant notBefore = aContext.Now() + aContext.mConfig.mEntryLifetime + kDrainNotice;
+  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Draining, notBefore });
+  aContext.Log("entry", "drains, other VMs are named to callers from now on");
+  aContext.After(kStopCheck, kSelfKey, stop_check{});
+}
+
+bool HasWork(core_context& aContext)
+{
+  if (!aContext.mBoard.List<query_state>().empty()) {
+    return true;
+  }
+  for (const auto& [server, load] : aContext.mBoard.List<gate_load>()) {
+    if (load->mInFlight > 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void OnStopCheck(core_context& aContext)
+{
+  const auto state = aContext.mBoard.Read<drain_state>(kSelfKey);
+  if (!state || state->mPhase == drain_phase::Serving || state->mPhase == drain_phase::Stopped) {
+    return;
+  }
+  if (state->mPhase == drain_phase::Draining && aContext.Now() >= state->mStopNotBefore) {
+    aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Closing, state->mStopNotBefore });
+    aContext.Log("entry", "takes no new work, finishes what runs");
+    aContext.After(kStopCheck, kSelfKey, stop_check{});
+    return;
+  }
+  if (state->mPhase == drain_phase::Draining || HasWork(aContext)) {
+    aContext.After(kStopCheck, kSelfKey, stop_check{});
+    return;
+  }
+  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Stopped, state->mStopNotBefore });
+  aContext.Log("entry", "stops, its work is done");
+  aContext.Emit(stop_now{});
+}
+
+} // namespace
+
+void AddEntryController(core_context& aContext)
+{
+  blackboard& board = aContext.mBoard;
+  board.OnFact<entry_asked>(
+    [&aContext](const std::string&, const entry_asked& aFact) { OnAsked(aContext, aFact); });
+  board.OnFact<stop_asked>(
+    [&aContext](const std::string&, const stop_asked&) { OnStopAsked(aContext); });
+  board.OnFact<stop_check>(
+    [&aContext](const std::string&, const stop_check&) { OnStopCheck(aContext); });
+}
 
 } // namespace redwingdock
--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -1,7 +1,694 @@
 #include "query/query_controller.h"
 
+#include "base/hash.h"
+#include "core/core_facts.h"
+#include "core/send.h"
+#include "query/budget.h"
+#include "query/dispatch.h"
+#include "query/latency.h"
+#include "query/query_facts.h"
+#include "safety/request_key.h"
+#include "safety/suspects.h"
+
+#include <algorithm>
+
 namespace redwingdock {
 
-void AddQueryController(core_context& /*aContext*/, const query_hooks& /*aHooks*/) {}
+namespace {
+
+constexpr std::uint32_t kMaxRestarts = 4;
+constexpr micros kRestartDelay = std::chrono::milliseconds(1); // lets evidence reach the statuses
+
+// The answer leaves this long before the caller's deadline, for the way back (1 ms to callers).
+constexpr micros kAnswerMargin = std::chrono::milliseconds(5);
+
+// Numbers of queries that other daemons passed on have this bit, so that they never meet the
+// numbers that the front end gives.
+constexpr std::uint64_t kPassedOnBit = 1ULL << 46U;
+
+class query_controller
+{
+public:
+  query_controller(core_context& aContext, query_hooks aHooks)
+    : mContext(aContext)
+    , mBoard(aContext.mBoard)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  void OnArrival(const std::string& aKey, const query_arrived& aFact);
+  void OnPassedOn(const std::string& aKey, const query_passed_on& aFact);
+  void OnReply(const std::string& aKey, const part_reply& aReply);
+  void OnHedgeDue(const std::string& aKey, const hedge_due& aFact);
+  void OnDeadline(const std::string& aKey);
+  void OnPlaceAgain(const std::string& aKey);
+  void OnRestart(const std::string& aKey, const restart_query& aFact);
+  void OnCallerGone(const std::string& aKey);
+  void OnForwardedAnswer(const std::string& aKey, const query_answer& aAnswer);
+  void OnHolderDown(const std::string& aKey, const holder_down& aFact);
+  void OnPeerChange(const std::string& aKey);
+
+private:
+  void Begin(query_state aState);
+  void BeginSubmit(const query_state& aState);
+  void Serve(query_state aState, const route_spec& aRoute, const tables_in_force& aTables);
+  bool PassOnIfClosed(const query_state& aState, const tables_in_force& aTables);
+  bool PassOn(query_state aState, const std::string& aVm);
+  void Continue(query_state aState);
+  query_state ReleaseParts(const query_state& aState);
+  query_state SettleSubmit(const query_state& aState);
+  bool WantsRestart(const query_state& aState) const;
+  void Finish(query_state aState);
+  void Refuse(const query_state& aState, outcome aOutcome, reason aReason);
+  void Deliver(const query_state& aState, query_answer aAnswer);
+  void SettleKey(const query_state& aState, const query_answer& aAnswer);
+  void ReportVerdict(const query_state& aState, bool aFinished);
+  bool IsSuspect(std::uint64_t aFingerprint) const;
+  void Store(query_state aState);
+  void Log(const query_state& aState, const std::string& aText, log_level aLevel = log_level::Info);
+
+  core_context& mContext;
+  blackboard& mBoard;
+  const query_hooks mHooks;
+};
+
+void query_controller::Log(const query_state& aState, const std::string& aText, log_level aLevel)
+{
+  mContext.Log("query", "query " + std::to_string(aState.mNumber) + " " + aText, aLevel);
+}
+
+void query_controller::Store(query_state aState)
+{
+  const std::string key = QueryKey(aState.mNumber);
+  mBoard.Write(key, std::move(aState));
+}
+
+void query_controller::OnArrival(const std::string& aKey, const query_arrived& aFact)
+{
+  if (mBoard.Read<query_state>(aKey)) {
+    return;
+  }
+  query_state state;
+  state.mNumber = aFact.mQuery;
+  state.mRequest = aFact.mRequest;
+  state.mArrived = mContext.Now();
+  Begin(std::move(state));
+}
+
+void query_controller::OnPassedOn(const std::string& aKey, const query_passed_on& aFact)
+{
+  if (mBoard.Read<query_state>(aKey)) {
+    return;
+  }
+  query_state state;
+  state.mNumber = aFact.mNumber;
+  state.mReplyTo = aFact.mFrom;
+  state.mReplyNumber = aFact.mMessage.mNumber;
+  state.mRequest = aFact.mMessage.mRequest;
+  state.mRequest.mDeadline = aFact.mMessage.mRemaining;
+  state.mArrived = mContext.Now();
+  Begin(std::move(state));
+}
+
+void query_controller::Begin(query_state aState)
+{
+  const auto tables = mBoard.Read<tables_in_force>(kTablesKey);
+  if (!tables || !tables->mRoutes || !tables->mPools) {
+    Refuse(aState, outcome::NotRun, { "plan", "", "no tables are in force yet" });
+    return;
+  }
+  const route_spec* route = tables->FindRoute(aState.mRequest.mRoute);
+  if (route == nullptr) {
+    Refuse(aState,
+           outcome::Rejected,
+           { "plan", "", "route \"" + aState.mRequest.mRoute + "\" does not exist" });
+    return;
+  }
+  const micros allowed = std::min(aState.mRequest.mDeadline.value_or(route->mDeadline),
+                                  mContext.mConfig.mLongestDeadline);
+  aState.mDeadline = aState.mArrived + allowed - std::min(kAnswerMargin, allowed / 10);
+  aState.mOperation = route->mOperation;
+  aState.mUrgency = aState.mRequest.mUrgency.value_or(route->mUrgency);
+  aState.mHedge = route->mHedge;
+  aState.mFingerprint = FingerprintOf(aState.mRequest);
+  const bool submit = route->mOperation == operation::Submit;
+  if (!submit && !aState.mRequest.mRequestKey.empty()) {
+    Refuse(aState, outcome::Rejected, { "plan", "", "a search takes no request key" });
+    return;
+  }
+  if (submit && !aState.mRequest.mFilter.contains("id")) {
+    Refuse(aState, outcome::Rejected, { "plan", "", "a submit names its record in filter.id" });
+    return;
+  }
+  mContext.After(aState.mDeadline - mContext.Now(), QueryKey(aState.mNumber), query_deadline{});
+  if (submit) {
+    BeginSubmit(aState);
+  } else if (!PassOnIfClosed(aState, *tables)) {
+    Serve(std::move(aState), *route, *tables);
+  }
+}
+
+// A key runs only in the process that it names. A key of an earlier process of this VM, or of a
+// process that cannot be asked, may have run there.
+void query_controller::BeginSubmit(const query_state& aState)
+{
+  const result<request_key> key = ParseRequestKey(aState.mRequest.mRequestKey);
+  if (!key) {
+    Refuse(aState, outcome::Rejected, key.mReason);
+    return;
+  }
+  const core_config& config = mContext.mConfig;
+  if (key->mVm != config.mVm) {
+    if (!aState.mReplyTo.empty() || !PassOn(aState, key->mVm)) {
+      Refuse(aState,
+             outcome::Unknown,
+             { "find home of request key", key->mVm, "the home cannot be reached" });
+    }
+    return;
+  }
+  if (key->mIncarnation != config.mIncarnation) {
+    Refuse(aState,
+           outcome::Unknown,
+           { "find home of request key", key->mVm, "the home has restarted since" });
+    return;
+  }
+  key_record seen;
+  bool repeated = false;
+  mBoard.Update<key_record>(KeyRecordKey(aState.mRequest.mRequestKey), [&](const key_record* aOld) {
+    key_record next;
+    next.mQuery = aState.mNumber;
+    repeated = aOld != nullptr;
+    if (repeated) {
+      next = *aOld;
+      if (next.mPhase == key_phase::Running) {
+        next.mWaiting.push_back(aState.mNumber);
+      }
+    }
+    seen = next;
+    return std::optional(next);
+  });
+  if (repeated) {
+    Log(aState, "repeats request key " + aState.mRequest.mRequestKey);
+    if (seen.mPhase == key_phase::Done) {
+      Deliver(aState, seen.mAnswer);
+    } else {
+      mBoard.Write(QueryKey(aState.mNumber), aState); // waits for key_finished
+    }
+    return;
+  }
+  const auto tables = mBoard.Read<tables_in_force>(kTablesKey);
+  const route_spec* route = tables->FindRoute(aState.mRequest.mRoute);
+  if (route == nullptr) {
+    Finish(aState);
+    return;
+  }
+  Serve(aState, *route, *tables);
+}
+
+bool query_controller::PassOn(query_state aState, const std::string& aVm)
+{
+  const auto peer = mBoard.Read<peer_state>("peer/" + aVm);
+  const micros remaining = aState.mDeadline - mContext.Now();
+  if (!peer || !peer->mConnected || remaining.count() <= 0) {
+    return false;
+  }
+  if (!SendToPeer(
+        mContext, aVm, forward_query_message{ aState.mNumber, aState.mRequest, remaining })) {
+    return false;
+  }
+  Log(aState, "passed on to " + aVm);
+  mContext.Count("query.passed_on");
+  aState.mForwardedTo = aVm;
+  Store(std::move(aState));
+  return true;
+}
+
+// A daemon in a closed zone, or one that is closing, leaves new work to daemons that serve, while
+// one can be reached.
+bool query_controller::PassOnIfClosed(const query_state& aState, const tables_in_force& aTables)
+{
+  const auto drain = mBoard.Read<drain_state>(kSelfKey);
+  const bool closing = drain && drain->mPhase == drain_phase::Closing;
+  if (!aState.mReplyTo.empty() ||
+      (!closing && !aTables.mPools->mClosedZones.contains(mContext.mConfig.mZone))) {
+    return false;
+  }
+  const auto view = mBoard.Read<member_view>(kMembersKey);
+  if (!view) {
+    return false;
+  }
+  std::vector<std::string> open;
+  for (const vm_spec& vm : view->mVms.mVms) {
+    const auto peer = mBoard.Read<peer_state>("peer/" + vm.mName);
+    if (vm.mName != mContext.mConfig.mVm && vm.mState == vm_state::Live && peer &&
+        peer->mConnected && !peer->mDraining && !aTables.mPools->mClosedZones.contains(vm.mZone)) {
+      open.push_back(vm.mName);
+    }
+  }
+  return !open.empty() && PassOn(aState, open[mContext.Random(open.size())]);
+}
+
+bool query_controller::IsSuspect(std::uint64_t aFingerprint) const
+{
+  const auto found = mBoard.Read<suspect>(SuspectKey(aFingerprint));
+  return found && found->mUntil > mContext.Now();
+}
+
+void query_controller::Serve(query_state aState,
+                             const route_spec& aRoute,
+                             const tables_in_force& aTables)
+{
+  const auto found = mBoard.Read<suspect>(SuspectKey(aState.mFingerprint));
+  const bool suspected = found && found->mUntil > mContext.Now();
+  if (suspected && found->mLevel == suspicion::Quarantined) {
+    mContext.Count("query.quarantined");
+    aState.mParts.clear();
+    Refuse(aState,
+           outcome::NotRun,
+           { "check quarantine",
+             "",
+             "the request was running on " + std::to_string(found->mServersLost.size()) +
+               " backend servers when they were lost" });
+    return;
+  }
+  const std::vector<shard_info> shards = ReadShards(mContext, aTables, aRoute);
+  const snapshot chosen = ChooseSnapshot(shards);
+  std::optional<std::uint32_t> position;
+  if (aState.mOperation == operation::Submit) {
+    position = PositionOf(aState.mRequest.mFilter.at("id"));
+  }
+  aState.mVersion = chosen.mVersion;
+  aState.mMap = chosen.mMap;
+  aState.mParts = PlanParts(shards, chosen.mMap, position);
+  if (suspected && mHooks.mCanary && aState.mParts.size() > 1) {
+    for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
+      if (i != aState.mFingerprint % aState.mParts.size()) {
+        aState.mParts[i].mPhase = part_phase::Held;
+      }
+    }
+  }
+  const auto parts = static_cast<double>(aState.mParts.size());
+  Earn(mBoard, kHedgeBudgetKey, parts * mContext.mConfig.mHedgeBudget);
+  Earn(mBoard, kRetryBudgetKey, parts * mContext.mConfig.mRetryBudget);
+  Log(aState,
+      "route " + aRoute.mName + " has " + std::to_string(aState.mParts.size()) +
+        " parts on index version " + std::to_string(aState.mVersion) + " map " +
+        std::to_string(aState.mMap) + (suspected ? ", runs one part first" : ""));
+  Continue(std::move(aState));
+}
+
+// A non-idempotent part that may have run is not sent again.
+query_state query_controller::SettleSubmit(const query_state& aState)
+{
+  if (aState.mOperation != operation::Submit) {
+    return aState;
+  }
+  query_state next = aState;
+  for (part_state& part : next.mParts) {
+    const bool open = part.mPhase == part_phase::Ready || part.mPhase == part_phase::Lost;
+    const part_result last = part.mMayHaveRun ? part_result::Unknown : part_result::NotRun;
+    if (open && !part.mAttempts.empty() && !mHooks.mMayRepeatSubmit(last)) {
+      part.mPhase = part_phase::Failed;
+    } else if (open && part.mPhase == part_phase::Lost) {
+      part.mPhase = part_phase::Ready;
+    }
+  }
+  return next;
+}
+
+// Parts that wait for proof that the request is harmless go on once any part was answered.
+query_state query_controller::ReleaseParts(const query_state& aState)
+{
+  query_state next = aState;
+  const bool harmless = CountAnswered(next) > 0;
+  const bool running =
+    std::any_of(next.mParts.begin(), next.mParts.end(), [](const part_state& aPart) {
+      return aPart.mPhase == part_phase::Running || aPart.mPhase == part_phase::Ready;
+    });
+  for (part_state& part : next.mParts) {
+    if (part.mPhase == part_phase::Lost) {
+      if (part.mLosses >= 2 && mHooks.mHoldLostParts) {
+        part.mPhase = part_phase::Failed; // both replicas were lost while they ran it
+      } else if (harmless || !mHooks.mHoldLostParts) {
+        part.mPhase = part_phase::Ready;
+      }
+    } else if (part.mPhase == part_phase::Held) {
+      if (harmless) {
+        part.mPhase = part_phase::Ready;
+      } else if (!running) {
+        part.mPhase = part_phase::Failed;
+        part.mReason = { "run one part first", "", "the request is suspected of crashing servers" };
+      }
+    }
+  }
+  return next;
+}
+
+bool query_controller::WantsRestart(const query_state& aState) const
+{
+  if (aState.mRestarts >= kMaxRestarts ||
+      (aState.mOperation == operation::Submit && MayHaveRun(aState))) {
+    return false;
+  }
+  return std::any_of(aState.mParts.begin(), aState.mParts.end(), [](const part_state& aPart) {
+    return aPart.mVersionGone && aPart.mPhase == part_phase::Failed;
+  });
+}
+
+// Drives a query after any change: releases, places, restarts, finishes, or waits.
+void query_controller::Continue(query_state aState)
+{
+  if (aState.mRestarting) {
+    return;
+  }
+  aState = SettleSubmit(aState);
+  aState = ReleaseParts(aState);
+  aState = PlaceReadyParts(mContext, mHooks, aState);
+  // A part without another replica for the version restarts the whole query on another snapshot.
+  if (WantsRestart(aState)) {
+    for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
+      aState = CancelAttempts(mContext, aState, i);
+    }
+    ++aState.mRestarts;
+    aState.mRestarting = true;
+    aState.mPastRun = MayHaveRun(aState);
+    mContext.Count("query.restarts");
+    Log(aState,
+        "starts over, index version " + std::to_string(aState.mVersion) + " is gone",
+        log_level::Warning);
+    mContext.After(kRestartDelay, QueryKey(aState.mNumber), restart_query{ aState.mRestarts });
+    Store(std::move(aState));
+    return;
+  }
+  if (IsFinished(aState)) {
+    Finish(std::move(aState));
+    return;
+  }
+  Store(std::move(aState));
+}
+
+void query_controller::OnReply(const std::string& aKey, const part_reply& aReply)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state || aReply.mAttempt.mOrigin != OriginOf(mContext.mConfig)) {
+    return;
+  }
+  const std::optional<attempt_place> place = FindAttempt(*state, aReply.mAttempt.mNumber);
+  if (!place) {
+    return;
+  }
+  const part_state& part = state->mParts[place->mPart];
+  const attempt_state& attempt = part.mAttempts[place->mAttempt];
+  if (!attempt.mOpen || attempt.mServer != aReply.mServer) {
+    return;
+  }
+  CloseAttempt(mContext, attempt, aReply.mFailure);
+  if (aReply.mResult == part_result::Answered) {
+    const micros elapsed = mContext.Now() - attempt.mSentAt;
+    mBoard.Update<latency_record>(LatencyKey(part), [elapsed](const latency_record* aOld) {
+      return std::optional(AddLatency(aOld != nullptr ? *aOld : latency_record{}, elapsed));
+    });
+  }
+  query_state next = ApplyReply(*state, aReply);
+  if (next.mParts[place->mPart].mPhase == part_phase::Answered) {
+    next = CancelAttempts(mContext, next, place->mPart);
+  } else if (aReply.mResult != part_result::Answered ||
+             next.mParts[place->mPart].mPhase == part_phase::Ready) {
+    Log(next,
+        "part " + part.mShard + " on " + aReply.mServer +
+          " failed: " + next.mParts[place->mPart].mReason.mText,
+        log_level::Warning);
+  }
+  if (CountLost(next) > 0 || IsSuspect(next.mFingerprint)) {
+    ReportVerdict(next, false);
+  }
+  Continue(std::move(next));
+}
+
+void query_controller::OnHedgeDue(const std::string& aKey, const hedge_due& aFact)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state) {
+    return;
+  }
+  const std::optional<attempt_place> place = FindAttempt(*state, aFact.mAttempt);
+  if (!place || !state->mParts[place->mPart].mAttempts[place->mAttempt].mOpen ||
+      state->mParts[place->mPart].mPhase != part_phase::Running) {
+    return;
+  }
+  mBoard.Write(aKey, PlaceHedge(mContext, mHooks, *state, place->mPart));
+}
+
+void query_controller::OnDeadline(const std::string& aKey)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state) {
+    return;
+  }
+  query_state next = FailOpenParts(*state, { "gather", "", "no reply before the deadline" });
+  Finish(std::move(next));
+}
+
+void query_controller::OnPlaceAgain(const std::string& aKey)
+{
+  if (const auto state = mBoard.Read<query_state>(aKey)) {
+    Continue(*state);
+  }
+}
+
+void query_controller::OnRestart(const std::string& aKey, const restart_query& aFact)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state || state->mRestarts != aFact.mRestart) {
+    return;
+  }
+  const auto tables = mBoard.Read<tables_in_force>(kTablesKey);
+  const route_spec* route = tables->FindRoute(state->mRequest.mRoute);
+  if (route == nullptr) {
+    Finish(FailOpenParts(*state, { "plan", "", "the route does not exist any more" }));
+    return;
+  }
+  query_state next = *state;
+  next.mRestarting = false;
+  Serve(std::move(next), *route, *tables);
+}
+
+void query_controller::OnCallerGone(const std::string& aKey)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state) {
+    return;
+  }
+  if (state->mOperation == operation::Submit) {
+    return; // runs on, so that the key has a known result when the caller asks again
+  }
+  Log(*state, "dropped, the caller is gone");
+  for (std::size_t i = 0; i < state->mParts.size(); ++i) {
+    CancelAttempts(mContext, *state, i);
+  }
+  mBoard.Erase<query_state>(aKey);
+}
+
+void query_controller::OnForwardedAnswer(const std::string& aKey, const query_answer& aAnswer)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (state && (!state->mForwardedTo.empty() || state->mOperation == operation::Submit)) {
+    Deliver(*state, aAnswer);
+  }
+}
+
+void query_controller::OnPeerChange(const std::string& aKey)
+{
+  const auto peer = mBoard.Read<peer_state>(aKey);
+  if (!peer || peer->mConnected) {
+    return;
+  }
+  for (const auto& [key, state] : mBoard.List<query_state>()) {
+    mBoard.Post(key, holder_down{ peer->mVm });
+  }
+}
+
+// Messages in flight to the VM may have arrived: its attempts may have run.
+void query_controller::OnHolderDown(const std::string& aKey, const holder_down& aFact)
+{
+  const auto state = mBoard.Read<query_state>(aKey);
+  if (!state) {
+    return;
+  }
+  if (state->mForwardedTo == aFact.mVm) {
+    if (state->mOperation == operation::Submit) {
+      Refuse(*state, outcome::Unknown, { "pass on", aFact.mVm, "the stream to the home was lost" });
+      return;
+    }
+    const auto tables = mBoard.Read<tables_in_force>(kTablesKey);
+    if (const route_spec* route = tables->FindRoute(state->mRequest.mRoute)) {
+      query_state own = *state;
+      own.mForwardedTo.clear();
+      own.mPastRun = true;
+      Serve(std::move(own), *route, *tables);
+    }
+    return;
+  }
+  for (const part_state& part : state->mParts) {
+    for (const attempt_state& attempt : part.mAttempts) {
+      if (attempt.mOpen && attempt.mHolder == aFact.mVm) {
+        part_reply reply;
+        reply.mAttempt = { OriginOf(mContext.mConfig), attempt.mNumber };
+        reply.mResult = part_result::Unknown;
+        reply.mFailure = part_failure::Silent;
+        reply.mServer = attempt.mServer;
+        reply.mShard = part.mShard;
+        reply.mReason = { "forward part", aFact.mVm, "the stream to the permit holder was lost" };
+        mBoard.Post(aKey, attempt_finished{ std::move(reply) });
+      }
+    }
+  }
+}
+
+void query_controller::ReportVerdict(const query_state& aState, bool aFinished)
+{
+  suspect_verdict verdict;
+  verdict.mFingerprint = aState.mFingerprint;
+  verdict.mHarmless = CountAnswered(aState) > 0;
+  if (!verdict.mHarmless && !aFinished) {
+    return;
+  }
+  for (const part_state& part : aState.mParts) {
+    for (const attempt_state& attempt : part.mAttempts) {
+      if (attempt.mFailure == part_failure::ConnectionLost) {
+        verdict.mServersLost.insert(attempt.mServer);
+      }
+    }
+  }
+  mBoard.Post(kSuspectsKey, std::move(verdict));
+}
+
+void query_controller::Finish(query_state aState)
+{
+  for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
+    aState = CancelAttempts(mContext, aState, i);
+  }
+  for (part_state& part : aState.mParts) {
+    if (part.mPhase != part_phase::Answered) {
+      part.mPhase = part_phase::Failed;
+    }
+  }
+  if (CountLost(aState) > 0) {
+    ReportVerdict(aState, true);
+  }
+  query_answer answer = MakeAnswer(aState);
+  if (aState.mParts.empty()) {
+    // Passed on, waiting for the same request key, or planned without any part.
+    const bool elsewhere = !aState.mForwardedTo.empty() || aState.mOperation == operation::Submit;
+    answer.mOutcome = elsewhere ? outcome::Unknown : outcome::NotRun;
+    answer.mReason = { "gather", aState.mForwardedTo, "no reply before the deadline" };
+  }
+  Deliver(aState, std::move(answer));
+}
+
+void query_controller::Refuse(const query_state& aState, outcome aOutcome, reason aReason)
+{
+  query_answer answer;
+  answer.mOutcome = aOutcome;
+  answer.mReason = std::move(aReason);
+  Deliver(aState, std::move(answer));
+}
+
+// A key whose request did not run is forgotten; the others keep their answer for repeats.
+void query_controller::SettleKey(const query_state& aState, const query_answer& aAnswer)
+{
+  if (aState.mOperation != operation::Submit) {
+    return;
+  }
+  const std::string key = KeyRecordKey(aState.mRequest.mRequestKey);
+  const auto held = mBoard.Read<key_record>(key);
+  if (!held || held->mPhase == key_phase::Done || held->mQuery != aState.mNumber) {
+    return;
+  }
+  std::vector<std::uint64_t> waiting;
+  mBoard.Update<key_record>(key, [&](const key_record* aOld) {
+    key_record next = *aOld;
+    waiting = next.mWaiting;
+    next.mWaiting.clear();
+    next.mPhase = key_phase::Done;
+    next.mAnswer = aAnswer;
+    return std::optional(next);
+  });
+  for (const std::uint64_t number : waiting) {
+    mBoard.Post(QueryKey(number), key_finished{ aAnswer });
+  }
+  if (aAnswer.mOutcome == outcome::NotRun) {
+    mBoard.Erase<key_record>(key);
+  }
+}
+
+void query_controller::Deliver(const query_state& aState, query_answer aAnswer)
+{
+  SettleKey(aState, aAnswer);
+  mContext.Count(std::string("query.") + ToString(aAnswer.mOutcome));
+  Log(aState,
+      std::string(ToString(aAnswer.mOutcome)) + ", covers " +
+        std::to_string(aAnswer.mCoverage.mCovered) + " of " +
+        std::to_string(aAnswer.mCoverage.mTotal) + " positions" +
+        (aAnswer.mReason.mText.empty() ? "" : "; " + Describe(aAnswer.mReason)),
+      aAnswer.mOutcome == outcome::Complete ? log_level::Info : log_level::Warning);
+  mBoard.Erase<query_state>(QueryKey(aState.mNumber));
+  if (aState.mReplyTo.empty()) {
+    mContext.Emit(answer_query{ aState.mNumber, std::move(aAnswer) });
+  } else {
+    SendToPeer(
+      mContext, aState.mReplyTo, query_answer_message{ aState.mReplyNumber, std::move(aAnswer) });
+  }
+}
+
+} // namespace
+
+void AddQueryController(core_context& aContext, const query_hooks& aHooks)
+{
+  const auto controller = std::make_shared<query_controller>(aContext, aHooks);
+  blackboard& board = aContext.mBoard;
+  using key = const std::string&;
+  board.OnFact<query_arrived>(
+    [controller](key aKey, const query_arrived& aFact) { controller->OnArrival(aKey, aFact); });
+  board.OnFact<query_passed_on>(
+    [controller](key aKey, const query_passed_on& aFact) { controller->OnPassedOn(aKey, aFact); });
+  board.OnFact<attempt_finished>([controller](key aKey, const attempt_finished& aFact) {
+    controller->OnReply(aKey, aFact.mReply);
+  });
+  board.OnFact<received<part_reply_message>>(
+    [controller, &board](key aKey, const received<part_reply_message>& aFact) {
+      const part_reply& reply = aFact.mMessage.mReply;
+      if (reply.mEvidence) {
+        board.Post(reply.mServer, server_evidence_seen{ reply.mServer, *reply.mEvidence });
+      }
+      controller->OnReply(aKey, reply);
+    });
+  board.OnFact<hedge_due>(
+    [controller](key aKey, const hedge_due& aFact) { controller->OnHedgeDue(aKey, aFact); });
+  board.OnFact<query_deadline>(
+    [controller](key aKey, const query_deadline&) { controller->OnDeadline(aKey); });
+  board.OnFact<place_again>(
+    [controller](key aKey, const place_again&) { controller->OnPlaceAgain(aKey); });
+  board.OnFact<restart_query>(
+    [controller](key aKey, const restart_query& aFact) { controller->OnRestart(aKey, aFact); });
+  board.OnFact<caller_gone>(
+    [controller](key aKey, const caller_gone&) { controller->OnCallerGone(aKey); });
+  board.OnFact<received<query_answer_message>>(
+    [controller](key aKey, const received<query_answer_message>& aFact) {
+      controller->OnForwardedAnswer(aKey, aFact.mMessage.mAnswer);
+    });
+  board.OnFact<key_finished>([controller](key aKey, const key_finished& aFact) {
+    controller->OnForwardedAnswer(aKey, aFact.mAnswer);
+  });
+  board.OnFact<holder_down>(
+    [controller](key aKey, const holder_down& aFact) { controller->OnHolderDown(aKey, aFact); });
+  board.OnChange<peer_state>([controller](key aKey) { controller->OnPeerChange(aKey); });
+  board.OnFact<received<forward_query_message>>([&aContext](
+                                                  key,
+                                                  const received<forward_query_message>& aFact) {
+    const std::uint64_t number = aContext.NextNumber() | kPassedOnBit;
+    aContext.mBoard.Post(QueryKey(number), query_passed_on{ number, aFact.mFrom, aFact.mMessage });
+  });
+}
 
 } // namespace redwingdock
--- a/src/query/query_hooks.h
+++ b/src/query/query_hooks.h
@@ -1,7 +1,7 @@
 #ifndef REDWINGDOCK_QUERY_QUERY_HOOKS_H
 #define REDWINGDOCK_QUERY_QUERY_HOOKS_H
 
-#include "core/values.h"
+#include "core/requests.h"
 
 #include <functional>
 #include <optional>
@@ -14,9 +14,20 @@
 
 std::optional<micros> HedgeAfterQuantile(std::optional<micros> aQuantile);
 
+// Whether a Submit that ended this way may be sent to a server again.
+using repeat_rule = std::function<bool(part_result)>;
+
+// Only when it certainly did not run.
+bool RepeatOnlyNotRun(part_result aResult);
+
 struct query_hooks
 {
   hedge_rule mHedgeDelay = HedgeAfterQuantile;
+  repeat_rule mMayRepeatSubmit = RepeatOnlyNotRun;
+  // Runs a suspect on one shard before the others.
+  bool mCanary = true;
+  // Resends a part whose server was lost only after another part was answered.
+  bool mHoldLostParts = true;
 };
 
 } // namespace redwingdock
--- a/src/safety/safety_controller.cc
+++ b/src/safety/safety_controller.cc
@@ -1,7 +1,141 @@
 #include "safety/safety_controller.h"
 
+#include "core/core_facts.h"
+#include "core/send.h"
+#include "safety/suspects.h"
+
 namespace redwingdock {
 
-void AddSafetyController(core_context& /*aContext*/) {}
+namespace {
+
+// Up to this many VMs each learns of a suspect directly; in larger fleets each VM that learns of
+// it tells kSpread others, and the periodic views carry it to the rest.
+constexpr std::size_t kTellAll = 32;
+constexpr std::size_t kSpread = 8;
+
+// A suspect entry may have expired. Key: SuspectKey.
+struct suspect_expiry
+{
+  std::uint64_t mFingerprint = 0;
+
+  auto operator<=>(const suspect_expiry&) const = default;
+};
+
+suspect_times TimesOf(const core_context& aContext)
+{
+  return { aContext.mConfig.mSuspectTime, aContext.mConfig.mQuarantineTime, aContext.Now() };
+}
+
+void Tell(core_context& aContext, const suspect& aSuspect)
+{
+  const auto view = aContext.mBoard.Read<member_view>(kMembersKey);
+  if (!view) {
+    return;
+  }
+  const suspect_message message{ ToEntry(aSuspect, aContext.Now()) };
+  const std::vector<vm_spec>& vms = view->mVms.mVms;
+  const bool all = vms.size() <= kTellAll;
+  for (std::size_t i = 0; i < (all ? vms.size() : kSpread); ++i) {
+    const vm_spec& vm = all ? vms[i] : vms[aContext.Random(vms.size())];
+    if (vm.mName != aContext.mConfig.mVm) {
+      SendToPeer(aContext, vm.mName, message);
+    }
+  }
+}
+
+using suspect_change = std::function<suspect(const suspect*)>;
+
+// Replaces the entry of a fingerprint; tells the other daemons when it has news.
+void Change(core_context& aContext, std::uint64_t aFingerprint, const suspect_change& aChange)
+{
+  bool news = false;
+  suspect changed;
+  aContext.mBoard.Update<suspect>(SuspectKey(aFingerprint), [&](const suspect* aOld) {
+    changed = aChange(aOld);
+    news = IsNews(aOld, changed);
+    return std::optional(changed);
+  });
+  if (!news) {
+    return;
+  }
+  aContext.Log(
+    "safety",
+    "request " + std::to_string(aFingerprint) +
+      (changed.mLevel == suspicion::Quarantined ? " is quarantined, " : " is suspected, ") +
+      std::to_string(changed.mServersLost.size()) + " servers lost",
+    log_level::Warning);
+  aContext.Count(changed.mLevel == suspicion::Quarantined ? "safety.quarantined"
+                                                          : "safety.suspected");
+  Tell(aContext, changed);
+  aContext.After(changed.mUntil - aContext.Now() + micros(1),
+                 SuspectKey(aFingerprint),
+                 suspect_expiry{ aFingerprint });
+}
+
+void OnVerdict(core_context& aContext, const suspect_verdict& aVerdict)
+{
+  if (aVerdict.mHarmless) {
+    const auto old = aContext.mBoard.Read<suspect>(SuspectKey(aVerdict.mFingerprint));
+    if (old && old->mLevel == suspicion::Suspect) {
+      aContext.mBoard.Erase<suspect>(SuspectKey(aVerdict.mFingerprint));
+      aContext.Log("safety",
+                   "request " + std::to_string(aVerdict.mFingerprint) +
+                     " is cleared, a part of it was answered");
+    }
+    return;
+  }
+  Change(aContext, aVerdict.mFingerprint, [&](const suspect* aOld) {
+    return AfterRun(aOld, aVerdict, TimesOf(aContext));
+  });
+}
+
+void OnEntry(core_context& aContext, const suspect_entry& aEntry)
+{
+  Change(aContext, aEntry.mFingerprint, [&](const suspect* aOld) {
+    return Merge(aOld, aEntry, aContext.Now());
+  });
+}
+
+void OnExpiry(core_context& aContext, const suspect_expiry& aExpiry)
+{
+  const std::string key = SuspectKey(aExpiry.mFingerprint);
+  const auto entry = aContext.mBoard.Read<suspect>(key);
+  if (!entry) {
+    return;
+  }
+  if (entry->mUntil <= aContext.Now()) {
+    aContext.mBoard.Erase<suspect>(key);
+  } else {
+    aContext.After(entry->mUntil - aContext.Now() + micros(1), key, aExpiry);
+  }
+}
+
+} // namespace
+
+void AddSafetyController(core_context& aContext)
+{
+  blackboard& board = aContext.mBoard;
+  board.OnFact<server_lost>([&aContext](const std::string&, const server_lost& aFact) {
+    for (const std::uint64_t fingerprint : aFact.mFingerprints) {
+      Change(aContext, fingerprint, [&](const suspect* aOld) {
+        return AfterLoss(aOld, fingerprint, aFact.mServer, TimesOf(aContext));
+      });
+    }
+  });
+  board.OnFact<suspect_verdict>(
+    [&aContext](const std::string&, const suspect_verdict& aFact) { OnVerdict(aContext, aFact); });
+  board.OnFact<received<suspect_message>>(
+    [&aContext](const std::string&, const received<suspect_message>& aFact) {
+      OnEntry(aContext, aFact.mMessage.mSuspect);
+    });
+  board.OnFact<received<view_message>>(
+    [&aContext](const std::string&, const received<view_message>& aFact) {
+      for (const suspect_entry& entry : aFact.mMessage.mSuspects) {
+        OnEntry(aContext, entry);
+      }
+    });
+  board.OnFact<suspect_expiry>(
+    [&aContext](const std::string&, const suspect_expiry& aFact) { OnExpiry(aContext, aFact); });
+}
 
 } // namespace redwingdock
