--- /dev/null
+++ b/src/client/call_rules.cc
@@ -0,0 +1,73 @@
+#include "client/call_rules.h"
+
+#include "base/hash.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Less time than this does not suffice for a round trip and one part (2 ms and about 3 ms).
+constexpr micros kShortestAttempt = std::chrono::milliseconds(5);
+constexpr micros kPauseAfterNotRun = std::chrono::milliseconds(20);
+
+} // namespace
+
+bool EntryHolds(const std::optional<held_entry>& aEntry, instant aNow, instant aAvoidUntil)
+{
+  return aEntry && aNow < aEntry->mUntil && aNow >= aAvoidUntil;
+}
+
+std::vector<std::string> AskingOrder(const std::vector<std::string>& aDaemons,
+                                     const std::set<std::string>& aAvoided,
+                                     const std::string& aCaller)
+{
+  std::vector<std::string> order = RankByWeight(aCaller, aDaemons);
+  std::stable_partition(order.begin(), order.end(), [&aAvoided](const std::string& aDaemon) {
+    return !aAvoided.contains(aDaemon);
+  });
+  return order;
+}
+
+std::string AskingName(const std::string& aCaller, int aFailedAnswers)
+{
+  return aFailedAnswers == 0 ? aCaller : aCaller + "~" + std::to_string(aFailedAnswers);
+}
+
+call_decision DecideCall(const call_state& aState, call_event aEvent, outcome aOutcome)
+{
+  bool again = aState.mAttempts < aState.mMaxAttempts && aState.mRemaining >= kShortestAttempt;
+  bool sent = aEvent != call_event::NotConnected;
+  bool notRun = aEvent == call_event::Answered && aOutcome == outcome::NotRun;
+  call_decision next;
+  next.mMayHaveRun = aState.mMayHaveRun || (sent && aEvent != call_event::Answered);
+  next.mAvoidAddress = aEvent == call_event::NotConnected || aEvent == call_event::Lost ||
+                       aEvent == call_event::Silent;
+  if (aEvent == call_event::Answered && !notRun) {
+    bool decided = aOutcome == outcome::Complete || aOutcome == outcome::Partial;
+    next.mOutcome = !decided && next.mMayHaveRun ? outcome::Unknown : aOutcome;
+    return next;
+  }
+  if (notRun || aEvent == call_event::StalledReply) {
+    again = again && aState.mBudget;
+  }
+  if (notRun) {
+    next.mDelay = kPauseAfterNotRun * aState.mAttempts;
+    again = again && next.mDelay + kShortestAttempt <= aState.mRemaining;
+  }
+  if (!again) {
+    next.mDelay = micros(0);
+    next.mOutcome = next.mMayHaveRun ? outcome::Unknown : outcome::NotRun;
+    return next;
+  }
+  next.mStep = next.mMayHaveRun ? call_step::SendSameKey : call_step::SendFreshKey;
+  return next;
+}
+
+micros SilenceCheckAfter(micros aDeadline, micros aLimit)
+{
+  return std::min(aLimit, aDeadline / 3);
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/client/call_rules_test.cc
@@ -0,0 +1,269 @@
+#include "client/call_rules.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct decide_row
+{
+  const char* mGuardsAgainst;
+  call_state mState;
+  call_event mEvent;
+  outcome mAnswered;
+  call_step mStep;
+  outcome mOutcome; // when it finishes
+  bool mAvoids;
+};
+
+class decide_test : public testing::TestWithParam<decide_row>
+{};
+
+TEST_P(decide_test, Decides)
+{
+  const decide_row& row = GetParam();
+  call_decision next = DecideCall(row.mState, row.mEvent, row.mAnswered);
+  EXPECT_EQ(next.mStep, row.mStep) << row.mGuardsAgainst;
+  EXPECT_EQ(next.mAvoidAddress, row.mAvoids) << row.mGuardsAgainst;
+  if (row.mStep == call_step::Finish) {
+    EXPECT_EQ(next.mOutcome, row.mOutcome) << row.mGuardsAgainst;
+  }
+}
+
+call_state State(operation aOperation, int aAttempts, bool aMayHaveRun, int aRemainingMs = 500)
+{
+  return { .mOperation = aOperation,
+           .mAttempts = aAttempts,
+           .mMayHaveRun = aMayHaveRun,
+           .mRemaining = milliseconds(aRemainingMs) };
+}
+
+call_state NoBudget()
+{
+  call_state state = State(operation::Search, 1, false);
+  state.mBudget = false;
+  return state;
+}
+
+constexpr operation kSearch = operation::Search;
+constexpr operation kSubmit = operation::Submit;
+constexpr call_step kFinish = call_step::Finish;
+constexpr call_step kSame = call_step::SendSameKey;
+constexpr call_step kFresh = call_step::SendFreshKey;
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  decide_test,
+  testing::Values(decide_row{ "a complete answer is asked again",
+                              State(kSearch, 1, false),
+                              call_event::Answered,
+                              outcome::Complete,
+                              kFinish,
+                              outcome::Complete,
+                              false },
+                  decide_row{ "a partial answer after a lost attempt is dropped",
+                              State(kSubmit, 2, true),
+                              call_event::Answered,
+                              outcome::Partial,
+                              kFinish,
+                              outcome::Partial,
+                              false },
+                  decide_row{ "not_run is not used",
+                              State(kSubmit, 1, false),
+                              call_event::Answered,
+                              outcome::NotRun,
+                              kFresh,
+                              outcome::NotRun,
+                              false },
+                  decide_row{ "a fresh key after an attempt that may have run doubles the submit",
+                              State(kSubmit, 2, true),
+                              call_event::Answered,
+                              outcome::NotRun,
+                              kSame,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "not_run of another daemon hides that the first attempt may have run",
+                              State(kSubmit, 3, true),
+                              call_event::Answered,
+                              outcome::NotRun,
+                              kFinish,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "rejected of a later attempt hides that the first may have run",
+                              State(kSubmit, 2, true),
+                              call_event::Answered,
+                              outcome::Rejected,
+                              kFinish,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "repeats of not_run without a bound multiply the load",
+                              NoBudget(),
+                              call_event::Answered,
+                              outcome::NotRun,
+                              kFinish,
+                              outcome::NotRun,
+                              false },
+                  decide_row{ "not_run is sent again when too little time is left",
+                              State(kSearch, 1, false, 10),
+                              call_event::Answered,
+                              outcome::NotRun,
+                              kFinish,
+                              outcome::NotRun,
+                              false },
+                  decide_row{ "unknown is sent again",
+                              State(kSubmit, 1, false),
+                              call_event::Answered,
+                              outcome::Unknown,
+                              kFinish,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "a submit that was never sent keeps the key of a dead home",
+                              State(kSubmit, 1, false),
+                              call_event::NotConnected,
+                              outcome::Unknown,
+                              kFresh,
+                              outcome::NotRun,
+                              true },
+                  decide_row{
+                    "a second address that refuses frees the key of an attempt that may have run",
+                    State(kSubmit, 2, true),
+                    call_event::NotConnected,
+                    outcome::Unknown,
+                    kSame,
+                    outcome::Unknown,
+                    true },
+                  decide_row{ "no connection anywhere is called unknown",
+                              State(kSearch, 3, false),
+                              call_event::NotConnected,
+                              outcome::Unknown,
+                              kFinish,
+                              outcome::NotRun,
+                              true },
+                  decide_row{ "a lost submit gets a fresh key",
+                              State(kSubmit, 1, false),
+                              call_event::Lost,
+                              outcome::Unknown,
+                              kSame,
+                              outcome::Unknown,
+                              true },
+                  decide_row{ "a lost search is given up",
+                              State(kSearch, 1, false),
+                              call_event::Lost,
+                              outcome::Unknown,
+                              kSame,
+                              outcome::Unknown,
+                              true },
+                  decide_row{ "a lost submit is called not run",
+                              State(kSubmit, 3, false),
+                              call_event::Lost,
+                              outcome::Unknown,
+                              kFinish,
+                              outcome::Unknown,
+                              true },
+                  decide_row{ "a silent VM is used again",
+                              State(kSearch, 1, false),
+                              call_event::Silent,
+                              outcome::Unknown,
+                              kSame,
+                              outcome::Unknown,
+                              true },
+                  decide_row{ "one slow answer condemns a VM that answers",
+                              State(kSearch, 1, false),
+                              call_event::StalledReply,
+                              outcome::Unknown,
+                              kSame,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "slow answers of an overloaded fleet multiply the load",
+                              NoBudget(),
+                              call_event::StalledReply,
+                              outcome::Unknown,
+                              kFinish,
+                              outcome::Unknown,
+                              false },
+                  decide_row{ "an expired call is sent again",
+                              State(kSearch, 1, false, 0),
+                              call_event::Lost,
+                              outcome::Unknown,
+                              kFinish,
+                              outcome::Unknown,
+                              true },
+                  decide_row{ "a cut answer is taken as the result",
+                              State(kSubmit, 1, false),
+                              call_event::Cut,
+                              outcome::Complete,
+                              kSame,
+                              outcome::Unknown,
+                              false }));
+
+struct entry_row
+{
+  const char* mGuardsAgainst;
+  std::optional<held_entry> mEntry;
+  int mNowMs;
+  int mAvoidUntilMs;
+  bool mHolds;
+};
+
+class entry_test : public testing::TestWithParam<entry_row>
+{};
+
+TEST_P(entry_test, Holds)
+{
+  const entry_row& row = GetParam();
+  EXPECT_EQ(EntryHolds(row.mEntry,
+                       instant(milliseconds(row.mNowMs)),
+                       instant(milliseconds(row.mAvoidUntilMs))),
+            row.mHolds)
+    << row.mGuardsAgainst;
+}
+
+const held_entry kHeld{ { "vm-1", "127.0.0.1:1", milliseconds(100), "vm-1.a." },
+                        instant(milliseconds(100)) };
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  entry_test,
+  testing::Values(entry_row{ "a missing answer is used", std::nullopt, 0, 0, false },
+                  entry_row{ "each call asks again", kHeld, 99, 0, true },
+                  entry_row{ "an expired answer is used", kHeld, 100, 0, false },
+                  entry_row{ "the address that failed is used at once", kHeld, 50, 60, false },
+                  entry_row{ "a failed address is avoided forever", kHeld, 60, 60, true }));
+
+struct order_row
+{
+  const char* mGuardsAgainst;
+  std::set<std::string> mAvoided;
+};
+
+class order_test : public testing::TestWithParam<order_row>
+{};
+
+TEST_P(order_test, AsksAllAndAvoidedOnesLast)
+{
+  std::vector<std::string> daemons{ "a:1", "b:1", "c:1", "d:1", "e:1" };
+  const std::set<std::string>& avoided = GetParam().mAvoided;
+  std::set<std::string> firsts;
+  for (int caller = 0; caller < 50; ++caller) {
+    std::vector<std::string> order = AskingOrder(daemons, avoided, std::to_string(caller));
+    EXPECT_EQ(std::set<std::string>(order.begin(), order.end()).size(), daemons.size());
+    firsts.insert(order.front());
+    bool seen = false;
+    for (const std::string& each : order) {
+      seen = seen || avoided.contains(each);
+      EXPECT_EQ(seen, avoided.contains(each)) << GetParam().mGuardsAgainst;
+    }
+  }
+  EXPECT_EQ(firsts.size(), daemons.size() - avoided.size()) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(rows,
+                         order_test,
+                         testing::Values(order_row{ "all callers ask the same daemon", {} },
+                                         order_row{ "a dead daemon is asked first",
+                                                    { "b:1", "d:1" } }));
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/client/client_test.cc
@@ -0,0 +1,218 @@
+#include "client/client.h"
+
+#include "client/fake_daemon.h"
+
+#include <gtest/gtest.h>
+#include <mutex>
+#include <thread>
+
+namespace redwingdock {
+namespace {
+
+const char kComplete[] = R"({"outcome": "complete", "version": 1, "map": 1, "coverage":
+  {"covered": 4096, "total": 4096, "missing": []}, "count": 0, "records": []})";
+const char kNotRun[] = R"({"outcome": "not_run"})";
+const char kCutList[] = R"({"outcome": "complete", "version": 1, "map": 1, "coverage":
+  {"covered": 4096, "total": 4096, "missing": []}, "count": 3, "records": []})";
+
+// Replies of the first VM to queries; afterwards and at the second VM queries are complete.
+struct client_row
+{
+  const char* mGuardsAgainst;
+  operation mOperation;
+  std::vector<fake_reply> mFirst;
+  bool mFirstSilentForAll; // the process is paused
+  outcome mOutcome;
+  std::size_t mSentFirst;
+  std::size_t mSentSecond;
+  std::size_t mKeys; // different request keys over all attempts
+};
+
+class client_test : public testing::TestWithParam<client_row>
+{};
+
+std::string KeyIn(const std::string& aBody)
+{
+  std::size_t at = aBody.find("\"request_key\":\"");
+  return at == std::string::npos ? "" : aBody.substr(at);
+}
+
+TEST_P(client_test, FailsOver)
+{
+  const client_row& row = GetParam();
+  std::mutex lock;
+  std::vector<std::string> first;
+  std::vector<std::string> second;
+  std::string firstAddress;
+  std::string secondAddress;
+  bool firstFailed = false;
+  auto entry = [&](const std::string& aVm, const std::string& aAddress) {
+    return fake_reply{ .mBody = R"({"vm": ")" + aVm + R"(", "address": ")" + aAddress +
+                                R"(", "lifetime_ms": 60000, "key_prefix": ")" + aVm + ".1.\"}" };
+  };
+  fake_daemon secondVm([&](const std::string& aTarget, const std::string& aBody) {
+    std::lock_guard guard(lock);
+    if (aTarget.starts_with("/v1/entry")) {
+      return firstFailed ? entry("vm-2", secondAddress) : entry("vm-1", firstAddress);
+    }
+    second.push_back(KeyIn(aBody));
+    return fake_reply{ .mBody = kComplete };
+  });
+  fake_daemon firstVm([&](const std::string& aTarget, const std::string& aBody) {
+    std::lock_guard guard(lock);
+    if (aTarget.starts_with("/v1/entry")) {
+      return row.mFirstSilentForAll ? fake_reply{ .mAction = fake_action::StaySilent }
+                                    : entry("vm-1", firstAddress);
+    }
+    first.push_back(KeyIn(aBody));
+    fake_reply reply = first.size() <= row.mFirst.size() ? row.mFirst[first.size() - 1]
+                                                         : fake_reply{ .mBody = kComplete };
+    firstFailed = reply.mAction == fake_action::Close || row.mFirstSilentForAll;
+    return reply;
+  });
+  {
+    std::lock_guard guard(lock);
+    firstAddress = firstVm.Address();
+    secondAddress = secondVm.Address();
+  }
+  client calls({ .mDaemons = { secondAddress }, .mSeed = 7 });
+  query_request request{ .mRoute = "r", .mCaller = "desk-1", .mFilter = { { "id", "x" } } };
+  call_result done =
+    row.mOperation == operation::Submit ? calls.Submit(request) : calls.Query(request);
+  EXPECT_EQ(done.mAnswer.mOutcome, row.mOutcome)
+    << row.mGuardsAgainst << ": " << Describe(done.mAnswer.mReason);
+  EXPECT_LT(done.mElapsed, std::chrono::milliseconds(1200)) << row.mGuardsAgainst;
+  std::lock_guard guard(lock);
+  EXPECT_EQ(first.size(), row.mSentFirst) << row.mGuardsAgainst;
+  EXPECT_EQ(second.size(), row.mSentSecond) << row.mGuardsAgainst;
+  std::set<std::string> keys(first.begin(), first.end());
+  keys.insert(second.begin(), second.end());
+  EXPECT_EQ(keys.size(), row.mKeys) << row.mGuardsAgainst;
+}
+
+const fake_reply kClosed{ .mAction = fake_action::Close };
+const fake_reply kSilent{ .mAction = fake_action::StaySilent };
+const fake_reply kCut{ .mAction = fake_action::CutBody, .mBody = kComplete };
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  client_test,
+  testing::Values(client_row{ "a plain search is sent twice",
+                              operation::Search,
+                              {},
+                              false,
+                              outcome::Complete,
+                              1,
+                              0,
+                              1 },
+                  client_row{ "a search is lost with its VM",
+                              operation::Search,
+                              { kClosed },
+                              false,
+                              outcome::Complete,
+                              1,
+                              1,
+                              1 },
+                  client_row{ "a submit gets another key after its VM was lost",
+                              operation::Submit,
+                              { kClosed },
+                              false,
+                              outcome::Complete,
+                              1,
+                              1,
+                              1 },
+                  client_row{ "not_run ends a submit",
+                              operation::Submit,
+                              { { .mStatus = 503, .mBody = kNotRun } },
+                              false,
+                              outcome::Complete,
+                              2,
+                              0,
+                              2 },
+                  client_row{ "a paused VM holds a search until its deadline",
+                              operation::Search,
+                              { kSilent },
+                              true,
+                              outcome::Complete,
+                              1,
+                              1,
+                              1 },
+                  client_row{ "a silent connection holds a search until its deadline",
+                              operation::Search,
+                              { kSilent },
+                              false,
+                              outcome::Complete,
+                              2,
+                              0,
+                              1 },
+                  client_row{ "a silent connection makes a submit run twice",
+                              operation::Submit,
+                              { kSilent },
+                              false,
+                              outcome::Complete,
+                              2,
+                              0,
+                              1 },
+                  client_row{ "a cut body is taken for an answer",
+                              operation::Search,
+                              { kCut },
+                              false,
+                              outcome::Complete,
+                              2,
+                              0,
+                              1 },
+                  client_row{
+                    "a short list is taken for an answer",
+                    operation::Search,
+                    { { .mBody = kCutList }, { .mBody = kCutList }, { .mBody = kCutList } },
+                    false,
+                    outcome::Unknown,
+                    3,
+                    0,
+                    1 }));
+
+struct entry_row
+{
+  const char* mGuardsAgainst;
+  int mLifetimeMs;
+  int mAsked; // by five queries, 20 ms apart
+};
+
+class client_entry_test : public testing::TestWithParam<entry_row>
+{};
+
+TEST_P(client_entry_test, KeepsTheAnswer)
+{
+  std::mutex lock;
+  int asked = 0;
+  std::string address;
+  fake_daemon daemon([&](const std::string& aTarget, const std::string&) {
+    std::lock_guard guard(lock);
+    if (!aTarget.starts_with("/v1/entry")) {
+      return fake_reply{ .mBody = kComplete };
+    }
+    ++asked;
+    return fake_reply{ .mBody = R"({"vm": "vm-1", "address": ")" + address +
+                                R"(", "lifetime_ms": )" + std::to_string(GetParam().mLifetimeMs) +
+                                R"(, "key_prefix": ""})" };
+  });
+  {
+    std::lock_guard guard(lock);
+    address = daemon.Address();
+  }
+  client calls({ .mDaemons = { UnusedAddress(), daemon.Address() } });
+  for (int i = 0; i < 5; ++i) {
+    EXPECT_EQ(calls.Query({ .mRoute = "r", .mCaller = "c" }).mAnswer.mOutcome, outcome::Complete);
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  }
+  std::lock_guard guard(lock);
+  EXPECT_EQ(asked, GetParam().mAsked) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(rows,
+                         client_entry_test,
+                         testing::Values(entry_row{ "each call asks", 60000, 1 },
+                                         entry_row{ "an expired answer is kept", 1, 5 }));
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/client/fake_daemon.h
@@ -0,0 +1,57 @@
+#ifndef REDWINGDOCK_CLIENT_FAKE_DAEMON_H
+#define REDWINGDOCK_CLIENT_FAKE_DAEMON_H
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// A small HTTP server on a loopback port for tests of callers.
+//
+//   fake_daemon daemon([](const std::string& aTarget, const std::string& aBody) {
+//     return fake_reply{ .mBody = "{}" };
+//   });
+
+namespace redwingdock {
+
+enum class fake_action
+{
+  Answer,
+  Close,      // closes the connection without a reply
+  StaySilent, // keeps the connection open without a reply
+  CutBody,    // states the whole length but sends half of the body
+};
+
+struct fake_reply
+{
+  fake_action mAction = fake_action::Answer;
+  int mStatus = 200;
+  std::string mBody;
+
+  auto operator<=>(const fake_reply&) const = default;
+};
+
+class fake_daemon
+{
+public:
+  // Called with target and body, on one thread per connection.
+  using handler = std::function<fake_reply(const std::string&, const std::string&)>;
+
+  explicit fake_daemon(handler aHandler);
+  ~fake_daemon();
+  fake_daemon(const fake_daemon&) = delete;
+  fake_daemon& operator=(const fake_daemon&) = delete;
+
+  const std::string& Address() const { return mAddress; }
+
+private:
+  struct state;
+  std::shared_ptr<state> mState;
+  std::string mAddress;
+};
+
+// An address on which nothing listens.
+std::string UnusedAddress();
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/client/http_client.cc
@@ -0,0 +1,304 @@
+#include "client/http_client.h"
+
+#include "client/sharded_map.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/strand.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <boost/beast/http/write.hpp>
+#include <charconv>
+#include <future>
+#include <optional>
+#include <sys/socket.h>
+#include <thread>
+#include <vector>
+
+namespace redwingdock {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+// Replies of operators' views are the largest; at the target size a view stays under 8 MiB.
+constexpr std::uint64_t kBodyLimit = 16U << 20U;
+
+std::optional<tcp::endpoint> ParseAddress(const std::string& aAddress)
+{
+  std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const char* end = aAddress.data() + aAddress.size();
+  auto [next, error] = std::from_chars(aAddress.data() + colon + 1, end, port);
+  boost::system::error_code failed;
+  asio::ip::address ip = asio::ip::make_address(aAddress.substr(0, colon), failed);
+  if (error != std::errc() || next != end || failed) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(ip, port);
+}
+
+struct connection
+{
+  explicit connection(asio::io_context& aContext)
+    : mStream(asio::make_strand(aContext))
+  {
+  }
+
+  // Whether the other side has neither closed the idle connection nor sent anything on it.
+  bool Idle()
+  {
+    char byte = 0;
+    ssize_t got =
+      ::recv(mStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT); // NOLINT
+    return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+  }
+
+  beast::tcp_stream mStream;
+  beast::flat_buffer mBuffer;
+};
+
+using connection_ptr = std::shared_ptr<connection>;
+
+} // namespace
+
+struct http_client::state
+{
+  asio::io_context mContext;                      // outlives the connections
+  sharded_map<std::vector<connection_ptr>> mIdle; // by address
+  std::optional<asio::executor_work_guard<asio::io_context::executor_type>> mGuard;
+  std::vector<std::thread> mThreads;
+
+  connection_ptr TakeIdle(const std::string& aAddress)
+  {
+    connection_ptr taken;
+    mIdle.Use(aAddress, [&taken](std::vector<connection_ptr>& aIdle) {
+      while (!taken && !aIdle.empty()) {
+        if (aIdle.back()->Idle()) {
+          taken = aIdle.back();
+        }
+        aIdle.pop_back();
+      }
+    });
+    return taken;
+  }
+};
+
+namespace {
+
+// One call on one connection.
+template<typename State>
+class exchange : public std::enable_shared_from_this<exchange<State>>
+{
+public:
+  exchange(State& aState, http_call aCall, http_client::on_reply aOnReply)
+    : mState(aState)
+    , mCall(std::move(aCall))
+    , mOnReply(std::move(aOnReply))
+    , mUntil(std::chrono::steady_clock::now() + mCall.mTimeout)
+  {
+  }
+
+  void Start()
+  {
+    std::optional<tcp::endpoint> endpoint = ParseAddress(mCall.mAddress);
+    if (!endpoint) {
+      Finish(http_failure::NotConnected, "not an address of the form ip:port");
+      return;
+    }
+    if (!mCall.mNewConnection) {
+      mConnection = mState.TakeIdle(mCall.mAddress);
+    }
+    if (mConnection) {
+      auto self = this->shared_from_this();
+      asio::post(mConnection->mStream.get_executor(), [self] { self->Write(); });
+      return;
+    }
+    mConnection = std::make_shared<connection>(mState.mContext);
+    mConnection->mStream.expires_at(mUntil);
+    mConnection->mStream.async_connect(
+      *endpoint, [self = this->shared_from_this()](beast::error_code aError) {
+        if (aError) {
+          self->Finish(http_failure::NotConnected, aError.message());
+          return;
+        }
+        beast::error_code ignored;
+        self->mConnection->mStream.socket().set_option(tcp::no_delay(true), ignored);
+        self->Write();
+      });
+  }
+
+  void Cancel()
+  {
+    asio::post(mConnection->mStream.get_executor(),
+               [self = this->shared_from_this()] { self->mConnection->mStream.close(); });
+  }
+
+private:
+  void Write()
+  {
+    mRequest.method_string(mCall.mMethod);
+    mRequest.target(mCall.mTarget);
+    mRequest.version(11);
+    mRequest.set(http::field::host, mCall.mAddress);
+    if (!mCall.mBody.empty()) {
+      mRequest.set(http::field::content_type, "application/json");
+    }
+    mRequest.body() = mCall.mBody;
+    mRequest.prepare_payload();
+    mParser.body_limit(kBodyLimit);
+    mConnection->mStream.expires_at(mUntil);
+    http::async_write(mConnection->mStream,
+                      mRequest,
+                      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+                        // A server may answer and close before it has read the whole request.
+                        if (aError == beast::error::timeout) {
+                          self->Finish(http_failure::Silent, aError.message());
+                          return;
+                        }
+                        self->Read();
+                      });
+  }
+
+  void Read()
+  {
+    http::async_read(mConnection->mStream,
+                     mConnection->mBuffer,
+                     mParser,
+                     [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+                       if (!aError) {
+                         self->Take();
+                       } else if (aError == beast::error::timeout) {
+                         self->Finish(http_failure::Silent, "no whole reply before the timeout");
+                       } else if (aError == http::error::partial_message) {
+                         self->Finish(http_failure::Cut, aError.message());
+                       } else {
+                         self->Finish(http_failure::Lost, aError.message());
+                       }
+                     });
+  }
+
+  void Take()
+  {
+    if (!mParser.content_length() && !mParser.chunked() && mParser.get().result_int() != 204) {
+      Finish(http_failure::Cut, "the reply states no length");
+      return;
+    }
+    mReply.mStatus = static_cast<int>(mParser.get().result_int());
+    bool keep = mParser.keep_alive();
+    mReply.mBody = std::move(mParser.get().body());
+    if (keep) {
+      mConnection->mStream.expires_never();
+      mState.mIdle.Use(mCall.mAddress, [this](std::vector<connection_ptr>& aIdle) {
+        aIdle.push_back(mConnection);
+      });
+    }
+    mOnReply(mReply);
+  }
+
+  void Finish(http_failure aFailure, std::string aText)
+  {
+    if (mConnection) {
+      mConnection->mStream.close();
+    }
+    mReply.mFailure = aFailure;
+    mReply.mReason = { mCall.mMethod + " " + mCall.mTarget, mCall.mAddress, std::move(aText) };
+    mOnReply(mReply);
+  }
+
+  State& mState; // outlives the handlers of its context
+  http_call mCall;
+  http_client::on_reply mOnReply;
+  std::chrono::steady_clock::time_point mUntil;
+  connection_ptr mConnection;
+  http::request<http::string_body> mRequest;
+  http::response_parser<http::string_body> mParser;
+  http_reply mReply;
+};
+
+} // namespace
+
+instant Now()
+{
+  return instant(
+    std::chrono::duration_cast<micros>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+std::string UrlEncode(const std::string& aText)
+{
+  static constexpr char kDigits[] = "0123456789ABCDEF";
+  std::string encoded;
+  for (char each : aText) {
+    auto byte = static_cast<unsigned char>(each);
+    if (std::isalnum(byte) != 0 || each == '-' || each == '.' || each == '_' || each == '~') {
+      encoded += each;
+    } else {
+      encoded += { '%', kDigits[byte >> 4U], kDigits[byte & 15U] };
+    }
+  }
+  return encoded;
+}
+
+http_client::http_client(int aThreads)
+  : mState(std::make_unique<state>())
+{
+  mState->mGuard.emplace(mState->mContext.get_executor());
+  for (int i = 0; i < aThreads; ++i) {
+    mState->mThreads.emplace_back([context = &mState->mContext] { context->run(); });
+  }
+}
+
+http_client::~http_client()
+{
+  Stop();
+}
+
+void http_client::Stop()
+{
+  mState->mContext.stop();
+  for (std::thread& each : mState->mThreads) {
+    each.join();
+  }
+  mState->mThreads.clear();
+}
+
+http_client::cancel http_client::Send(http_call aCall, on_reply aOnReply)
+{
+  auto started = std::make_shared<exchange<state>>(*mState, std::move(aCall), std::move(aOnReply));
+  asio::post(mState->mContext, [started] { started->Start(); });
+  return [weak = std::weak_ptr(started)] {
+    if (auto open = weak.lock()) {
+      open->Cancel();
+    }
+  };
+}
+
+http_reply http_client::Ask(http_call aCall)
+{
+  auto promised = std::make_shared<std::promise<http_reply>>();
+  std::future<http_reply> reply = promised->get_future();
+  Send(std::move(aCall), [promised](const http_reply& aReply) { promised->set_value(aReply); });
+  return reply.get();
+}
+
+void http_client::After(micros aDelay, std::function<void()> aRun)
+{
+  auto timer = std::make_shared<asio::steady_timer>(mState->mContext, aDelay);
+  timer->async_wait([timer, run = std::move(aRun)](beast::error_code aError) {
+    if (!aError) {
+      run();
+    }
+  });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/client/http_client.h
@@ -0,0 +1,88 @@
+#ifndef REDWINGDOCK_CLIENT_HTTP_CLIENT_H
+#define REDWINGDOCK_CLIENT_HTTP_CLIENT_H
+
+#include "base/reason.h"
+#include "base/time.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+// HTTP/1.1 calls with deadlines over kept connections, without Beast in the header.
+//
+//   http_client http(1);
+//   http_reply reply = http.Ask({ .mAddress = "127.0.0.1:7001", .mTarget = "/v1/view" });
+//   http.Send(call, [](const http_reply& aReply) { ... }); // on a thread of the client
+
+namespace redwingdock {
+
+// Steady time of this process.
+instant Now();
+
+enum class http_failure
+{
+  None,
+  NotConnected, // nothing was sent
+  Lost,         // the connection ended before the whole reply
+  Silent,       // no whole reply before the timeout
+  Cut,          // the body ended early, or its length is not stated
+};
+
+struct http_call
+{
+  std::string mAddress; // "ip:port"
+  std::string mMethod = "GET";
+  std::string mTarget = "/";
+  std::string mBody;
+  micros mTimeout = std::chrono::seconds(1);
+  bool mNewConnection = false;
+
+  auto operator<=>(const http_call&) const = default;
+};
+
+struct http_reply
+{
+  http_failure mFailure = http_failure::None;
+  int mStatus = 0;
+  std::string mBody;
+  reason mReason;
+
+  bool Ok() const { return mFailure == http_failure::None && mStatus == 200; }
+  auto operator<=>(const http_reply&) const = default;
+};
+
+// Text for a query parameter, percent-encoded.
+std::string UrlEncode(const std::string& aText);
+
+class http_client
+{
+public:
+  using on_reply = std::function<void(const http_reply&)>;
+  using cancel = std::function<void()>;
+
+  explicit http_client(int aThreads);
+  ~http_client();
+  http_client(const http_client&) = delete;
+  http_client& operator=(const http_client&) = delete;
+
+  // Ends the threads; open calls are dropped without calling back.
+  void Stop();
+
+  // Calls back once on a thread of the client. The returned function closes the connection of an
+  // open call, which then ends as Lost.
+  cancel Send(http_call aCall, on_reply aOnReply);
+
+  // Blocks until the reply or the timeout; not for use in callbacks.
+  http_reply Ask(http_call aCall);
+
+  // Runs the function once on a thread of the client.
+  void After(micros aDelay, std::function<void()> aRun);
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/client/sharded_map.h
@@ -0,0 +1,70 @@
+#ifndef REDWINGDOCK_CLIENT_SHARDED_MAP_H
+#define REDWINGDOCK_CLIENT_SHARDED_MAP_H
+
+#include <array>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <utility>
+
+// A map from names to values in shards, each under its own lock. No call holds two locks.
+//
+//   sharded_map<instant> avoided;
+//   avoided.Set("127.0.0.1:7001", until);
+
+namespace redwingdock {
+
+template<typename T>
+class sharded_map
+{
+public:
+  std::optional<T> Get(const std::string& aKey) const
+  {
+    const shard& owner = ShardOf(aKey);
+    std::lock_guard lock(owner.mLock);
+    auto found = owner.mValues.find(aKey);
+    return found == owner.mValues.end() ? std::nullopt : std::optional<T>(found->second);
+  }
+
+  void Set(const std::string& aKey, T aValue)
+  {
+    Use(aKey, [&aValue](T& aSlot) { aSlot = std::move(aValue); });
+  }
+
+  // Runs the function on the value (default-constructed when new) under the lock of its shard.
+  void Use(const std::string& aKey, const std::function<void(T&)>& aUse)
+  {
+    shard& owner = ShardOf(aKey);
+    std::lock_guard lock(owner.mLock);
+    aUse(owner.mValues[aKey]);
+  }
+
+  void Erase(const std::string& aKey)
+  {
+    shard& owner = ShardOf(aKey);
+    std::lock_guard lock(owner.mLock);
+    owner.mValues.erase(aKey);
+  }
+
+private:
+  struct shard
+  {
+    mutable std::mutex mLock;
+    std::map<std::string, T> mValues;
+  };
+
+  std::size_t IndexOf(const std::string& aKey) const
+  {
+    return std::hash<std::string>{}(aKey) % mShards.size();
+  }
+  shard& ShardOf(const std::string& aKey) { return mShards[IndexOf(aKey)]; }
+  const shard& ShardOf(const std::string& aKey) const { return mShards[IndexOf(aKey)]; }
+
+  std::array<shard, 16> mShards;
+};
+
+} // namespace redwingdock
+
+#endif
