Add the fake fleet, its checker and tests of the query functions

The fake fleet runs real cores against fake servers and a fake platform on a manual clock; the checker sees only the callers', servers' and platform's sides.

--- /dev/null
+++ b/src/query/query_state_test.cc
@@ -0,0 +1,228 @@
+#include "query/query_state.h"
+
+#include "base/hash.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+std::string IdIn(std::uint32_t aFrom, std::uint32_t aTo)
+{
+  for (int i = 0;; ++i) {
+    std::string id = "case-" + std::to_string(i);
+    if (PositionOf(id) >= aFrom && PositionOf(id) < aTo) {
+      return id;
+    }
+  }
+}
+
+// Two shards on map 3, one open attempt each (numbers 1 and 2).
+query_state TwoParts(std::uint64_t aVersion)
+{
+  query_state state;
+  state.mVersion = aVersion;
+  state.mMap = 3;
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    part_state part;
+    part.mPool = "desk";
+    part.mShard = "shard-" + std::to_string(i);
+    part.mRanges = { { i * kPositions / 2, (i + 1) * kPositions / 2 } };
+    state.mParts.push_back(part);
+  }
+  for (std::uint32_t i = 0; i < 2; ++i) {
+    attempt_state attempt;
+    attempt.mNumber = i + 1;
+    attempt.mServer = "s" + std::to_string(i);
+    state = AddAttempt(state, i, attempt);
+  }
+  return state;
+}
+
+part_reply Answered(std::uint64_t aAttempt, std::uint64_t aVersion, std::uint32_t aMap)
+{
+  const auto index = static_cast<std::uint32_t>(aAttempt - 1) % 2;
+  part_reply reply;
+  reply.mAttempt.mNumber = aAttempt;
+  reply.mResult = part_result::Answered;
+  reply.mServer = "s" + std::to_string(index);
+  reply.mShard = "shard-" + std::to_string(index);
+  reply.mVersion = aVersion;
+  reply.mMap = aMap;
+  reply.mRecords = { { IdIn(index * kPositions / 2, (index + 1) * kPositions / 2), {} } };
+  return reply;
+}
+
+part_reply Failed(std::uint64_t aAttempt, part_result aResult, part_failure aFailure)
+{
+  part_reply reply = Answered(aAttempt, 0, 0);
+  reply.mRecords.clear();
+  reply.mResult = aResult;
+  reply.mFailure = aFailure;
+  return reply;
+}
+
+part_reply WithShard(part_reply aReply, const std::string& aShard)
+{
+  aReply.mShard = aShard;
+  return aReply;
+}
+
+part_reply WithServer(part_reply aReply, const std::string& aServer)
+{
+  aReply.mServer = aServer;
+  return aReply;
+}
+
+part_reply WithForeignRecord(part_reply aReply)
+{
+  aReply.mRecords.push_back({ IdIn(kPositions / 2, kPositions), {} });
+  return aReply;
+}
+
+struct answer_row
+{
+  const char* mGuardsAgainst;
+  std::uint64_t mVersion; // planned; 0 when unknown
+  std::vector<part_reply> mReplies;
+  outcome mOutcome;
+  std::uint32_t mCovered;
+  std::size_t mRecords;
+};
+
+class answer_test : public testing::TestWithParam<answer_row>
+{};
+
+TEST_P(answer_test, AfterTheDeadline)
+{
+  const answer_row& row = GetParam();
+  query_state state = TwoParts(row.mVersion);
+  for (const part_reply& reply : row.mReplies) {
+    state = ApplyReply(state, reply);
+  }
+  const query_answer answer = MakeAnswer(FailOpenParts(state, { "gather", "", "deadline" }));
+  EXPECT_EQ(answer.mOutcome, row.mOutcome) << row.mGuardsAgainst;
+  EXPECT_EQ(answer.mCoverage.mCovered, row.mCovered) << row.mGuardsAgainst;
+  EXPECT_EQ(answer.mRecords.size(), row.mRecords) << row.mGuardsAgainst;
+  EXPECT_EQ(answer.mCoverage.mMissing.empty(), row.mOutcome == outcome::Complete);
+}
+
+const std::uint32_t kHalf = kPositions / 2;
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  answer_test,
+  testing::Values(
+    answer_row{ "complete answer",
+                41,
+                { Answered(1, 41, 3), Answered(2, 41, 3) },
+                outcome::Complete,
+                kPositions,
+                2 },
+    answer_row{ "parts out of order",
+                41,
+                { Answered(2, 41, 3), Answered(1, 41, 3) },
+                outcome::Complete,
+                kPositions,
+                2 },
+    answer_row{ "repeated part counted twice",
+                41,
+                { Answered(1, 41, 3), Answered(1, 41, 3) },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "mix of versions",
+                41,
+                { Answered(1, 41, 3), Answered(2, 40, 3) },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "mix of versions when none was known",
+                0,
+                { Answered(1, 41, 3), Answered(2, 40, 3) },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "mix of partition maps",
+                41,
+                { Answered(1, 41, 3), Answered(2, 41, 4) },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "reply of another shard",
+                41,
+                { Answered(1, 41, 3), WithShard(Answered(2, 41, 3), "shard-0") },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "reply of another server",
+                41,
+                { Answered(1, 41, 3), WithServer(Answered(2, 41, 3), "s0") },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "record counted by two shards",
+                41,
+                { WithForeignRecord(Answered(1, 41, 3)), Answered(2, 41, 3) },
+                outcome::Partial,
+                kHalf,
+                1 },
+    answer_row{ "unknown attempt", 41, { Answered(7, 41, 3) }, outcome::Unknown, 0, 0 },
+    answer_row{ "not run claimed after an attempt stayed open",
+                41,
+                { Failed(1, part_result::NotRun, part_failure::Shed) },
+                outcome::Unknown,
+                0,
+                0 },
+    answer_row{ "not run hidden although all refused",
+                41,
+                { Failed(1, part_result::NotRun, part_failure::Shed),
+                  Failed(2, part_result::NotRun, part_failure::Draining) },
+                outcome::NotRun,
+                0,
+                0 },
+    answer_row{ "not run claimed after a lost connection",
+                41,
+                { Failed(1, part_result::NotRun, part_failure::Shed),
+                  Failed(2, part_result::Unknown, part_failure::ConnectionLost) },
+                outcome::Unknown,
+                0,
+                0 }));
+
+struct lost_row
+{
+  const char* mGuardsAgainst;
+  std::vector<part_reply> mReplies;
+  bool mFinished;
+};
+
+class lost_test : public testing::TestWithParam<lost_row>
+{};
+
+// A part whose server was lost waits for another part of the query to prove the request harmless.
+TEST_P(lost_test, Finished)
+{
+  query_state state = TwoParts(41);
+  for (const part_reply& reply : GetParam().mReplies) {
+    state = ApplyReply(state, reply);
+  }
+  EXPECT_EQ(IsFinished(state), GetParam().mFinished) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  lost_test,
+  testing::Values(lost_row{ "gives up while a part can still answer",
+                            { Failed(1, part_result::Unknown, part_failure::ConnectionLost) },
+                            false },
+                  lost_row{ "waits for ever when every server was lost",
+                            { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
+                              Failed(2, part_result::Unknown, part_failure::ConnectionLost) },
+                            true },
+                  lost_row{ "harmless request loses its part",
+                            { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
+                              Answered(2, 41, 3) },
+                            false }));
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/testing/fake_fleet.h
@@ -0,0 +1,194 @@
+#ifndef REDWINGDOCK_TESTING_FAKE_FLEET_H
+#define REDWINGDOCK_TESTING_FAKE_FLEET_H
+
+#include "core/core.h"
+#include "testing/fake_server.h"
+
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+// Daemons (real cores), fake backend servers and a fake platform on one manual clock. It moves
+// facts and commands between them with delays, and causes faults.
+//
+//   fake_fleet fleet(fleet_options{});
+//   fleet.RunFor(std::chrono::seconds(3));
+//   fleet.Ask(0, request);
+
+namespace redwingdock::testing {
+
+struct fleet_options
+{
+  std::uint64_t mSeed = 1;
+  std::uint32_t mDaemons = 5;
+  std::uint32_t mShards = 6;
+  std::uint32_t mReplicas = 2;
+  std::uint32_t mSlots = 3;
+  std::uint32_t mConnections = 30;
+  std::uint32_t mZones = 4;
+  bool mServersStartCold = false;
+  micros mPeerDelay = std::chrono::microseconds(500);
+  micros mServerDelay = std::chrono::microseconds(500);
+  micros mCallerDelay = std::chrono::milliseconds(1);
+  core_hooks mHooks;
+  std::function<void(core_config&)> mConfigure; // changes settings of every daemon
+};
+
+struct asked_query
+{
+  std::uint64_t mNumber = 0;
+  std::size_t mDaemon = 0;
+  std::string mTag; // request key, or the "tag" of the filter
+  query_request mRequest;
+  instant mAskedAt{};
+  instant mDeadline{};
+  bool mDaemonLost = false; // killed while the query was open: the caller sees its connection end
+  std::uint32_t mAnswers = 0;
+  instant mAnsweredAt{};
+  query_answer mAnswer;
+};
+
+class fake_fleet
+{
+public:
+  explicit fake_fleet(fleet_options aOptions);
+
+  event_queue& Events() { return mEvents; }
+  seeded_random& Random() { return mRandom; }
+  const fleet_options& Options() const { return mOptions; }
+  void RunFor(micros aDuration) { mEvents.RunFor(aDuration); }
+
+  // Callers. Returns the index in Queries().
+  std::size_t Ask(std::size_t aDaemon, query_request aRequest, micros aDeadline);
+  const std::vector<asked_query>& Queries() const { return mQueries; }
+  // Key prefix that a caller of this daemon would be handed out.
+  std::string KeyPrefix(std::size_t aDaemon) const;
+
+  // Daemons.
+  std::size_t DaemonCount() const { return mDaemons.size(); }
+  void Kill(std::size_t aDaemon);
+  void Start(std::size_t aDaemon); // with an empty memory and a new incarnation
+  void Pause(std::size_t aDaemon);
+  void Resume(std::size_t aDaemon);
+  bool IsRunning(std::size_t aDaemon) const;
+  bool HasStopped(std::size_t aDaemon) const;
+  void AskToStop(std::size_t aDaemon);
+  // Daemons of different groups cannot reach each other; those in none are in group 0.
+  void Partition(const std::set<std::size_t>& aGroup);
+  void Heal() { Partition({}); }
+  const core& Core(std::size_t aDaemon) const { return *mDaemons.at(aDaemon).mCore; }
+
+  // Servers.
+  std::vector<std::unique_ptr<fake_server>>& Servers() { return mServers; }
+  const std::vector<std::unique_ptr<fake_server>>& Servers() const { return mServers; }
+  void SetVersions(const std::vector<index_version>& aVersions);
+  // Every open connection of the daemon to the server goes silent for good.
+  void Silence(std::size_t aDaemon, const std::string& aServer);
+
+  // Platform.
+  void CloseZone(const std::string& aZone);
+  void ReopenZone(const std::string& aZone);
+  void SetServerDraining(const std::string& aServer, bool aDraining);
+  // Replaces a VM of the list by another name; the old process keeps running unless killed.
+  void ReplaceVm(std::size_t aDaemon, const std::string& aNewName);
+  void SetPlatformDown(bool aDown) { mPlatformDown = aDown; }
+  void SetPlatformReachable(std::size_t aDaemon, bool aReachable);
+  void PublishText(table_kind aKind, std::uint64_t aRevision, std::string aText);
+  std::uint64_t Revision(table_kind aKind) const { return mTables.at(aKind).mRevision; }
+  void Publish(table_kind aKind); // a new revision with the present content
+  std::string ZoneOf(std::size_t aNumber) const
+  {
+    return "zone-" + std::to_string(aNumber % mOptions.mZones);
+  }
+  const std::map<std::string, instant>& ClosedSince() const { return mClosedSince; }
+  const std::map<std::string, instant>& DrainingSince() const { return mDrainingSince; }
+
+  // Counts of the whole fleet.
+  std::uint64_t PeerMessages() const { return mPeerMessages; }
+  std::uint64_t PlatformReads() const { return mPlatformReads; }
+  const std::vector<std::string>& LogLines() const { return mLog; }
+  void KeepLog(bool aKeep) { mKeepLog = aKeep; }
+
+private:
+  struct daemon
+  {
+    std::string mVm;
+    std::string mZone;
+    std::uint32_t mStarts = 0;
+    std::unique_ptr<core> mCore;
+    bool mPaused = false;
+    bool mStopped = false;
+    bool mPlatformReachable = true;
+    std::vector<fact> mBacklog; // facts that wait while it is paused
+    instant mWakeAt = kNever;
+    std::uint32_t mGroup = 0;
+    std::set<std::string> mPeersUp;
+  };
+
+  struct connection
+  {
+    std::string mServer;
+    bool mSilent = false;
+  };
+
+  struct watch
+  {
+    std::size_t mDaemon = 0;
+    std::uint32_t mStart = 0;
+    read_table mRead;
+    instant mSince{};
+  };
+
+  struct table
+  {
+    std::uint64_t mRevision = 0;
+    std::string mText;
+  };
+
+  fake_server* FindServer(const std::string& aName);
+  std::size_t FindDaemon(const std::string& aVm) const;
+  bool Reach(std::size_t aFrom, std::size_t aTo) const;
+  void Deliver(std::size_t aDaemon, std::uint32_t aStart, fact aFact);
+  void Drive(std::size_t aDaemon);
+  void UpdatePeers();
+  void Execute(std::size_t aDaemon, const command& aCommand);
+  void Execute(std::size_t aDaemon, const answer_query& aCommand);
+  void Execute(std::size_t aDaemon, const open_connection& aCommand);
+  void Execute(std::size_t aDaemon, const close_connection& aCommand);
+  void Execute(std::size_t aDaemon, const send_part& aCommand);
+  void Execute(std::size_t aDaemon, const cancel_part& aCommand);
+  void Execute(std::size_t aDaemon, const check_connection& aCommand);
+  void Execute(std::size_t aDaemon, const send_to_peer& aCommand);
+  void Execute(std::size_t aDaemon, const read_table& aCommand);
+  void Reply(const watch& aWatch);
+  std::string RoutesText() const;
+  std::string PoolsText() const;
+  std::string VmsText() const;
+  void SetText(table_kind aKind, std::string aText);
+  std::string ConnectionName(std::size_t aDaemon, std::uint64_t aConnection) const;
+
+  fleet_options mOptions;
+  event_queue mEvents;
+  seeded_random mRandom;
+  std::vector<daemon> mDaemons;
+  std::vector<std::unique_ptr<fake_server>> mServers;
+  std::map<std::string, connection> mConnections; // by ConnectionName
+  std::vector<asked_query> mQueries;
+  std::vector<vm_spec> mVms;
+  std::set<std::string> mClosedZones;
+  std::set<std::string> mDrainingServers;
+  std::map<std::string, instant> mClosedSince;
+  std::map<std::string, instant> mDrainingSince;
+  std::map<table_kind, table> mTables;
+  std::vector<watch> mWatches;
+  bool mPlatformDown = false;
+  std::uint64_t mPeerMessages = 0;
+  std::uint64_t mPlatformReads = 0;
+  bool mKeepLog = false;
+  std::vector<std::string> mLog;
+};
+
+} // namespace redwingdock::testing
+
+#endif
--- /dev/null
+++ b/src/testing/fleet_checker.h
@@ -0,0 +1,47 @@
+#ifndef REDWINGDOCK_TESTING_FLEET_CHECKER_H
+#define REDWINGDOCK_TESTING_FLEET_CHECKER_H
+
+#include "testing/fake_fleet.h"
+
+#include <string>
+#include <vector>
+
+// Checks what must always hold, from what callers, servers and the platform see; never from a
+// daemon's own account.
+
+namespace redwingdock::testing {
+
+// What servers saw so far: slots, connections, load while cold, double runs, work in closed zones
+// and on draining servers.
+std::vector<std::string> CheckServers(const fake_fleet& aFleet);
+
+// Every answer given so far against a direct scan of the records.
+std::vector<std::string> CheckAnswers(const fake_fleet& aFleet);
+
+// After the load has ended and all deadlines have passed: one answer for each query whose daemon
+// was not killed.
+std::vector<std::string> CheckNothingLost(const fake_fleet& aFleet);
+
+struct fleet_totals
+{
+  std::uint64_t mQueries = 0;
+  std::uint64_t mComplete = 0;
+  std::uint64_t mPartial = 0;
+  std::uint64_t mNotRun = 0;
+  std::uint64_t mUnknown = 0;
+  std::uint64_t mDaemonLost = 0;
+  std::uint64_t mRuns = 0;        // on servers
+  double mCoverage = 0.0;         // mean share of positions over answered searches
+  std::vector<micros> mLatencies; // of answered searches, ascending
+};
+
+fleet_totals Totals(const fake_fleet& aFleet);
+
+// The value below which the share of latencies lies; zero without latencies.
+micros LatencyAt(const fleet_totals& aTotals, double aShare);
+
+std::uint64_t RunsOf(const fake_fleet& aFleet, const std::string& aTag);
+
+} // namespace redwingdock::testing
+
+#endif
