--- a/src/core/values.h
+++ b/src/core/values.h
@@ -225,11 +225,13 @@
   auto operator<=>(const server_status&) const = default;
 };
 
-// Attempts of this daemon's gate that the server may be running. Entry key: server name.
+// Parts that a server may be running for this daemon. A moved permit is released only when it is
+// not in use. Entry key: server name.
 struct gate_load
 {
   std::string mServer;
   std::uint32_t mInFlight = 0;
+  std::set<std::uint32_t> mPermitsInUse; // by index
 
   auto operator<=>(const gate_load&) const = default;
 };
