--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -57,8 +57,8 @@
 core::core(core_config aConfig, const core_hooks& aHooks, std::size_t aShards)
   : mContext(std::move(aConfig), aShards)
 {
-  AddTableController(mContext);
-  AddMembershipController(mContext);
+  AddTableController(mContext, aHooks.mTables);
+  AddMembershipController(mContext, aHooks.mMembership);
   AddGateController(mContext, aHooks.mGate);
   AddSafetyController(mContext);
   AddQueryController(mContext, aHooks.mQuery);
--- a/src/core/hooks.h
+++ b/src/core/hooks.h
@@ -3,7 +3,9 @@
 
 #include "core/values.h"
 #include "gate/gate_hooks.h"
+#include "membership/membership_hooks.h"
 #include "query/query_hooks.h"
+#include "tables/table_hooks.h"
 
 // Behaviour that varies. Each module declares its hooks with their defaults; tests replace one to
 // show what it protects against.
@@ -14,6 +16,8 @@
 {
   gate_hooks mGate;
   query_hooks mQuery;
+  table_hooks mTables;
+  membership_hooks mMembership;
 };
 
 } // namespace redwingdock
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -54,11 +54,17 @@
   auto operator<=>(const probe_message&) const = default;
 };
 
+// Answer of a witness. mListsYou: the witness's VM list names the sender of the probe, and the
+// witness may vote (a restarted process abstains until it knows that its list is not outdated).
+// mListAge: time since the witness replaced an earlier list by this one; empty when this is the
+// first list of its process. mKnewOther: it has seen another process under the prober's name.
 struct probe_reply_message
 {
   std::int64_t mSentAt = 0;
   std::uint64_t mVmRevision = 0;
-  bool mListsYou = false; // the receiver's VM list names the sender of the probe
+  bool mListsYou = false;
+  std::optional<micros> mListAge;
+  bool mKnewOther = false;
 
   auto operator<=>(const probe_reply_message&) const = default;
 };
@@ -80,15 +86,18 @@
   auto operator<=>(const table_pull_message&) const = default;
 };
 
-// One published table as the service gave it. mConfirmedAge is set for a VM list: the time since
-// it was read from the service.
+// One published table as the service gave it, in answer to a pull. mConfirmedAge is set by a
+// daemon that reads the service itself: the time since the service last answered it. A VM list
+// with an empty text says that the sender has nothing newer. Routes and pools are sent only while
+// in force; mPairRevision is the revision of the other table of that pair.
 struct table_message
 {
   table_kind mKind = table_kind::Routes;
   std::uint64_t mRevision = 0;
   std::string mText;
   std::optional<micros> mConfirmedAge;
-  bool mInForce = false; // the sender has it in force (routes and pools)
+  bool mInForce = false;
+  std::uint64_t mPairRevision = 0;
 
   auto operator<=>(const table_message&) const = default;
 };
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -181,6 +181,25 @@
   auto operator<=>(const member_view&) const = default;
 };
 
+// The VM list as this daemon last read it from the configuration service itself; mReadSince is the
+// time the read was started. Entry key: kTablesKey.
+struct list_confirmation
+{
+  std::uint64_t mRevision = 0;
+  instant mReadSince{};
+
+  auto operator<=>(const list_confirmation&) const = default;
+};
+
+// Whether the view needs a read of the VM list because probes do not confirm it.
+// Entry key: kMembersKey.
+struct confirmation_need
+{
+  bool mNeeded = false;
+
+  auto operator<=>(const confirmation_need&) const = default;
+};
+
 // Permit `mIndex` of a server, the VM that holds it, and the time before which a new holder must
 // not use it.
 struct permit
@@ -201,6 +220,17 @@
   auto operator<=>(const server_permits&) const = default;
 };
 
+// Work of this daemon in flight at a server, written by its gate before the first part is sent.
+// A permit that moved away is released once this is zero; without an entry it is never released
+// early. Entry key: server name.
+struct gate_load
+{
+  std::string mServer;
+  std::uint32_t mInFlight = 0;
+
+  auto operator<=>(const gate_load&) const = default;
+};
+
 // A version of the index that a server can serve, and the partition map it was built with.
 struct index_version
 {
--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -1,7 +1,743 @@
 #include "membership/membership_controller.h"
 
+#include "core/core_facts.h"
+#include "core/send.h"
+#include "membership/membership_state.h"
+#include "membership/permit_plan.h"
+#include "membership/view_exchange.h"
+#include "membership/witness.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace redwingdock {
 
-void AddMembershipController(core_context& /*aContext*/) {}
+namespace {
+
+constexpr micros kProbeInterval = std::chrono::seconds(1);
+// While permits wait for answers shortly after a start or a new list.
+constexpr micros kQuickProbeInterval = std::chrono::milliseconds(200);
+constexpr micros kQuickProbeTime = std::chrono::seconds(2);
+constexpr std::size_t kProbeTargets = 64; // per interval, for claims
+// A gate that read its permits before a move may add work until now; it has written its load since.
+constexpr micros kReleaseWait = std::chrono::milliseconds(200);
+constexpr std::size_t kRevisionsKept = 8; // per VM
+constexpr std::size_t kProcessesKept = 16;
+// A message of an earlier process under this name can be this old; a later one is from a
+// process that is running.
+constexpr micros kOldestEcho = std::chrono::seconds(10);
+
+struct view_tick
+{
+  auto operator<=>(const view_tick&) const = default;
+};
+
+struct probe_tick
+{
+  auto operator<=>(const probe_tick&) const = default;
+};
+
+// The VM list, its confirmation or the pair in force changed.
+struct tables_changed
+{
+  auto operator<=>(const tables_changed&) const = default;
+};
+
+class membership_controller
+{
+public:
+  membership_controller(core_context& aContext, membership_hooks aHooks)
+    : mContext(aContext)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  void ViewTick();
+  void ProbeTick();
+  void TablesChanged();
+  void Paused(const process_paused& aPause);
+  void PeerView(const received<view_message>& aView);
+  void PeerProbe(const received<probe_message>& aProbe);
+  void PeerProbeReply(const received<probe_reply_message>& aReply);
+  void PeerRelease(const received<permit_release_message>& aRelease);
+  void PeerConnection(const peer_connection& aConnection);
+
+private:
+  membership_state Load() const;
+  void Save(membership_state aState);
+  vm_list List() const;
+  bool SelfListed(const vm_list& aList) const;
+  std::vector<std::string> OtherVms() const;
+
+  void AdoptList(membership_state& aState, const vm_list& aList);
+  void AdoptPools(membership_state& aState);
+  void Plan(membership_state& aState, bool aKeepsOwn);
+  void Evaluate(membership_state& aState);
+  void Confirm(membership_state& aState);
+  void SendProbes(membership_state& aState);
+  void SendReleases(membership_state& aState);
+  void SendViewTo(const std::string& aVm, std::uint64_t aRotation);
+  void Announce(const membership_state& aState);
+  bool SeeProcess(const std::string& aVm, const std::string& aIncarnation);
+  void Learn(membership_state& aState,
+             const std::string& aVm,
+             const std::string& aIncarnation,
+             std::uint64_t aRevision,
+             instant aSince);
+  void MergePeer(const view_entry& aEntry);
+  void TakeSuspects(const received<view_message>& aView);
+
+  core_context& mContext;
+  const membership_hooks mHooks;
+};
+
+membership_state membership_controller::Load() const
+{
+  const auto state = mContext.mBoard.Read<membership_state>(kMembersKey);
+  return state ? *state : membership_state{};
+}
+
+void membership_controller::Save(membership_state aState)
+{
+  mContext.mBoard.Write(kMembersKey, std::move(aState));
+}
+
+vm_list membership_controller::List() const
+{
+  const auto view = mContext.mBoard.Read<member_view>(kMembersKey);
+  return view ? view->mVms : vm_list{};
+}
+
+// A VM that was replaced under the same name has another address than the list.
+bool membership_controller::SelfListed(const vm_list& aList) const
+{
+  const vm_spec* self = aList.Find(mContext.mConfig.mVm);
+  const std::string& address = mContext.mConfig.mAddress;
+  return self != nullptr && (address.empty() || self->mAddress == address);
+}
+
+std::vector<std::string> membership_controller::OtherVms() const
+{
+  const vm_list list = List();
+  std::vector<std::string> names;
+  for (const vm_spec& vm : list.mVms.empty() ? mContext.mConfig.mSeeds : list.mVms) {
+    if (vm.mName != mContext.mConfig.mVm) {
+      names.push_back(vm.mName);
+    }
+  }
+  return names;
+}
+
+void membership_controller::ViewTick()
+{
+  const core_config& config = mContext.mConfig;
+  membership_state state = Load();
+  if (!state.mStarted) {
+    state.mStarted = true;
+    state.mStartedAt = mContext.Now();
+    state.mRotation = mContext.Random(1U << 16U);
+    mContext.mBoard.Write(kMembersKey, member_view{ config.mVm, config.mIncarnation, {}, {} });
+  }
+  ++state.mRotation;
+  for (const std::string& vm : PeersInRotation(OtherVms(), config.mViewPeers, state.mRotation)) {
+    SendViewTo(vm, state.mRotation);
+  }
+  Confirm(state);
+  mContext.After(config.mViewInterval, kMembersKey, view_tick{});
+  Save(std::move(state));
+}
+
+void membership_controller::ProbeTick()
+{
+  membership_state state = Load();
+  Confirm(state);
+  SendProbes(state);
+  Evaluate(state);
+  SendReleases(state);
+  const instant now = mContext.Now();
+  const bool quick = (!state.mPending.empty() || !state.mRecovered) &&
+                     now - std::max(state.mListSince, state.mStartedAt) < kQuickProbeTime;
+  mContext.After(quick ? kQuickProbeInterval : kProbeInterval, kMembersKey, probe_tick{});
+  Save(std::move(state));
+}
+
+void membership_controller::TablesChanged()
+{
+  membership_state state = Load();
+  const auto published = mContext.mBoard.Read<vm_list>(kTablesKey);
+  if (published && published->mRevision > List().mRevision) {
+    AdoptList(state, *published);
+  }
+  AdoptPools(state);
+  Confirm(state);
+  Evaluate(state);
+  Save(std::move(state));
+}
+
+void membership_controller::AdoptList(membership_state& aState, const vm_list& aList)
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  const vm_list before = List();
+  const auto view = mContext.mBoard.Read<member_view>(kMembersKey);
+  const bool first = before.mRevision == 0;
+  // Lists that this daemon never saw may lie between the two. Others can only have taken its
+  // permits under such a list while its view was not confirmed.
+  const bool gap = !first && aList.mRevision != before.mRevision + 1;
+  const bool wasConfirmed = view && view->mConfirmedUntil > now;
+  if (!first) {
+    aState.mOlder.push_back({ std::make_shared<const vm_list>(before), now });
+  }
+  std::erase_if(aState.mOlder, [&](const older_list& aOlder) {
+    return aOlder.mReplacedAt + config.mTakeLong <= now;
+  });
+  aState.mFirstList = first;
+  aState.mListSince = now;
+  aState.mHighestHeard = std::max(aState.mHighestHeard, aList.mRevision);
+  aState.mWitnesses = WitnessesOf(aList, config.mVm, config.mWitnesses);
+  if (first || gap) {
+    aState.mStartClaim =
+      claim{ claim_kind::Start, "", 0, aList.mRevision, aState.mWitnesses, now, kNever };
+  }
+  aState.mKnown.try_emplace(config.mVm);
+  Learn(aState, config.mVm, config.mIncarnation, aList.mRevision, now);
+  mContext.mBoard.Write(
+    kMembersKey,
+    member_view{ config.mVm,
+                 config.mIncarnation,
+                 aList,
+                 SelfListed(aList) && view ? view->mConfirmedUntil : instant{} });
+  mContext.Log("members",
+               "VM list " + std::to_string(aList.mRevision) + " with " +
+                 std::to_string(aList.mVms.size()) + " VMs replaces " +
+                 std::to_string(before.mRevision) +
+                 (SelfListed(aList) ? "" : ", this VM not listed"));
+  for (const auto& [key, peer] : mContext.mBoard.List<peer_state>()) {
+    if (aList.Find(peer->mVm) == nullptr) {
+      mContext.mBoard.Erase<peer_state>(key);
+      aState.mAnswered.erase(peer->mVm);
+      mContext.mBoard.Erase<seen_processes>(key);
+    }
+  }
+  Plan(aState, !gap || wasConfirmed);
+  Announce(aState);
+  SendProbes(aState);
+}
+
+void membership_controller::AdoptPools(membership_state& aState)
+{
+  const auto tables = mContext.mBoard.Read<tables_in_force>(kTablesKey);
+  if (!tables || !tables->mPools || tables->PoolsRevision() == aState.mPoolsRevision) {
+    return;
+  }
+  const instant now = mContext.Now();
+  std::vector<permit_shape> shapes = ShapesOf(*tables->mPools);
+  std::erase_if(aState.mOlderShapes, [&](const older_shape& aOlder) {
+    return aOlder.mReplacedAt + mContext.mConfig.mTakeLong <= now;
+  });
+  aState.mPoolsRevision = tables->PoolsRevision();
+  if (!aState.mShapes || shapes != *aState.mShapes) {
+    if (aState.mShapes) {
+      for (older_shape& replaced :
+           ReplacedShapes(*aState.mShapes, shapes, aState.mPoolsRevision, now)) {
+        aState.mOlderShapes.push_back(std::move(replaced));
+      }
+    }
+    aState.mShapes = std::make_shared<const std::vector<permit_shape>>(std::move(shapes));
+    Plan(aState, true);
+  }
+  Announce(aState);
+}
+
+// Writes the holders of all permits. A permit that this daemon held and could use stays usable
+// (aKeepsOwn); any other one waits for the claims of earlier holders.
+void membership_controller::Plan(membership_state& aState, bool aKeepsOwn)
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  const vm_list list = List();
+  if (list.mVms.empty()) {
+    return;
+  }
+  const auto before = mContext.mBoard.List<server_permits>();
+  const auto usableBefore = [&](const permit_id& aPermit) {
+    const auto found = before.find(aPermit.first);
+    if (found == before.end() || aPermit.second >= found->second->mPermits.size()) {
+      return false;
+    }
+    const permit& each = found->second->mPermits[aPermit.second];
+    return each.mHolder == config.mVm && each.mUsableFrom <= now;
+  };
+  permit_plan plan =
+    PlanPermits(list, aState, config.mVm, config.mWitnesses, [&](const permit_id& aPermit) {
+      return !aKeepsOwn || !usableBefore(aPermit);
+    });
+  std::map<permit_id, std::vector<claim>> pending;
+  for (auto& [id, claims] : plan.mClaims) {
+    if (aState.mStartClaim) {
+      claims.push_back(*aState.mStartClaim);
+    }
+    const auto waiting = aState.mPending.find(id);
+    if (waiting != aState.mPending.end()) {
+      for (const claim& each : waiting->second) {
+        claims.push_back(each);
+      }
+    }
+    pending.emplace(id, std::move(claims));
+  }
+  aState.mPending = std::move(pending);
+  for (const auto& [server, held] : plan.mHolders) {
+    server_permits permits{ server, {} };
+    for (std::uint32_t i = 0; i < held.size(); ++i) {
+      const permit_id id{ server, i };
+      permits.mPermits.push_back({ i, held[i], aState.mPending.contains(id) ? kNever : instant{} });
+      if (held[i] != config.mVm && usableBefore(id)) {
+        aState.mReleases.push_back({ server, held[i], list.mRevision, now });
+      }
+    }
+    mContext.mBoard.Write(server, std::move(permits));
+  }
+  for (const auto& [server, permits] : before) {
+    if (!plan.mHolders.contains(server)) {
+      mContext.mBoard.Erase<server_permits>(server);
+    }
+  }
+  if (!aState.mPending.empty() || !aState.mReleases.empty()) {
+    mContext.Log("members",
+                 "VM list " + std::to_string(list.mRevision) + ": " +
+                   std::to_string(aState.mPending.size()) + " permits to take, " +
+                   std::to_string(aState.mReleases.size()) + " to release");
+  }
+}
+
+void membership_controller::Evaluate(membership_state& aState)
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  const auto endOf = [&](claim& aClaim) {
+    const auto holder = mContext.mBoard.Read<peer_state>(PeerKey(aClaim.mHolder));
+    aClaim.mEnds = mHooks.mClaimEnds(
+      aClaim,
+      { aState.mKnown, config.mVm, aState.mStartedAt, holder ? holder->mPoolsRevision : 0, now },
+      config);
+    return aClaim.mEnds;
+  };
+  if (aState.mStartClaim && endOf(*aState.mStartClaim) <= now) {
+    aState.mStartClaim.reset();
+  }
+  std::size_t taken = 0;
+  for (auto it = aState.mPending.begin(); it != aState.mPending.end();) {
+    const auto& [server, index] = it->first;
+    instant usable{};
+    for (claim& each : it->second) {
+      usable = std::max(usable, endOf(each));
+    }
+    mContext.mBoard.Update<server_permits>(server,
+                                           [index = index, usable](const server_permits* aOld) {
+                                             std::optional<server_permits> next;
+                                             if (aOld != nullptr && index < aOld->mPermits.size()) {
+                                               next = *aOld;
+                                               next->mPermits[index].mUsableFrom = usable;
+                                             }
+                                             return next;
+                                           });
+    if (usable <= now) {
+      ++taken;
+      it = aState.mPending.erase(it);
+    } else {
+      ++it;
+    }
+  }
+  if (taken > 0) {
+    mContext.Count("members.permits_taken", taken);
+    mContext.Log("members",
+                 std::to_string(taken) + " permits usable, " +
+                   std::to_string(aState.mPending.size()) + " waiting");
+  }
+}
+
+// The keep rule.
+void membership_controller::Confirm(membership_state& aState)
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  const auto view = mContext.mBoard.Read<member_view>(kMembersKey);
+  if (!view) {
+    return;
+  }
+  instant since{};
+  const bool listed = SelfListed(view->mVms) && !aState.mSuperseded;
+  if (listed) {
+    const auto read = mContext.mBoard.Read<list_confirmation>(kTablesKey);
+    // A service that still gives a list which others know to be replaced is stale.
+    if (read && read->mRevision == view->mVms.mRevision &&
+        read->mRevision >= aState.mHighestHeard && read->mReadSince >= aState.mConfirmNotBefore) {
+      since = read->mReadSince;
+      aState.mRecovered = true;
+    }
+    const instant answered = MajorityAnsweredSince(aState.mWitnesses, config.mVm, aState.mAnswered);
+    if (answered >= aState.mConfirmNotBefore) {
+      since = std::max(since, answered);
+    }
+  }
+  const instant until = since == instant{} ? instant{} : since + config.mHoldTime;
+  const bool confirmed = until > now;
+  if (until != view->mConfirmedUntil) {
+    member_view next = *view;
+    next.mConfirmedUntil = until;
+    mContext.mBoard.Write(kMembersKey, std::move(next));
+  }
+  if (confirmed != aState.mConfirmed) {
+    aState.mConfirmed = confirmed;
+    mContext.Count(confirmed ? "members.confirmed" : "members.unconfirmed");
+    mContext.Log("members",
+                 confirmed ? "view confirmed with VM list " + std::to_string(view->mVms.mRevision)
+                           : "view not confirmed, no permit is used",
+                 confirmed ? log_level::Info : log_level::Warning);
+  }
+  // With probes every second, a view that they confirm has more than half of the hold time left.
+  mContext.mBoard.Write(kMembersKey,
+                        confirmation_need{ view->mVms.mRevision > 0 && !aState.mSuperseded &&
+                                           until < now + config.mHoldTime * 5 / 8 });
+}
+
+void membership_controller::SendProbes(membership_state& aState)
+{
+  std::set<std::string> targets(aState.mWitnesses.begin(), aState.mWitnesses.end());
+  for (const auto& [id, claims] : aState.mPending) {
+    for (const claim& each : claims) {
+      if (each.mEnds == kNever && targets.size() < kProbeTargets) {
+        targets.insert(each.mWitnesses.begin(), each.mWitnesses.end());
+        if (!each.mHolder.empty()) {
+          targets.insert(each.mHolder);
+        }
+      }
+    }
+  }
+  targets.erase(mContext.mConfig.mVm);
+  const probe_message probe{ mContext.Now().time_since_epoch().count(), List().mRevision };
+  for (const std::string& vm : targets) {
+    aState.mKnown.try_emplace(vm);
+    mContext.Count("members.probes");
+    SendToPeer(mContext, vm, probe);
+  }
+}
+
+// Repeats each release until the receiver could take the permits without it.
+void membership_controller::SendReleases(membership_state& aState)
+{
+  const instant now = mContext.Now();
+  std::erase_if(aState.mReleases, [&](const pending_release& aRelease) {
+    return now > aRelease.mMovedAt + mContext.mConfig.mTakeDelay;
+  });
+  std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> ready;
+  for (const pending_release& each : aState.mReleases) {
+    const auto load = mContext.mBoard.Read<gate_load>(each.mServer);
+    if (now >= each.mMovedAt + kReleaseWait && load && load->mInFlight == 0) {
+      ready[{ each.mTo, each.mVmRevision }].insert(each.mServer);
+    }
+  }
+  for (const auto& [to, servers] : ready) {
+    mContext.Count("members.releases");
+    mContext.Log("members",
+                 "release permits of " + std::to_string(servers.size()) + " servers to " +
+                   to.first);
+    SendToPeer(
+      mContext, to.first, permit_release_message{ to.second, { servers.begin(), servers.end() } });
+  }
+}
+
+void membership_controller::SendViewTo(const std::string& aVm, std::uint64_t aRotation)
+{
+  mContext.Count("members.views");
+  SendToPeer(mContext, aVm, MakeView(mContext, aRotation));
+}
+
+// Tells a few daemons at once about new tables; they pull what they lack and tell others.
+void membership_controller::Announce(const membership_state& aState)
+{
+  std::vector<std::string> others = OtherVms();
+  for (std::uint32_t i = 0; i < mContext.mConfig.mViewPeers && !others.empty(); ++i) {
+    const auto chosen =
+      others.begin() + static_cast<std::ptrdiff_t>(mContext.Random(others.size()));
+    SendViewTo(*chosen, aState.mRotation + i);
+    others.erase(chosen);
+  }
+}
+
+// False when the message is from an earlier process under that name.
+bool membership_controller::SeeProcess(const std::string& aVm, const std::string& aIncarnation)
+{
+  const auto known = mContext.mBoard.Read<seen_processes>(PeerKey(aVm));
+  seen_processes seen = known ? *known : seen_processes{};
+  if (seen.mCurrent == aIncarnation) {
+    return true;
+  }
+  if (seen.mEarlier.contains(aIncarnation)) {
+    return false;
+  }
+  if (!seen.mCurrent.empty()) {
+    if (seen.mEarlier.size() >= kProcessesKept) {
+      seen.mEarlier.clear();
+    }
+    seen.mEarlier.insert(seen.mCurrent);
+  }
+  seen.mCurrent = aIncarnation;
+  mContext.mBoard.Write(PeerKey(aVm), std::move(seen));
+  return true;
+}
+
+void membership_controller::Learn(membership_state& aState,
+                                  const std::string& aVm,
+                                  const std::string& aIncarnation,
+                                  std::uint64_t aRevision,
+                                  instant aSince)
+{
+  aState.mHighestHeard = std::max(aState.mHighestHeard, aRevision);
+  const auto found = aState.mKnown.find(aVm);
+  if (found == aState.mKnown.end()) {
+    return;
+  }
+  vm_knowledge& known = found->second;
+  if (known.mIncarnation != aIncarnation) {
+    known = { aIncarnation, {}, false, false };
+  }
+  if (aRevision == 0) {
+    return;
+  }
+  const auto [at, isNew] = known.mSince.emplace(aRevision, aSince);
+  if (!isNew) {
+    at->second = std::min(at->second, aSince);
+  }
+  while (known.mSince.size() > kRevisionsKept) {
+    known.mSince.erase(known.mSince.begin());
+  }
+}
+
+void membership_controller::MergePeer(const view_entry& aEntry)
+{
+  const instant heard = mContext.Now() - aEntry.mAge;
+  mContext.mBoard.Update<peer_state>(PeerKey(aEntry.mVm), [&](const peer_state* aOld) {
+    std::optional<peer_state> next;
+    if (aOld == nullptr || aOld->mHeardAt < heard) {
+      next = peer_state{ aEntry.mVm,
+                         aEntry.mIncarnation,
+                         aEntry.mVmRevision,
+                         aEntry.mRoutesRevision,
+                         aEntry.mPoolsRevision,
+                         aEntry.mDraining,
+                         heard,
+                         aOld != nullptr && aOld->mConnected };
+    }
+    return next;
+  });
+}
+
+void membership_controller::TakeSuspects(const received<view_message>& aView)
+{
+  for (const suspect_entry& each : aView.mMessage.mSuspects) {
+    const auto known = mContext.mBoard.Read<suspect>(SuspectKey(each.mFingerprint));
+    const bool news = !known || known->mLevel < each.mLevel ||
+                      !std::includes(known->mServersLost.begin(),
+                                     known->mServersLost.end(),
+                                     each.mServersLost.begin(),
+                                     each.mServersLost.end());
+    if (news) {
+      mContext.mBoard.Post(
+        kSuspectsKey,
+        received<suspect_message>{ aView.mFrom, aView.mFromIncarnation, suspect_message{ each } });
+    }
+  }
+}
+
+void membership_controller::PeerView(const received<view_message>& aView)
+{
+  if (aView.mMessage.mEntries.empty()) {
+    return;
+  }
+  const core_config& config = mContext.mConfig;
+  membership_state state = Load();
+  if (!SeeProcess(aView.mFrom, aView.mFromIncarnation)) {
+    return;
+  }
+  const vm_list list = List();
+  const view_entry& sender = aView.mMessage.mEntries.front();
+  for (const view_entry& entry : aView.mMessage.mEntries) {
+    if (entry.mVm == config.mVm) {
+      if (entry.mIncarnation != config.mIncarnation && !state.mSuperseded &&
+          mContext.Now() - entry.mAge > state.mStartedAt + kOldestEcho) {
+        state.mSuperseded = true;
+        mContext.Log("members",
+                     "process " + entry.mIncarnation + " runs under this name, no permit is used",
+                     log_level::Warning);
+      }
+      continue;
+    }
+    if (list.mVms.empty() || list.Find(entry.mVm) != nullptr) {
+      MergePeer(entry);
+    }
+  }
+  Learn(state, aView.mFrom, aView.mFromIncarnation, sender.mVmRevision, mContext.Now());
+  TakeSuspects(aView);
+  if (sender.mVmRevision < list.mRevision && sender.mVmRevision > 0) {
+    SendViewTo(aView.mFrom, state.mRotation);
+  }
+  Evaluate(state);
+  Save(std::move(state));
+}
+
+void membership_controller::PeerProbe(const received<probe_message>& aProbe)
+{
+  membership_state state = Load();
+  const bool current = SeeProcess(aProbe.mFrom, aProbe.mFromIncarnation);
+  const vm_list list = List();
+  const instant now = mContext.Now();
+  probe_reply_message reply{ aProbe.mMessage.mSentAt, list.mRevision, false, std::nullopt, false };
+  reply.mListsYou =
+    current && mHooks.mMayVote(state.mRecovered) && list.Find(aProbe.mFrom) != nullptr;
+  if (!state.mFirstList) {
+    reply.mListAge = now - state.mListSince;
+  }
+  const auto processes = mContext.mBoard.Read<seen_processes>(PeerKey(aProbe.mFrom));
+  reply.mKnewOther = processes && !processes->mEarlier.empty();
+  SendToPeer(mContext, aProbe.mFrom, reply);
+  if (current) {
+    Learn(state, aProbe.mFrom, aProbe.mFromIncarnation, aProbe.mMessage.mVmRevision, now);
+  }
+  Save(std::move(state));
+}
+
+void membership_controller::PeerProbeReply(const received<probe_reply_message>& aReply)
+{
+  const probe_reply_message& message = aReply.mMessage;
+  const instant now = mContext.Now();
+  const instant sent(micros(message.mSentAt));
+  membership_state state = Load();
+  if (!SeeProcess(aReply.mFrom, aReply.mFromIncarnation) || sent > now || sent < state.mStartedAt) {
+    return;
+  }
+  const std::uint64_t own = List().mRevision;
+  Learn(state,
+        aReply.mFrom,
+        aReply.mFromIncarnation,
+        message.mVmRevision,
+        message.mListAge ? now - *message.mListAge : now);
+  const auto known = state.mKnown.find(aReply.mFrom);
+  if (known == state.mKnown.end()) {
+    return;
+  }
+  known->second.mFirstList = !message.mListAge && message.mVmRevision > 0;
+  known->second.mKnewOther = message.mKnewOther;
+  if (mHooks.mReplyConfirms(message, own)) {
+    instant& answered = state.mAnswered[aReply.mFrom];
+    answered = std::max(answered, sent);
+  }
+  if (!state.mRecovered && own > 0 && state.mHighestHeard <= own) {
+    // This process has forgotten which lists it knew; a recovery quorum of its witnesses has not.
+    const auto heard =
+      std::count_if(state.mWitnesses.begin(), state.mWitnesses.end(), [&](const std::string& aVm) {
+        return aVm != mContext.mConfig.mVm && state.mKnown.contains(aVm) &&
+               !state.mKnown.at(aVm).mSince.empty();
+      });
+    state.mRecovered = static_cast<std::size_t>(heard) >= RecoveryQuorum(state.mWitnesses.size());
+  }
+  Confirm(state);
+  Evaluate(state);
+  Save(std::move(state));
+}
+
+// The sender could use the permits until it learned of the list, and has no work there any more,
+// so no earlier holder is left either.
+void membership_controller::PeerRelease(const received<permit_release_message>& aRelease)
+{
+  membership_state state = Load();
+  if (!SeeProcess(aRelease.mFrom, aRelease.mFromIncarnation)) {
+    return;
+  }
+  const auto& servers = aRelease.mMessage.mServers;
+  for (auto& [id, claims] : state.mPending) {
+    if (std::find(servers.begin(), servers.end(), id.first) == servers.end()) {
+      continue;
+    }
+    const auto latest =
+      std::max_element(claims.begin(), claims.end(), [](const claim& aLeft, const claim& aRight) {
+        return aLeft.mListRevision < aRight.mListRevision;
+      });
+    if (latest == claims.end() || latest->mKind != claim_kind::List ||
+        latest->mHolder != aRelease.mFrom || latest->mRevision > aRelease.mMessage.mVmRevision) {
+      continue;
+    }
+    for (claim& each : claims) {
+      each.mEnds = std::min(each.mEnds, mContext.Now());
+    }
+  }
+  Evaluate(state);
+  Save(std::move(state));
+}
+
+void membership_controller::Paused(const process_paused& aPause)
+{
+  membership_state state = Load();
+  state.mConfirmNotBefore = mHooks.mAfterPause(mContext.Now());
+  mContext.Count("members.pauses");
+  mContext.Log("members",
+               "process was paused for " + std::to_string(ToMs(aPause.mLength)) + " ms",
+               log_level::Warning);
+  Confirm(state);
+  SendProbes(state);
+  Save(std::move(state));
+}
+
+void membership_controller::PeerConnection(const peer_connection& aConnection)
+{
+  mContext.mBoard.Update<peer_state>(PeerKey(aConnection.mVm),
+                                     [&aConnection](const peer_state* aOld) {
+                                       std::optional<peer_state> next;
+                                       if (aOld != nullptr) {
+                                         next = *aOld;
+                                         next->mConnected = aConnection.mConnected;
+                                       }
+                                       return next;
+                                     });
+}
+
+} // namespace
+
+void AddMembershipController(core_context& aContext, const membership_hooks& aHooks)
+{
+  const auto controller = std::make_shared<membership_controller>(aContext, aHooks);
+  blackboard& board = aContext.mBoard;
+  board.OnFact<view_tick>([controller](const auto&, const auto&) { controller->ViewTick(); });
+  board.OnFact<probe_tick>([controller](const auto&, const auto&) { controller->ProbeTick(); });
+  board.OnFact<tables_changed>(
+    [controller](const auto&, const auto&) { controller->TablesChanged(); });
+  board.OnFact<process_paused>(
+    [controller](const auto&, const process_paused& aFact) { controller->Paused(aFact); });
+  board.OnFact<received<view_message>>(
+    [controller](const auto&, const received<view_message>& aFact) {
+      controller->PeerView(aFact);
+    });
+  board.OnFact<received<probe_message>>(
+    [controller](const auto&, const received<probe_message>& aFact) {
+      controller->PeerProbe(aFact);
+    });
+  board.OnFact<received<probe_reply_message>>(
+    [controller](const auto&, const received<probe_reply_message>& aFact) {
+      controller->PeerProbeReply(aFact);
+    });
+  board.OnFact<received<permit_release_message>>(
+    [controller](const auto&, const received<permit_release_message>& aFact) {
+      controller->PeerRelease(aFact);
+    });
+  board.OnFact<peer_connection>(
+    [controller](const auto&, const peer_connection& aFact) { controller->PeerConnection(aFact); });
+  // These entries change in the shard of the tables; the state belongs to the shard of the members.
+  const auto changed = [&board](const std::string&) { board.Post(kMembersKey, tables_changed{}); };
+  board.OnChange<vm_list>(changed);
+  board.OnChange<list_confirmation>(changed);
+  board.OnChange<tables_in_force>(changed);
+  aContext.After(micros(0), kMembersKey, view_tick{});
+  aContext.After(micros(0), kMembersKey, probe_tick{});
+}
 
 } // namespace redwingdock
--- /dev/null
+++ b/src/membership/membership_hooks.cc
@@ -0,0 +1,15 @@
+#include "membership/membership_hooks.h"
+
+namespace redwingdock {
+
+bool ProbeReplyConfirms(const probe_reply_message& aReply, std::uint64_t aOwnRevision)
+{
+  return aReply.mListsYou && aReply.mVmRevision <= aOwnRevision;
+}
+
+instant ConfirmationAfterPause(instant aNow)
+{
+  return aNow;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/membership/permit_plan.cc
@@ -0,0 +1,157 @@
+#include "membership/permit_plan.h"
+
+#include "membership/witness.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// A VM list under which permits may still be held, with the revision that ends it.
+struct list_in_use
+{
+  std::shared_ptr<const vm_list> mList;
+  permit_ring mRing;
+  std::uint64_t mEndsWith = 0;
+  instant mReplacedAt{};
+};
+
+std::vector<list_in_use> ListsInUse(const vm_list& aList, const membership_state& aState)
+{
+  std::vector<list_in_use> lists;
+  for (std::size_t i = 0; i < aState.mOlder.size(); ++i) {
+    const older_list& older = aState.mOlder[i];
+    const std::uint64_t next =
+      i + 1 < aState.mOlder.size() ? aState.mOlder[i + 1].mList->mRevision : aList.mRevision;
+    lists.push_back({ older.mList, permit_ring(*older.mList), next, older.mReplacedAt });
+  }
+  return lists;
+}
+
+std::string HolderOf(const permit_holders& aHolders, const permit_id& aPermit)
+{
+  const auto found = aHolders.find(aPermit.first);
+  return found != aHolders.end() && aPermit.second < found->second.size()
+           ? found->second[aPermit.second]
+           : std::string();
+}
+
+void AddClaim(std::vector<claim>& aClaims, claim aClaim)
+{
+  const bool known = std::any_of(aClaims.begin(), aClaims.end(), [&aClaim](const claim& aKnown) {
+    return aKnown.mKind == aClaim.mKind && aKnown.mHolder == aClaim.mHolder &&
+           aKnown.mListRevision == aClaim.mListRevision && aKnown.mRevision == aClaim.mRevision;
+  });
+  if (!known) {
+    aClaims.push_back(std::move(aClaim));
+  }
+}
+
+} // namespace
+
+permit_plan PlanPermits(const vm_list& aList,
+                        const membership_state& aState,
+                        const std::string& aSelf,
+                        std::uint32_t aWitnesses,
+                        const std::function<bool(const permit_id&)>& aNeedsClaims)
+{
+  permit_plan plan;
+  const permit_ring ring(aList);
+  const std::vector<list_in_use> lists = ListsInUse(aList, aState);
+  if (!aState.mShapes) {
+    return plan;
+  }
+  for (const permit_shape& shape : *aState.mShapes) {
+    permit_holders holders = ring.Assign(shape);
+    std::vector<permit_id> own;
+    for (const auto& [server, held] : holders) {
+      for (std::uint32_t i = 0; i < held.size(); ++i) {
+        if (held[i] == aSelf && aNeedsClaims({ server, i })) {
+          own.emplace_back(server, i);
+        }
+      }
+    }
+    std::vector<const older_shape*> olderShapes;
+    for (const older_shape& older : aState.mOlderShapes) {
+      if (std::any_of(own.begin(), own.end(), [&older](const permit_id& aPermit) {
+            const auto& servers = older.mShape.mServers;
+            return std::find(servers.begin(), servers.end(), aPermit.first) != servers.end();
+          })) {
+        olderShapes.push_back(&older);
+      }
+    }
+    for (const permit_id& permit : own) {
+      plan.mClaims[permit];
+    }
+    if (!own.empty()) {
+      for (const list_in_use& list : lists) {
+        std::vector<permit_holders> earlier{ list.mRing.Assign(shape) };
+        for (const older_shape* older : olderShapes) {
+          earlier.push_back(list.mRing.Assign(older->mShape));
+        }
+        for (const permit_holders& each : earlier) {
+          for (const permit_id& permit : own) {
+            const std::string holder = HolderOf(each, permit);
+            if (!holder.empty() && holder != aSelf) {
+              AddClaim(plan.mClaims[permit],
+                       { claim_kind::List,
+                         holder,
+                         list.mList->mRevision,
+                         list.mEndsWith,
+                         WitnessesOf(*list.mList, holder, aWitnesses),
+                         list.mReplacedAt,
+                         kNever });
+            }
+          }
+        }
+      }
+      for (const older_shape* older : olderShapes) {
+        const permit_holders earlier = ring.Assign(older->mShape);
+        for (const permit_id& permit : own) {
+          const std::string holder = HolderOf(earlier, permit);
+          if (!holder.empty() && holder != aSelf) {
+            AddClaim(plan.mClaims[permit],
+                     { claim_kind::Pools,
+                       holder,
+                       aList.mRevision,
+                       older->mPoolsRevision,
+                       {},
+                       older->mReplacedAt,
+                       kNever });
+          }
+        }
+      }
+    }
+    plan.mHolders.merge(holders);
+  }
+  return plan;
+}
+
+std::vector<older_shape> ReplacedShapes(const std::vector<permit_shape>& aBefore,
+                                        const std::vector<permit_shape>& aAfter,
+                                        std::uint64_t aPoolsRevision,
+                                        instant aNow)
+{
+  std::map<std::string, const permit_shape*> after;
+  for (const permit_shape& shape : aAfter) {
+    for (const std::string& server : shape.mServers) {
+      after[server] = &shape;
+    }
+  }
+  std::vector<older_shape> replaced;
+  for (const permit_shape& shape : aBefore) {
+    const bool changed =
+      std::any_of(shape.mServers.begin(), shape.mServers.end(), [&](const std::string& aServer) {
+        const auto found = after.find(aServer);
+        return found != after.end() &&
+               (found->second->mSlots != shape.mSlots || found->second->mServers != shape.mServers);
+      });
+    if (changed) {
+      replaced.push_back({ shape, aPoolsRevision, aNow });
+    }
+  }
+  return replaced;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/membership/take_rule.cc
@@ -0,0 +1,123 @@
+#include "membership/take_rule.h"
+
+#include "membership/witness.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// The aNeeded-th earliest time at which one of the VMs had the revision; kNever when fewer have.
+instant NthSince(const fleet_knowledge& aKnown,
+                 const std::vector<std::string>& aVms,
+                 std::uint64_t aRevision,
+                 std::size_t aNeeded)
+{
+  std::vector<instant> since;
+  for (const std::string& vm : aVms) {
+    const instant at = SinceRevision(aKnown, vm, aRevision);
+    if (at != kNever) {
+      since.push_back(at);
+    }
+  }
+  if (aNeeded == 0 || since.size() < aNeeded) {
+    return kNever;
+  }
+  std::sort(since.begin(), since.end());
+  return since[aNeeded - 1];
+}
+
+// This process does not know who holds its permits under earlier lists.
+//
+// Waiting rule: the list before the first known one differs in one VM. Whoever holds a permit
+// under it needs a majority of its witnesses; once a recovery quorum of the other witnesses has
+// the known list, no such majority is left, and mTakeDelay later no work of that holder is left.
+//
+// Immediate rule, for the start of a whole fleet: all other witnesses answer with the known list,
+// and each either has had it for mTakeDelay or has had no list before it in the life of its
+// process. Then no listed VM has used permits under an earlier list within mTakeDelay. A VM that is
+// no longer listed and outlived all others by seconds is not covered.
+//
+// A list of one VM has nobody to ask. Such a VM is confirmed by reads from the service only, so
+// another holder has stopped mTakeDelay after this process read the list.
+//
+// In all cases an earlier process under this name may have work in flight at servers. Its
+// connections ended with it, but servers finish what they have begun: wait for the longest
+// deadline from the start of this process, unless no witness has seen another process.
+instant StartClaimEnds(const claim& aClaim,
+                       const claim_evidence& aEvidence,
+                       const core_config& aConfig)
+{
+  std::vector<std::string> others = aClaim.mWitnesses;
+  std::erase(others, aEvidence.mSelf);
+  bool allSettled = !others.empty();
+  bool knewOther = false;
+  for (const std::string& vm : others) {
+    const auto found = aEvidence.mKnown.find(vm);
+    const instant since = SinceRevision(aEvidence.mKnown, vm, aClaim.mRevision);
+    allSettled = allSettled && since != kNever &&
+                 (found->second.mFirstList || since + aConfig.mTakeDelay <= aEvidence.mNow);
+    knewOther = knewOther || (found != aEvidence.mKnown.end() && found->second.mKnewOther);
+  }
+  instant ends = kNever;
+  if (allSettled) {
+    ends = aEvidence.mNow;
+  } else if (others.empty()) {
+    ends = aClaim.mSeenAt + aConfig.mTakeDelay;
+  } else {
+    const instant since = NthSince(
+      aEvidence.mKnown, others, aClaim.mRevision, RecoveryQuorum(aClaim.mWitnesses.size()));
+    if (since != kNever) {
+      ends = since + aConfig.mTakeDelay;
+    }
+  }
+  if (ends != kNever && knewOther) {
+    ends = std::max(ends, aEvidence.mStartedAt + aConfig.mLongestDeadline + aConfig.mDeadlineSlack);
+  }
+  return ends;
+}
+
+} // namespace
+
+instant SinceRevision(const fleet_knowledge& aKnown,
+                      const std::string& aVm,
+                      std::uint64_t aRevision)
+{
+  const auto found = aKnown.find(aVm);
+  if (found == aKnown.end()) {
+    return kNever;
+  }
+  instant since = kNever;
+  for (auto it = found->second.mSince.lower_bound(aRevision); it != found->second.mSince.end();
+       ++it) {
+    since = std::min(since, it->second);
+  }
+  return since;
+}
+
+instant ClaimEnds(const claim& aClaim, const claim_evidence& aEvidence, const core_config& aConfig)
+{
+  const micros workEnds = aConfig.mLongestDeadline + aConfig.mDeadlineSlack;
+  instant ends = std::min(aClaim.mEnds, aClaim.mSeenAt + aConfig.mTakeLong);
+  if (aClaim.mKind == claim_kind::Start) {
+    return std::min(ends, StartClaimEnds(aClaim, aEvidence, aConfig));
+  }
+  if (aClaim.mKind == claim_kind::Pools) {
+    return aEvidence.mHolderPoolsRevision >= aClaim.mRevision
+             ? std::min(ends, aEvidence.mNow + workEnds)
+             : ends;
+  }
+  const instant holder = SinceRevision(aEvidence.mKnown, aClaim.mHolder, aClaim.mRevision);
+  if (holder != kNever) {
+    ends = std::min(ends, holder + workEnds);
+  }
+  const instant majority = NthSince(
+    aEvidence.mKnown, aClaim.mWitnesses, aClaim.mRevision, Majority(aClaim.mWitnesses.size()));
+  if (majority != kNever) {
+    ends = std::min(ends, majority + aConfig.mTakeDelay);
+  }
+  return ends;
+}
+
+} // namespace redwingdock
--- a/src/tables/table_controller.cc
+++ b/src/tables/table_controller.cc
@@ -1,7 +1,648 @@
 #include "tables/table_controller.h"
 
+#include "core/core_facts.h"
+#include "core/send.h"
+#include "tables/readers.h"
+#include "tables/table_state.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace redwingdock {
 
-void AddTableController(core_context& /*aContext*/) {}
+namespace {
+
+constexpr micros kPullInterval = std::chrono::seconds(1); // from the readers of the zone
+constexpr micros kPullTimeout = std::chrono::seconds(1);  // until another peer is asked
+constexpr micros kPlainTimeout = std::chrono::seconds(5); // a front end answers earlier
+constexpr micros kWatchSlack = std::chrono::seconds(5);   // past the wait of a watch
+constexpr micros kConfirmInterval = std::chrono::seconds(1);
+// Peers answer within this time at a start, so that most daemons need not read the service.
+constexpr micros kAskPeersFirst = std::chrono::milliseconds(100);
+// Spreads the first reads of a whole fleet that starts at once: 710 reads in this time.
+constexpr micros kStartJitter = std::chrono::milliseconds(900);
+
+struct table_tick
+{
+  auto operator<=>(const table_tick&) const = default;
+};
+
+// A view showed that a peer has newer tables.
+struct peer_ahead
+{
+  std::string mVm;
+  pair_revisions mPair;
+  std::uint64_t mVms = 0;
+
+  auto operator<=>(const peer_ahead&) const = default;
+};
+
+const char* NameOf(table_kind aKind)
+{
+  switch (aKind) {
+    case table_kind::Routes:
+      return "routes";
+    case table_kind::Pools:
+      return "pools";
+    case table_kind::Vms:
+      return "vms";
+  }
+  return "";
+}
+
+std::string ToText(const pair_revisions& aPair)
+{
+  return "routes " + std::to_string(aPair.mRoutes) + ", pools " + std::to_string(aPair.mPools);
+}
+
+// Newest revision that was read, refused ones included.
+std::uint64_t Latest(const table_state& aState, table_kind aKind)
+{
+  const auto refused = aState.mRefused.find(aKind);
+  const std::uint64_t parsed = aKind == table_kind::Routes  ? aState.mLatestRoutes.Revision()
+                               : aKind == table_kind::Pools ? aState.mLatestPools.Revision()
+                                                            : aState.mVms.Revision();
+  return std::max(parsed, refused == aState.mRefused.end() ? 0 : refused->second);
+}
+
+class table_controller
+{
+public:
+  table_controller(core_context& aContext, table_hooks aHooks)
+    : mContext(aContext)
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  void Tick();
+  void ServiceTable(const table_read& aRead);
+  void ServiceUnchanged(const table_unchanged& aUnchanged);
+  void ServiceFailed(const table_read_failed& aFailed);
+  void PeerAhead(const peer_ahead& aPeer);
+  void PeerView(const received<view_message>& aView);
+  void PeerPull(const received<table_pull_message>& aPull);
+  void PeerTable(const received<table_message>& aTable);
+
+private:
+  table_state Load() const;
+  void Save(table_state aState);
+
+  bool IsReader(const table_state& aState) const;
+  bool ReadsService(const table_state& aState) const;
+  void StartReads(table_state& aState);
+  void Read(table_state& aState, table_kind aKind, micros aWait);
+  void StartRound(table_state& aState);
+  void RoundAnswered(table_state& aState, table_kind aKind, instant aSince);
+  void ReadAnswered(table_state& aState, table_kind aKind, instant aSince);
+  void StaleRead(table_state& aState);
+  void PullFromReaders(table_state& aState);
+  void Pull(table_state& aState, const std::string& aVm);
+
+  template<typename T>
+  bool TakeLatest(table_state& aState,
+                  table_kind aKind,
+                  table_copy<T>& aLatest,
+                  const table_read& aRead,
+                  const std::function<result<T>(const std::string&, const std::string&)>& aParse);
+  template<typename T>
+  bool Stage(staged_table<T>& aStaged,
+             const table_copy<T>& aInForce,
+             const table_message& aMessage,
+             const std::string& aFrom,
+             const std::function<result<T>(const std::string&, const std::string&)>& aParse);
+  void PutInForce(table_state& aState, const table_pair& aPair, const std::string& aFrom);
+  void AdoptStaged(table_state& aState, const std::string& aFrom);
+  bool TakeVms(table_state& aState, const std::string& aText, const std::string& aFrom);
+
+  core_context& mContext;
+  const table_hooks mHooks;
+};
+
+table_state table_controller::Load() const
+{
+  const auto state = mContext.mBoard.Read<table_state>(kTablesKey);
+  return state ? *state : table_state{};
+}
+
+void table_controller::Save(table_state aState)
+{
+  mContext.mBoard.Write(kTablesKey, std::move(aState));
+}
+
+bool table_controller::IsReader(const table_state& aState) const
+{
+  if (!aState.mVms.mTable) {
+    return false;
+  }
+  const core_config& config = mContext.mConfig;
+  const auto readers = ReadersOf(*aState.mVms.mTable, config.mZone, config.mReadersPerZone);
+  return std::find(readers.begin(), readers.end(), config.mVm) != readers.end();
+}
+
+// A daemon that is no reader reads for itself when no reader was heard for mRelaySilence.
+bool table_controller::ReadsService(const table_state& aState) const
+{
+  return IsReader(aState) ||
+         mHooks.mReadsAlone(mContext.Now() - aState.mReaderHeardAt, mContext.mConfig.mRelaySilence);
+}
+
+void table_controller::Tick()
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  table_state state = Load();
+  if (!state.mStarted) {
+    state.mStarted = true;
+    state.mReaderHeardAt = now - config.mRelaySilence; // no reader is known yet
+    state.mReadNotBefore = now + kAskPeersFirst +
+                           micros(static_cast<std::int64_t>(mContext.Random(kStartJitter.count())));
+    std::uint32_t asked = 0;
+    for (const vm_spec& seed : config.mSeeds) {
+      if (seed.mName != config.mVm && asked++ < config.mViewPeers) {
+        SendToPeer(mContext, seed.mName, table_pull_message{});
+      }
+    }
+  }
+  ++state.mTicks;
+  for (auto& [kind, read] : state.mReads) {
+    if (read.mPlain && now - *read.mPlain > kPlainTimeout) {
+      read.mPlain.reset();
+    }
+    if (read.mWatch && now - *read.mWatch > config.mWatchWait + kWatchSlack) {
+      read.mWatch.reset();
+    }
+  }
+  if (state.mRoundSince && now - *state.mRoundSince > kPlainTimeout) {
+    state.mRoundSince.reset();
+  }
+  StartReads(state);
+  if (!IsReader(state)) {
+    PullFromReaders(state);
+  }
+  const auto need = mContext.mBoard.Read<confirmation_need>(kMembersKey);
+  if (need && need->mNeeded && !state.mReads[table_kind::Vms].mPlain && state.mVms.mTable &&
+      state.mTicks % std::max<std::int64_t>(1, kConfirmInterval / config.mReadRetry) == 0) {
+    mContext.Count("tables.reads_to_confirm");
+    Read(state, table_kind::Vms, micros(0));
+  }
+  const micros wait = state.mReadNotBefore > now && state.mReadNotBefore - now < config.mReadRetry
+                        ? state.mReadNotBefore - now
+                        : config.mReadRetry;
+  mContext.After(wait, kTablesKey, table_tick{});
+  Save(std::move(state));
+}
+
+void table_controller::StartReads(table_state& aState)
+{
+  const core_config& config = mContext.mConfig;
+  const instant now = mContext.Now();
+  if (now < aState.mReadNotBefore) {
+    return;
+  }
+  const bool reader = IsReader(aState);
+  if (!reader) {
+    if (!ReadsService(aState)) {
+      return;
+    }
+    // Plain reads with a random pause: watches of all daemons would stay open at the service after
+    // the readers are back.
+    mContext.Count("tables.reads_alone");
+    const micros spread = config.mRelaySilence;
+    aState.mReadNotBefore = now + spread / 2 +
+                            micros(static_cast<std::int64_t>(
+                              mContext.Random(static_cast<std::uint64_t>(spread.count()))));
+    if (!aState.mReads[table_kind::Vms].mPlain) {
+      Read(aState, table_kind::Vms, micros(0));
+    }
+    // The VM list comes first: it tells a starting daemon which readers to ask.
+    if (aState.mVms.mTable && !aState.mRoundSince) {
+      StartRound(aState);
+    }
+    return;
+  }
+  for (const table_kind kind : { table_kind::Routes, table_kind::Pools, table_kind::Vms }) {
+    const pending_read& pending = aState.mReads[kind];
+    if (pending.mPlain || pending.mWatch) {
+      continue;
+    }
+    Read(aState, kind, Latest(aState, kind) > 0 ? config.mWatchWait : micros(0));
+  }
+}
+
+void table_controller::Read(table_state& aState, table_kind aKind, micros aWait)
+{
+  std::uint64_t after = 0;
+  if (aWait > micros(0)) {
+    after = Latest(aState, aKind);
+    aState.mReads[aKind].mWatch = mContext.Now();
+  } else {
+    aState.mReads[aKind].mPlain = mContext.Now();
+  }
+  mContext.Count("tables.reads");
+  mContext.Emit(read_table{ aKind, after, aWait });
+}
+
+// Plain reads of both tables that start at the same time: when both return revisions known before,
+// the two were the latest of the service together.
+void table_controller::StartRound(table_state& aState)
+{
+  aState.mRoundSince = mContext.Now();
+  aState.mRoundDone.clear();
+  Read(aState, table_kind::Routes, micros(0));
+  Read(aState, table_kind::Pools, micros(0));
+}
+
+void table_controller::RoundAnswered(table_state& aState, table_kind aKind, instant aSince)
+{
+  if (!aState.mRoundSince || aSince < *aState.mRoundSince || aKind == table_kind::Vms) {
+    return;
+  }
+  aState.mRoundDone.insert(aKind);
+  if (aState.mRoundDone.size() < 2) {
+    return;
+  }
+  aState.mRoundSince.reset();
+  aState.mRoundDone.clear();
+  std::string why;
+  const auto pair =
+    SelectPair(aState.mInForce, aState.mLatestRoutes, aState.mLatestPools, mHooks, why);
+  if (!why.empty()) {
+    mContext.Count("tables.refused_pairs");
+    mContext.Log("tables",
+                 "refused routes " + std::to_string(aState.mLatestRoutes.Revision()) +
+                   " with pools " + std::to_string(aState.mLatestPools.Revision()) + ": " + why,
+                 log_level::Warning);
+  }
+  if (pair) {
+    PutInForce(aState, *pair, "service");
+  }
+}
+
+void table_controller::ReadAnswered(table_state& aState, table_kind aKind, instant aSince)
+{
+  pending_read& pending = aState.mReads[aKind];
+  if (pending.mPlain && aSince >= *pending.mPlain) {
+    pending.mPlain.reset();
+  } else {
+    pending.mWatch.reset();
+  }
+  aState.mServiceHeardAt = mContext.Now();
+  aState.mServiceFailed = false;
+}
+
+// A service that lags answers a watch at once; reading on without a pause would not end.
+void table_controller::StaleRead(table_state& aState)
+{
+  mContext.Count("tables.stale_reads");
+  aState.mReadNotBefore =
+    std::max(aState.mReadNotBefore, mContext.Now() + mContext.mConfig.mReadRetry);
+}
+
+template<typename T>
+bool table_controller::TakeLatest(
+  table_state& aState,
+  table_kind aKind,
+  table_copy<T>& aLatest,
+  const table_read& aRead,
+  const std::function<result<T>(const std::string&, const std::string&)>& aParse)
+{
+  if (aRead.mRevision <= aLatest.Revision() || aRead.mRevision <= aState.mRefused[aKind]) {
+    return false;
+  }
+  const result<T> table = aParse(aRead.mText, NameOf(aKind));
+  if (!table) {
+    // A table that does not parse counts as not published, so that it holds up no other table.
+    aState.mRefused[aKind] = aRead.mRevision;
+    mContext.Count("tables.refused");
+    mContext.Log("tables",
+                 std::string("refused ") + NameOf(aKind) + " " + std::to_string(aRead.mRevision) +
+                   ": " + Describe(table.mReason),
+                 log_level::Warning);
+    return false;
+  }
+  aLatest = { std::make_shared<const std::string>(aRead.mText), std::make_shared<const T>(*table) };
+  return true;
+}
+
+void table_controller::ServiceTable(const table_read& aRead)
+{
+  table_state state = Load();
+  ReadAnswered(state, aRead.mKind, aRead.mReadSince);
+  if (aRead.mKind == table_kind::Vms) {
+    if (aRead.mRevision > Latest(state, table_kind::Vms) &&
+        !TakeVms(state, aRead.mText, "service")) {
+      state.mRefused[table_kind::Vms] = aRead.mRevision;
+    } else if (aRead.mRevision < state.mVms.Revision()) {
+      StaleRead(state);
+    }
+    if (aRead.mRevision == state.mVms.Revision()) {
+      mContext.mBoard.Write(kTablesKey, list_confirmation{ aRead.mRevision, aRead.mReadSince });
+    }
+  } else {
+    const bool fresh =
+      aRead.mKind == table_kind::Routes
+        ? TakeLatest(state, aRead.mKind, state.mLatestRoutes, aRead, mHooks.mParseRoutes)
+        : TakeLatest(state, aRead.mKind, state.mLatestPools, aRead, mHooks.mParsePools);
+    const std::uint64_t latest = aRead.mKind == table_kind::Routes ? state.mLatestRoutes.Revision()
+                                                                   : state.mLatestPools.Revision();
+    if (fresh) {
+      StartRound(state);
+    } else if (aRead.mRevision >= latest) {
+      RoundAnswered(state, aRead.mKind, aRead.mReadSince);
+    } else {
+      StaleRead(state);
+    }
+  }
+  StartReads(state);
+  Save(std::move(state));
+}
+
+void table_controller::ServiceUnchanged(const table_unchanged& aUnchanged)
+{
+  table_state state = Load();
+  ReadAnswered(state, aUnchanged.mKind, aUnchanged.mReadSince);
+  if (aUnchanged.mKind != table_kind::Vms) {
+    RoundAnswered(state, aUnchanged.mKind, aUnchanged.mReadSince);
+  } else if (aUnchanged.mRevision == state.mVms.Revision()) {
+    mContext.mBoard.Write(kTablesKey,
+                          list_confirmation{ aUnchanged.mRevision, aUnchanged.mReadSince });
+  }
+  StartReads(state);
+  Save(std::move(state));
+}
+
+void table_controller::ServiceFailed(const table_read_failed& aFailed)
+{
+  table_state state = Load();
+  if (!state.mServiceFailed) {
+    mContext.Log(
+      "tables", "cannot read the service: " + Describe(aFailed.mReason), log_level::Warning);
+  }
+  mContext.Count("tables.failed_reads");
+  state.mReads[aFailed.mKind] = {};
+  state.mServiceFailed = true;
+  state.mRoundSince.reset();
+  const micros retry = mContext.mConfig.mReadRetry;
+  state.mReadNotBefore = std::max(state.mReadNotBefore,
+                                  mContext.Now() + retry +
+                                    micros(static_cast<std::int64_t>(
+                                      mContext.Random(static_cast<std::uint64_t>(retry.count())))));
+  Save(std::move(state));
+}
+
+void table_controller::PutInForce(table_state& aState,
+                                  const table_pair& aPair,
+                                  const std::string& aFrom)
+{
+  aState.mInForce = aPair;
+  mContext.Count("tables.put_in_force");
+  mContext.Log("tables", ToText(aPair.Revisions()) + " in force, from " + aFrom);
+  mContext.mBoard.Write(kTablesKey, tables_in_force{ aPair.mRoutes.mTable, aPair.mPools.mTable });
+}
+
+bool table_controller::TakeVms(table_state& aState,
+                               const std::string& aText,
+                               const std::string& aFrom)
+{
+  result<vm_list> list = mHooks.mParseVmList(aText, NameOf(table_kind::Vms));
+  if (!list) {
+    mContext.Count("tables.refused");
+    mContext.Log("tables", "refused VM list: " + Describe(list.mReason), log_level::Warning);
+    return false;
+  }
+  if (!mHooks.mMayReplaceVms(list->mRevision, aState.mVms.Revision())) {
+    return false;
+  }
+  mContext.Log("tables", "VM list " + std::to_string(list->mRevision) + " from " + aFrom);
+  aState.mVms = { std::make_shared<const std::string>(aText),
+                  std::make_shared<const vm_list>(*list) };
+  mContext.mBoard.Write(kTablesKey, *list);
+  return true;
+}
+
+// Alternates between the readers of the zone, so that one dead reader delays news by one interval.
+void table_controller::PullFromReaders(table_state& aState)
+{
+  const core_config& config = mContext.mConfig;
+  const std::uint64_t every = std::max<std::int64_t>(1, kPullInterval / config.mReadRetry);
+  if (!aState.mVms.mTable || aState.mTicks % every != 0) {
+    return;
+  }
+  const auto readers = ReadersOf(*aState.mVms.mTable, config.mZone, config.mReadersPerZone);
+  if (!readers.empty()) {
+    Pull(aState, readers[aState.mTicks / every % readers.size()]);
+  }
+}
+
+void table_controller::Pull(table_state& aState, const std::string& aVm)
+{
+  const pair_revisions pair = aState.mInForce.Revisions();
+  mContext.Count("tables.pulls");
+  SendToPeer(
+    mContext, aVm, table_pull_message{ pair.mRoutes, pair.mPools, aState.mVms.Revision() });
+}
+
+void table_controller::PeerView(const received<view_message>& aView)
+{
+  if (aView.mMessage.mEntries.empty()) {
+    return;
+  }
+  const view_entry& peer = aView.mMessage.mEntries.front();
+  const auto tables = mContext.mBoard.Read<tables_in_force>(kTablesKey);
+  const auto list = mContext.mBoard.Read<vm_list>(kTablesKey);
+  const pair_revisions own =
+    tables ? pair_revisions{ tables->RoutesRevision(), tables->PoolsRevision() } : pair_revisions{};
+  const pair_revisions theirs{ peer.mRoutesRevision, peer.mPoolsRevision };
+  if (IsNewerPair(theirs, own) || peer.mVmRevision > (list ? list->mRevision : 0)) {
+    mContext.mBoard.Post(kTablesKey, peer_ahead{ aView.mFrom, theirs, peer.mVmRevision });
+  }
+}
+
+void table_controller::PeerAhead(const peer_ahead& aPeer)
+{
+  table_state state = Load();
+  const bool ahead =
+    IsNewerPair(aPeer.mPair, state.mInForce.Revisions()) || aPeer.mVms > state.mVms.Revision();
+  if (ahead && mContext.Now() >= state.mPullUntil) {
+    state.mPullUntil = mContext.Now() + kPullTimeout;
+    Pull(state, aPeer.mVm);
+    Save(std::move(state));
+  }
+}
+
+void table_controller::PeerPull(const received<table_pull_message>& aPull)
+{
+  const table_state state = Load();
+  const pair_revisions own = state.mInForce.Revisions();
+  const pair_revisions theirs{ aPull.mMessage.mRoutesRevision, aPull.mMessage.mPoolsRevision };
+  if (IsNewerPair(own, theirs)) {
+    if (own.mRoutes > theirs.mRoutes) {
+      mContext.Count("tables.sent");
+      SendToPeer(mContext,
+                 aPull.mFrom,
+                 table_message{ table_kind::Routes,
+                                own.mRoutes,
+                                *state.mInForce.mRoutes.mText,
+                                std::nullopt,
+                                true,
+                                own.mPools });
+    }
+    if (own.mPools > theirs.mPools) {
+      mContext.Count("tables.sent");
+      SendToPeer(mContext,
+                 aPull.mFrom,
+                 table_message{ table_kind::Pools,
+                                own.mPools,
+                                *state.mInForce.mPools.mText,
+                                std::nullopt,
+                                true,
+                                own.mRoutes });
+    }
+  }
+  std::optional<micros> age;
+  if (ReadsService(state) && !state.mServiceFailed && state.mServiceHeardAt != instant{}) {
+    // A watch under way counts as contact: the service answers it as soon as there is news.
+    const auto vms = state.mReads.find(table_kind::Vms);
+    const bool watching = vms != state.mReads.end() && vms->second.mWatch.has_value();
+    age = watching ? micros(0) : mContext.Now() - state.mServiceHeardAt;
+  }
+  const bool newer = state.mVms.Revision() > aPull.mMessage.mVmRevision;
+  if (newer || age) {
+    SendToPeer(mContext,
+               aPull.mFrom,
+               table_message{ table_kind::Vms,
+                              state.mVms.Revision(),
+                              newer ? *state.mVms.mText : std::string(),
+                              age,
+                              false,
+                              0 });
+  }
+}
+
+template<typename T>
+bool table_controller::Stage(
+  staged_table<T>& aStaged,
+  const table_copy<T>& aInForce,
+  const table_message& aMessage,
+  const std::string& aFrom,
+  const std::function<result<T>(const std::string&, const std::string&)>& aParse)
+{
+  if (!aMessage.mInForce || aMessage.mRevision <= aInForce.Revision()) {
+    return false;
+  }
+  if (aStaged.mTable.Revision() == aMessage.mRevision) {
+    aStaged.mPairRevision = aMessage.mPairRevision;
+    return true;
+  }
+  const result<T> table = aParse(aMessage.mText, aFrom);
+  if (!table || table->mRevision != aMessage.mRevision) {
+    mContext.Count("tables.refused");
+    mContext.Log("tables",
+                 std::string("refused ") + NameOf(aMessage.mKind) + " from " + aFrom + ": " +
+                   Describe(table.mReason),
+                 log_level::Warning);
+    return false;
+  }
+  aStaged = { { std::make_shared<const std::string>(aMessage.mText),
+                std::make_shared<const T>(*table) },
+              aMessage.mPairRevision };
+  return true;
+}
+
+// Puts another daemon's pair into force once both of its tables are here.
+void table_controller::AdoptStaged(table_state& aState, const std::string& aFrom)
+{
+  std::vector<table_pair> candidates;
+  const table_pair& now = aState.mInForce;
+  const auto& routes = aState.mStagedRoutes;
+  const auto& pools = aState.mStagedPools;
+  if (routes.mTable.mTable && pools.mTable.mTable &&
+      routes.mPairRevision == pools.mTable.Revision() &&
+      pools.mPairRevision == routes.mTable.Revision()) {
+    candidates.push_back({ routes.mTable, pools.mTable });
+  }
+  if (routes.mTable.mTable && routes.mPairRevision == now.mPools.Revision()) {
+    candidates.push_back({ routes.mTable, now.mPools });
+  }
+  if (pools.mTable.mTable && pools.mPairRevision == now.mRoutes.Revision()) {
+    candidates.push_back({ now.mRoutes, pools.mTable });
+  }
+  for (const table_pair& pair : candidates) {
+    if (!pair.mRoutes.mTable || !pair.mPools.mTable ||
+        !mHooks.mMayReplace(pair.Revisions(), aState.mInForce.Revisions())) {
+      continue;
+    }
+    if (const auto fault = mHooks.mCheckJoin(*pair.mRoutes.mTable, *pair.mPools.mTable)) {
+      mContext.Count("tables.refused_pairs");
+      mContext.Log("tables",
+                   "refused " + ToText(pair.Revisions()) + " from " + aFrom + ": " +
+                     Describe(*fault),
+                   log_level::Warning);
+      continue;
+    }
+    PutInForce(aState, pair, aFrom);
+    aState.mPullUntil = instant{};
+    return;
+  }
+}
+
+void table_controller::PeerTable(const received<table_message>& aTable)
+{
+  const table_message& message = aTable.mMessage;
+  table_state state = Load();
+  if (message.mKind == table_kind::Vms) {
+    if (message.mConfirmedAge) {
+      state.mReaderHeardAt =
+        std::max(state.mReaderHeardAt, mContext.Now() - *message.mConfirmedAge);
+    }
+    if (!message.mText.empty() && message.mRevision > state.mVms.Revision()) {
+      TakeVms(state, message.mText, aTable.mFrom);
+      state.mPullUntil = instant{};
+    }
+  } else {
+    const bool staged =
+      message.mKind == table_kind::Routes
+        ? Stage(
+            state.mStagedRoutes, state.mInForce.mRoutes, message, aTable.mFrom, mHooks.mParseRoutes)
+        : Stage(
+            state.mStagedPools, state.mInForce.mPools, message, aTable.mFrom, mHooks.mParsePools);
+    if (staged) {
+      AdoptStaged(state, aTable.mFrom);
+    }
+  }
+  Save(std::move(state));
+}
+
+} // namespace
+
+void AddTableController(core_context& aContext, const table_hooks& aHooks)
+{
+  const auto controller = std::make_shared<table_controller>(aContext, aHooks);
+  blackboard& board = aContext.mBoard;
+  board.OnFact<table_tick>([controller](const auto&, const auto&) { controller->Tick(); });
+  board.OnFact<table_read>(
+    [controller](const auto&, const table_read& aFact) { controller->ServiceTable(aFact); });
+  board.OnFact<table_unchanged>([controller](const auto&, const table_unchanged& aFact) {
+    controller->ServiceUnchanged(aFact);
+  });
+  board.OnFact<table_read_failed>([controller](const auto&, const table_read_failed& aFact) {
+    controller->ServiceFailed(aFact);
+  });
+  board.OnFact<peer_ahead>(
+    [controller](const auto&, const peer_ahead& aFact) { controller->PeerAhead(aFact); });
+  board.OnFact<received<view_message>>(
+    [controller](const auto&, const received<view_message>& aFact) {
+      controller->PeerView(aFact);
+    });
+  board.OnFact<received<table_pull_message>>(
+    [controller](const auto&, const received<table_pull_message>& aFact) {
+      controller->PeerPull(aFact);
+    });
+  board.OnFact<received<table_message>>(
+    [controller](const auto&, const received<table_message>& aFact) {
+      controller->PeerTable(aFact);
+    });
+  aContext.After(micros(0), kTablesKey, table_tick{});
+}
 
 } // namespace redwingdock
--- /dev/null
+++ b/src/tables/table_state_test.cc
@@ -0,0 +1,83 @@
+#include "tables/table_state.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+
+namespace {
+
+routes_copy Routes(std::uint64_t aRevision)
+{
+  return { std::make_shared<const std::string>(),
+           std::make_shared<const routes_table>(routes_table{ aRevision, {} }) };
+}
+
+pools_copy Pools(std::uint64_t aRevision)
+{
+  return { std::make_shared<const std::string>(),
+           std::make_shared<const pools_table>(pools_table{ aRevision, {}, {} }) };
+}
+
+struct select_case
+{
+  const char* mName;
+  pair_revisions mInForce;
+  pair_revisions mLatest;
+  std::set<pair_revisions> mHolds; // pairs whose join holds
+  std::optional<pair_revisions> mSelected;
+};
+
+class select : public testing::TestWithParam<select_case>
+{};
+
+TEST_P(select, PairInForce)
+{
+  const select_case& row = GetParam();
+  SCOPED_TRACE(row.mName);
+  table_hooks hooks;
+  hooks.mCheckJoin = [&row](const routes_table& aRoutes,
+                            const pools_table& aPools) -> std::optional<reason> {
+    if (row.mHolds.contains({ aRoutes.mRevision, aPools.mRevision })) {
+      return std::nullopt;
+    }
+    return reason{ "join", "", "gap" };
+  };
+  std::string why;
+  const auto selected = SelectPair({ Routes(row.mInForce.mRoutes), Pools(row.mInForce.mPools) },
+                                   Routes(row.mLatest.mRoutes),
+                                   Pools(row.mLatest.mPools),
+                                   hooks,
+                                   why);
+  ASSERT_EQ(selected.has_value(), row.mSelected.has_value());
+  if (selected) {
+    EXPECT_EQ(selected->Revisions(), *row.mSelected);
+  }
+}
+
+const select_case kSelectCases[] = {
+  { "the newest pair joins", { 1, 1 }, { 2, 2 }, { { 2, 2 } }, pair_revisions{ 2, 2 } },
+  { "a broken routes table holds up the pools",
+    { 1, 1 },
+    { 2, 2 },
+    { { 1, 2 } },
+    pair_revisions{ 1, 2 } },
+  { "a broken pools table holds up the routes",
+    { 1, 1 },
+    { 2, 2 },
+    { { 2, 1 } },
+    pair_revisions{ 2, 1 } },
+  { "daemons choose different tables of a conflict",
+    { 1, 1 },
+    { 2, 2 },
+    { { 1, 2 }, { 2, 1 } },
+    std::nullopt },
+  { "a stale service reverts one table", { 2, 2 }, { 3, 1 }, { { 3, 1 }, { 2, 2 } }, std::nullopt },
+  { "the same pair is put into force again", { 2, 2 }, { 2, 2 }, { { 2, 2 } }, std::nullopt },
+  { "tables that never fit are put into force", { 1, 1 }, { 2, 2 }, {}, std::nullopt },
+};
+
+INSTANTIATE_TEST_SUITE_P(tables, select, testing::ValuesIn(kSelectCases));
+
+} // namespace
+
+} // namespace redwingdock
