Read daemon settings from YAML

ParseSettings fills core_config and the addresses, seeds, threads and log of the front end, with ranges for each value and refusal of unknown keys.

--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,42 @@
+#ifndef REDWINGDOCK_SETTINGS_SETTINGS_H
+#define REDWINGDOCK_SETTINGS_SETTINGS_H
+
+#include "core/config.h"
+
+// Settings of one daemon, from YAML. Unknown keys are refused; errors name file, line, key, what
+// was found and what is allowed.
+//
+//   result<daemon_settings> settings = ParseSettings(text, "vm-xela-1.yaml");
+
+namespace redwingdock {
+
+enum class log_threshold
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+struct daemon_settings
+{
+  // mIncarnation is empty: the daemon chooses it at each start.
+  core_config mCore;
+
+  std::string mListenCallers; // "ip:port", as the next two
+  std::string mListenPeers;
+  std::string mListenOperators;
+  std::vector<std::string> mConfigurationService; // tried in this order
+  std::uint32_t mWorkers = 2;                     // threads that run controllers
+  std::uint32_t mBoardShards = 64;
+  log_threshold mLogThreshold = log_threshold::Info;
+  std::string mLogFile = "-"; // "-" is standard output
+
+  bool operator==(const daemon_settings&) const = default;
+};
+
+result<daemon_settings> ParseSettings(const std::string& aText, const std::string& aFile);
+
+} // namespace redwingdock
+
+#endif
