Add the stand-in for platform and backend servers

Tests and demos need servers that fail in the ways of the failure model. Each server and the platform service is an immutable value with a pure Step function; the board keeps them as entries, and the front connects it to sockets and timers on one thread. Each server has slots, a connection cap and cost, index versions, a cold start that crashes under load, drain, cancel, deadlines, a misleading health endpoint, crash on a marked request, silent connections, stragglers and malformed replies, all switched at run time.

Tried with one part, one watch and one health request by hand.

--- /dev/null
+++ b/src/standin/board.h
@@ -0,0 +1,90 @@
+#ifndef REDWINGDOCK_STANDIN_BOARD_H
+#define REDWINGDOCK_STANDIN_BOARD_H
+
+#include "blackboard/blackboard.h"
+#include "standin/platform.h"
+#include "standin/server.h"
+
+#include <mutex>
+
+// The stand-in's blackboard: entries for the servers, the platform service and the runs, and
+// controllers that apply events to them. A front end posts events and carries out the commands.
+//
+//   standin_board board;
+//   board.AddServer(state);
+//   board.Post("cw-03a", connection_opened{ 7 }, now);
+//   for (board_command& command : board.TakeCommands()) { ... }
+
+namespace redwingdock::standin {
+
+// How often an attempt or a request key ran, over all servers. Entry key: RunKey.
+struct run_count
+{
+  std::uint64_t mRuns = 0;
+
+  auto operator<=>(const run_count&) const = default;
+};
+
+// A command of the server, or of the platform service when the name is empty.
+struct board_command
+{
+  std::string mServer;
+  std::variant<server_command, platform_command> mCommand;
+
+  auto operator<=>(const board_command&) const = default;
+};
+
+class standin_board
+{
+public:
+  standin_board();
+
+  // Entries are added before the first event.
+  void AddServer(server_state aState);
+  void SetPlatform(platform_state aState);
+
+  void Post(const std::string& aServer, server_event aEvent, instant aNow);
+  void PostPlatform(platform_event aEvent, instant aNow);
+
+  // Processes what was posted, and returns the commands since the last call.
+  std::vector<board_command> TakeCommands();
+
+  std::shared_ptr<const server_state> Server(const std::string& aName) const;
+  std::map<std::string, std::shared_ptr<const server_state>> Servers() const;
+  std::shared_ptr<const platform_state> Platform() const;
+
+  // Request keys with their runs.
+  std::map<std::string, std::uint64_t> KeyRuns() const;
+  // Attempts that ran more than once, among the last kAttemptsKept.
+  std::map<std::string, std::uint64_t> RepeatedAttempts() const;
+  void ResetRuns();
+
+private:
+  struct posted_server_event
+  {
+    server_event mEvent;
+    instant mNow;
+  };
+
+  struct posted_platform_event
+  {
+    platform_event mEvent;
+    instant mNow;
+  };
+
+  void OnServerEvent(const std::string& aServer, const posted_server_event& aPosted);
+  void OnPlatformEvent(const posted_platform_event& aPosted);
+  void OnRun(const std::string& aKey, const count_run& aRun);
+
+  blackboard mBoard;
+  mutable std::mutex mLock; // guards the next two
+  std::vector<board_command> mCommands;
+  std::deque<std::string> mAttempts; // oldest first
+};
+
+// Attempts whose runs are remembered; about 20 MB.
+inline constexpr std::size_t kAttemptsKept = 100'000;
+
+} // namespace redwingdock::standin
+
+#endif
--- /dev/null
+++ b/src/standin/config.cc
@@ -0,0 +1,49 @@
+#include "standin/config.h"
+
+#include <algorithm>
+
+namespace redwingdock::standin {
+
+result<standin_config> ParseConfig(const std::string& aText, const std::string& aFile)
+{
+  yaml_errors errors{ "parse stand-in configuration", aFile, {} };
+  yaml_mapping root = LoadYaml(aText, errors);
+  standin_config config;
+  config.mPlatformAddress = root.Address("platform");
+  config.mAdminAddress = root.Address("admin");
+  config.mRoutesFile = root.Text("routes_file", "routes.yaml");
+  config.mPoolsFile = root.Text("pools_file", "pools.yaml");
+  config.mVmsFile = root.Text("vms_file", "vms.yaml");
+  config.mSeed = root.Integer("seed", 1, 1'000'000'000, 1);
+  config.mStartWarm = root.Flag("start_warm", false);
+  yaml_mapping defaults = root.Mapping("defaults", false);
+  config.mDefaults = ReadBehaviour(defaults, {});
+  defaults.Finish();
+  std::set<std::string> pools;
+  root.Each("pools", false, [&](yaml_mapping& aPool) {
+    const std::string name = aPool.Name("name");
+    aPool.Unique("name", name, pools);
+    config.mPools[name] = ReadBehaviour(aPool, config.mDefaults);
+  });
+  std::set<std::string> datasets;
+  std::set<std::string> assigned;
+  root.Each("datasets", true, [&](yaml_mapping& aDataset) {
+    dataset_config dataset;
+    dataset.mName = aDataset.Name("name");
+    aDataset.Unique("name", dataset.mName, datasets);
+    dataset.mFile = aDataset.Text("file");
+    dataset.mPools = aDataset.Names("pools", true);
+    // A pool in two data sets would have two sets of records.
+    for (const std::string& pool : dataset.mPools) {
+      aDataset.Unique("pools", pool, assigned);
+    }
+    config.mDatasets.push_back(std::move(dataset));
+  });
+  root.Finish();
+  if (errors.mFirst) {
+    return { std::nullopt, std::move(*errors.mFirst) };
+  }
+  return Success(std::move(config));
+}
+
+} // namespace redwingdock::standin
--- /dev/null
+++ b/src/standin/front.cc
@@ -0,0 +1,410 @@
+#include "standin/front.h"
+
+#include "standin/admin.h"
+#include "standin/wire.h"
+#include "tables/parse.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+namespace redwingdock::standin {
+
+namespace {
+
+instant Now()
+{
+  return instant(
+    std::chrono::duration_cast<micros>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+result<std::string> ReadFile(const std::string& aFile)
+{
+  std::ifstream file(aFile, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Failure<std::string>("read file", aFile, "it cannot be read");
+  }
+  return Success(text.str());
+}
+
+template<typename T>
+result<standin_input> Fail(const result<T>& aResult)
+{
+  return { std::nullopt, aResult.mReason };
+}
+
+// Value of a query parameter as a whole number.
+std::optional<std::uint64_t> Parameter(const std::string& aTarget, const std::string& aName)
+{
+  std::istringstream query(aTarget.substr(std::min(aTarget.find('?'), aTarget.size())));
+  query.get();
+  for (std::string item; std::getline(query, item, '&');) {
+    if (item.starts_with(aName + "=")) {
+      return ToInteger(item.substr(aName.size() + 1), 0, 1'000'000'000'000'000'000ULL);
+    }
+  }
+  return std::nullopt;
+}
+
+std::optional<table_kind> TableOf(const std::string& aTarget)
+{
+  const std::string path = aTarget.substr(0, aTarget.find('?'));
+  if (path == "/v1/tables/routes") {
+    return table_kind::Routes;
+  }
+  if (path == "/v1/tables/pools") {
+    return table_kind::Pools;
+  }
+  if (path == "/v1/vms") {
+    return table_kind::Vms;
+  }
+  return std::nullopt;
+}
+
+http_reply Error(unsigned aStatus, const std::string& aText)
+{
+  http_reply reply;
+  reply.mStatus = aStatus;
+  reply.mType = "text/plain";
+  reply.mBody = aText + "\n";
+  return reply;
+}
+
+http_reply Json(unsigned aStatus, std::string aBody)
+{
+  http_reply reply;
+  reply.mStatus = aStatus;
+  reply.mBody = std::move(aBody);
+  return reply;
+}
+
+} // namespace
+
+result<standin_input> ReadInput(const std::string& aConfigFile)
+{
+  const std::filesystem::path folder = std::filesystem::path(aConfigFile).parent_path();
+  const auto text = ReadFile(aConfigFile);
+  if (!text) {
+    return Fail(text);
+  }
+  const auto config = ParseConfig(*text, aConfigFile);
+  if (!config) {
+    return Fail(config);
+  }
+  standin_input input;
+  input.mConfig = *config;
+  const auto routes = ReadFile(folder / config->mRoutesFile);
+  const auto pools = ReadFile(folder / config->mPoolsFile);
+  const auto vms = ReadFile(folder / config->mVmsFile);
+  if (!routes || !pools || !vms) {
+    return Fail(!routes ? routes : !pools ? pools : vms);
+  }
+  const auto parsedRoutes = ParseRoutes(*routes, config->mRoutesFile);
+  const auto parsedPools = ParsePools(*pools, config->mPoolsFile);
+  const auto parsedVms = ParseVmList(*vms, config->mVmsFile);
+  if (!parsedRoutes || !parsedPools || !parsedVms) {
+    return !parsedRoutes ? Fail(parsedRoutes) : !parsedPools ? Fail(parsedPools) : Fail(parsedVms);
+  }
+  if (const auto fault = CheckJoin(*parsedRoutes, *parsedPools)) {
+    return { std::nullopt, *fault };
+  }
+  input.mRoutes = { parsedRoutes->mRevision, std::make_shared<const std::string>(*routes) };
+  input.mPools = { parsedPools->mRevision, std::make_shared<const std::string>(*pools) };
+  input.mVms = { parsedVms->mRevision, std::make_shared<const std::string>(*vms) };
+  input.mParsedPools = *parsedPools;
+  for (const dataset_config& dataset : config->mDatasets) {
+    const auto lines = ReadFile(folder / dataset.mFile);
+    if (!lines) {
+      return Fail(lines);
+    }
+    const auto records = ReadRecords(*lines, dataset.mFile);
+    if (!records) {
+      return Fail(records);
+    }
+    const auto shared = std::make_shared<const record_store>(*records);
+    for (const std::string& pool : dataset.mPools) {
+      input.mRecords[pool] = shared;
+    }
+  }
+  return Success(std::move(input));
+}
+
+standin_front::standin_front(boost::asio::io_context& aIo, standin_input aInput)
+  : mIo(aIo)
+  , mInput(std::move(aInput))
+{
+  platform_state platform;
+  platform.mTables = { { table_kind::Routes, mInput.mRoutes },
+                       { table_kind::Pools, mInput.mPools },
+                       { table_kind::Vms, mInput.mVms } };
+  platform.mServed = platform.mTables;
+  mBoard.SetPlatform(std::move(platform));
+  mPlatform = std::make_unique<http_server>(
+    mIo,
+    mInput.mConfig.mPlatformAddress,
+    http_hooks{ [this](std::uint64_t aConnection) { mPlatform->Serve(aConnection, micros(0)); },
+                [this](std::uint64_t aConnection, const http_request& aRequest) {
+                  OnPlatformRequest(aConnection, aRequest);
+                },
+                [this](std::uint64_t aConnection) { PostPlatform(reader_gone{ aConnection }); } });
+  mAdmin = std::make_unique<http_server>(
+    mIo,
+    mInput.mConfig.mAdminAddress,
+    http_hooks{ [this](std::uint64_t aConnection) { mAdmin->Serve(aConnection, micros(0)); },
+                [this](std::uint64_t aConnection, const http_request& aRequest) {
+                  OnAdminRequest(aConnection, aRequest);
+                },
+                [](std::uint64_t /*aConnection*/) {} });
+  for (const pool_spec& pool : mInput.mParsedPools.mPools) {
+    for (const server_spec& server : pool.mServers) {
+      AddServer(server, pool);
+    }
+  }
+}
+
+void standin_front::AddServer(const server_spec& aSpec, const pool_spec& aPool)
+{
+  server_state state;
+  state.mSpec = aSpec;
+  for (const shard_spec& shard : aPool.mShards) {
+    if (shard.mName == aSpec.mShard) {
+      state.mShard = shard;
+    }
+  }
+  const auto how = mInput.mConfig.mPools.find(aPool.mName);
+  state.mBehaviour = how == mInput.mConfig.mPools.end() ? mInput.mConfig.mDefaults : how->second;
+  state.mBehaviour.mSlots = aPool.mSlots;
+  state.mBehaviour.mConnections = aPool.mConnections;
+  state.mBehaviour.mConnectCost = aPool.mConnectCost;
+  state.mWarm = mInput.mConfig.mStartWarm;
+  state.mColdSince = Now();
+  state.mRandom = mInput.mConfig.mSeed * 1'000'003 + mServers.size();
+  mBoard.AddServer(std::move(state));
+  const std::string name = aSpec.mName;
+  mServers[name] = std::make_unique<http_server>(
+    mIo,
+    aSpec.mAddress,
+    http_hooks{
+      [this, name](std::uint64_t aConnection) { Post(name, connection_opened{ aConnection }); },
+      [this, name](std::uint64_t aConnection, const http_request& aRequest) {
+        OnServerRequest(name, aConnection, aRequest);
+      },
+      [this, name](std::uint64_t aConnection) { Post(name, connection_closed{ aConnection }); } });
+}
+
+result<bool> standin_front::Listen()
+{
+  for (http_server* server : { mPlatform.get(), mAdmin.get() }) {
+    if (result<bool> listening = server->Listen(); !listening) {
+      return listening;
+    }
+  }
+  for (const auto& [name, server] : mServers) {
+    if (result<bool> listening = server->Listen(); !listening) {
+      return listening;
+    }
+  }
+  return Success(true);
+}
+
+void standin_front::Post(const std::string& aServer, server_event aEvent)
+{
+  mBoard.Post(aServer, std::move(aEvent), Now());
+  Pump();
+}
+
+void standin_front::PostPlatform(platform_event aEvent)
+{
+  mBoard.PostPlatform(std::move(aEvent), Now());
+  Pump();
+}
+
+// Commands can lead to further events, which the outer call then processes.
+void standin_front::Pump()
+{
+  if (mPumping) {
+    return;
+  }
+  mPumping = true;
+  for (std::vector<board_command> commands = mBoard.TakeCommands(); !commands.empty();
+       commands = mBoard.TakeCommands()) {
+    for (const board_command& command : commands) {
+      if (const auto* forServer = std::get_if<server_command>(&command.mCommand)) {
+        Run(command.mServer, *forServer);
+      } else {
+        Run(std::get<platform_command>(command.mCommand));
+      }
+    }
+  }
+  mPumping = false;
+}
+
+void standin_front::After(micros aDelay, std::function<void()> aAction)
+{
+  const auto timer = std::make_shared<boost::asio::steady_timer>(mIo, aDelay);
+  timer->async_wait([timer, action = std::move(aAction)](const boost::system::error_code& aError) {
+    if (!aError) {
+      action();
+    }
+  });
+}
+
+std::vector<record> standin_front::Records(const reply_records& aReply) const
+{
+  if (aReply.mCall.mOperation == operation::Submit) {
+    const auto id = aReply.mCall.mFilter.find("id");
+    return { { id == aReply.mCall.mFilter.end() ? "" : id->second,
+               { { "request_key", aReply.mCall.mRequestKey } } } };
+  }
+  const auto store = mInput.mRecords.find(aReply.mCall.mPool);
+  return store == mInput.mRecords.end()
+           ? std::vector<record>()
+           : Search(*store->second, aReply.mVersion.mVersion, aReply.mRanges, aReply.mCall.mFilter);
+}
+
+void standin_front::Run(const std::string& aServer, const server_command& aCommand)
+{
+  http_server& server = *mServers.at(aServer);
+  if (const auto* serve = std::get_if<serve_connection>(&aCommand)) {
+    server.Serve(serve->mConnection, serve->mAfter);
+  } else if (const auto* drop = std::get_if<drop_connection>(&aCommand)) {
+    server.Drop(drop->mConnection);
+  } else if (std::holds_alternative<stop_listening>(aCommand)) {
+    server.Close();
+  } else if (std::holds_alternative<listen>(aCommand)) {
+    if (!server.Listen()) {
+      After(std::chrono::milliseconds(100),
+            [this, aServer] { Run(aServer, server_command(listen{})); });
+    }
+  } else if (const auto* later = std::get_if<post_later>(&aCommand)) {
+    After(later->mAfter, [this, aServer, event = later->mEvent] {
+      std::visit([&](const auto& aEvent) { Post(aServer, aEvent); }, event);
+    });
+  } else if (const auto* records = std::get_if<reply_records>(&aCommand)) {
+    http_reply reply = Json(200, WriteRecords(*records, Records(*records)));
+    reply.mTruncated = records->mFault == bad_reply::Truncated;
+    server.Reply(records->mConnection, std::move(reply));
+  } else if (const auto* refusal = std::get_if<reply_refusal>(&aCommand)) {
+    server.Reply(refusal->mConnection, Json(503, WriteRefusal(*refusal)));
+  } else if (const auto* cancel = std::get_if<reply_cancel>(&aCommand)) {
+    server.Reply(cancel->mConnection, Json(200, "{}"));
+  } else if (const auto* health = std::get_if<reply_health>(&aCommand)) {
+    server.Reply(health->mConnection, Json(200, WriteHealth(*health)));
+  }
+}
+
+void standin_front::Run(const platform_command& aCommand)
+{
+  if (const auto* table = std::get_if<reply_table>(&aCommand)) {
+    http_reply reply = Error(table->mStatus, "error mode");
+    if (table->mStatus != 500) {
+      reply.mType = "application/yaml";
+      reply.mBody = table->mTable.mText ? *table->mTable.mText : "";
+      reply.mHeaders["Table-Revision"] = std::to_string(table->mTable.mRevision);
+    }
+    After(table->mAfter, [this, request = table->mRequest, reply = std::move(reply)] {
+      mPlatform->Reply(request, reply);
+    });
+  } else if (const auto* watch = std::get_if<watch_later>(&aCommand)) {
+    After(watch->mAfter, [this, due = watch_due{ watch->mRequest }] { PostPlatform(due); });
+  } else if (const auto* listening = std::get_if<listen_platform>(&aCommand)) {
+    if (!listening->mOpen) {
+      mPlatform->Close();
+    } else if (!mPlatform->Listen()) {
+      After(std::chrono::milliseconds(100),
+            [this, again = *listening] { Run(platform_command(again)); });
+    }
+  }
+}
+
+std::string standin_front::ZoneOf(const std::string& aVm) const
+{
+  const auto found = mVmZones.find(aVm);
+  return found == mVmZones.end() ? "" : found->second;
+}
+
+void standin_front::OnServerRequest(const std::string& aServer,
+                                    std::uint64_t aConnection,
+                                    const http_request& aRequest)
+{
+  http_server& server = *mServers.at(aServer);
+  if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/part") {
+    result<part_call> call = ReadPart(aRequest.mBody);
+    if (!call) {
+      server.Reply(aConnection, Error(400, Describe(call.mReason)));
+      return;
+    }
+    // VMs are added at run time, so the zones follow the newest published list.
+    const published_table& vms = mBoard.Platform()->mTables.at(table_kind::Vms);
+    if (vms != mZonesFrom) {
+      mZonesFrom = vms;
+      if (const auto list = ParseVmList(*vms.mText, "")) {
+        for (const vm_spec& vm : list->mVms) {
+          mVmZones[vm.mName] = vm.mZone;
+        }
+      }
+    }
+    call.mValue->mCallerZone = ZoneOf(CallerVm(call->mAttempt));
+    Post(aServer, part_arrived{ aConnection, *call });
+  } else if (aRequest.mMethod == "POST" && aRequest.mTarget == "/v1/cancel") {
+    const result<std::string> attempt = ReadCancel(aRequest.mBody);
+    if (!attempt) {
+      server.Reply(aConnection, Error(400, Describe(attempt.mReason)));
+      return;
+    }
+    Post(aServer, cancel_arrived{ aConnection, *attempt });
+  } else if (aRequest.mMethod == "GET" && aRequest.mTarget == "/v1/health") {
+    Post(aServer, health_asked{ aConnection });
+  } else {
+    server.Reply(aConnection, Error(404, aRequest.mTarget + " is unknown"));
+  }
+}
+
+void standin_front::OnPlatformRequest(std::uint64_t aConnection, const http_request& aRequest)
+{
+  const auto kind = TableOf(aRequest.mTarget);
+  if (!kind) {
+    mPlatform->Reply(aConnection, Error(404, aRequest.mTarget + " is unknown"));
+  } else if (aRequest.mMethod != "GET") {
+    mPlatform->Reply(aConnection, Error(405, "the service is read only"));
+  } else {
+    // A minute bounds a watch.
+    const auto wait =
+      std::min<std::uint64_t>(Parameter(aRequest.mTarget, "wait_ms").value_or(0), 60'000);
+    PostPlatform(table_asked{
+      aConnection, *kind, Parameter(aRequest.mTarget, "after"), std::chrono::milliseconds(wait) });
+  }
+}
+
+void standin_front::OnAdminRequest(std::uint64_t aConnection, const http_request& aRequest)
+{
+  if (aRequest.mMethod == "GET" && aRequest.mTarget == "/admin/state") {
+    mAdmin->Reply(aConnection, Json(200, WriteState(mBoard, Now())));
+    return;
+  }
+  if (aRequest.mMethod != "POST") {
+    mAdmin->Reply(aConnection, Error(404, aRequest.mTarget + " is unknown"));
+    return;
+  }
+  const result<admin_change> change = ReadAdmin(aRequest.mTarget, aRequest.mBody, mBoard);
+  if (!change) {
+    mAdmin->Reply(aConnection, Error(400, Describe(change.mReason)));
+    return;
+  }
+  for (const auto& [name, event] : change->mServers) {
+    Post(name, event);
+  }
+  for (const platform_event& event : change->mPlatform) {
+    PostPlatform(event);
+  }
+  if (change->mResetRuns) {
+    mBoard.ResetRuns();
+  }
+  mAdmin->Reply(aConnection, Json(200, "{}"));
+}
+
+} // namespace redwingdock::standin
--- /dev/null
+++ b/src/standin/http_server.cc
@@ -0,0 +1,358 @@
+#include "standin/http_server.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+#include <sstream>
+
+namespace redwingdock::standin {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr std::uint64_t kLongestBody = 4ULL << 20U;
+
+std::uint64_t NextConnection()
+{
+  static std::uint64_t last = 0;
+  return ++last;
+}
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::string host = aAddress.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[') {
+    host = host.substr(1, host.size() - 2);
+  }
+  boost::system::error_code error;
+  const auto address = asio::ip::make_address(host, error);
+  const long port = std::strtol(aAddress.c_str() + colon + 1, nullptr, 10);
+  if (error || port < 1 || port > 65535) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(address, static_cast<unsigned short>(port));
+}
+
+} // namespace
+
+namespace detail {
+
+class http_connection : public std::enable_shared_from_this<http_connection>
+{
+public:
+  http_connection(tcp::socket aSocket,
+                  std::function<void(const http_request&)> aRequest,
+                  std::function<void()> aClosed)
+    : mSocket(std::move(aSocket))
+    , mTimer(mSocket.get_executor())
+    , mOnRequest(std::move(aRequest))
+    , mOnClosed(std::move(aClosed))
+  {
+    boost::system::error_code ignored;
+    mSocket.set_option(tcp::no_delay(true), ignored);
+  }
+
+  void Serve(micros aAfter)
+  {
+    if (aAfter <= micros(0)) {
+      Read();
+      return;
+    }
+    mTimer.expires_after(aAfter);
+    mTimer.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError) {
+        self->Read();
+      }
+    });
+  }
+
+  void Reply(http_reply aReply)
+  {
+    if (mDropped) {
+      return;
+    }
+    mInService = false;
+    mResponse = {};
+    mResponse.version(11);
+    mResponse.result(aReply.mStatus);
+    mResponse.keep_alive(true);
+    mResponse.set(http::field::content_type, aReply.mType);
+    for (const auto& [name, value] : aReply.mHeaders) {
+      mResponse.set(name, value);
+    }
+    mResponse.body() = std::move(aReply.mBody);
+    mResponse.prepare_payload();
+    if (aReply.mStatus == 204) {
+      mResponse.content_length(boost::none); // RFC 9110, section 8.6
+    }
+    if (aReply.mTruncated) {
+      WriteTruncated();
+      return;
+    }
+    http::async_write(
+      mSocket,
+      mResponse,
+      [self = shared_from_this()](const boost::system::error_code& aError, std::size_t /*aBytes*/) {
+        if (aError) {
+          self->Closed();
+        } else {
+          self->Read();
+        }
+      });
+  }
+
+  void Drop()
+  {
+    mDropped = true;
+    mTimer.cancel();
+    boost::system::error_code ignored;
+    // A reset, so that the peer does not take the end of the stream for an orderly close.
+    mSocket.set_option(asio::socket_base::linger(true, 0), ignored);
+    mSocket.close(ignored);
+  }
+
+private:
+  void Read()
+  {
+    if (mDropped) {
+      return;
+    }
+    mParser.emplace();
+    mParser->body_limit(kLongestBody);
+    http::async_read(
+      mSocket,
+      mBuffer,
+      *mParser,
+      [self = shared_from_this()](const boost::system::error_code& aError, std::size_t /*aBytes*/) {
+        if (aError) {
+          self->Closed();
+          return;
+        }
+        const auto& message = self->mParser->get();
+        ++self->mRequest;
+        self->mInService = true;
+        self->WatchForClose();
+        self->mOnRequest(
+          { std::string(message.method_string()), std::string(message.target()), message.body() });
+      });
+  }
+
+  // Reports a close by the peer while its request is in service. The wait also ends when the next
+  // request arrives, which Read may have consumed by then.
+  void WatchForClose()
+  {
+    mSocket.async_wait(
+      tcp::socket::wait_read,
+      [self = shared_from_this(), request = mRequest](const boost::system::error_code& aError) {
+        boost::system::error_code error;
+        if (!aError && self->mInService && self->mRequest == request &&
+            self->mSocket.available(error) == 0) {
+          self->Closed();
+        }
+      });
+  }
+
+  void WriteTruncated()
+  {
+    std::ostringstream text;
+    text << mResponse;
+    mRaw = text.str();
+    mRaw.resize(mRaw.size() - mResponse.body().size() / 2);
+    asio::async_write(mSocket,
+                      asio::buffer(mRaw),
+                      [self = shared_from_this()](const boost::system::error_code& /*aError*/,
+                                                  std::size_t /*aBytes*/) {
+                        if (!self->mDropped) {
+                          boost::system::error_code ignored;
+                          self->mSocket.shutdown(tcp::socket::shutdown_both, ignored);
+                          self->Closed();
+                        }
+                      });
+  }
+
+  void Closed()
+  {
+    if (!mDropped) {
+      mDropped = true;
+      mTimer.cancel();
+      boost::system::error_code ignored;
+      mSocket.close(ignored);
+      mOnClosed();
+    }
+  }
+
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  std::function<void(const http_request&)> mOnRequest;
+  std::function<void()> mOnClosed;
+  boost::beast::flat_buffer mBuffer;
+  std::optional<http::request_parser<http::string_body>> mParser;
+  http::response<http::string_body> mResponse;
+  std::string mRaw;
+  std::uint64_t mRequest = 0; // number of the last request
+  bool mInService = false;    // it has no reply yet
+  bool mDropped = false;
+};
+
+} // namespace detail
+
+struct http_server::listener : std::enable_shared_from_this<listener>
+{
+  listener(asio::io_context& aIo, std::string aAddress, http_hooks aHooks)
+    : mAcceptor(aIo)
+    , mRetry(aIo)
+    , mAddress(std::move(aAddress))
+    , mHooks(std::move(aHooks))
+  {
+  }
+
+  result<bool> Listen()
+  {
+    const auto endpoint = ParseEndpoint(mAddress);
+    if (!endpoint) {
+      return Failure<bool>("listen", mAddress, "the address has no form \"ip:port\"");
+    }
+    boost::system::error_code error;
+    mAcceptor.open(endpoint->protocol(), error);
+    if (!error) {
+      mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      mAcceptor.bind(*endpoint, error);
+    }
+    if (!error) {
+      mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+      boost::system::error_code ignored;
+      mAcceptor.close(ignored);
+      return Failure<bool>("listen", mAddress, error.message());
+    }
+    Accept();
+    return Success(true);
+  }
+
+  void Accept()
+  {
+    mAcceptor.async_accept(
+      [self = shared_from_this()](const boost::system::error_code& aError, tcp::socket aSocket) {
+        if (aError == asio::error::operation_aborted || !self->mAcceptor.is_open()) {
+          return;
+        }
+        if (aError) {
+          self->AcceptLater();
+          return;
+        }
+        self->Open(std::move(aSocket));
+        if (self->mAcceptor.is_open()) {
+          self->Accept();
+        }
+      });
+  }
+
+  // Accepting fails at once, again and again, while the process has no free descriptor.
+  void AcceptLater()
+  {
+    mRetry.expires_after(std::chrono::milliseconds(100));
+    mRetry.async_wait([self = shared_from_this()](const boost::system::error_code& aError) {
+      if (!aError && self->mAcceptor.is_open()) {
+        self->Accept();
+      }
+    });
+  }
+
+  void Open(tcp::socket aSocket)
+  {
+    const std::uint64_t number = NextConnection();
+    const std::weak_ptr<listener> weak = weak_from_this();
+    mConnections[number] = std::make_shared<detail::http_connection>(
+      std::move(aSocket),
+      [weak, number](const http_request& aRequest) {
+        if (const auto self = weak.lock()) {
+          self->mHooks.mRequest(number, aRequest);
+        }
+      },
+      [weak, number] {
+        if (const auto self = weak.lock()) {
+          self->mConnections.erase(number);
+          self->mHooks.mClosed(number);
+        }
+      });
+    mHooks.mOpened(number);
+  }
+
+  void Close()
+  {
+    boost::system::error_code ignored;
+    mAcceptor.close(ignored);
+    mRetry.cancel();
+    for (const auto& [number, connection] : std::exchange(mConnections, {})) {
+      connection->Drop();
+    }
+  }
+
+  std::shared_ptr<detail::http_connection> Find(std::uint64_t aConnection) const
+  {
+    const auto found = mConnections.find(aConnection);
+    return found == mConnections.end() ? nullptr : found->second;
+  }
+
+  tcp::acceptor mAcceptor;
+  asio::steady_timer mRetry;
+  std::string mAddress;
+  http_hooks mHooks;
+  std::map<std::uint64_t, std::shared_ptr<detail::http_connection>> mConnections;
+};
+
+http_server::http_server(asio::io_context& aIo, std::string aAddress, http_hooks aHooks)
+  : mListener(std::make_shared<listener>(aIo, std::move(aAddress), std::move(aHooks)))
+{
+}
+
+http_server::~http_server()
+{
+  Close();
+}
+
+result<bool> http_server::Listen()
+{
+  return mListener->Listen();
+}
+
+void http_server::Close()
+{
+  mListener->Close();
+}
+
+void http_server::Serve(std::uint64_t aConnection, micros aAfter)
+{
+  if (const auto connection = mListener->Find(aConnection)) {
+    connection->Serve(aAfter);
+  }
+}
+
+void http_server::Reply(std::uint64_t aConnection, http_reply aReply)
+{
+  if (const auto connection = mListener->Find(aConnection)) {
+    connection->Reply(std::move(aReply));
+  }
+}
+
+void http_server::Drop(std::uint64_t aConnection)
+{
+  if (const auto connection = mListener->Find(aConnection)) {
+    mListener->mConnections.erase(aConnection);
+    connection->Drop();
+  }
+}
+
+} // namespace redwingdock::standin
--- /dev/null
+++ b/src/standin/platform.h
@@ -0,0 +1,149 @@
+#ifndef REDWINGDOCK_STANDIN_PLATFORM_H
+#define REDWINGDOCK_STANDIN_PLATFORM_H
+
+#include "core/messages.h"
+
+#include <memory>
+#include <variant>
+
+// The stand-in's configuration service as an immutable value: tables, waiting watches, counts of
+// reads, and faults (off, stale, slow).
+//
+//   platform_step step = Step(state, table_asked{ 7, table_kind::Pools, 31, wait }, now);
+
+namespace redwingdock::standin {
+
+struct published_table
+{
+  std::uint64_t mRevision = 0;
+  std::shared_ptr<const std::string> mText;
+
+  auto operator<=>(const published_table&) const = default;
+};
+
+enum class service_mode
+{
+  Ok,
+  Off,   // refuses connections
+  Hang,  // accepts requests, never replies
+  Error, // replies 500
+};
+
+struct table_watch
+{
+  table_kind mKind = table_kind::Routes;
+  std::uint64_t mAfter = 0;
+
+  auto operator<=>(const table_watch&) const = default;
+};
+
+struct read_counts
+{
+  std::map<table_kind, std::uint64_t> mReads; // a watch counts as one read
+  std::uint64_t mWatches = 0;
+  std::uint64_t mMostInSecond = 0;
+  instant mSecond{}; // start of the second that is being counted
+  std::uint64_t mInSecond = 0;
+
+  auto operator<=>(const read_counts&) const = default;
+};
+
+struct platform_state
+{
+  std::map<table_kind, published_table> mTables; // the newest
+  std::map<table_kind, published_table> mServed; // what readers get; falls behind while stale
+  service_mode mMode = service_mode::Ok;
+  bool mStale = false;
+  micros mDelay{ 0 }; // before each reply
+  std::map<std::uint64_t, table_watch> mWatches;
+  read_counts mCounts;
+
+  auto operator<=>(const platform_state&) const = default;
+};
+
+// Events. A request is named by the number of its connection.
+
+// Without mAfter a plain read, otherwise a watch.
+struct table_asked
+{
+  std::uint64_t mRequest = 0;
+  table_kind mKind = table_kind::Routes;
+  std::optional<std::uint64_t> mAfter;
+  micros mWait{ 0 };
+  auto operator<=>(const table_asked&) const = default;
+};
+
+struct watch_due
+{
+  std::uint64_t mRequest = 0;
+  auto operator<=>(const watch_due&) const = default;
+};
+
+struct reader_gone
+{
+  std::uint64_t mRequest = 0;
+  auto operator<=>(const reader_gone&) const = default;
+};
+
+struct publish_table
+{
+  table_kind mKind = table_kind::Routes;
+  published_table mTable;
+  auto operator<=>(const publish_table&) const = default;
+};
+
+struct set_platform
+{
+  service_mode mMode = service_mode::Ok;
+  bool mStale = false;
+  micros mDelay{ 0 };
+  auto operator<=>(const set_platform&) const = default;
+};
+
+struct reset_reads
+{
+  auto operator<=>(const reset_reads&) const = default;
+};
+
+using platform_event =
+  std::variant<table_asked, watch_due, reader_gone, publish_table, set_platform, reset_reads>;
+
+// Commands.
+
+// Without a text: nothing new (204). mStatus 500 is the error mode.
+struct reply_table
+{
+  std::uint64_t mRequest = 0;
+  unsigned mStatus = 200;
+  published_table mTable;
+  micros mAfter{ 0 };
+  auto operator<=>(const reply_table&) const = default;
+};
+
+struct watch_later
+{
+  std::uint64_t mRequest = 0;
+  micros mAfter{ 0 };
+  auto operator<=>(const watch_later&) const = default;
+};
+
+// Opens or closes the port; closing drops all connections.
+struct listen_platform
+{
+  bool mOpen = true;
+  auto operator<=>(const listen_platform&) const = default;
+};
+
+using platform_command = std::variant<reply_table, watch_later, listen_platform>;
+
+struct platform_step
+{
+  platform_state mState;
+  std::vector<platform_command> mCommands;
+};
+
+platform_step Step(const platform_state& aState, const platform_event& aEvent, instant aNow);
+
+} // namespace redwingdock::standin
+
+#endif
