--- a/src/client/client.cc
+++ b/src/client/client.cc
@@ -1,7 +1,7 @@
 #include "client/client.h"
 
 #include "client/caller_json.h"
-#include "client/sharded_map.h"
+#include "client/name_map.h"
 
 #include <algorithm>
 #include <atomic>
@@ -67,8 +67,8 @@
   std::atomic<std::uint64_t> mKeys{ 0 };
   std::atomic<std::uint64_t> mCalls{ 0 };
   std::atomic<std::uint64_t> mRepeats{ 0 };
-  sharded_map<held_entry> mEntries; // by caller
-  sharded_map<instant> mAvoided;    // by address
+  name_map<held_entry> mEntries; // by caller
+  name_map<instant> mAvoided;    // by address
   std::unique_ptr<http_client> mHttp;
 
   instant AvoidUntil(const std::string& aAddress) const
--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -1,6 +1,6 @@
 #include "client/http_client.h"
 
-#include "client/sharded_map.h"
+#include "client/name_map.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
@@ -74,8 +74,8 @@
 
 struct http_client::state
 {
-  asio::io_context mContext;                      // outlives the connections
-  sharded_map<std::vector<connection_ptr>> mIdle; // by address
+  asio::io_context mContext;                   // outlives the connections
+  name_map<std::vector<connection_ptr>> mIdle; // by address
   std::optional<asio::executor_work_guard<asio::io_context::executor_type>> mGuard;
   std::vector<std::thread> mThreads;
 
--- a/src/client/sharded_map.h
+++ b/src/client/name_map.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGDOCK_CLIENT_SHARDED_MAP_H
-#define REDWINGDOCK_CLIENT_SHARDED_MAP_H
+#ifndef REDWINGDOCK_CLIENT_NAME_MAP_H
+#define REDWINGDOCK_CLIENT_NAME_MAP_H
 
 #include <array>
 #include <functional>
@@ -11,13 +11,13 @@
 
 // A map from names to values in shards, each under its own lock. No call holds two locks.
 //
-//   sharded_map<instant> avoided;
+//   name_map<instant> avoided;
 //   avoided.Set("127.0.0.1:7001", until);
 
 namespace redwingdock {
 
 template<typename T>
-class sharded_map
+class name_map
 {
 public:
   std::optional<T> Get(const std::string& aKey) const
