Add the load program

Latency, coverage and the truth of answers under failure need a measure that does not hide stalls. src/load plans open-loop arrivals by seed, reads experiments strictly, carries out their events through the stand-in and pid files, compares answers with the record files and key counts, and writes text, JSON and an SVG plot.

Conclusion: ready to measure the daemon once it serves.

--- /dev/null
+++ b/src/load/experiment.cc
@@ -0,0 +1,238 @@
+#include "load/experiment.h"
+
+#include "base/yaml_reader.h"
+
+#include <algorithm>
+#include <csignal>
+
+namespace redwingdock::load {
+
+namespace {
+
+constexpr std::uint64_t kLongestMs = 600'000;
+constexpr double kHighestRate = 20'000;
+
+micros Milliseconds(std::uint64_t aCount)
+{
+  return std::chrono::milliseconds(aCount);
+}
+
+std::string Flow(const YAML::Node& aNode)
+{
+  YAML::Emitter out;
+  out.SetMapFormat(YAML::Flow);
+  out.SetSeqFormat(YAML::Flow);
+  out << aNode;
+  return out.c_str();
+}
+
+request_kind ReadKind(yaml_mapping& aMapping)
+{
+  request_kind kind;
+  kind.mRoute = aMapping.Name("route");
+  kind.mOperation = aMapping.OneOf("operation", { "search", "submit" }, 0) == 0 ? operation::Search
+                                                                                : operation::Submit;
+  kind.mUrgency =
+    static_cast<urgency>(aMapping.OneOf("urgency", { "urgent", "normal", "background" }, 1));
+  kind.mDeadline = Milliseconds(aMapping.Integer("deadline_ms", 1, 5000, 1000));
+  kind.mWeight = aMapping.Number("weight", 0.001, 1000, 1);
+  kind.mSample = aMapping.Names("sample", false);
+  yaml_mapping filter = aMapping.Mapping("filter", false);
+  for (const auto& item : filter.Node()) {
+    std::string name = item.first.IsScalar() ? item.first.Scalar() : "";
+    kind.mFilter[name] = filter.Text(name);
+  }
+  filter.Finish();
+  kind.mFrom = Milliseconds(aMapping.Integer("from_ms", 0, kLongestMs, 0));
+  kind.mMost = aMapping.Integer("most", 0, 1'000'000, 0);
+  return kind;
+}
+
+// Reads the selection of servers, and adds it to the body of a request to the stand-in.
+std::string ReadSelection(yaml_mapping& aMapping, YAML::Node& aBody)
+{
+  std::string label;
+  for (const char* key : { "zone", "pool", "shard" }) {
+    std::string name = aMapping.Text(key, "");
+    if (!name.empty()) {
+      aBody[key] = name;
+      label += " " + name;
+    }
+  }
+  std::vector<std::string> servers = aMapping.Names("servers", false);
+  if (!servers.empty()) {
+    aBody["servers"] = servers;
+    label += " " + servers.front() + (servers.size() > 1 ? "..." : "");
+  }
+  if (label.empty()) {
+    aMapping.Errors().Add(
+      aMapping.Node(), aMapping.Path("servers"), "no selection", "zone, pool, shard or servers");
+  }
+  return label;
+}
+
+struct event_form
+{
+  const char* mName;
+  // Reads the keys of the event after at_ms and do.
+  std::function<void(yaml_mapping&, load_event&)> mRead;
+};
+
+event_form TableEdit(const char* aName, const char* aKey)
+{
+  return { aName, [aName, aKey](yaml_mapping& aMapping, load_event& aEvent) {
+            YAML::Node body;
+            std::string name = aMapping.Name(aKey);
+            body["edit"] = aName;
+            body["name"] = name;
+            aEvent.mKind = event_kind::Admin;
+            aEvent.mTarget = "/admin/tables";
+            aEvent.mBody = Flow(body);
+            aEvent.mLabel += " " + name;
+          } };
+}
+
+event_form ServerAction(const char* aName)
+{
+  return { aName, [aName](yaml_mapping& aMapping, load_event& aEvent) {
+            YAML::Node body;
+            body["do"] = aName;
+            aEvent.mLabel += ReadSelection(aMapping, body);
+            aEvent.mKind = event_kind::Admin;
+            aEvent.mTarget = "/admin/servers";
+            aEvent.mBody = Flow(body);
+          } };
+}
+
+event_form DaemonSignal(const char* aName, int aSignal)
+{
+  return { aName, [aSignal](yaml_mapping& aMapping, load_event& aEvent) {
+            aEvent.mKind = aSignal == 0 ? event_kind::Restart : event_kind::Signal;
+            aEvent.mTarget = aMapping.Name("daemon");
+            aEvent.mSignal = aSignal;
+            aEvent.mLabel += " " + aEvent.mTarget;
+          } };
+}
+
+void ReadServerSettings(yaml_mapping& aMapping, load_event& aEvent)
+{
+  YAML::Node body;
+  aEvent.mLabel += ReadSelection(aMapping, body);
+  yaml_mapping set = aMapping.Mapping("set", true);
+  body["set"] = set.Node();
+  for (const auto& item : set.Node()) {
+    aEvent.mLabel += " " + item.first.Scalar();
+  }
+  aEvent.mKind = event_kind::Admin;
+  aEvent.mTarget = "/admin/servers";
+  aEvent.mBody = Flow(body);
+}
+
+void ReadService(yaml_mapping& aMapping, load_event& aEvent)
+{
+  static const std::vector<std::string> kModes{ "ok", "off", "hang", "error" };
+  YAML::Node body;
+  std::string mode = kModes[aMapping.OneOf("mode", kModes, 0)];
+  bool stale = aMapping.Flag("stale", false);
+  body["mode"] = mode;
+  body["stale"] = stale;
+  body["delay_ms"] = aMapping.Integer("delay_ms", 0, 60'000, 0);
+  aEvent.mLabel += " " + mode + (stale ? " stale" : "");
+  aEvent.mKind = event_kind::Admin;
+  aEvent.mTarget = "/admin/platform";
+  aEvent.mBody = Flow(body);
+}
+
+void ReadPublish(yaml_mapping& aMapping, load_event& aEvent)
+{
+  static const std::vector<std::string> kTables{ "routes", "pools", "vms" };
+  YAML::Node body;
+  std::string table = kTables[aMapping.OneOf("table", kTables)];
+  body["table"] = table;
+  body["text"] = aMapping.Text("text");
+  aEvent.mLabel += " " + table;
+  aEvent.mKind = event_kind::Admin;
+  aEvent.mTarget = "/admin/tables";
+  aEvent.mBody = Flow(body);
+}
+
+const std::vector<event_form>& Forms()
+{
+  static const std::vector<event_form> kForms{
+    TableEdit("close_zone", "zone"),
+    TableEdit("open_zone", "zone"),
+    TableEdit("drain_server", "server"),
+    TableEdit("undrain_server", "server"),
+    TableEdit("remove_server", "server"),
+    TableEdit("vm_leaving", "vm"),
+    TableEdit("vm_live", "vm"),
+    TableEdit("remove_vm", "vm"),
+    ServerAction("crash"),
+    ServerAction("stop"),
+    ServerAction("start"),
+    ServerAction("make_cold"),
+    ServerAction("make_warm"),
+    ServerAction("silence"),
+    { "set_servers", ReadServerSettings },
+    { "service", ReadService },
+    { "publish", ReadPublish },
+    DaemonSignal("kill", SIGKILL),
+    DaemonSignal("pause", SIGSTOP),
+    DaemonSignal("continue", SIGCONT),
+    DaemonSignal("terminate", SIGTERM),
+    DaemonSignal("restart", 0),
+    { "mark",
+      [](yaml_mapping& aMapping, load_event& aEvent) { aEvent.mLabel = aMapping.Text("text"); } },
+  };
+  return kForms;
+}
+
+load_event ReadEvent(yaml_mapping& aMapping, std::uint64_t aDurationMs)
+{
+  std::vector<std::string> names;
+  for (const event_form& each : Forms()) {
+    names.emplace_back(each.mName);
+  }
+  load_event event;
+  event.mAt = Milliseconds(aMapping.Integer("at_ms", 0, aDurationMs));
+  const event_form& form = Forms()[aMapping.OneOf("do", names)];
+  event.mLabel = form.mName;
+  form.mRead(aMapping, event);
+  return event;
+}
+
+} // namespace
+
+result<experiment> ParseExperiment(const std::string& aText, const std::string& aFile)
+{
+  yaml_errors errors{ "parse experiment", aFile, {} };
+  yaml_mapping root = LoadYaml(aText, errors);
+  experiment read;
+  read.mName = root.Name("name");
+  read.mSeed = root.Integer("seed", 0, UINT64_MAX, 1);
+  std::uint64_t duration = root.Integer("duration_ms", 100, kLongestMs);
+  read.mDuration = Milliseconds(duration);
+  read.mWarmUp = Milliseconds(root.Integer("warm_up_ms", 0, duration, 0));
+  read.mRate = root.Number("rate", 0.1, kHighestRate, 100);
+  read.mCallers = static_cast<std::uint32_t>(root.Integer("callers", 1, 100'000, 100));
+  read.mZones = root.Names("zones", false);
+  root.Each(
+    "mix", true, [&read](yaml_mapping& aMapping) { read.mMix.push_back(ReadKind(aMapping)); });
+  root.Each("events", false, [&read, duration](yaml_mapping& aMapping) {
+    read.mEvents.push_back(ReadEvent(aMapping, duration));
+  });
+  root.Finish();
+  if (errors.mFirst) {
+    return { std::nullopt, *errors.mFirst };
+  }
+  if (read.mMix.empty()) {
+    return Failure<experiment>(
+      "parse experiment", aFile, "mix: found an empty list, allowed: at least one kind");
+  }
+  std::stable_sort(read.mEvents.begin(),
+                   read.mEvents.end(),
+                   [](const auto& aLeft, const auto& aRight) { return aLeft.mAt < aRight.mAt; });
+  return Success(std::move(read));
+}
+
+} // namespace redwingdock::load
--- /dev/null
+++ b/src/load/experiment_test.cc
@@ -0,0 +1,140 @@
+#include "load/call_plan.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::load {
+namespace {
+
+struct parse_row
+{
+  const char* mGuardsAgainst;
+  std::string mText;
+  std::string mError; // empty when it parses
+};
+
+class parse_test : public testing::TestWithParam<parse_row>
+{};
+
+TEST_P(parse_test, IsStrict)
+{
+  result<experiment> read = ParseExperiment(GetParam().mText, "e.yaml");
+  EXPECT_EQ(read ? "" : Describe(read.mReason).substr(0, GetParam().mError.size()),
+            GetParam().mError)
+    << GetParam().mGuardsAgainst << ": " << Describe(read.mReason);
+}
+
+std::string Experiment(const std::string& aRest)
+{
+  return "name: e\nduration_ms: 1000\nmix:\n  - {route: r}\n" + aRest;
+}
+
+std::string Event(const std::string& aEvent)
+{
+  return Experiment("events:\n  - {at_ms: 5, " + aEvent + "}\n");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  parse_test,
+  testing::Values(
+    parse_row{ "a minimal file is refused", Experiment(""), "" },
+    parse_row{ "a zone event is refused", Event("do: close_zone, zone: xela"), "" },
+    parse_row{ "a selection of servers is refused",
+               Event("do: make_cold, zone: xela, pool: p"),
+               "" },
+    parse_row{ "server settings are refused",
+               Event("do: set_servers, zone: z, set: {latency_ms: 5}"),
+               "" },
+    parse_row{ "a signal is refused", Event("do: pause, daemon: vm-1"), "" },
+    parse_row{ "a misspelt key is ignored",
+               Experiment("rat: 5\n"),
+               "parse experiment e.yaml: line 5: rat: found an unknown key" },
+    parse_row{ "a rate that no machine can send",
+               Experiment("rate: 1e9\n"),
+               "parse experiment e.yaml: line 5: rate: found \"1e9\", allowed: a number" },
+    parse_row{
+      "an unknown event is skipped",
+      Event("do: explode"),
+      "parse experiment e.yaml: line 6: events[0].do: found \"explode\", allowed: close_zone" },
+    parse_row{ "an event after the end never happens",
+               Experiment("events:\n  - {at_ms: 1001, do: mark, text: x}\n"),
+               "parse experiment e.yaml: line 6: events[0].at_ms: found \"1001\"" },
+    parse_row{ "an action hits all servers by mistake",
+               Event("do: crash"),
+               "parse experiment e.yaml: line 6: events[0].servers: found no selection" },
+    parse_row{ "a key of another event is ignored",
+               Event("do: pause, daemon: vm-1, zone: z"),
+               "parse experiment e.yaml: line 6: events[0].zone: found an unknown key" },
+    parse_row{ "an experiment without calls",
+               "name: e\nduration_ms: 1000\nmix: []\n",
+               "parse experiment e.yaml: mix: found an empty list" }));
+
+struct plan_row
+{
+  const char* mGuardsAgainst;
+  double mRate;
+  std::vector<request_kind> mMix;
+  std::map<std::string, std::pair<std::size_t, std::size_t>> mRoutes; // least and most calls
+};
+
+class plan_test : public testing::TestWithParam<plan_row>
+{};
+
+record_list Records()
+{
+  return { { { "case-1", { { "office", "x" } } }, 1, 0 },
+           { { "case-2", { { "office", "y" } } }, 2, 0 } };
+}
+
+TEST_P(plan_test, FollowsRateAndMix)
+{
+  const plan_row& row = GetParam();
+  experiment planned;
+  planned.mRate = row.mRate;
+  planned.mMix = row.mMix;
+  planned.mZones = { "a", "b" };
+  std::vector<planned_call> calls = PlanCalls(planned, Records());
+  EXPECT_EQ(calls, PlanCalls(planned, Records())) << "the same seed gives other calls";
+  std::map<std::string, std::size_t> counts;
+  std::map<std::string, std::string> zones;
+  micros last{ 0 };
+  for (const planned_call& each : calls) {
+    ++counts[each.mRequest.mRoute];
+    EXPECT_GE(each.mAt, last);
+    last = each.mAt;
+    EXPECT_EQ(zones.emplace(each.mRequest.mCaller, each.mZone).first->second, each.mZone)
+      << "a caller changes its zone";
+  }
+  for (const auto& [route, bounds] : row.mRoutes) {
+    EXPECT_GE(counts[route], bounds.first) << row.mGuardsAgainst;
+    EXPECT_LE(counts[route], bounds.second) << row.mGuardsAgainst;
+  }
+}
+
+request_kind Kind(const char* aRoute, double aWeight, std::uint64_t aMost = 0)
+{
+  request_kind kind;
+  kind.mRoute = aRoute;
+  kind.mWeight = aWeight;
+  kind.mMost = aMost;
+  kind.mSample = { "office" };
+  return kind;
+}
+
+// 10 s; the bounds are four standard deviations.
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  plan_test,
+  testing::Values(
+    plan_row{ "another rate than asked for", 100, { Kind("r", 1) }, { { "r", { 874, 1126 } } } },
+    plan_row{ "weights are ignored",
+              100,
+              { Kind("r", 3), Kind("s", 1) },
+              { { "r", { 640, 860 } }, { "s", { 187, 313 } } } },
+    plan_row{ "a bounded kind is sent more often",
+              100,
+              { Kind("r", 1), Kind("s", 9, 5) },
+              { { "s", { 5, 5 } } } }));
+
+} // namespace
+} // namespace redwingdock::load
--- /dev/null
+++ b/src/load/report.cc
@@ -0,0 +1,310 @@
+#include "load/report.h"
+
+#include <algorithm>
+#include <boost/histogram.hpp>
+#include <cmath>
+#include <cstdio>
+
+namespace redwingdock::load {
+
+namespace {
+
+namespace histogram = boost::histogram;
+
+constexpr std::size_t kMostExamples = 10;
+constexpr double kWeights[] = { 4, 2, 1 }; // urgent, normal, background
+
+// Rounded to 1/aParts. Reports keep latencies in microseconds and shares in parts per billion, so
+// that a report that was written and read again is equal.
+double Round(double aValue, double aParts)
+{
+  return std::round(aValue * aParts) / aParts;
+}
+
+// Latencies in 2% steps from 10 microseconds to 100 seconds.
+class latency_histogram
+{
+public:
+  void Add(micros aLatency)
+  {
+    mBins(std::max(0.01, static_cast<double>(aLatency.count()) / 1000));
+    ++mCount;
+  }
+
+  // Upper bound of the bin that holds the quantile, in milliseconds; 0 without samples.
+  double Quantile(double aQuantile) const
+  {
+    auto wanted = static_cast<std::uint64_t>(std::ceil(aQuantile * static_cast<double>(mCount)));
+    std::uint64_t seen = 0;
+    for (auto&& bin : histogram::indexed(mBins, histogram::coverage::all)) {
+      seen += static_cast<std::uint64_t>(*bin);
+      if (mCount != 0 && seen >= wanted) {
+        return Round(bin.bin().upper(), 1e3);
+      }
+    }
+    return 0;
+  }
+
+private:
+  using axis = histogram::axis::regular<double, histogram::axis::transform::log>;
+  decltype(histogram::make_histogram(axis(814, 0.01, 100'000))) mBins =
+    histogram::make_histogram(axis(814, 0.01, 100'000));
+  std::uint64_t mCount = 0;
+};
+
+struct group
+{
+  group_summary mSummary;
+  latency_histogram mLatencies;
+};
+
+bool Answered(const sample& aSample)
+{
+  return aSample.mOutcome == outcome::Complete || aSample.mOutcome == outcome::Partial;
+}
+
+bool InTime(const sample& aSample)
+{
+  return Answered(aSample) && aSample.mLatency <= aSample.mDeadline;
+}
+
+void Add(group& aGroup, const sample& aSample)
+{
+  group_summary& summary = aGroup.mSummary;
+  ++summary.mCalls;
+  std::uint64_t* counts[] = {
+    &summary.mComplete, &summary.mPartial, &summary.mNotRun, &summary.mUnknown, &summary.mRejected
+  };
+  ++*counts[static_cast<std::size_t>(aSample.mOutcome)];
+  summary.mInTime += InTime(aSample) ? 1 : 0;
+  summary.mRepeated += aSample.mAttempts > 1 ? 1 : 0;
+  if (Answered(aSample)) {
+    aGroup.mLatencies.Add(aSample.mLatency);
+    summary.mCoverage +=
+      aSample.mTotal == 0 ? 1 : static_cast<double>(aSample.mCovered) / aSample.mTotal;
+  }
+}
+
+group_summary Finish(const group& aGroup)
+{
+  group_summary done = aGroup.mSummary;
+  done.mCoverage =
+    done.mCalls == 0 ? 0 : Round(done.mCoverage / static_cast<double>(done.mCalls), 1e9);
+  done.mLatency = { aGroup.mLatencies.Quantile(0.5),
+                    aGroup.mLatencies.Quantile(0.99),
+                    aGroup.mLatencies.Quantile(0.999) };
+  return done;
+}
+
+std::map<std::string, group_summary> Finish(const std::map<std::string, group>& aGroups)
+{
+  std::map<std::string, group_summary> done;
+  for (const auto& [name, each] : aGroups) {
+    done.emplace(name, Finish(each));
+  }
+  return done;
+}
+
+template<typename... Values>
+std::string Format(const char* aFormat, Values... aValues)
+{
+  char line[256];
+  std::snprintf(line, sizeof line, aFormat, aValues...);
+  return line;
+}
+
+double Share(std::uint64_t aPart, std::uint64_t aWhole)
+{
+  return aWhole == 0 ? 0 : static_cast<double>(aPart) / static_cast<double>(aWhole);
+}
+
+std::string GroupLine(const std::string& aName, const group_summary& aGroup)
+{
+  return Format("%-24s %7llu %8.3f %8.3f %8.3f %8.3f%% %8.3f%% %7llu %7llu %7llu\n",
+                aName.c_str(),
+                static_cast<unsigned long long>(aGroup.mCalls),
+                aGroup.mLatency.mP50,
+                aGroup.mLatency.mP99,
+                aGroup.mLatency.mP999,
+                100 * Share(aGroup.mInTime, aGroup.mCalls),
+                100 * aGroup.mCoverage,
+                static_cast<unsigned long long>(aGroup.mPartial),
+                static_cast<unsigned long long>(aGroup.mNotRun),
+                static_cast<unsigned long long>(aGroup.mUnknown + aGroup.mRejected));
+}
+
+std::string RatioLine(const char* aName, double aNow, double aBase)
+{
+  return Format("  %-28s %10.3f %10.3f   %s\n",
+                aName,
+                aNow,
+                aBase,
+                aBase == 0 ? "-" : Format("x %.3f", aNow / aBase).c_str());
+}
+
+double ExtraLoad(const load_report& aReport)
+{
+  return aReport.mServers && aReport.mServers->mNeeded != 0
+           ? Share(aReport.mServers->mReceived, aReport.mServers->mNeeded) - 1
+           : 0;
+}
+
+std::string Comparison(const load_report& aReport, const load_report& aBase)
+{
+  std::string text = Format("against baseline %s:\n  %-28s %10s %10s   ratio\n",
+                            aBase.mName.c_str(),
+                            "",
+                            "this",
+                            "baseline");
+  auto urgent = [](const load_report& aOf) {
+    auto found = aOf.mUrgencies.find("urgent");
+    return found == aOf.mUrgencies.end() ? aOf.mTotal : found->second;
+  };
+  text += RatioLine("p50 ms", aReport.mTotal.mLatency.mP50, aBase.mTotal.mLatency.mP50);
+  text += RatioLine("p99 ms", aReport.mTotal.mLatency.mP99, aBase.mTotal.mLatency.mP99);
+  text += RatioLine("p99.9 ms", aReport.mTotal.mLatency.mP999, aBase.mTotal.mLatency.mP999);
+  text += RatioLine("urgent p99 ms", urgent(aReport).mLatency.mP99, urgent(aBase).mLatency.mP99);
+  text += RatioLine("coverage %", 100 * aReport.mTotal.mCoverage, 100 * aBase.mTotal.mCoverage);
+  text += RatioLine("in time, weighted %", 100 * aReport.mInTimeShare, 100 * aBase.mInTimeShare);
+  text += RatioLine("extra load %", 100 * ExtraLoad(aReport), 100 * ExtraLoad(aBase));
+  if (aReport.mServers && aBase.mServers) {
+    text += RatioLine("server crashes",
+                      static_cast<double>(aReport.mServers->mCrashes),
+                      static_cast<double>(aBase.mServers->mCrashes));
+    text += RatioLine("cold overloads",
+                      static_cast<double>(aReport.mServers->mColdOverloads),
+                      static_cast<double>(aBase.mServers->mColdOverloads));
+  }
+  return text;
+}
+
+} // namespace
+
+load_report Summarize(const experiment& aExperiment, const std::vector<sample>& aSamples)
+{
+  static constexpr const char* kUrgencies[] = { "urgent", "normal", "background" };
+  load_report report;
+  report.mName = aExperiment.mName;
+  report.mSeed = aExperiment.mSeed;
+  report.mDuration = aExperiment.mDuration;
+  auto seconds = std::chrono::ceil<std::chrono::seconds>(aExperiment.mDuration).count();
+  std::vector<group> bySecond(static_cast<std::size_t>(seconds));
+  group total;
+  std::map<std::string, group> urgencies;
+  std::map<std::string, group> zones;
+  std::map<std::string, group> routes;
+  double weight = 0;
+  double weightInTime = 0;
+  for (const sample& each : aSamples) {
+    auto second = static_cast<std::size_t>(each.mAt / std::chrono::seconds(1));
+    if (second < bySecond.size()) {
+      Add(bySecond[second], each);
+    }
+    if (each.mAt < aExperiment.mWarmUp) {
+      continue;
+    }
+    auto kind = static_cast<std::size_t>(each.mUrgency);
+    Add(total, each);
+    Add(urgencies[kUrgencies[kind]], each);
+    Add(zones[each.mZone.empty() ? "-" : each.mZone], each);
+    Add(routes[each.mRoute], each);
+    weight += kWeights[kind];
+    weightInTime += InTime(each) ? kWeights[kind] : 0;
+  }
+  report.mTotal = Finish(total);
+  report.mUrgencies = Finish(urgencies);
+  report.mZones = Finish(zones);
+  report.mRoutes = Finish(routes);
+  for (const group& each : bySecond) {
+    report.mSeconds.push_back(Finish(each));
+  }
+  report.mInTimeShare = weight == 0 ? 0 : Round(weightInTime / weight, 1e9);
+  for (const load_event& each : aExperiment.mEvents) {
+    report.mEvents.emplace_back(each.mAt, each.mLabel);
+  }
+  for (int kind = 0; kind < kViolationKinds; ++kind) {
+    report.mViolations[ToString(static_cast<violation_kind>(kind))] = 0;
+  }
+  return report;
+}
+
+void AddViolations(load_report& aReport, const std::vector<violation>& aViolations)
+{
+  for (const violation& each : aViolations) {
+    ++aReport.mViolations[ToString(each.mKind)];
+    if (aReport.mExamples.size() < kMostExamples) {
+      aReport.mExamples.push_back(std::string(ToString(each.mKind)) + ": " + each.mText);
+    }
+  }
+}
+
+bool Passed(const load_report& aReport)
+{
+  return std::all_of(aReport.mViolations.begin(), aReport.mViolations.end(), [](const auto& aItem) {
+    return aItem.second == 0;
+  });
+}
+
+std::string ToText(const load_report& aReport, const std::optional<load_report>& aBaseline)
+{
+  std::string text = Format("%s: %llu calls in %.1f s, seed %llu\n",
+                            aReport.mName.c_str(),
+                            static_cast<unsigned long long>(aReport.mTotal.mCalls),
+                            static_cast<double>(aReport.mDuration.count()) / 1e6,
+                            static_cast<unsigned long long>(aReport.mSeed));
+  text += Format("%-24s %7s %8s %8s %8s %9s %9s %7s %7s %7s\n",
+                 "",
+                 "calls",
+                 "p50 ms",
+                 "p99 ms",
+                 "p99.9 ms",
+                 "in time",
+                 "coverage",
+                 "partial",
+                 "not_run",
+                 "other");
+  text += GroupLine("all", aReport.mTotal);
+  for (const auto* groups : { &aReport.mUrgencies, &aReport.mRoutes, &aReport.mZones }) {
+    for (const auto& [name, group] : *groups) {
+      text += GroupLine(name, group);
+    }
+  }
+  for (std::size_t second = 0; second < aReport.mSeconds.size(); ++second) {
+    text += GroupLine("second " + std::to_string(second), aReport.mSeconds[second]);
+  }
+  text += Format("answered in time, weighted by urgency: %.3f%%\n", 100 * aReport.mInTimeShare);
+  text += Format("sent again by callers: %llu\n",
+                 static_cast<unsigned long long>(aReport.mTotal.mRepeated));
+  if (aReport.mServers) {
+    const server_load& servers = *aReport.mServers;
+    text += Format("servers: %llu parts received for %llu needed (%+.2f%%), %llu run, %llu shed\n",
+                   static_cast<unsigned long long>(servers.mReceived),
+                   static_cast<unsigned long long>(servers.mNeeded),
+                   100 * ExtraLoad(aReport),
+                   static_cast<unsigned long long>(servers.mRun),
+                   static_cast<unsigned long long>(servers.mShed));
+    text += Format("servers: %llu crashes, %llu cold overloads, %llu over slots, %llu over "
+                   "connections\n",
+                   static_cast<unsigned long long>(servers.mCrashes),
+                   static_cast<unsigned long long>(servers.mColdOverloads),
+                   static_cast<unsigned long long>(servers.mOverSlots),
+                   static_cast<unsigned long long>(servers.mOverConnections));
+  }
+  for (const auto& [at, label] : aReport.mEvents) {
+    text += Format("event at %.1f s: ", static_cast<double>(at.count()) / 1e6) + label + "\n";
+  }
+  text += "checked against the records:";
+  for (const auto& [kind, count] : aReport.mViolations) {
+    text += " " + kind + " " + std::to_string(count);
+  }
+  text += "\n";
+  for (const std::string& each : aReport.mExamples) {
+    text += "  " + each + "\n";
+  }
+  if (aBaseline) {
+    text += Comparison(aReport, *aBaseline);
+  }
+  return text;
+}
+
+} // namespace redwingdock::load
