--- a/src/core/values.h
+++ b/src/core/values.h
@@ -255,17 +255,6 @@
   auto operator<=>(const server_status&) const = default;
 };
 
-// Parts that a server may be running for this daemon. A moved permit is released only when it is
-// not in use. Entry key: server name.
-struct gate_load
-{
-  std::string mServer;
-  std::uint32_t mInFlight = 0;
-  std::set<std::uint32_t> mPermitsInUse; // by index
-
-  auto operator<=>(const gate_load&) const = default;
-};
-
 // State of this daemon's own service. Entry key: kSelfKey.
 enum class drain_phase
 {
--- /dev/null
+++ b/src/gate/gate_benchmark.cc
@@ -0,0 +1,58 @@
+#include "gate/gate_test_rig.h"
+
+#include <benchmark/benchmark.h>
+
+// Cost of the gate's decisions per part, and the virtual time from a cold start to full use.
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// Time to the moment at which every holder of a permit may use it.
+double FullUseSeconds(gate_rig& aRig, std::uint32_t aSlots)
+{
+  const instant start = aRig.Now();
+  while (aRig.Now() - start < seconds(30)) {
+    aRig.RunFor(milliseconds(10));
+    bool all = true;
+    for (std::size_t i = 0; i < aSlots; ++i) {
+      all = all && aRig.StageAt(i) + 1 >= aSlots;
+    }
+    if (all) {
+      break;
+    }
+  }
+  return std::chrono::duration<double>(aRig.Now() - start).count();
+}
+
+// One gate per permit; a part of an own query costs one command at least, the send.
+void Parts(benchmark::State& aState)
+{
+  const auto slots = static_cast<std::uint32_t>(aState.range(0));
+  double parts = 0;
+  double commands = 0;
+  double fullUse = 0;
+  for (auto each : aState) {
+    rig_options options;
+    options.mGates = slots;
+    options.mSlots = slots;
+    options.mConnections = 10 * slots;
+    options.mConfig.mLogDecisions = false;
+    gate_rig rig(options);
+    rig.Load(seconds(10), milliseconds(2));
+    fullUse = FullUseSeconds(rig, slots);
+    rig.RunFor(seconds(10));
+    parts += rig.mServer.mAnswered;
+    commands += static_cast<double>(rig.Commands());
+  }
+  aState.counters["parts"] = benchmark::Counter(parts, benchmark::Counter::kIsRate);
+  aState.counters["commands_per_part"] = commands / parts;
+  aState.counters["full_use_s"] = fullUse;
+}
+
+BENCHMARK(Parts)->Arg(1)->Arg(2)->Arg(3)->Arg(6)->Unit(benchmark::kMillisecond);
+
+} // namespace
+} // namespace redwingdock
--- a/src/gate/gate_controller_test.cc
+++ b/src/gate/gate_controller_test.cc
@@ -41,6 +41,35 @@
   return aRig.mServer.mOverConnections;
 }
 
+// Urgent parts that were not answered.
+int LateUrgent(const gate_rig& aRig)
+{
+  int failures = 0;
+  for (const auto& [attempt, request] : aRig.mAsked) {
+    const auto results = aRig.ResultsOf(attempt);
+    if (request.mUrgency == urgency::Urgent &&
+        (results.empty() || results.front().mResult != part_result::Answered)) {
+      ++failures;
+    }
+  }
+  return failures;
+}
+
+// Parts that were given up only at their deadline.
+int GivenUpLate(const gate_rig& aRig)
+{
+  int failures = 0;
+  for (const auto& [attempt, results] : aRig.mResults) {
+    failures += results.front().mFailure == part_failure::DeadlinePassed ? 1 : 0;
+  }
+  return failures;
+}
+
+int Runs(const gate_rig& aRig)
+{
+  return static_cast<int>(aRig.mServer.mRuns.size());
+}
+
 // One protection: a script, the figure that must stay 0, and the hook without which it does not.
 struct protection_row
 {
@@ -158,6 +187,21 @@
   aRig.SetPermits(1, { { 0, "vm-1", aRig.Now() + seconds(10) } });
 }
 
+void FirstComeFirstServed(gate_hooks& aHooks)
+{
+  aHooks.mBefore = [](const part_request&, const part_request&) { return false; };
+}
+
+void ShedNothing(gate_hooks& aHooks)
+{
+  aHooks.mShed = [](const part_request&, instant, micros) { return false; };
+}
+
+void NeverSilent(gate_hooks& aHooks)
+{
+  aHooks.mSilentAfter = [](micros, const core_config&) { return seconds(100); };
+}
+
 const protection_row kProtections[] = {
   { "five_gates",
     "all daemons together pass the slots of a server",
@@ -378,6 +422,52 @@
     Overload,
     StageWithoutAge,
     500 },
+  { "dispatch_order",
+    "urgent parts wait behind others while the gate is overloaded",
+    { .mSlots = 1, .mWarmServer = true, .mHooks = {}, .mConfig = {} },
+    [](gate_rig& aRig) {
+      for (int i = 0; i < 400; ++i) {
+        aRig.Ask(0, milliseconds(200), urgency::Background);
+        if (i % 8 == 0) {
+          aRig.Ask(0, milliseconds(100), urgency::Urgent);
+        }
+        aRig.RunFor(milliseconds(3));
+      }
+    },
+    LateUrgent,
+    FirstComeFirstServed,
+    150 },
+  { "shedding",
+    "an overloaded gate refuses parts only at their deadlines",
+    { .mSlots = 1, .mWarmServer = true, .mHooks = {}, .mConfig = {} },
+    [](gate_rig& aRig) { aRig.Load(seconds(3), milliseconds(3), milliseconds(100)); },
+    GivenUpLate,
+    ShedNothing,
+    400 },
+  { "silence",
+    "parts on silent connections are given up only at their deadlines",
+    { .mGates = 3, .mWarmServer = true, .mHooks = {}, .mConfig = {} },
+    [](gate_rig& aRig) {
+      aRig.Load(seconds(3), milliseconds(10), seconds(1));
+      aRig.RunFor(seconds(1));
+      aRig.SilenceConnections();
+    },
+    GivenUpLate,
+    NeverSilent,
+    70 },
+  { "short_pause",
+    "parts are sent after a pause under a view that was confirmed before it",
+    { .mSlots = 1, .mWarmServer = true, .mHooks = {}, .mConfig = {} },
+    [](gate_rig& aRig) {
+      aRig.RunFor(milliseconds(10));
+      aRig.Unconfirm(0, true);
+      aRig.Pause(0, seconds(2));
+      aRig.RunFor(milliseconds(2010));
+      aRig.Ask(0);
+    },
+    Runs,
+    NoConfirmation,
+    0 },
   { "reopened_zone",
     "the servers of a reopened zone get their full load at once",
     { .mGates = 5, .mHooks = {}, .mConfig = {} },
--- a/src/gate/gate_turn.cc
+++ b/src/gate/gate_turn.cc
@@ -79,14 +79,17 @@
                              state.mFacts.mVersions,
                              state.mFacts.mSeenAt,
                              static_cast<std::uint32_t>(state.mQueue.size()) });
-  gate_load load{ server, static_cast<std::uint32_t>(state.mUses.size()), {} };
-  for (const permit_use& use : state.mUses) {
-    load.mPermitsInUse.insert(use.mPermit);
-  }
-  board.Write(server, std::move(load));
+  WriteLoad(aTurn);
   board.Write(server, state);
 }
 
+void WriteLoad(const gate_turn& aTurn)
+{
+  const gate_state& state = aTurn.mState;
+  aTurn.mContext.mBoard.Write(
+    state.mServer, gate_load{ state.mServer, static_cast<std::uint32_t>(state.mUses.size()) });
+}
+
 bool Leads(const gate_turn& aTurn)
 {
   const permit* first = FindPermit(aTurn, 0);
--- a/src/gate/gate_turn.h
+++ b/src/gate/gate_turn.h
@@ -42,6 +42,9 @@
 // that is not in the tables.
 void StoreTurn(const gate_turn& aTurn);
 
+// Writes the gate_load entry; done before each send, so that membership never misses one.
+void WriteLoad(const gate_turn& aTurn);
+
 // Whether this daemon may use permit 0 of the server.
 bool Leads(const gate_turn& aTurn);
 // VM that holds permit 0, empty when unknown.
--- a/src/gate/settle.cc
+++ b/src/gate/settle.cc
@@ -153,6 +153,7 @@
   use.mSentAt = aTurn.mNow;
   use.mFreeAt = request.mDeadline + config.mDeadlineSlack;
   state = WithUse(std::move(state), use);
+  WriteLoad(aTurn);
   aTurn.mContext.Count("gate.sent");
   aTurn.mContext.Log("gate",
                      "sent attempt " + ToString(request.mAttempt) + " to " + state.mServer +
