--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -690,14 +690,13 @@
 
 void membership_controller::PeerConnection(const peer_connection& aConnection)
 {
+  // The stream can be up before the first message of the peer arrives.
   mContext.mBoard.Update<peer_state>(PeerKey(aConnection.mVm),
                                      [&aConnection](const peer_state* aOld) {
-                                       std::optional<peer_state> next;
-                                       if (aOld != nullptr) {
-                                         next = *aOld;
-                                         next->mConnected = aConnection.mConnected;
-                                       }
-                                       return next;
+                                       peer_state next = aOld != nullptr ? *aOld : peer_state{};
+                                       next.mVm = aConnection.mVm;
+                                       next.mConnected = aConnection.mConnected;
+                                       return std::optional(next);
                                      });
 }
 
--- a/src/membership/test_fleet.cc
+++ b/src/membership/test_fleet.cc
@@ -157,7 +157,7 @@
     for (int i = 0; i < mOptions.mShards; ++i) {
       for (const char* replica : { "a", "b" }) {
         const std::string server = "s" + std::to_string(i) + replica;
-        process.mCore->mBoard.Write(server, gate_load{ server, 0 });
+        process.mCore->mBoard.Write(server, gate_load{ server, 0, {} });
       }
     }
   }
--- a/src/testing/fake_fleet.cc
+++ b/src/testing/fake_fleet.cc
@@ -191,7 +191,7 @@
   config.mZone = target.mZone;
   config.mSeed = mOptions.mSeed * 100 + aDaemon * 7 + target.mStarts;
   config.mSeeds = mVms;
-  config.mLogDecisions = mKeepLog;
+  config.mLogDecisions = mOptions.mKeepLog;
   if (mOptions.mConfigure) {
     mOptions.mConfigure(config);
   }
@@ -387,7 +387,7 @@
     [this, aDaemon](const auto& aEach) {
       using type = std::decay_t<decltype(aEach)>;
       if constexpr (std::is_same_v<type, log_line>) {
-        if (mKeepLog) {
+        if (mOptions.mKeepLog) {
           mLog.push_back(std::to_string(ToMs(mEvents.Now().time_since_epoch())) + " " +
                          mDaemons[aDaemon].mVm + " " + aEach.mPart + ": " + aEach.mText);
         }
--- a/src/testing/fake_fleet.h
+++ b/src/testing/fake_fleet.h
@@ -31,6 +31,7 @@
   micros mPeerDelay = std::chrono::microseconds(500);
   micros mServerDelay = std::chrono::microseconds(500);
   micros mCallerDelay = std::chrono::milliseconds(1);
+  bool mKeepLog = false; // LogLines() has every decision of every daemon
   core_hooks mHooks;
   std::function<void(core_config&)> mConfigure; // changes settings of every daemon
 };
@@ -72,6 +73,7 @@
   void Pause(std::size_t aDaemon);
   void Resume(std::size_t aDaemon);
   bool IsRunning(std::size_t aDaemon) const;
+  bool HasProcess(std::size_t aDaemon) const { return mDaemons.at(aDaemon).mCore != nullptr; }
   bool HasStopped(std::size_t aDaemon) const;
   void AskToStop(std::size_t aDaemon);
   // Daemons of different groups cannot reach each other; those in none are in group 0.
@@ -108,7 +110,6 @@
   std::uint64_t PeerMessages() const { return mPeerMessages; }
   std::uint64_t PlatformReads() const { return mPlatformReads; }
   const std::vector<std::string>& LogLines() const { return mLog; }
-  void KeepLog(bool aKeep) { mKeepLog = aKeep; }
 
 private:
   struct daemon
@@ -185,7 +186,6 @@
   bool mPlatformDown = false;
   std::uint64_t mPeerMessages = 0;
   std::uint64_t mPlatformReads = 0;
-  bool mKeepLog = false;
   std::vector<std::string> mLog;
 };
 
--- a/src/testing/fake_server.cc
+++ b/src/testing/fake_server.cc
@@ -214,7 +214,21 @@
 
 void fake_server::Cancel(const attempt_id& aAttempt)
 {
-  mRunning.erase(aAttempt);
+  const auto running = mRunning.find(aAttempt);
+  if (running == mRunning.end()) {
+    return;
+  }
+  const reply_hook send = running->second.mReply;
+  mRunning.erase(running);
+  part_reply reply;
+  reply.mAttempt = aAttempt;
+  reply.mResult = part_result::Unknown;
+  reply.mFailure = part_failure::Cancelled;
+  reply.mServer = mOptions.mName;
+  reply.mShard = mOptions.mShard;
+  reply.mEvidence = Evidence();
+  reply.mReason = { "run part", mOptions.mName, "cancelled" };
+  send(reply);
 }
 
 void fake_server::Crash(micros aDownFor)
--- a/src/testing/fleet_checker.cc
+++ b/src/testing/fleet_checker.cc
@@ -52,14 +52,20 @@
     }
   }
   for (std::uint32_t i = 0; i < kPositions; ++i) {
-    if (!missing.test(i)) {
+    if (missing.test(i)) {
+      continue;
+    }
+    if (!covered.empty() && covered.back().mTo == i) {
+      ++covered.back().mTo;
+    } else {
       covered.push_back({ i, i + 1 });
     }
   }
-  if (answer.mCoverage.mTotal != kPositions || answer.mCoverage.mCovered != covered.size()) {
+  if (answer.mCoverage.mTotal != kPositions ||
+      answer.mCoverage.mCovered != kPositions - missing.count()) {
     found.push_back(name + "coverage is " + std::to_string(answer.mCoverage.mCovered) + " of " +
                     std::to_string(answer.mCoverage.mTotal) + ", the gaps leave " +
-                    std::to_string(covered.size()));
+                    std::to_string(kPositions - missing.count()));
   }
   if ((answer.mOutcome == outcome::Complete) != answer.mCoverage.mMissing.empty()) {
     found.push_back(name + "outcome " + ToString(answer.mOutcome) + " does not fit the gaps");
@@ -100,7 +106,7 @@
   return found;
 }
 
-std::vector<std::string> CheckAnswers(const fake_fleet& aFleet)
+std::vector<std::string> CheckAnswers(const fake_fleet& aFleet, std::set<std::uint64_t>& aChecked)
 {
   violations found;
   std::map<std::string, bool> refused; // by tag: every ask was answered not_run
@@ -113,7 +119,7 @@
     entry->second = entry->second && notRun;
     const bool hasRecords = query.mAnswers == 1 && (query.mAnswer.mOutcome == outcome::Complete ||
                                                     query.mAnswer.mOutcome == outcome::Partial);
-    if (hasRecords && query.mRequest.mRequestKey.empty()) {
+    if (hasRecords && query.mRequest.mRequestKey.empty() && aChecked.insert(query.mNumber).second) {
       const violations more = CheckSearch(query);
       found.insert(found.end(), more.begin(), more.end());
     }
--- a/src/testing/fleet_checker.h
+++ b/src/testing/fleet_checker.h
@@ -15,8 +15,9 @@
 // and on draining servers.
 std::vector<std::string> CheckServers(const fake_fleet& aFleet);
 
-// Every answer given so far against a direct scan of the records.
-std::vector<std::string> CheckAnswers(const fake_fleet& aFleet);
+// Every answer given so far against a direct scan of the records. aChecked holds the numbers of the
+// searches that were compared already; an answer never changes.
+std::vector<std::string> CheckAnswers(const fake_fleet& aFleet, std::set<std::uint64_t>& aChecked);
 
 // After the load has ended and all deadlines have passed: one answer for each query whose daemon
 // was not killed.
