--- /dev/null
+++ b/scripts/cluster.sh
@@ -0,0 +1,116 @@
+#!/usr/bin/env bash
+# Functions to run a stand-in and the daemons of an example deployment on loopback addresses.
+# Sourced by demo.sh, experiments.sh and the process tests:
+#
+#   source scripts/cluster.sh
+#   cluster_start occidente "$run_dir" 'queries: {hedge_budget: 0}'
+#   trap 'cluster_stop "$run_dir"' EXIT
+#
+# The run folder holds NAME.pid and NAME.log of each process, and the settings in use. A file
+# NAME.restart asks for a new start of a daemon that has ended.
+bin=${REDWINGDOCK_BIN:-build/bin}
+# Starting takes under 1 s each; the limit covers a machine that is busy with builds.
+cluster_start_limit=30
+
+# Value of "key: text" in a YAML file of the examples, without quotes.
+cluster_setting() { # FILE KEY
+  sed -n "s/^ *$2: *\"\{0,1\}\([^\"]*\)\"\{0,1\} *\$/\1/p" "$1" | head -1
+}
+
+# Polls until an URL answers with 200.
+cluster_wait_for() { # URL [SECONDS]
+  local until=$((SECONDS + ${2:-$cluster_start_limit}))
+  until curl -sf -m 1 -o /dev/null "$1"; do
+    if [ $SECONDS -ge $until ]; then
+      echo "no answer from $1 within ${2:-$cluster_start_limit} s" >&2
+      return 1
+    fi
+    sleep 0.1
+  done
+}
+
+cluster_start_daemon() { # RUN_DIR NAME
+  "$bin/redwingdockd" --settings "$1/$2.yaml" >>"$1/$2.log" 2>&1 &
+  echo $! >"$1/$2.pid"
+}
+
+# Starts daemons again whose NAME.restart file appears, until the folder has a file "stopped".
+cluster_restarter() { # RUN_DIR
+  while [ ! -e "$1/stopped" ]; do
+    for file in "$1"/*.restart; do
+      [ -e "$file" ] || continue
+      rm -f "$file"
+      cluster_start_daemon "$1" "$(basename "$file" .restart)"
+    done
+    sleep 0.2
+  done
+}
+
+cluster_start() { # DEPLOYMENT RUN_DIR [EXTRA_SETTINGS] [EXTRA_STANDIN_CONFIGURATION]
+  local example=examples/$1 run=$2 name
+  mkdir -p "$run"
+  rm -f "$run"/*.pid "$run"/*.log "$run"/stopped "$run"/*.restart
+  cp "$example"/*.yaml "$example"/*.jsonl "$run"/
+  printf '%s\n' "${3:-}" | tee -a "$run"/vm-*.yaml >/dev/null
+  printf '%s\n' "${4:-}" >>"$run/standin.yaml"
+  "$bin/redwingdock_standin" serve "$run/standin.yaml" >"$run/standin.log" 2>&1 &
+  echo $! >"$run/standin.pid"
+  cluster_wait_for "http://$(cluster_setting "$run/standin.yaml" admin)/admin/state" || return 1
+  for name in $(cluster_daemons "$run"); do
+    cluster_start_daemon "$run" "$name"
+  done
+  for name in $(cluster_daemons "$run"); do
+    cluster_wait_for "http://$(cluster_setting "$run/$name.yaml" callers)/v1/entry?caller=start" || return 1
+  done
+  cluster_restarter "$run" &
+  echo $! >"$run/restarter.pid"
+}
+
+# Names of the daemons with settings in the run folder.
+cluster_daemons() { # RUN_DIR
+  local file
+  for file in "$1"/vm-*.yaml; do
+    basename "$file" .yaml
+  done
+}
+
+# Addresses of all daemons for callers or operators, each with the option before it.
+cluster_options() { # RUN_DIR OPTION callers|operators
+  local name
+  for name in $(cluster_daemons "$1"); do
+    printf -- '%s %s ' "$2" "$(cluster_setting "$1/$name.yaml" "$3")"
+  done
+}
+
+# Waits until searches of a route are complete, which means that all servers have been found and
+# every shard has answered.
+cluster_wait_for_route() { # RUN_DIR ROUTE [SECONDS]
+  local until=$((SECONDS + ${3:-$cluster_start_limit})) name address reply=
+  name=$(cluster_daemons "$1" | head -1)
+  address=$(cluster_setting "$1/$name.yaml" callers)
+  while [ $SECONDS -lt $until ]; do
+    reply=$(curl -s -m 6 -d "{\"route\": \"$2\", \"caller\": \"start\", \"filter\": {\"id\": \"none\"}}" \
+      "http://$address/v1/query" || true)
+    case $reply in
+      *'"complete"'*) return 0 ;;
+    esac
+    sleep 0.2
+  done
+  echo "no complete answer of route $2 within ${3:-$cluster_start_limit} s; last: $reply" >&2
+  return 1
+}
+
+# Ends the processes of the run folder, by the process ids in it.
+cluster_stop() { # RUN_DIR
+  local file pid
+  [ -d "$1" ] || return 0
+  touch "$1/stopped"
+  for file in "$1"/*.pid; do
+    [ -e "$file" ] || continue
+    pid=$(cat "$file")
+    # A paused process does not act on a signal before it continues.
+    kill -CONT "$pid" 2>/dev/null && kill -KILL "$pid" 2>/dev/null
+    wait "$pid" 2>/dev/null || true
+    rm -f "$file"
+  done
+}
