Add the operators' program

Operators had no way to compare daemons or check tables before publishing. redwingdockctl checks settings and tables offline, asks all operator ports and marks what differs, shows limits and explanations, sends queries with exit codes by kind of error, and stops daemons as planned.

26 table rows pass; without a daemon, view, entry, query and drain exit with 69, a wrong option with 64 and a file that cannot be read with 65.

Not run against daemons yet.

--- /dev/null
+++ b/src/ctl/main.cc
@@ -0,0 +1,428 @@
+#include "client/command_line.h"
+#include "ctl/answer_text.h"
+#include "ctl/daemon_view.h"
+#include "ctl/table_check.h"
+#include "ctl/terminal.h"
+#include "settings/settings.h"
+#include "tables/parse.h"
+
+#include <charconv>
+#include <future>
+#include <iostream>
+
+namespace {
+
+constexpr char kUsage[] = R"(Shows and controls the daemons of a query tier.
+
+Usage:
+  redwingdockctl check [--settings FILE]... [--routes FILE --pools FILE] [--vms FILE] [--json]
+  redwingdockctl entry --daemon ADDRESS... [--caller ID] [--zone ZONE] [--json]
+  redwingdockctl query ROUTE --daemon ADDRESS... [--filter FIELD=VALUE]... [--caller ID]
+                 [--zone ZONE] [--urgency URGENCY] [--deadline MS] [--submit] [--json]
+  redwingdockctl coverage ROUTE... --daemon ADDRESS... [--caller ID] [--zone ZONE] [--json]
+  redwingdockctl view --operator ADDRESS... [--json]
+  redwingdockctl limits --operator ADDRESS... [--json]
+  redwingdockctl explain ROUTE ID --operator ADDRESS... [--json]
+  redwingdockctl watch --operator ADDRESS... [--count N] [--json]
+  redwingdockctl drain --operator ADDRESS... [--json]
+  redwingdockctl stop --operator ADDRESS... [--wait SECONDS] [--json]
+  redwingdockctl completion
+  redwingdockctl (-h | --help | --version)
+
+Commands:
+  check       Checks settings and tables without a daemon, and warns of what is probably not meant.
+  entry       Asks which VM a caller uses.
+  query       Sends one search, or one submit.
+  coverage    Searches each route for a record that does not exist, and shows what was covered.
+  view        Shows the views of all daemons side by side; differences are marked with "!".
+  limits      Shows who holds the slots of each server.
+  explain     Shows why each daemon can or cannot reach the servers that own a record.
+  watch       Shows view each second until q, Ctrl-C or N times.
+  drain       Asks daemons to stop as planned, and returns at once.
+  stop        As drain, and waits until they have ended.
+  completion  Prints completion for bash.
+
+Options:
+  --settings FILE       Settings of a daemon.
+  --routes FILE         Routes table, together with --pools.
+  --pools FILE          Pools table.
+  --vms FILE            VM list.
+  --daemon ADDRESS      Caller address, ip:port; any of them is enough.
+  --operator ADDRESS    Operator address, ip:port; give those of all daemons.
+  --caller ID           Name of the caller [default: redwingdockctl].
+  --zone ZONE           Zone of the caller.
+  --filter FIELD=VALUE  A field that the records have.
+  --urgency URGENCY     urgent, normal or background; the route's if not given.
+  --deadline MS         1 to 5000; the route's if not given.
+  --submit              Sends a submit with a fresh request key.
+  --count N             Number of times to draw.
+  --wait SECONDS        Longest wait for the end [default: 60].
+  --json                JSON instead of text.
+
+Exit codes: 0 ok, 1 partial answer or difference found, 64 usage, 65 bad data, 69 unreachable,
+75 not run (may be sent again), 76 unknown outcome.
+)";
+
+using namespace redwingdock;
+using namespace redwingdock::ctl;
+
+int Fail(const parsed_arguments& aArguments, const reason& aReason, int aCode)
+{
+  if (aArguments.Has("--json")) {
+    std::cout << ReasonToJson(aReason) << '\n';
+  } else {
+    std::cerr << Describe(aReason) << '\n';
+  }
+  return aCode;
+}
+
+template<typename T>
+std::optional<T> CheckFile(const std::string& aPath,
+                           result<T> (*aParse)(const std::string&, const std::string&),
+                           std::vector<std::string>& aErrors)
+{
+  result<std::string> text = ReadFile(aPath);
+  result<T> parsed = text ? aParse(*text, aPath) : result<T>{ std::nullopt, text.mReason };
+  if (!parsed) {
+    aErrors.push_back(Describe(parsed.mReason));
+  }
+  return parsed.mValue;
+}
+
+int Check(const parsed_arguments& aArguments)
+{
+  std::vector<std::string> errors;
+  std::vector<std::string> warnings;
+  for (const std::string& path : aArguments.List("--settings")) {
+    CheckFile(path, ParseSettings, errors);
+  }
+  std::optional<vm_list> vms;
+  if (aArguments.Has("--vms")) {
+    vms = CheckFile(aArguments.Text("--vms"), ParseVmList, errors);
+  }
+  if (aArguments.Has("--routes")) {
+    auto routes = CheckFile(aArguments.Text("--routes"), ParseRoutes, errors);
+    auto pools = CheckFile(aArguments.Text("--pools"), ParsePools, errors);
+    if (routes && pools) {
+      if (auto why = CheckJoin(*routes, *pools)) {
+        errors.push_back(Describe(*why));
+      }
+      warnings = TableWarnings(*routes, *pools, vms ? &*vms : nullptr);
+    }
+  }
+  if (aArguments.Has("--json")) {
+    std::cout << ChecksToJson(errors, warnings) << '\n';
+  } else {
+    for (const std::string& each : errors) {
+      std::cout << "error: " << each << '\n';
+    }
+    for (const std::string& each : warnings) {
+      std::cout << "warning: " << each << '\n';
+    }
+    std::cout << (errors.empty() ? "ok" : "not accepted") << '\n';
+  }
+  return errors.empty() ? kExitOk : kExitBadData;
+}
+
+client_config ClientConfig(const parsed_arguments& aArguments)
+{
+  return { .mDaemons = aArguments.List("--daemon"), .mZone = aArguments.Text("--zone") };
+}
+
+int Entry(const parsed_arguments& aArguments)
+{
+  client calls(ClientConfig(aArguments));
+  result<entry_answer> entry = calls.Entry(aArguments.Text("--caller"));
+  if (!entry) {
+    return Fail(aArguments, entry.mReason, kExitUnreachable);
+  }
+  if (aArguments.Has("--json")) {
+    std::cout << EntryToJson(*entry) << '\n';
+  } else {
+    std::cout << entry->mVm << " at " << entry->mAddress << " for " << ToMs(entry->mLifetime)
+              << " ms, key prefix " << entry->mKeyPrefix << '\n';
+  }
+  return kExitOk;
+}
+
+std::optional<std::uint64_t> Integer(const std::string& aText,
+                                     std::uint64_t aLeast,
+                                     std::uint64_t aMost)
+{
+  std::uint64_t value = 0;
+  const char* end = aText.data() + aText.size();
+  auto [rest, error] = std::from_chars(aText.data(), end, value);
+  if (error != std::errc() || rest != end || value < aLeast || value > aMost) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+int BadOption(const char* aName, const std::string& aFound, const char* aAllowed)
+{
+  std::cerr << aName << ": found \"" << aFound << "\", allowed: " << aAllowed << '\n';
+  return kExitUsage;
+}
+
+// Fills the request from the options; returns the exit code for a wrong one.
+std::optional<int> ReadRequest(const parsed_arguments& aArguments, query_request& aRequest)
+{
+  static const std::map<std::string, urgency> kUrgencies{ { "urgent", urgency::Urgent },
+                                                          { "normal", urgency::Normal },
+                                                          { "background", urgency::Background } };
+  aRequest.mCaller = aArguments.Text("--caller");
+  for (const std::string& each : aArguments.List("--filter")) {
+    std::size_t equals = each.find('=');
+    if (equals == std::string::npos || equals == 0) {
+      return BadOption("--filter", each, "FIELD=VALUE");
+    }
+    aRequest.mFilter[each.substr(0, equals)] = each.substr(equals + 1);
+  }
+  if (aArguments.Has("--urgency")) {
+    auto found = kUrgencies.find(aArguments.Text("--urgency"));
+    if (found == kUrgencies.end()) {
+      return BadOption("--urgency", aArguments.Text("--urgency"), "urgent, normal or background");
+    }
+    aRequest.mUrgency = found->second;
+  }
+  if (aArguments.Has("--deadline")) {
+    std::optional<std::uint64_t> deadline = Integer(aArguments.Text("--deadline"), 1, 5000);
+    if (!deadline) {
+      return BadOption("--deadline", aArguments.Text("--deadline"), "1 to 5000");
+    }
+    aRequest.mDeadline = std::chrono::milliseconds(*deadline);
+  }
+  return std::nullopt;
+}
+
+// A request that no VM received is unreachable, one that a VM refused is not run.
+int CallExit(const call_result& aResult)
+{
+  bool sent = !aResult.mAddress.empty() && aResult.mAnswer.mReason.mStep != "ask for entry VM";
+  return aResult.mAnswer.mOutcome == outcome::NotRun && !sent ? kExitUnreachable
+                                                              : ExitCode(aResult.mAnswer.mOutcome);
+}
+
+int Query(const parsed_arguments& aArguments)
+{
+  query_request request;
+  if (auto wrong = ReadRequest(aArguments, request)) {
+    return *wrong;
+  }
+  request.mRoute = aArguments.Text("ROUTE");
+  client calls(ClientConfig(aArguments));
+  call_result done = aArguments.Has("--submit") ? calls.Submit(request) : calls.Query(request);
+  std::cout << (aArguments.Has("--json") ? CallToJson(done) + "\n" : FormatCall(done));
+  return CallExit(done);
+}
+
+int Coverage(const parsed_arguments& aArguments)
+{
+  client calls(ClientConfig(aArguments));
+  int code = kExitOk;
+  std::string all;
+  for (const std::string& route : aArguments.List("ROUTE")) {
+    call_result done = calls.Query({ .mRoute = route,
+                                     .mCaller = aArguments.Text("--caller"),
+                                     .mFilter = { { "id", "no-such-record" } } });
+    code = std::max(code, CallExit(done));
+    if (aArguments.Has("--json")) {
+      all += (all.empty() ? "" : ",") + CallToJson(done);
+    } else {
+      all += route + ": " + FormatCall(done);
+    }
+  }
+  std::cout << (aArguments.Has("--json") ? "[" + all + "]\n" : all);
+  return code;
+}
+
+// Asks all addresses at once.
+std::vector<http_reply> AskAll(http_client& aHttp,
+                               const std::vector<std::string>& aAddresses,
+                               const std::string& aMethod,
+                               const std::string& aTarget)
+{
+  std::vector<std::promise<http_reply>> replies(aAddresses.size());
+  for (std::size_t i = 0; i < aAddresses.size(); ++i) {
+    aHttp.Send({ .mAddress = aAddresses[i], .mMethod = aMethod, .mTarget = aTarget },
+               [&replies, i](const http_reply& aReply) { replies[i].set_value(aReply); });
+  }
+  std::vector<http_reply> all;
+  for (std::promise<http_reply>& each : replies) {
+    all.push_back(each.get_future().get());
+  }
+  return all;
+}
+
+std::vector<asked_view> AskViews(http_client& aHttp, const std::vector<std::string>& aAddresses)
+{
+  std::vector<asked_view> views;
+  std::vector<http_reply> replies = AskAll(aHttp, aAddresses, "GET", "/v1/view");
+  for (std::size_t i = 0; i < aAddresses.size(); ++i) {
+    views.push_back({ aAddresses[i],
+                      replies[i].Ok() ? ParseView(replies[i].mBody, aAddresses[i])
+                                      : result<daemon_view>{ std::nullopt, replies[i].mReason } });
+  }
+  return views;
+}
+
+int ViewExit(const std::vector<asked_view>& aViews, const std::vector<view_row>& aRows)
+{
+  bool any = std::any_of(aViews.begin(), aViews.end(), [](const asked_view& aView) {
+    return static_cast<bool>(aView.mView);
+  });
+  return !any ? kExitUnreachable : AnyDiffers(aRows) ? kExitDifference : kExitOk;
+}
+
+int View(const parsed_arguments& aArguments)
+{
+  http_client http(1);
+  std::vector<asked_view> views = AskViews(http, aArguments.List("--operator"));
+  std::vector<view_row> rows = CompareViews(views);
+  if (aArguments.Has("--json")) {
+    std::cout << RowsToJson(rows) << '\n';
+  } else if (aArguments.Has("limits")) {
+    std::cout << FormatLimits(views);
+  } else {
+    std::cout << FormatRows(rows, OutputIsTerminal());
+  }
+  return ViewExit(views, rows);
+}
+
+int Watch(const parsed_arguments& aArguments)
+{
+  std::optional<std::uint64_t> count;
+  if (aArguments.Has("--count")) {
+    count = Integer(aArguments.Text("--count"), 1, 1'000'000'000);
+    if (!count) {
+      return BadOption("--count", aArguments.Text("--count"), "a whole number from 1");
+    }
+  }
+  terminal screen; // before the threads of the HTTP client, which inherit the blocked signals
+  http_client http(1);
+  int code = kExitOk;
+  for (std::uint64_t drawn = 0;;) {
+    std::vector<asked_view> views = AskViews(http, aArguments.List("--operator"));
+    std::vector<view_row> rows = CompareViews(views);
+    code = ViewExit(views, rows);
+    if (aArguments.Has("--json")) {
+      std::cout << RowsToJson(rows) << std::endl;
+    } else {
+      // Cursor to the top left and erase, so that the terminal does not flicker.
+      std::cout << (OutputIsTerminal() ? "\x1b[H\x1b[J" : "")
+                << FormatRows(rows, OutputIsTerminal()) << std::endl;
+    }
+    ++drawn;
+    if ((count && drawn >= *count) || screen.WaitForQuit(std::chrono::seconds(1))) {
+      return code;
+    }
+  }
+}
+
+int Explain(const parsed_arguments& aArguments)
+{
+  http_client http(1);
+  std::vector<std::string> addresses = aArguments.List("--operator");
+  std::vector<http_reply> replies =
+    AskAll(http,
+           addresses,
+           "GET",
+           "/v1/explain?route=" + UrlEncode(aArguments.Text("ROUTE")) +
+             "&id=" + UrlEncode(aArguments.Text("ID")));
+  int code = kExitUnreachable;
+  std::string all;
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    const http_reply& reply = replies[i];
+    if (reply.mFailure != http_failure::None) {
+      std::cerr << Describe(reply.mReason) << '\n';
+      continue;
+    }
+    code = reply.Ok() ? (code == kExitBadData ? code : kExitOk) : kExitBadData;
+    if (aArguments.Has("--json")) {
+      all += (all.empty() ? "" : ",") + reply.mBody;
+    } else {
+      all += addresses[i] + ": " + PrettyJson(reply.mBody) + "\n";
+    }
+  }
+  std::cout << (aArguments.Has("--json") ? "[" + all + "]\n" : all);
+  return code;
+}
+
+// Whether the daemon at the address has ended within the time.
+bool WaitForEnd(http_client& aHttp, const std::string& aAddress, micros aTime)
+{
+  terminal quiet;
+  for (instant until = Now() + aTime; Now() < until;) {
+    http_reply reply =
+      aHttp.Ask({ .mAddress = aAddress, .mTarget = "/v1/view", .mNewConnection = true });
+    if (reply.mFailure == http_failure::NotConnected) {
+      return true;
+    }
+    if (quiet.WaitForQuit(std::chrono::milliseconds(200))) {
+      return false;
+    }
+  }
+  return false;
+}
+
+int Stop(const parsed_arguments& aArguments)
+{
+  std::optional<std::uint64_t> wait = Integer(aArguments.Text("--wait"), 0, 86'400);
+  if (!wait) {
+    return BadOption("--wait", aArguments.Text("--wait"), "0 to 86400 seconds");
+  }
+  http_client http(1);
+  std::vector<std::string> addresses = aArguments.List("--operator");
+  std::vector<http_reply> replies = AskAll(http, addresses, "POST", "/v1/stop");
+  std::vector<std::string> errors;
+  bool reached = false;
+  for (std::size_t i = 0; i < addresses.size(); ++i) {
+    bool taken = replies[i].mFailure == http_failure::None && replies[i].mStatus / 100 == 2;
+    reached = reached || taken;
+    if (!taken) {
+      errors.push_back(replies[i].mFailure == http_failure::None
+                         ? addresses[i] + ": " + replies[i].mBody
+                         : Describe(replies[i].mReason));
+    } else if (aArguments.Has("stop") &&
+               !WaitForEnd(http, addresses[i], std::chrono::seconds(*wait))) {
+      errors.push_back(addresses[i] + ": still answers after " + std::to_string(*wait) + " s");
+    }
+  }
+  if (aArguments.Has("--json")) {
+    std::cout << ChecksToJson(errors, {}) << '\n';
+  } else {
+    for (const std::string& each : errors) {
+      std::cerr << each << '\n';
+    }
+  }
+  return errors.empty() ? kExitOk : reached ? kExitDifference : kExitUnreachable;
+}
+
+struct command_name
+{
+  const char* mName;
+  int (*mRun)(const parsed_arguments&);
+};
+
+constexpr command_name kCommands[] = { { "check", Check }, { "entry", Entry },
+                                       { "query", Query }, { "coverage", Coverage },
+                                       { "view", View },   { "limits", View },
+                                       { "watch", Watch }, { "explain", Explain },
+                                       { "drain", Stop },  { "stop", Stop } };
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
+  if (arguments.mExit) {
+    return *arguments.mExit;
+  }
+  for (const command_name& each : kCommands) {
+    if (arguments.Has(each.mName)) {
+      return each.mRun(arguments);
+    }
+  }
+  std::cout << BashCompletion();
+  return kExitOk;
+}
--- /dev/null
+++ b/src/ctl/table_check.cc
@@ -0,0 +1,107 @@
+#include "ctl/table_check.h"
+
+#include <algorithm>
+
+namespace redwingdock::ctl {
+
+namespace {
+
+constexpr std::size_t kUsualDaemons = 5;
+
+// Of each shard: its servers that are not draining, and their zones.
+struct shard_servers
+{
+  std::size_t mServers = 0;
+  std::set<std::string> mZones;
+};
+
+std::map<std::string, shard_servers> ByShard(const pool_spec& aPool)
+{
+  std::map<std::string, shard_servers> shards;
+  for (const shard_spec& shard : aPool.mShards) {
+    shards[shard.mName];
+  }
+  for (const server_spec& server : aPool.mServers) {
+    if (!server.mDraining) {
+      ++shards[server.mShard].mServers;
+      shards[server.mShard].mZones.insert(server.mZone);
+    }
+  }
+  return shards;
+}
+
+void CheckLimits(const pool_spec& aPool, std::size_t aDaemons, std::vector<std::string>& aWarnings)
+{
+  // A holder may open connections / slots / 2 connections for each permit.
+  std::uint32_t perPermit = aPool.mConnections / aPool.mSlots / 2;
+  if (perPermit < 2) {
+    aWarnings.push_back("pool " + aPool.mName + ": " + std::to_string(aPool.mConnections) +
+                        " connections for " + std::to_string(aPool.mSlots) +
+                        " slots allow a daemon " + std::to_string(perPermit) +
+                        " connection per permit, none in reserve for one that goes silent");
+  }
+  std::size_t few = 0;
+  std::size_t least = SIZE_MAX;
+  for (const auto& [shard, servers] : ByShard(aPool)) {
+    std::size_t permits = servers.mServers * aPool.mSlots;
+    few += permits < aDaemons ? 1 : 0;
+    least = std::min(least, permits);
+  }
+  if (few != 0) {
+    aWarnings.push_back("pool " + aPool.mName + ": " + std::to_string(few) +
+                        " shards have fewer slots (" + std::to_string(least) + ") than the " +
+                        std::to_string(aDaemons) +
+                        " daemons; daemons without a permit forward parts to others");
+  }
+}
+
+void CheckZones(const pools_table& aPools,
+                const pool_spec& aPool,
+                std::vector<std::string>& aWarnings)
+{
+  for (const auto& [shard, servers] : ByShard(aPool)) {
+    std::string name = "pool " + aPool.mName + ": shard " + shard;
+    if (servers.mServers == 0) {
+      aWarnings.push_back(name + " has no server that is not draining");
+    } else if (std::all_of(servers.mZones.begin(), servers.mZones.end(), [&](const auto& aZone) {
+                 return aPools.mClosedZones.contains(aZone);
+               })) {
+      aWarnings.push_back(name + " has no server outside the closed zones");
+    } else if (servers.mZones.size() == 1) {
+      aWarnings.push_back(name + " has servers in zone " + *servers.mZones.begin() + " only");
+    }
+  }
+}
+
+} // namespace
+
+std::vector<std::string> TableWarnings(const routes_table& aRoutes,
+                                       const pools_table& aPools,
+                                       const vm_list* aVms)
+{
+  std::vector<std::string> warnings;
+  std::set<std::string> used;
+  std::set<std::string> zones;
+  for (const route_spec& route : aRoutes.mRoutes) {
+    used.insert(route.mPools.begin(), route.mPools.end());
+  }
+  std::size_t daemons = aVms == nullptr ? kUsualDaemons : aVms->mVms.size();
+  for (const pool_spec& pool : aPools.mPools) {
+    for (const server_spec& server : pool.mServers) {
+      zones.insert(server.mZone);
+    }
+    if (!used.contains(pool.mName)) {
+      warnings.push_back("pool " + pool.mName + ": no route uses it");
+    }
+    CheckLimits(pool, daemons, warnings);
+    CheckZones(aPools, pool, warnings);
+  }
+  for (const std::string& zone : aPools.mClosedZones) {
+    if (!zones.contains(zone)) {
+      warnings.push_back("closed zone " + zone + ": no server is in it");
+    }
+  }
+  return warnings;
+}
+
+} // namespace redwingdock::ctl
