--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -46,13 +46,27 @@
   done
 }
 
+# Replaces the top-level keys of YAML files by those of the given text.
+cluster_override() { # TEXT FILE...
+  local text=$1 file key
+  shift
+  [ -n "$text" ] || return 0
+  for file in "$@"; do
+    for key in $(sed -n 's/^\([a-z_]*\):.*/\1/p' <<<"$text"); do
+      awk -v key="$key:" '/^[^ #]/ { drop = index($0, key) == 1 } !drop' "$file" >"$file.new"
+      mv "$file.new" "$file"
+    done
+    printf '%s\n' "$text" >>"$file"
+  done
+}
+
 cluster_start() { # DEPLOYMENT RUN_DIR [EXTRA_SETTINGS] [EXTRA_STANDIN_CONFIGURATION]
   local example=examples/$1 run=$2 name
   mkdir -p "$run"
   rm -f "$run"/*.pid "$run"/*.log "$run"/stopped "$run"/*.restart
   cp "$example"/*.yaml "$example"/*.jsonl "$run"/
-  printf '%s\n' "${3:-}" | tee -a "$run"/vm-*.yaml >/dev/null
-  printf '%s\n' "${4:-}" >>"$run/standin.yaml"
+  cluster_override "${3:-}" "$run"/vm-*.yaml
+  cluster_override "${4:-}" "$run/standin.yaml"
   "$bin/redwingdock_standin" serve "$run/standin.yaml" >"$run/standin.log" 2>&1 &
   echo $! >"$run/standin.pid"
   cluster_wait_for "http://$(cluster_setting "$run/standin.yaml" admin)/admin/state" || return 1
--- a/src/load/experiment.h
+++ b/src/load/experiment.h
@@ -6,7 +6,7 @@
 #include <vector>
 
 // An experiment: what callers send, at which rate, and what happens meanwhile. Read from YAML
-// (docs/interfaces.md, section 7); errors name file, line, key, what was found and what is allowed.
+// (docs/experiments.md); errors name file, line, key, what was found and what is allowed.
 //
 //   result<experiment> planned = ParseExperiment(text, "zone-out.yaml");
 
