--- a/src/ctl/answer_text.cc
+++ b/src/ctl/answer_text.cc
@@ -86,7 +86,7 @@
   for (const record& each : answer.mRecords) {
     text += each.mId;
     for (const auto& [name, value] : each.mFields) {
-      text += "  " + name + "=" + value;
+      text.append("  ").append(name).append("=").append(value);
     }
     text += "\n";
   }
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -248,6 +248,7 @@
                [&replies, i](const http_reply& aReply) { replies[i].set_value(aReply); });
   }
   std::vector<http_reply> all;
+  all.reserve(replies.size());
   for (std::promise<http_reply>& each : replies) {
     all.push_back(each.get_future().get());
   }
