--- /dev/null
+++ b/src/standin/records_test.cc
@@ -0,0 +1,91 @@
+#include "standin/scan.h"
+
+#include "base/hash.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::standin {
+namespace {
+
+constexpr char kLines[] = R"({"id": "c", "fields": {"office": "Sololá", "year": "2020"}}
+{"id": "a", "fields": {"office": "Sololá", "year": "2021"}, "since": 41}
+
+{"id": "b", "fields": {"office": "Xela", "year": "2020"}, "until": 40}
+)";
+
+struct scan_row
+{
+  const char* mGuardsAgainst;
+  std::vector<std::string> mFilter;
+  std::uint64_t mVersion;
+  std::vector<std::string> mIds;
+};
+
+class scan_test : public testing::TestWithParam<scan_row>
+{};
+
+TEST_P(scan_test, FindsIds)
+{
+  const scan_row& row = GetParam();
+  const auto ids = Scan(kLines, "r.jsonl", row.mFilter, row.mVersion);
+  ASSERT_TRUE(ids) << Describe(ids.mReason);
+  EXPECT_EQ(*ids, row.mIds) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  scan_test,
+  testing::Values(
+    scan_row{ "records of a later version", {}, 40, { "b", "c" } },
+    scan_row{ "records of an earlier version, or an order by position", {}, 41, { "a", "c" } },
+    scan_row{ "one field is enough", { "office=Sololá", "year=2020" }, 41, { "c" } },
+    scan_row{ "the id is not a field", { "id=b" }, 40, { "b" } },
+    scan_row{ "a record without the field", { "status=" }, 40, {} }));
+
+struct refused_row
+{
+  const char* mGuardsAgainst;
+  const char* mText;
+  const char* mReason;
+};
+
+class records_refused_test : public testing::TestWithParam<refused_row>
+{};
+
+TEST_P(records_refused_test, NamesTheLine)
+{
+  const auto store = ReadRecords(GetParam().mText, "r.jsonl");
+  EXPECT_FALSE(store) << GetParam().mGuardsAgainst;
+  EXPECT_NE(store.mReason.mText.find(GetParam().mReason), std::string::npos) << store.mReason.mText;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  records_refused_test,
+  testing::Values(
+    refused_row{ "a cut file", "{\"id\": \"a\", \"fields\": {}}\n{\"id\": \"b\"", "line 2: found" },
+    refused_row{ "a number, which no filter can equal",
+                 R"({"id": "a", "fields": {"year": 2020}})",
+                 "line 1: found" },
+    refused_row{ "an unknown key", R"({"id": "a", "fields": {}, "from": 1})", "line 1: found" },
+    refused_row{ "a record that counts twice",
+                 "{\"id\": \"a\", \"fields\": {}, \"until\": 41}\n"
+                 "{\"id\": \"a\", \"fields\": {}, \"since\": 41}",
+                 "id a occurs twice" }));
+
+// Guards against records that are lost or repeated at the ends of ranges.
+TEST(records, EachPositionIsInOneRange)
+{
+  const auto store = ReadRecords(kLines, "r.jsonl");
+  ASSERT_TRUE(store);
+  for (const stored_record& stored : store->mRecords) {
+    const std::uint32_t at = stored.mPosition;
+    const fields id{ { "id", stored.mRecord.mId } };
+    const std::uint64_t version = stored.mSince == 0 ? 40 : 41;
+    EXPECT_EQ(Search(*store, version, { { at, at + 1 } }, id).size(), 1U);
+    EXPECT_TRUE(Search(*store, version, { { 0, at }, { at + 1, kPositions } }, id).empty());
+  }
+}
+
+} // namespace
+} // namespace redwingdock::standin
