--- /dev/null
+++ b/src/base/keyed_shards.h
@@ -0,0 +1,121 @@
+#ifndef REDWINGDOCK_BASE_KEYED_SHARDS_H
+#define REDWINGDOCK_BASE_KEYED_SHARDS_H
+
+#include <array>
+#include <cstddef>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <optional>
+#include <utility>
+
+// Values by key, in shards that each have a lock of their own.
+//
+//   keyed_shards<std::uint64_t, session> sessions;
+//   sessions.Insert(7, session{});
+//   sessions.With(7, [](session& aSession) { ... }); // under the lock of the shard
+
+namespace redwingdock {
+
+template<typename Key, typename Value>
+class keyed_shards
+{
+public:
+  // Returns whether the key was new.
+  bool Insert(const Key& aKey, Value aValue)
+  {
+    shard& target = ShardOf(aKey);
+    const std::lock_guard lock(target.mLock);
+    return target.mValues.emplace(aKey, std::move(aValue)).second;
+  }
+
+  // Calls the function with the value under the lock of its shard; it must not use this map.
+  // Returns whether the key exists.
+  template<typename Function>
+  bool With(const Key& aKey, Function&& aFunction)
+  {
+    shard& target = ShardOf(aKey);
+    const std::lock_guard lock(target.mLock);
+    const auto found = target.mValues.find(aKey);
+    if (found == target.mValues.end()) {
+      return false;
+    }
+    std::forward<Function>(aFunction)(found->second);
+    return true;
+  }
+
+  // As With, on a value that is made from no arguments when the key is new.
+  template<typename Function>
+  void WithNew(const Key& aKey, Function&& aFunction)
+  {
+    shard& target = ShardOf(aKey);
+    const std::lock_guard lock(target.mLock);
+    std::forward<Function>(aFunction)(target.mValues[aKey]);
+  }
+
+  std::optional<Value> Take(const Key& aKey)
+  {
+    shard& target = ShardOf(aKey);
+    const std::lock_guard lock(target.mLock);
+    const auto found = target.mValues.find(aKey);
+    if (found == target.mValues.end()) {
+      return std::nullopt;
+    }
+    std::optional<Value> taken(std::move(found->second));
+    target.mValues.erase(found);
+    return taken;
+  }
+
+  // Removes the value when the predicate, called under the lock of the shard, accepts it.
+  template<typename Predicate>
+  bool EraseIf(const Key& aKey, Predicate&& aPredicate)
+  {
+    shard& target = ShardOf(aKey);
+    const std::lock_guard lock(target.mLock);
+    const auto found = target.mValues.find(aKey);
+    if (found == target.mValues.end() || !std::forward<Predicate>(aPredicate)(found->second)) {
+      return false;
+    }
+    target.mValues.erase(found);
+    return true;
+  }
+
+  std::size_t Size() const
+  {
+    std::size_t size = 0;
+    for (const shard& each : mShards) {
+      const std::lock_guard lock(each.mLock);
+      size += each.mValues.size();
+    }
+    return size;
+  }
+
+  // Visits the shards one after the other, each under its lock.
+  template<typename Function>
+  void ForEach(Function&& aFunction) const
+  {
+    for (const shard& each : mShards) {
+      const std::lock_guard lock(each.mLock);
+      for (const auto& [key, value] : each.mValues) {
+        aFunction(key, value);
+      }
+    }
+  }
+
+private:
+  struct shard
+  {
+    mutable std::mutex mLock;
+    std::map<Key, Value> mValues;
+  };
+
+  static constexpr std::size_t kShards = 16;
+
+  shard& ShardOf(const Key& aKey) { return mShards[std::hash<Key>()(aKey) % kShards]; }
+
+  std::array<shard, kShards> mShards;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/codec/caller_json.h
@@ -0,0 +1,40 @@
+#ifndef REDWINGDOCK_CODEC_CALLER_JSON_H
+#define REDWINGDOCK_CODEC_CALLER_JSON_H
+
+#include "core/requests.h"
+
+#include <cstddef>
+#include <string>
+#include <string_view>
+
+// JSON between callers and daemons, both directions (docs/interfaces.md, section 1).
+//
+//   result<query_request> request = ParseQuery(body);
+//   std::string reply = FormatAnswer(answer);
+
+namespace redwingdock {
+
+// Largest body of a query, in bytes.
+inline constexpr std::size_t kQueryLimit = std::size_t{ 64 } * 1024;
+// Largest answer that a caller accepts, in bytes.
+inline constexpr std::size_t kAnswerLimit = std::size_t{ 64 } * 1024 * 1024;
+
+// Errors name the field and what is allowed.
+result<query_request> ParseQuery(std::string_view aBody);
+std::string FormatQuery(const query_request& aRequest);
+
+std::string FormatAnswer(const query_answer& aAnswer);
+// Refuses an answer whose count differs from its list of records.
+result<query_answer> ParseAnswer(std::string_view aBody);
+// HTTP status of an outcome: 200, 400, 503 or 504.
+unsigned StatusOf(outcome aOutcome);
+
+std::string FormatEntry(const entry_answer& aAnswer);
+result<entry_answer> ParseEntry(std::string_view aBody);
+
+// {"reason": {"step", "peer", "text"}}
+std::string FormatReason(const reason& aReason);
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/codec/json_reader.cc
@@ -0,0 +1,220 @@
+#include "codec/json_reader.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+
+namespace redwingdock::detail {
+
+namespace json = boost::json;
+
+namespace {
+
+const json::object kNoObject;
+const json::array kNoArray;
+
+// Bounds of a field in a record or filter, in bytes.
+constexpr std::size_t kFieldNameLimit = 256;
+
+std::string Quoted(std::string_view aName)
+{
+  return "\"" + std::string(aName) + "\"";
+}
+
+} // namespace
+
+json_reader::json_reader(std::string_view aBody, std::size_t aLimit)
+  : mRoot(&kNoObject)
+{
+  if (aBody.size() > aLimit) {
+    Fail("body has " + std::to_string(aBody.size()) + " bytes, allowed are " +
+         std::to_string(aLimit));
+    return;
+  }
+  json::error_code error;
+  mValue = json::parse(json::string_view(aBody.data(), aBody.size()), error);
+  if (error) {
+    Fail("body is not JSON: " + error.message());
+  } else if (!mValue.is_object()) {
+    Fail("body is not a JSON object");
+  } else {
+    mRoot = &mValue.get_object();
+  }
+}
+
+void json_reader::Fail(std::string aText)
+{
+  if (!mError) {
+    mError = std::move(aText);
+  }
+}
+
+bool json_reader::Has(const json::object& aObject, std::string_view aName)
+{
+  return aObject.contains(json::string_view(aName.data(), aName.size()));
+}
+
+const json::value* json_reader::Find(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = aObject.if_contains(json::string_view(aName.data(), aName.size()));
+  if (value == nullptr) {
+    Fail(Quoted(aName) + " is missing");
+  }
+  return value;
+}
+
+std::string json_reader::Text(const json::object& aObject,
+                              std::string_view aName,
+                              std::size_t aLow,
+                              std::size_t aHigh)
+{
+  const json::value* value = Find(aObject, aName);
+  if (value == nullptr) {
+    return {};
+  }
+  const json::string* text = value->if_string();
+  if (text == nullptr) {
+    Fail(Quoted(aName) + " is not a string");
+    return {};
+  }
+  if (text->size() < aLow || text->size() > aHigh) {
+    Fail(Quoted(aName) + " has " + std::to_string(text->size()) + " bytes, allowed are " +
+         std::to_string(aLow) + " to " + std::to_string(aHigh));
+    return {};
+  }
+  return { text->data(), text->size() };
+}
+
+std::uint64_t json_reader::Number(const json::object& aObject,
+                                  std::string_view aName,
+                                  std::uint64_t aLow,
+                                  std::uint64_t aHigh)
+{
+  const json::value* value = Find(aObject, aName);
+  if (value == nullptr) {
+    return 0;
+  }
+  json::error_code error;
+  const auto number =
+    value->is_number() ? value->to_number<std::uint64_t>(error) : std::uint64_t{ 0 };
+  if (!value->is_number() || error || number < aLow || number > aHigh) {
+    Fail(Quoted(aName) + " is not a whole number from " + std::to_string(aLow) + " to " +
+         std::to_string(aHigh));
+    return 0;
+  }
+  return number;
+}
+
+bool json_reader::Bool(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = Find(aObject, aName);
+  if (value == nullptr) {
+    return false;
+  }
+  if (!value->is_bool()) {
+    Fail(Quoted(aName) + " is not true or false");
+    return false;
+  }
+  return value->get_bool();
+}
+
+const json::object& json_reader::Object(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = Find(aObject, aName);
+  return value == nullptr ? kNoObject : Item(*value, aName);
+}
+
+const json::array& json_reader::Array(const json::object& aObject, std::string_view aName)
+{
+  const json::value* value = Find(aObject, aName);
+  if (value == nullptr) {
+    return kNoArray;
+  }
+  if (!value->is_array()) {
+    Fail(Quoted(aName) + " is not a list");
+    return kNoArray;
+  }
+  return value->get_array();
+}
+
+const json::object& json_reader::Item(const json::value& aValue, std::string_view aName)
+{
+  if (!aValue.is_object()) {
+    Fail(Quoted(aName) + " is not an object");
+    return kNoObject;
+  }
+  return aValue.get_object();
+}
+
+fields json_reader::Fields(const json::object& aObject, std::string_view aName)
+{
+  fields read;
+  for (const auto& [key, value] : Object(aObject, aName)) {
+    const json::string* text = value.if_string();
+    if (text == nullptr || key.empty() || key.size() > kFieldNameLimit) {
+      Fail("field " + Quoted(std::string_view(key.data(), key.size()).substr(0, kFieldNameLimit)) +
+           " of " + Quoted(aName) + " is not a string under a name of 1 to " +
+           std::to_string(kFieldNameLimit) + " bytes");
+      return {};
+    }
+    read.emplace(std::string(key), std::string(text->data(), text->size()));
+  }
+  return read;
+}
+
+std::vector<record> json_reader::Records(const json::object& aObject, std::string_view aName)
+{
+  const json::array& array = Array(aObject, aName);
+  std::vector<record> records;
+  records.reserve(array.size());
+  for (const json::value& value : array) {
+    const json::object& item = Item(value, aName);
+    records.push_back({ Text(item, "id", 1, kFieldNameLimit), Fields(item, "fields") });
+    if (mError) {
+      return {};
+    }
+  }
+  return records;
+}
+
+reason json_reader::Reason(const json::object& aObject, std::string_view aName)
+{
+  const json::object& object = Object(aObject, aName);
+  constexpr std::size_t kLimit = std::size_t{ 64 } * 1024;
+  return { Text(object, "step", 0, kLimit),
+           Text(object, "peer", 0, kLimit),
+           Text(object, "text", 0, kLimit) };
+}
+
+json::object ToJson(const fields& aFields)
+{
+  json::object object;
+  object.reserve(aFields.size());
+  for (const auto& [name, value] : aFields) {
+    object.emplace(name, value);
+  }
+  return object;
+}
+
+json::array ToJson(const std::vector<record>& aRecords)
+{
+  json::array array;
+  array.reserve(aRecords.size());
+  for (const record& each : aRecords) {
+    json::object item;
+    item.emplace("id", each.mId);
+    item.emplace("fields", ToJson(each.mFields));
+    array.emplace_back(std::move(item));
+  }
+  return array;
+}
+
+json::object ToJson(const reason& aReason)
+{
+  json::object object;
+  object.emplace("step", aReason.mStep);
+  object.emplace("peer", aReason.mPeer);
+  object.emplace("text", aReason.mText);
+  return object;
+}
+
+} // namespace redwingdock::detail
--- /dev/null
+++ b/src/codec/peer_codec.cc
@@ -0,0 +1,625 @@
+#include "codec/peer_codec.h"
+
+#include "base/hash.h"
+#include "codec/peer.pb.h"
+
+#include <algorithm>
+#include <google/protobuf/arena.h>
+#include <type_traits>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// Enumerations on the wire are one above those of the core, so that 0 (unset) is refused.
+template<typename Wire, typename Value>
+Wire ToWire(Value aValue)
+{
+  return static_cast<Wire>(static_cast<int>(aValue) + 1);
+}
+
+std::int64_t ToWire(micros aDuration)
+{
+  return std::max<std::int64_t>(aDuration.count(), 0);
+}
+
+template<typename Map>
+void ToWire(const fields& aFields, Map* aOut)
+{
+  for (const auto& [name, value] : aFields) {
+    (*aOut)[name] = value;
+  }
+}
+
+void ToWire(const reason& aReason, wire::reason* aOut)
+{
+  aOut->set_step(aReason.mStep);
+  aOut->set_peer(aReason.mPeer);
+  aOut->set_text(aReason.mText);
+}
+
+void ToWire(const record& aRecord, wire::record* aOut)
+{
+  aOut->set_id(aRecord.mId);
+  ToWire(aRecord.mFields, aOut->mutable_fields());
+}
+
+void ToWire(const index_version& aVersion, wire::index_version* aOut)
+{
+  aOut->set_version(aVersion.mVersion);
+  aOut->set_map(aVersion.mMap);
+}
+
+void ToWire(const attempt_id& aAttempt, wire::attempt_id* aOut)
+{
+  aOut->set_origin(aAttempt.mOrigin);
+  aOut->set_number(aAttempt.mNumber);
+}
+
+void ToWire(const suspect_entry& aEntry, wire::suspect_entry* aOut)
+{
+  aOut->set_fingerprint(aEntry.mFingerprint);
+  aOut->set_level(ToWire<wire::suspicion>(aEntry.mLevel));
+  for (const std::string& server : aEntry.mServersLost) {
+    aOut->add_servers_lost(server);
+  }
+  aOut->set_remaining(ToWire(aEntry.mRemaining));
+}
+
+void ToWire(const part_request& aRequest, wire::part_request* aOut)
+{
+  ToWire(aRequest.mAttempt, aOut->mutable_attempt());
+  aOut->set_server(aRequest.mServer);
+  aOut->set_pool(aRequest.mPool);
+  aOut->set_shard(aRequest.mShard);
+  aOut->set_version(aRequest.mVersion);
+  aOut->set_operation(ToWire<wire::operation>(aRequest.mOperation));
+  ToWire(aRequest.mFilter, aOut->mutable_filter());
+  aOut->set_request_key(aRequest.mRequestKey);
+  aOut->set_fingerprint(aRequest.mFingerprint);
+  aOut->set_urgency(ToWire<wire::urgency>(aRequest.mUrgency));
+}
+
+void ToWire(const part_reply& aReply, wire::part_reply* aOut)
+{
+  ToWire(aReply.mAttempt, aOut->mutable_attempt());
+  aOut->set_result(ToWire<wire::part_result>(aReply.mResult));
+  aOut->set_failure(ToWire<wire::part_failure>(aReply.mFailure));
+  aOut->set_server(aReply.mServer);
+  aOut->set_shard(aReply.mShard);
+  aOut->set_version(aReply.mVersion);
+  aOut->set_map(aReply.mMap);
+  for (const record& each : aReply.mRecords) {
+    ToWire(each, aOut->add_records());
+  }
+  if (aReply.mEvidence) {
+    wire::server_evidence* evidence = aOut->mutable_evidence();
+    evidence->set_instance(aReply.mEvidence->mInstance);
+    evidence->set_mode(ToWire<wire::server_mode>(aReply.mEvidence->mMode));
+    for (const index_version& version : aReply.mEvidence->mVersions) {
+      ToWire(version, evidence->add_versions());
+    }
+  }
+  ToWire(aReply.mReason, aOut->mutable_reason());
+}
+
+void ToWire(const query_request& aRequest, wire::query_request* aOut)
+{
+  aOut->set_route(aRequest.mRoute);
+  aOut->set_caller(aRequest.mCaller);
+  ToWire(aRequest.mFilter, aOut->mutable_filter());
+  if (aRequest.mUrgency) {
+    aOut->set_urgency(ToWire<wire::urgency>(*aRequest.mUrgency));
+  }
+  if (aRequest.mDeadline) {
+    aOut->set_deadline(ToWire(*aRequest.mDeadline));
+  }
+  aOut->set_request_key(aRequest.mRequestKey);
+}
+
+void ToWire(const query_answer& aAnswer, wire::query_answer* aOut)
+{
+  aOut->set_outcome(ToWire<wire::outcome>(aAnswer.mOutcome));
+  aOut->set_version(aAnswer.mVersion);
+  aOut->set_map(aAnswer.mMap);
+  wire::coverage* coverage = aOut->mutable_coverage();
+  coverage->set_covered(aAnswer.mCoverage.mCovered);
+  coverage->set_total(aAnswer.mCoverage.mTotal);
+  for (const coverage_gap& gap : aAnswer.mCoverage.mMissing) {
+    wire::coverage_gap* out = coverage->add_missing();
+    out->set_pool(gap.mPool);
+    out->set_shard(gap.mShard);
+    for (const position_range& range : gap.mRanges) {
+      wire::position_range* outRange = out->add_ranges();
+      outRange->set_from(range.mFrom);
+      outRange->set_to(range.mTo);
+    }
+    ToWire(gap.mReason, out->mutable_reason());
+  }
+  for (const record& each : aAnswer.mRecords) {
+    ToWire(each, aOut->add_records());
+  }
+  ToWire(aAnswer.mReason, aOut->mutable_reason());
+}
+
+// Fills the wire message of the matching kind.
+struct message_encoder
+{
+  wire::peer_message* mOut;
+
+  void operator()(const view_message& aMessage) const
+  {
+    wire::view* out = mOut->mutable_view();
+    for (const view_entry& entry : aMessage.mEntries) {
+      wire::view_entry* outEntry = out->add_entries();
+      outEntry->set_vm(entry.mVm);
+      outEntry->set_incarnation(entry.mIncarnation);
+      outEntry->set_vm_revision(entry.mVmRevision);
+      outEntry->set_routes_revision(entry.mRoutesRevision);
+      outEntry->set_pools_revision(entry.mPoolsRevision);
+      outEntry->set_draining(entry.mDraining);
+      outEntry->set_age(ToWire(entry.mAge));
+    }
+    for (const suspect_entry& entry : aMessage.mSuspects) {
+      ToWire(entry, out->add_suspects());
+    }
+  }
+
+  void operator()(const probe_message& aMessage) const
+  {
+    wire::probe* out = mOut->mutable_probe();
+    out->set_sent_at(aMessage.mSentAt);
+    out->set_vm_revision(aMessage.mVmRevision);
+  }
+
+  void operator()(const probe_reply_message& aMessage) const
+  {
+    wire::probe_reply* out = mOut->mutable_probe_reply();
+    out->set_sent_at(aMessage.mSentAt);
+    out->set_vm_revision(aMessage.mVmRevision);
+    out->set_lists_you(aMessage.mListsYou);
+  }
+
+  void operator()(const table_pull_message& aMessage) const
+  {
+    wire::table_pull* out = mOut->mutable_table_pull();
+    out->set_routes_revision(aMessage.mRoutesRevision);
+    out->set_pools_revision(aMessage.mPoolsRevision);
+    out->set_vm_revision(aMessage.mVmRevision);
+  }
+
+  void operator()(const table_message& aMessage) const
+  {
+    wire::table* out = mOut->mutable_table();
+    out->set_kind(ToWire<wire::table_kind>(aMessage.mKind));
+    out->set_revision(aMessage.mRevision);
+    out->set_text(aMessage.mText);
+    if (aMessage.mConfirmedAge) {
+      out->set_confirmed_age(ToWire(*aMessage.mConfirmedAge));
+    }
+    out->set_in_force(aMessage.mInForce);
+  }
+
+  void operator()(const forward_part_message& aMessage) const
+  {
+    wire::forward_part* out = mOut->mutable_forward_part();
+    ToWire(aMessage.mRequest, out->mutable_request());
+    out->set_remaining(ToWire(aMessage.mRemaining));
+  }
+
+  void operator()(const part_reply_message& aMessage) const
+  {
+    ToWire(aMessage.mReply, mOut->mutable_part_reply());
+  }
+
+  void operator()(const cancel_part_message& aMessage) const
+  {
+    wire::cancel_part* out = mOut->mutable_cancel_part();
+    ToWire(aMessage.mAttempt, out->mutable_attempt());
+    out->set_server(aMessage.mServer);
+  }
+
+  void operator()(const server_stage_message& aMessage) const
+  {
+    wire::server_stage* out = mOut->mutable_server_stage();
+    out->set_server(aMessage.mServer);
+    out->set_instance(aMessage.mInstance);
+    out->set_stage(aMessage.mStage);
+    out->set_leads(aMessage.mLeads);
+    out->set_draining(aMessage.mDraining);
+    for (const index_version& version : aMessage.mVersions) {
+      ToWire(version, out->add_versions());
+    }
+    out->set_age(ToWire(aMessage.mAge));
+  }
+
+  void operator()(const suspect_message& aMessage) const
+  {
+    ToWire(aMessage.mSuspect, mOut->mutable_suspect());
+  }
+
+  void operator()(const permit_release_message& aMessage) const
+  {
+    wire::permit_release* out = mOut->mutable_permit_release();
+    out->set_vm_revision(aMessage.mVmRevision);
+    for (const std::string& server : aMessage.mServers) {
+      out->add_servers(server);
+    }
+  }
+
+  void operator()(const forward_query_message& aMessage) const
+  {
+    wire::forward_query* out = mOut->mutable_forward_query();
+    out->set_number(aMessage.mNumber);
+    ToWire(aMessage.mRequest, out->mutable_request());
+    out->set_remaining(ToWire(aMessage.mRemaining));
+  }
+
+  void operator()(const query_answer_message& aMessage) const
+  {
+    wire::query_reply* out = mOut->mutable_query_reply();
+    out->set_number(aMessage.mNumber);
+    ToWire(aMessage.mAnswer, out->mutable_answer());
+  }
+};
+
+// Names are at most 63 characters; origins join two of them. Longer ones come from no daemon.
+constexpr std::size_t kNameLimit = 255;
+// Ages and remaining times of state; requests have kDeadlineLimit.
+constexpr micros kDurationLimit = std::chrono::hours(24 * 30);
+// The longest deadline of the interface is 5 s.
+constexpr micros kDeadlineLimit = std::chrono::seconds(60);
+constexpr std::uint32_t kStageLimit = 64;
+
+// Converts one wire message and keeps the first reason that it is not valid.
+class message_decoder
+{
+public:
+  std::optional<std::string> mError;
+
+  peer_message Decode(const wire::peer_message& aMessage)
+  {
+    switch (aMessage.kind_case()) {
+      case wire::peer_message::kView:
+        return View(aMessage.view());
+      case wire::peer_message::kProbe:
+        return probe_message{ aMessage.probe().sent_at(), aMessage.probe().vm_revision() };
+      case wire::peer_message::kProbeReply:
+        return probe_reply_message{ aMessage.probe_reply().sent_at(),
+                                    aMessage.probe_reply().vm_revision(),
+                                    aMessage.probe_reply().lists_you() };
+      case wire::peer_message::kTablePull:
+        return table_pull_message{ aMessage.table_pull().routes_revision(),
+                                   aMessage.table_pull().pools_revision(),
+                                   aMessage.table_pull().vm_revision() };
+      case wire::peer_message::kTable:
+        return Table(aMessage.table());
+      case wire::peer_message::kForwardPart:
+        return forward_part_message{
+          PartRequest(aMessage.forward_part().request()),
+          Duration("remaining", aMessage.forward_part().remaining(), kDeadlineLimit)
+        };
+      case wire::peer_message::kPartReply:
+        return part_reply_message{ PartReply(aMessage.part_reply()) };
+      case wire::peer_message::kCancelPart:
+        return cancel_part_message{ Attempt(aMessage.cancel_part().attempt()),
+                                    Name("server", aMessage.cancel_part().server()) };
+      case wire::peer_message::kServerStage:
+        return ServerStage(aMessage.server_stage());
+      case wire::peer_message::kSuspect:
+        return suspect_message{ Suspect(aMessage.suspect()) };
+      case wire::peer_message::kPermitRelease:
+        return permit_release_message{ aMessage.permit_release().vm_revision(),
+                                       { aMessage.permit_release().servers().begin(),
+                                         aMessage.permit_release().servers().end() } };
+      case wire::peer_message::kForwardQuery:
+        return forward_query_message{
+          aMessage.forward_query().number(),
+          QueryRequest(aMessage.forward_query().request()),
+          Duration("remaining", aMessage.forward_query().remaining(), kDeadlineLimit)
+        };
+      case wire::peer_message::kQueryReply:
+        return query_answer_message{ aMessage.query_reply().number(),
+                                     QueryAnswer(aMessage.query_reply().answer()) };
+      case wire::peer_message::KIND_NOT_SET:
+        break;
+    }
+    Fail("unknown kind of message");
+    return {};
+  }
+
+private:
+  void Fail(std::string aText)
+  {
+    if (!mError) {
+      mError = std::move(aText);
+    }
+  }
+
+  // A non-empty name of at most kNameLimit bytes.
+  std::string Name(const char* aField, const std::string& aText)
+  {
+    if (aText.empty() || aText.size() > kNameLimit) {
+      Fail(std::string(aField) + " has " + std::to_string(aText.size()) +
+           " characters, allowed are 1 to " + std::to_string(kNameLimit));
+    }
+    return aText;
+  }
+
+  template<typename Value>
+  Value Enum(const char* aField, int aWire, Value aLast)
+  {
+    if (aWire < 1 || aWire > static_cast<int>(aLast) + 1) {
+      Fail(std::string(aField) + " " + std::to_string(aWire) + " is unknown");
+      return {};
+    }
+    return static_cast<Value>(aWire - 1);
+  }
+
+  micros Duration(const char* aField, std::int64_t aMicros, micros aLimit)
+  {
+    if (aMicros < 0 || aMicros > aLimit.count()) {
+      Fail(std::string(aField) + " " + std::to_string(aMicros) + " us is not in 0 to " +
+           std::to_string(aLimit.count()));
+      return micros(0);
+    }
+    return micros(aMicros);
+  }
+
+  template<typename Map>
+  static fields Fields(const Map& aMap)
+  {
+    return { aMap.begin(), aMap.end() };
+  }
+
+  template<typename List>
+  static std::vector<index_version> Versions(const List& aVersions)
+  {
+    std::vector<index_version> versions;
+    versions.reserve(static_cast<std::size_t>(aVersions.size()));
+    for (const wire::index_version& each : aVersions) {
+      versions.push_back({ each.version(), each.map() });
+    }
+    return versions;
+  }
+
+  template<typename List>
+  static std::vector<record> Records(const List& aRecords)
+  {
+    std::vector<record> records;
+    records.reserve(static_cast<std::size_t>(aRecords.size()));
+    for (const wire::record& each : aRecords) {
+      records.push_back({ each.id(), Fields(each.fields()) });
+    }
+    return records;
+  }
+
+  static reason Reason(const wire::reason& aReason)
+  {
+    return { aReason.step(), aReason.peer(), aReason.text() };
+  }
+
+  attempt_id Attempt(const wire::attempt_id& aAttempt)
+  {
+    return { Name("attempt origin", aAttempt.origin()), aAttempt.number() };
+  }
+
+  view_message View(const wire::view& aView)
+  {
+    view_message view;
+    for (const wire::view_entry& each : aView.entries()) {
+      view.mEntries.push_back({ Name("vm", each.vm()),
+                                each.incarnation(),
+                                each.vm_revision(),
+                                each.routes_revision(),
+                                each.pools_revision(),
+                                each.draining(),
+                                Duration("age", each.age(), kDurationLimit) });
+    }
+    for (const wire::suspect_entry& each : aView.suspects()) {
+      view.mSuspects.push_back(Suspect(each));
+    }
+    return view;
+  }
+
+  suspect_entry Suspect(const wire::suspect_entry& aEntry)
+  {
+    return { aEntry.fingerprint(),
+             Enum("level", aEntry.level(), suspicion::Quarantined),
+             { aEntry.servers_lost().begin(), aEntry.servers_lost().end() },
+             Duration("remaining", aEntry.remaining(), kDurationLimit) };
+  }
+
+  table_message Table(const wire::table& aTable)
+  {
+    table_message table;
+    table.mKind = Enum("kind", aTable.kind(), table_kind::Vms);
+    table.mRevision = aTable.revision();
+    table.mText = aTable.text();
+    if (aTable.has_confirmed_age()) {
+      table.mConfirmedAge = Duration("confirmed age", aTable.confirmed_age(), kDurationLimit);
+    }
+    table.mInForce = aTable.in_force();
+    return table;
+  }
+
+  part_request PartRequest(const wire::part_request& aRequest)
+  {
+    part_request request;
+    request.mAttempt = Attempt(aRequest.attempt());
+    request.mServer = Name("server", aRequest.server());
+    request.mPool = Name("pool", aRequest.pool());
+    request.mShard = Name("shard", aRequest.shard());
+    request.mVersion = aRequest.version();
+    request.mOperation = Enum("operation", aRequest.operation(), operation::Submit);
+    request.mFilter = Fields(aRequest.filter());
+    request.mRequestKey = aRequest.request_key();
+    request.mFingerprint = aRequest.fingerprint();
+    request.mUrgency = Enum("urgency", aRequest.urgency(), urgency::Background);
+    return request;
+  }
+
+  part_reply PartReply(const wire::part_reply& aReply)
+  {
+    part_reply reply;
+    reply.mAttempt = Attempt(aReply.attempt());
+    reply.mResult = Enum("result", aReply.result(), part_result::Unknown);
+    reply.mFailure = Enum("failure", aReply.failure(), part_failure::Malformed);
+    reply.mServer = aReply.server();
+    reply.mShard = aReply.shard();
+    reply.mVersion = aReply.version();
+    reply.mMap = aReply.map();
+    reply.mRecords = Records(aReply.records());
+    if (aReply.has_evidence()) {
+      reply.mEvidence =
+        server_evidence{ aReply.evidence().instance(),
+                         Enum("mode", aReply.evidence().mode(), server_mode::Draining),
+                         Versions(aReply.evidence().versions()) };
+    }
+    reply.mReason = Reason(aReply.reason());
+    return reply;
+  }
+
+  server_stage_message ServerStage(const wire::server_stage& aStage)
+  {
+    if (aStage.stage() > kStageLimit) {
+      Fail("stage " + std::to_string(aStage.stage()) + " is above " + std::to_string(kStageLimit));
+    }
+    return { Name("server", aStage.server()),
+             aStage.instance(),
+             aStage.stage(),
+             aStage.leads(),
+             aStage.draining(),
+             Versions(aStage.versions()),
+             Duration("age", aStage.age(), kDurationLimit) };
+  }
+
+  query_request QueryRequest(const wire::query_request& aRequest)
+  {
+    query_request request;
+    request.mRoute = Name("route", aRequest.route());
+    request.mCaller = aRequest.caller();
+    request.mFilter = Fields(aRequest.filter());
+    if (aRequest.has_urgency()) {
+      request.mUrgency = Enum("urgency", aRequest.urgency(), urgency::Background);
+    }
+    if (aRequest.has_deadline()) {
+      request.mDeadline = Duration("deadline", aRequest.deadline(), kDeadlineLimit);
+    }
+    request.mRequestKey = aRequest.request_key();
+    return request;
+  }
+
+  query_answer QueryAnswer(const wire::query_answer& aAnswer)
+  {
+    query_answer answer;
+    answer.mOutcome = Enum("outcome", aAnswer.outcome(), outcome::Rejected);
+    answer.mVersion = aAnswer.version();
+    answer.mMap = aAnswer.map();
+    answer.mCoverage.mCovered = aAnswer.coverage().covered();
+    answer.mCoverage.mTotal = aAnswer.coverage().total();
+    if (answer.mCoverage.mTotal > kPositions ||
+        answer.mCoverage.mCovered > answer.mCoverage.mTotal) {
+      Fail("coverage " + std::to_string(answer.mCoverage.mCovered) + " of " +
+           std::to_string(answer.mCoverage.mTotal) + " positions is impossible");
+    }
+    for (const wire::coverage_gap& each : aAnswer.coverage().missing()) {
+      coverage_gap gap{ each.pool(), each.shard(), {}, Reason(each.reason()) };
+      for (const wire::position_range& range : each.ranges()) {
+        if (range.from() >= range.to() || range.to() > kPositions) {
+          Fail("range [" + std::to_string(range.from()) + ", " + std::to_string(range.to()) +
+               ") is not within the " + std::to_string(kPositions) + " positions");
+        }
+        gap.mRanges.push_back({ range.from(), range.to() });
+      }
+      answer.mCoverage.mMissing.push_back(std::move(gap));
+    }
+    answer.mRecords = Records(aAnswer.records());
+    answer.mReason = Reason(aAnswer.reason());
+    return answer;
+  }
+};
+
+} // namespace
+
+std::string EncodeMessage(const peer_message& aMessage)
+{
+  google::protobuf::Arena arena;
+  auto* message = google::protobuf::Arena::CreateMessage<wire::peer_message>(&arena);
+  std::visit(message_encoder{ message }, aMessage);
+  return message->SerializeAsString();
+}
+
+std::string JoinMessages(const std::string& aVm,
+                         const std::string& aIncarnation,
+                         const std::vector<std::string>& aMessages)
+{
+  // A protobuf message is the concatenation of its fields, so messages that are encoded already
+  // are appended as elements of the repeated field.
+  constexpr char kMessagesTag = (wire::envelope::kMessagesFieldNumber << 3) | 2;
+  wire::envelope head;
+  head.set_vm(aVm);
+  head.set_incarnation(aIncarnation);
+  std::string body = head.SerializeAsString();
+  for (const std::string& message : aMessages) {
+    body.push_back(kMessagesTag);
+    std::size_t size = message.size();
+    for (; size > 0x7f; size >>= 7U) {
+      body.push_back(static_cast<char>((size & 0x7fU) | 0x80U));
+    }
+    body.push_back(static_cast<char>(size));
+    body += message;
+  }
+  return body;
+}
+
+std::string EncodeEnvelope(const peer_envelope& aEnvelope)
+{
+  std::vector<std::string> messages;
+  messages.reserve(aEnvelope.mMessages.size());
+  for (const peer_message& message : aEnvelope.mMessages) {
+    messages.push_back(EncodeMessage(message));
+  }
+  return JoinMessages(aEnvelope.mVm, aEnvelope.mIncarnation, messages);
+}
+
+result<peer_envelope> DecodeEnvelope(std::string_view aBody)
+{
+  if (aBody.size() > kEnvelopeLimit) {
+    return Failure<peer_envelope>("read envelope",
+                                  "",
+                                  std::to_string(aBody.size()) + " bytes, allowed are " +
+                                    std::to_string(kEnvelopeLimit));
+  }
+  google::protobuf::Arena arena;
+  auto* envelope = google::protobuf::Arena::CreateMessage<wire::envelope>(&arena);
+  if (!envelope->ParseFromArray(aBody.data(), static_cast<int>(aBody.size()))) {
+    return Failure<peer_envelope>("read envelope", "", "not a protobuf envelope");
+  }
+  for (const auto& [field, text] :
+       { std::pair<const char*, const std::string&>("vm", envelope->vm()),
+         std::pair<const char*, const std::string&>("incarnation", envelope->incarnation()) }) {
+    if (text.empty() || text.size() > kNameLimit) {
+      return Failure<peer_envelope>("read envelope",
+                                    envelope->vm().substr(0, kNameLimit),
+                                    std::string(field) + " has " + std::to_string(text.size()) +
+                                      " characters, allowed are 1 to " +
+                                      std::to_string(kNameLimit));
+    }
+  }
+  peer_envelope decoded{ envelope->vm(), envelope->incarnation(), {} };
+  decoded.mMessages.reserve(static_cast<std::size_t>(envelope->messages_size()));
+  message_decoder decoder;
+  for (const wire::peer_message& message : envelope->messages()) {
+    decoded.mMessages.push_back(decoder.Decode(message));
+    if (decoder.mError) {
+      return Failure<peer_envelope>("read message " + std::to_string(decoded.mMessages.size()),
+                                    envelope->vm(),
+                                    std::move(*decoder.mError));
+    }
+  }
+  return Success(std::move(decoded));
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/codec/server_json.cc
@@ -0,0 +1,259 @@
+#include "codec/server_json.h"
+
+#include "codec/json_reader.h"
+
+#include <algorithm>
+#include <boost/json/array.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+
+namespace redwingdock {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr std::size_t kNameLimit = 63;
+constexpr std::size_t kAttemptLimit = 255;
+constexpr std::size_t kKeyLimit = 255;
+constexpr std::size_t kTextLimit = 4096;
+constexpr std::size_t kRequestLimit = std::size_t{ 256 } * 1024;
+constexpr std::uint64_t kDeadlineLimitMs = 60000;
+constexpr std::uint64_t kAnyNumber = ~std::uint64_t{ 0 };
+constexpr std::uint64_t kAnyMap = 0xffffffff;
+
+constexpr const char* kRefusalNames[] = { "shed",
+                                          "draining",
+                                          "version_gone",
+                                          "wrong_target",
+                                          "deadline_passed" };
+constexpr part_failure kRefusals[] = { part_failure::Shed,
+                                       part_failure::Draining,
+                                       part_failure::VersionGone,
+                                       part_failure::WrongTarget,
+                                       part_failure::DeadlinePassed };
+
+const char* RefusalName(part_failure aFailure)
+{
+  const auto* found = std::find(std::begin(kRefusals), std::end(kRefusals), aFailure);
+  return found == std::end(kRefusals) ? kRefusalNames[0]
+                                      : kRefusalNames[found - std::begin(kRefusals)];
+}
+
+json::object EvidenceToJson(const server_evidence& aEvidence)
+{
+  json::array versions;
+  for (const index_version& each : aEvidence.mVersions) {
+    json::object item;
+    item.emplace("version", each.mVersion);
+    item.emplace("map", each.mMap);
+    versions.emplace_back(std::move(item));
+  }
+  json::object object;
+  object.emplace("instance", aEvidence.mInstance);
+  object.emplace("mode", detail::NameOf(aEvidence.mMode, detail::kModeNames));
+  object.emplace("versions", std::move(versions));
+  return object;
+}
+
+server_evidence ParseEvidence(detail::json_reader& aReader, const json::object& aObject)
+{
+  server_evidence evidence;
+  evidence.mInstance = aReader.Text(aObject, "instance", 1, kNameLimit);
+  evidence.mMode = aReader.OneOf<server_mode>(aObject, "mode", detail::kModeNames);
+  for (const json::value& value : aReader.Array(aObject, "versions")) {
+    const json::object& item = aReader.Item(value, "versions");
+    evidence.mVersions.push_back(
+      { aReader.Number(item, "version", 1, kAnyNumber),
+        static_cast<std::uint32_t>(aReader.Number(item, "map", 0, kAnyMap)) });
+  }
+  std::sort(evidence.mVersions.begin(), evidence.mVersions.end());
+  return evidence;
+}
+
+void Require(detail::json_reader& aReader,
+             const char* aField,
+             const std::string& aFound,
+             const std::string& aExpected)
+{
+  if (aFound != aExpected) {
+    aReader.Fail(std::string("\"") + aField + "\" is \"" + aFound + "\", expected \"" + aExpected +
+                 "\"");
+  }
+}
+
+part_reply Malformed(const part_request& aRequest, std::string aText)
+{
+  part_reply reply;
+  reply.mAttempt = aRequest.mAttempt;
+  reply.mResult = part_result::Unknown;
+  reply.mFailure = part_failure::Malformed;
+  reply.mServer = aRequest.mServer;
+  reply.mShard = aRequest.mShard;
+  reply.mReason = { "check reply", aRequest.mServer, std::move(aText) };
+  return reply;
+}
+
+void ParseAnswer(detail::json_reader& aReader, const part_request& aRequest, part_reply& aReply)
+{
+  const json::object& root = aReader.Root();
+  Require(aReader, "server", aReader.Text(root, "server", 0, kNameLimit), aRequest.mServer);
+  Require(aReader, "shard", aReader.Text(root, "shard", 0, kNameLimit), aRequest.mShard);
+  aReply.mVersion = aReader.Number(root, "version", 1, kAnyNumber);
+  aReply.mMap = static_cast<std::uint32_t>(aReader.Number(root, "map", 0, kAnyMap));
+  if (aRequest.mVersion != 0 && aReply.mVersion != aRequest.mVersion) {
+    aReader.Fail("\"version\" is " + std::to_string(aReply.mVersion) + ", expected " +
+                 std::to_string(aRequest.mVersion));
+  }
+  aReply.mRecords = aReader.Records(root, "records");
+  aReply.mResult = part_result::Answered;
+}
+
+void ParseRefusal(detail::json_reader& aReader, const part_request& aRequest, part_reply& aReply)
+{
+  const json::object& root = aReader.Root();
+  if (!aReader.Bool(root, "not_run")) {
+    aReader.Fail("\"not_run\" is not true in a refusal");
+  }
+  const auto index = aReader.OneOf<std::size_t>(root, "refusal", kRefusalNames);
+  aReply.mFailure = kRefusals[index];
+  const std::string server = aReader.Text(root, "server", 0, kNameLimit);
+  const std::string shard = aReader.Text(root, "shard", 0, kNameLimit);
+  if (aReply.mFailure != part_failure::WrongTarget) {
+    Require(aReader, "server", server, aRequest.mServer);
+    Require(aReader, "shard", shard, aRequest.mShard);
+  }
+  aReply.mReason = { "run part", aRequest.mServer, aReader.Text(root, "text", 0, kTextLimit) };
+  aReply.mResult = part_result::NotRun;
+}
+
+} // namespace
+
+std::string FormatPartRequest(const part_request& aRequest, micros aRemaining)
+{
+  const auto remaining = std::chrono::ceil<std::chrono::milliseconds>(aRemaining).count();
+  json::object root;
+  root.emplace("attempt", ToString(aRequest.mAttempt));
+  root.emplace("server", aRequest.mServer);
+  root.emplace("pool", aRequest.mPool);
+  root.emplace("shard", aRequest.mShard);
+  root.emplace("version", aRequest.mVersion);
+  root.emplace("operation", detail::NameOf(aRequest.mOperation, detail::kOperationNames));
+  root.emplace("filter", detail::ToJson(aRequest.mFilter));
+  root.emplace("request_key", aRequest.mRequestKey);
+  root.emplace("urgency", detail::NameOf(aRequest.mUrgency, detail::kUrgencyNames));
+  root.emplace("deadline_ms", std::max<std::int64_t>(remaining, 1));
+  return json::serialize(root);
+}
+
+result<attempt_id> ParseAttempt(std::string_view aText)
+{
+  const std::size_t mark = aText.rfind('#');
+  attempt_id attempt;
+  if (mark != std::string_view::npos && mark > 0) {
+    attempt.mOrigin = aText.substr(0, mark);
+    const char* end = aText.data() + aText.size();
+    const auto [rest, error] = std::from_chars(aText.data() + mark + 1, end, attempt.mNumber);
+    if (error == std::errc() && rest == end) {
+      return Success(std::move(attempt));
+    }
+  }
+  return Failure<attempt_id>(
+    "read attempt", "", "\"" + std::string(aText) + "\" is not of the form origin#number");
+}
+
+result<part_call> ParsePartRequest(std::string_view aBody)
+{
+  detail::json_reader reader(aBody, kRequestLimit);
+  const json::object& root = reader.Root();
+  part_call call;
+  part_request& request = call.mRequest;
+  const auto attempt = ParseAttempt(reader.Text(root, "attempt", 1, kAttemptLimit));
+  if (attempt) {
+    request.mAttempt = *attempt;
+  } else {
+    reader.Fail(attempt.mReason.mText);
+  }
+  request.mServer = reader.Text(root, "server", 1, kNameLimit);
+  request.mPool = reader.Text(root, "pool", 1, kNameLimit);
+  request.mShard = reader.Text(root, "shard", 1, kNameLimit);
+  request.mVersion = reader.Number(root, "version", 0, kAnyNumber);
+  request.mOperation = reader.OneOf<operation>(root, "operation", detail::kOperationNames);
+  request.mFilter = reader.Fields(root, "filter");
+  request.mRequestKey = reader.Text(root, "request_key", 0, kKeyLimit);
+  request.mUrgency = reader.OneOf<urgency>(root, "urgency", detail::kUrgencyNames);
+  call.mRemaining =
+    std::chrono::milliseconds(reader.Number(root, "deadline_ms", 1, kDeadlineLimitMs));
+  if (reader.Error()) {
+    return Failure<part_call>("read part", "", *reader.Error());
+  }
+  return Success(std::move(call));
+}
+
+part_reply ParsePartReply(const part_request& aRequest, unsigned aStatus, std::string_view aBody)
+{
+  if (aStatus != 200 && aStatus != 503) {
+    return Malformed(aRequest, "status " + std::to_string(aStatus));
+  }
+  detail::json_reader reader(aBody, kPartReplyLimit);
+  const json::object& root = reader.Root();
+  part_reply reply;
+  reply.mAttempt = aRequest.mAttempt;
+  reply.mServer = aRequest.mServer;
+  reply.mShard = aRequest.mShard;
+  Require(
+    reader, "attempt", reader.Text(root, "attempt", 0, kAttemptLimit), ToString(aRequest.mAttempt));
+  if (aStatus == 200) {
+    ParseAnswer(reader, aRequest, reply);
+  } else {
+    ParseRefusal(reader, aRequest, reply);
+  }
+  reply.mEvidence = ParseEvidence(reader, reader.Object(root, "evidence"));
+  if (reader.Error()) {
+    return Malformed(aRequest, *reader.Error());
+  }
+  return reply;
+}
+
+std::string FormatPartReply(const part_reply& aReply)
+{
+  json::object root;
+  root.emplace("attempt", ToString(aReply.mAttempt));
+  root.emplace("server", aReply.mServer);
+  root.emplace("shard", aReply.mShard);
+  if (aReply.mResult == part_result::Answered) {
+    root.emplace("version", aReply.mVersion);
+    root.emplace("map", aReply.mMap);
+    root.emplace("records", detail::ToJson(aReply.mRecords));
+  } else {
+    root.emplace("not_run", aReply.mResult == part_result::NotRun);
+    root.emplace("refusal", RefusalName(aReply.mFailure));
+    root.emplace("text", aReply.mReason.mText);
+  }
+  root.emplace("evidence", EvidenceToJson(aReply.mEvidence.value_or(server_evidence{})));
+  return json::serialize(root);
+}
+
+unsigned StatusOf(const part_reply& aReply)
+{
+  return aReply.mResult == part_result::Answered ? 200 : 503;
+}
+
+std::string FormatCancel(const attempt_id& aAttempt)
+{
+  json::object root;
+  root.emplace("attempt", ToString(aAttempt));
+  return json::serialize(root);
+}
+
+result<attempt_id> ParseCancel(std::string_view aBody)
+{
+  detail::json_reader reader(aBody, kRequestLimit);
+  const std::string attempt = reader.Text(reader.Root(), "attempt", 1, kAttemptLimit);
+  if (reader.Error()) {
+    return Failure<attempt_id>("read cancel", "", *reader.Error());
+  }
+  return ParseAttempt(attempt);
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/backend_client.cc
@@ -0,0 +1,313 @@
+#include "daemon/backend_client.h"
+
+#include "codec/server_json.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// The slowest pool needs about 6 ms for a new connection.
+constexpr micros kConnectTime = std::chrono::seconds(1);
+constexpr micros kCheckTime = std::chrono::seconds(1);
+// The core closes silent connections itself; this only ends a part that it has forgotten.
+constexpr micros kReplySlack = std::chrono::seconds(2);
+// A connection for cancels counts at the server while it is open.
+constexpr micros kCancelIdle = std::chrono::seconds(1);
+constexpr std::size_t kCancelLimit = 256;
+
+part_reply Unanswered(const part_request& aRequest,
+                      part_result aResult,
+                      part_failure aFailure,
+                      const char* aStep,
+                      std::string aText)
+{
+  part_reply reply;
+  reply.mAttempt = aRequest.mAttempt;
+  reply.mResult = aResult;
+  reply.mFailure = aFailure;
+  reply.mServer = aRequest.mServer;
+  reply.mShard = aRequest.mShard;
+  reply.mReason = { aStep, aRequest.mServer, std::move(aText) };
+  return reply;
+}
+
+} // namespace
+
+backend_client::backend_client(io_loop& aLoop, backend_hooks aHooks)
+  : mLoop(aLoop)
+  , mHooks(std::move(aHooks))
+  , mExchanges(aLoop)
+{
+}
+
+void backend_client::Open(const open_connection& aCommand)
+{
+  const std::uint64_t id = aCommand.mConnection;
+  tcp_hooks hooks;
+  hooks.mOnOpen = [this, id] { Opened(id); };
+  hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
+  hooks.mOnExpired = [this, id] { Expired(id); };
+  hooks.mOnClosed = [this, id](const std::string& aWhy) { Closed(id, aWhy); };
+  const bool added =
+    mConnections.Insert(id,
+                        connection{ aCommand.mServer,
+                                    aCommand.mAddress,
+                                    nullptr,
+                                    http_reader(http_side::Client, kPartReplyLimit),
+                                    std::nullopt,
+                                    false });
+  if (!added) {
+    return;
+  }
+  // Connecting under the lock of the shard makes the hooks wait until mConnection is set.
+  mConnections.With(id, [&](connection& aState) {
+    aState.mConnection = Connect(mLoop, aCommand.mAddress, kConnectTime, std::move(hooks));
+  });
+}
+
+void backend_client::Opened(std::uint64_t aId)
+{
+  std::string server;
+  mConnections.With(aId, [&server](connection& aState) {
+    aState.mOpen = true;
+    server = aState.mServer;
+  });
+  if (!server.empty()) {
+    mHooks.mPost(connection_changed{ server, aId, connection_event::Opened, {} });
+  }
+}
+
+void backend_client::Close(const close_connection& aCommand)
+{
+  if (const std::optional<connection> closed = mConnections.Take(aCommand.mConnection)) {
+    closed->mConnection->Close("closed by the core");
+  }
+}
+
+void backend_client::Send(const send_part& aCommand)
+{
+  const part_request& request = aCommand.mRequest;
+  const instant now = SteadyNow();
+  std::string refusal;
+  part_failure failure = part_failure::NotSent;
+  if (now > aCommand.mNotAfter) {
+    refusal = "the command is " + std::to_string(ToMs(now - aCommand.mNotAfter)) + " ms too old";
+  } else if (now >= request.mDeadline) {
+    failure = part_failure::DeadlinePassed;
+    refusal = "the deadline has passed";
+  } else {
+    const micros remaining = request.mDeadline - now;
+    std::string text = "no such connection";
+    mConnections.With(aCommand.mConnection, [&](connection& aState) {
+      if (!aState.mOpen) {
+        text = "the connection is not open";
+      } else if (aState.mPart) {
+        text = "a part is in flight on the connection";
+      } else {
+        text.clear();
+        aState.mPart = part_in_flight{ request, now };
+        aState.mConnection->ExpireAfter(remaining + kReplySlack);
+        aState.mConnection->Send(FormatRequest(
+          "POST", "/v1/part", aState.mAddress, FormatPartRequest(request, remaining)));
+      }
+    });
+    refusal = text;
+  }
+  if (!refusal.empty()) {
+    mHooks.mPost(part_replied{
+      request.mServer,
+      aCommand.mConnection,
+      Unanswered(request, part_result::NotRun, failure, "send part", std::move(refusal)) });
+  }
+}
+
+void backend_client::Received(std::uint64_t aId, std::string_view aBytes)
+{
+  std::optional<part_in_flight> part;
+  http_message message;
+  std::string malformed;
+  mConnections.With(aId, [&](connection& aState) {
+    const http_status status = aState.mReader.Feed(aBytes);
+    if (!aState.mPart) {
+      aState.mConnection->Close("sent bytes without a part in flight");
+      return;
+    }
+    if (status == http_status::NeedMore) {
+      return;
+    }
+    part = std::move(aState.mPart);
+    aState.mPart.reset();
+    aState.mConnection->ExpireAfter(tcp_connection::kNoLimit);
+    if (status == http_status::Failed) {
+      malformed = aState.mReader.Why().mText;
+      aState.mConnection->Close("malformed reply");
+      return;
+    }
+    message = aState.mReader.Take();
+    if (!message.mKeepAlive || aState.mReader.Buffered() > 0) {
+      aState.mConnection->Close(message.mKeepAlive ? "sent bytes after its reply"
+                                                   : "closed after the reply");
+    }
+  });
+  if (!part) {
+    return;
+  }
+  Finish(
+    aId,
+    *part,
+    malformed.empty()
+      ? ParsePartReply(part->mRequest, message.mStatus, message.mBody)
+      : Unanswered(
+          part->mRequest, part_result::Unknown, part_failure::Malformed, "read reply", malformed));
+}
+
+void backend_client::Finish(std::uint64_t aId, const part_in_flight& aPart, part_reply aReply)
+{
+  if (mHooks.mOnReply) {
+    mHooks.mOnReply(SteadyNow() - aPart.mSentAt, aReply);
+  }
+  mHooks.mPost(part_replied{ aPart.mRequest.mServer, aId, std::move(aReply) });
+}
+
+void backend_client::Expired(std::uint64_t aId)
+{
+  std::optional<part_in_flight> part;
+  mConnections.With(aId, [&part](connection& aState) {
+    part = std::move(aState.mPart);
+    aState.mPart.reset();
+    aState.mConnection->Close("silent");
+  });
+  if (part) {
+    Finish(aId,
+           *part,
+           Unanswered(part->mRequest,
+                      part_result::Unknown,
+                      part_failure::Silent,
+                      "wait for reply",
+                      "no reply until well after the deadline"));
+  }
+}
+
+void backend_client::Closed(std::uint64_t aId, const std::string& aWhy)
+{
+  std::optional<connection> closed = mConnections.Take(aId);
+  if (!closed) {
+    return;
+  }
+  connection_event event = closed->mOpen ? connection_event::Closed : connection_event::Refused;
+  if (closed->mPart) {
+    event = connection_event::Lost;
+    // A reply without a length ends with the connection.
+    if (closed->mReader.FeedEnd() == http_status::Complete) {
+      event = connection_event::Closed;
+      const http_message message = closed->mReader.Take();
+      Finish(aId,
+             *closed->mPart,
+             ParsePartReply(closed->mPart->mRequest, message.mStatus, message.mBody));
+    } else {
+      Finish(aId,
+             *closed->mPart,
+             Unanswered(closed->mPart->mRequest,
+                        part_result::Unknown,
+                        part_failure::ConnectionLost,
+                        "wait for reply",
+                        "connection lost: " + aWhy));
+    }
+  }
+  mHooks.mPost(connection_changed{
+    closed->mServer,
+    aId,
+    event,
+    { event == connection_event::Refused ? "connect" : "connection", closed->mServer, aWhy } });
+}
+
+void backend_client::Check(const check_connection& aCommand)
+{
+  http_exchange exchange;
+  exchange.mAddress = aCommand.mAddress;
+  exchange.mMethod = "GET";
+  exchange.mTarget = "/v1/health";
+  exchange.mReplyTime = kCheckTime;
+  mExchanges.Start(exchange, [this, server = aCommand.mServer](const result<http_message>& aReply) {
+    mHooks.mPost(check_answered{ server, aReply && aReply->mStatus == 200 });
+  });
+}
+
+void backend_client::Cancel(const cancel_part& aCommand)
+{
+  mCancellers.WithNew(aCommand.mAddress, [&](canceller& aState) {
+    if (aState.mId == 0) {
+      aState.mId = ++mNextCanceller;
+      StartCanceller(aCommand.mAddress, aState);
+    }
+    if (aState.mWaiting.size() >= kCancelLimit) {
+      return; // the server stops at the deadline by itself
+    }
+    aState.mWaiting.push_back(aCommand.mAttempt);
+    if (aState.mWaiting.size() == 1) {
+      aState.mConnection->Send(
+        FormatRequest("POST", "/v1/cancel", aCommand.mAddress, FormatCancel(aCommand.mAttempt)));
+    }
+  });
+}
+
+void backend_client::StartCanceller(const std::string& aAddress, canceller& aState)
+{
+  const std::uint64_t id = aState.mId;
+  tcp_hooks hooks;
+  hooks.mOnOpen = [this, aAddress, id] {
+    mCancellers.With(aAddress, [id](canceller& aOpened) {
+      if (aOpened.mId == id) {
+        aOpened.mConnection->ExpireAfter(kCancelIdle);
+      }
+    });
+  };
+  hooks.mOnBytes = [this, aAddress, id](std::string_view aBytes) {
+    CancelAnswered(aAddress, id, aBytes);
+  };
+  hooks.mOnExpired = [this, aAddress, id] { EndCanceller(aAddress, id); };
+  hooks.mOnClosed = [this, aAddress, id](const std::string&) { EndCanceller(aAddress, id); };
+  aState.mConnection = Connect(mLoop, aAddress, kConnectTime, std::move(hooks));
+}
+
+void backend_client::CancelAnswered(const std::string& aAddress,
+                                    std::uint64_t aId,
+                                    std::string_view aBytes)
+{
+  mCancellers.With(aAddress, [&](canceller& aState) {
+    if (aState.mId != aId) {
+      return;
+    }
+    const http_status status = aState.mReader.Feed(aBytes);
+    if (status == http_status::NeedMore) {
+      return;
+    }
+    if (status == http_status::Failed || aState.mWaiting.empty() ||
+        !aState.mReader.Take().mKeepAlive) {
+      aState.mConnection->Close("cancels ended");
+      return;
+    }
+    aState.mWaiting.pop_front();
+    aState.mConnection->ExpireAfter(kCancelIdle);
+    if (!aState.mWaiting.empty()) {
+      aState.mConnection->Send(
+        FormatRequest("POST", "/v1/cancel", aAddress, FormatCancel(aState.mWaiting.front())));
+    }
+  });
+}
+
+void backend_client::EndCanceller(const std::string& aAddress, std::uint64_t aId)
+{
+  mCancellers.EraseIf(aAddress, [aId](canceller& aState) {
+    if (aState.mId != aId) {
+      return false;
+    }
+    aState.mConnection->Close("cancels ended");
+    return true;
+  });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/caller_api.cc
@@ -0,0 +1,183 @@
+#include "daemon/caller_api.h"
+
+#include "codec/caller_json.h"
+
+#include <optional>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+http_response ReasonReply(unsigned aStatus, const reason& aReason)
+{
+  return { aStatus, "application/json", FormatReason(aReason), "" };
+}
+
+http_response AnswerReply(const query_answer& aAnswer)
+{
+  return { StatusOf(aAnswer.mOutcome), "application/json", FormatAnswer(aAnswer), "" };
+}
+
+query_answer WithoutResult(outcome aOutcome, reason aReason)
+{
+  query_answer answer;
+  answer.mOutcome = aOutcome;
+  answer.mReason = std::move(aReason);
+  return answer;
+}
+
+bool IsOperatorPath(std::string_view aPath)
+{
+  return aPath == "/v1/view" || aPath == "/v1/explain" || aPath == "/metrics" ||
+         aPath == "/v1/stop";
+}
+
+constexpr std::size_t kParameterLimit = 128;
+
+} // namespace
+
+caller_api::caller_api(api_hooks aHooks, metrics& aMetrics)
+  : mHooks(std::move(aHooks))
+  , mMetrics(aMetrics)
+{
+}
+
+void caller_api::Handle(std::uint64_t aNumber,
+                        const http_message& aRequest,
+                        api_scope aScope,
+                        const reply_hook& aReply)
+{
+  const std::string_view path = PathOf(aRequest.mTarget);
+  const auto refuseMethod = [&](const char* aMethod) {
+    aReply(
+      aNumber,
+      ReasonReply(
+        405,
+        { "read request", "", "method " + aRequest.mMethod + " is not allowed, use " + aMethod }));
+  };
+  if (aScope.mOperators && IsOperatorPath(path)) {
+    const char* expected = path == "/v1/stop" ? "POST" : "GET";
+    if (aRequest.mMethod != expected) {
+      refuseMethod(expected);
+    } else {
+      aReply(aNumber, Operate(aRequest));
+    }
+    return;
+  }
+  if (aScope.mCallers && path == "/v1/query") {
+    if (aRequest.mMethod != "POST") {
+      refuseMethod("POST");
+    } else {
+      BeginQuery(aNumber, aRequest, aReply);
+    }
+    return;
+  }
+  if (aScope.mCallers && path == "/v1/entry") {
+    if (aRequest.mMethod != "GET") {
+      refuseMethod("GET");
+      return;
+    }
+    entry_asked ask{ aNumber,
+                     QueryParameter(aRequest.mTarget, "caller"),
+                     QueryParameter(aRequest.mTarget, "zone") };
+    if (ask.mCaller.empty() || ask.mCaller.size() > kParameterLimit ||
+        ask.mZone.size() > kParameterLimit) {
+      aReply(aNumber,
+             ReasonReply(400,
+                         { "read request",
+                           "",
+                           "parameter \"caller\" needs 1 to " + std::to_string(kParameterLimit) +
+                             " bytes, \"zone\" at most as many" }));
+      return;
+    }
+    mPending.Insert(aNumber, { false, "", std::nullopt, SteadyNow(), aReply });
+    mHooks.mPost(std::move(ask));
+    return;
+  }
+  aReply(aNumber, ReasonReply(404, { "read request", "", "no such path" }));
+}
+
+void caller_api::BeginQuery(std::uint64_t aNumber,
+                            const http_message& aRequest,
+                            const reply_hook& aReply)
+{
+  result<query_request> request = ParseQuery(aRequest.mBody);
+  if (!request) {
+    aReply(aNumber, AnswerReply(WithoutResult(outcome::Rejected, request.mReason)));
+    return;
+  }
+  mPending.Insert(aNumber, { true, request->mRoute, request->mUrgency, SteadyNow(), aReply });
+  mHooks.mPost(query_arrived{ aNumber, std::move(*request) });
+}
+
+http_response caller_api::Operate(const http_message& aRequest) const
+{
+  const std::string_view path = PathOf(aRequest.mTarget);
+  if (path == "/v1/view") {
+    return { 200, "application/json", mHooks.mView(), "" };
+  }
+  if (path == "/metrics") {
+    return { 200, "text/plain; version=0.0.4", mHooks.mMetrics(), "" };
+  }
+  if (path == "/v1/stop") {
+    mHooks.mPost(stop_asked{});
+    return { 202, "application/json", R"({"stopping": true})", "" };
+  }
+  const result<std::string> explained = mHooks.mExplain(QueryParameter(aRequest.mTarget, "route"),
+                                                        QueryParameter(aRequest.mTarget, "id"));
+  if (!explained) {
+    return ReasonReply(404, explained.mReason);
+  }
+  return { 200, "application/json", *explained, "" };
+}
+
+void caller_api::Answer(const answer_query& aCommand)
+{
+  const std::optional<pending> asked = mPending.Take(aCommand.mQuery);
+  if (!asked) {
+    return;
+  }
+  mMetrics.CountQuery(
+    asked->mRoute, asked->mUrgency, aCommand.mAnswer.mOutcome, SteadyNow() - asked->mSince);
+  asked->mReply(aCommand.mQuery, AnswerReply(aCommand.mAnswer));
+}
+
+void caller_api::Answer(const answer_entry& aCommand)
+{
+  const std::optional<pending> asked = mPending.Take(aCommand.mAsk);
+  if (!asked) {
+    return;
+  }
+  asked->mReply(aCommand.mAsk,
+                aCommand.mAnswer
+                  ? http_response{ 200, "application/json", FormatEntry(*aCommand.mAnswer), "" }
+                  : ReasonReply(503, aCommand.mAnswer.mReason));
+}
+
+void caller_api::Gone(std::uint64_t aNumber)
+{
+  const std::optional<pending> asked = mPending.Take(aNumber);
+  if (asked && asked->mIsQuery) {
+    mHooks.mPost(caller_gone{ aNumber });
+  }
+}
+
+void caller_api::Late(std::uint64_t aNumber)
+{
+  const std::optional<pending> asked = mPending.Take(aNumber);
+  if (!asked) {
+    return;
+  }
+  const reason why{ "answer", "", "the daemon has not decided in time" };
+  if (!asked->mIsQuery) {
+    asked->mReply(aNumber, ReasonReply(503, why));
+    return;
+  }
+  mMetrics.CountQuery(
+    asked->mRoute, asked->mUrgency, outcome::Unknown, SteadyNow() - asked->mSince);
+  asked->mReply(aNumber, AnswerReply(WithoutResult(outcome::Unknown, why)));
+  mHooks.mPost(caller_gone{ aNumber });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/caller_api.h
@@ -0,0 +1,79 @@
+#ifndef REDWINGDOCK_DAEMON_CALLER_API_H
+#define REDWINGDOCK_DAEMON_CALLER_API_H
+
+#include "base/keyed_shards.h"
+#include "core/core.h"
+#include "daemon/http_server.h"
+#include "daemon/metrics.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+
+// The HTTP interface of callers and operators (docs/interfaces.md, section 1): turns requests into
+// facts and answers into replies.
+//
+//   caller_api api(hooks, measured);
+//   api.Handle(number, request, { .mCallers = true }, reply);
+//   api.Answer(answer_query{ number, answer });
+
+namespace redwingdock {
+
+struct api_hooks
+{
+  std::function<void(fact)> mPost;
+  std::function<std::string()> mView; // body of /v1/view
+  std::function<result<std::string>(const std::string& aRoute, const std::string& aId)> mExplain;
+  std::function<std::string()> mMetrics;
+};
+
+// What an address serves.
+struct api_scope
+{
+  bool mCallers = false;
+  bool mOperators = false;
+};
+
+class caller_api
+{
+public:
+  using reply_hook = std::function<void(std::uint64_t, const http_response&)>;
+
+  caller_api(api_hooks aHooks, metrics& aMetrics);
+
+  // Replies at once, or after Answer() or Late() with the number of the request.
+  void Handle(std::uint64_t aNumber,
+              const http_message& aRequest,
+              api_scope aScope,
+              const reply_hook& aReply);
+
+  void Answer(const answer_query& aCommand);
+  void Answer(const answer_entry& aCommand);
+
+  // The caller closed its connection.
+  void Gone(std::uint64_t aNumber);
+  // The core has not answered in time: a query may have run.
+  void Late(std::uint64_t aNumber);
+
+private:
+  struct pending
+  {
+    bool mIsQuery = false;
+    std::string mRoute;
+    std::optional<urgency> mUrgency;
+    instant mSince{};
+    reply_hook mReply;
+  };
+
+  void BeginQuery(std::uint64_t aNumber, const http_message& aRequest, const reply_hook& aReply);
+  http_response Operate(const http_message& aRequest) const;
+
+  const api_hooks mHooks;
+  metrics& mMetrics;
+  keyed_shards<std::uint64_t, pending> mPending;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/http2_session.h
@@ -0,0 +1,74 @@
+#ifndef REDWINGDOCK_DAEMON_HTTP2_SESSION_H
+#define REDWINGDOCK_DAEMON_HTTP2_SESSION_H
+
+#include "base/reason.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+// One side of an HTTP/2 connection without I/O, on nghttp2.
+//
+//   http2_session session(http2_side::Client, 4 * 1024 * 1024);
+//   session.Post("/v1/messages", "127.0.0.1:7101", body);
+//   connection.Send(session.TakeOutput());
+
+namespace redwingdock {
+
+enum class http2_side
+{
+  Client,
+  Server,
+};
+
+struct http2_request
+{
+  std::int32_t mStream = 0;
+  std::string mMethod;
+  std::string mPath;
+  std::string mBody;
+  bool mTooLarge = false; // over the body limit; mBody is empty
+
+  auto operator<=>(const http2_request&) const = default;
+};
+
+// What a batch of received bytes brought.
+struct http2_events
+{
+  std::vector<http2_request> mRequests; // server: complete requests
+  std::vector<std::uint32_t> mStatuses; // client: status of ended streams, 0 for a reset stream
+  bool mPong = false;                   // a ping was answered
+
+  auto operator<=>(const http2_events&) const = default;
+};
+
+class http2_session
+{
+public:
+  http2_session(http2_side aSide, std::size_t aBodyLimit);
+  ~http2_session();
+  http2_session(http2_session&&) noexcept;
+  http2_session& operator=(http2_session&&) noexcept;
+
+  // Fails when the bytes are not HTTP/2 or the other side ended the session; the connection must
+  // then be closed.
+  result<http2_events> Receive(std::string_view aBytes);
+
+  // Bytes to send after Receive, Post, Reply or Ping.
+  std::string TakeOutput();
+
+  bool Post(const std::string& aPath, const std::string& aAuthority, std::string aBody);
+  void Reply(std::int32_t aStream, unsigned aStatus);
+  void Ping();
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/http_exchange.cc
@@ -0,0 +1,68 @@
+#include "daemon/http_exchange.h"
+
+#include <optional>
+#include <utility>
+
+namespace redwingdock {
+
+http_exchanges::http_exchanges(io_loop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+void http_exchanges::Start(const http_exchange& aExchange, done_hook aDone)
+{
+  const std::uint64_t id = ++mNextId;
+  tcp_hooks hooks;
+  hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
+  hooks.mOnOpen = [this, id, timeout = aExchange.mReplyTime] {
+    mPending.With(id, [timeout](pending& aPending) { aPending.mConnection->ExpireAfter(timeout); });
+  };
+  hooks.mOnClosed = [this, id](const std::string& aWhy) { Closed(id, aWhy); };
+  mPending.Insert(id,
+                  { nullptr,
+                    http_reader(http_side::Client, aExchange.mReplyLimit),
+                    std::move(aDone),
+                    aExchange.mAddress });
+  // Connecting under the lock of the shard makes the hooks wait until mConnection is set.
+  mPending.With(id, [&](pending& aPending) {
+    aPending.mConnection =
+      Connect(mLoop, aExchange.mAddress, aExchange.mConnectTime, std::move(hooks));
+    aPending.mConnection->Send(
+      FormatRequest(aExchange.mMethod, aExchange.mTarget, aExchange.mAddress, aExchange.mBody));
+  });
+}
+
+void http_exchanges::Received(std::uint64_t aId, std::string_view aBytes)
+{
+  http_status status = http_status::NeedMore;
+  mPending.With(aId, [&](pending& aPending) { status = aPending.mReader.Feed(aBytes); });
+  if (status == http_status::NeedMore) {
+    return;
+  }
+  std::optional<pending> done = mPending.Take(aId);
+  if (!done) {
+    return;
+  }
+  done->mConnection->Close("exchange done");
+  if (status == http_status::Complete) {
+    done->mDone(Success(done->mReader.Take()));
+  } else {
+    done->mDone(Failure<http_message>("read reply", done->mAddress, done->mReader.Why().mText));
+  }
+}
+
+void http_exchanges::Closed(std::uint64_t aId, const std::string& aWhy)
+{
+  std::optional<pending> done = mPending.Take(aId);
+  if (!done) {
+    return;
+  }
+  if (done->mReader.FeedEnd() == http_status::Complete) {
+    done->mDone(Success(done->mReader.Take()));
+  } else {
+    done->mDone(Failure<http_message>("exchange", done->mAddress, aWhy));
+  }
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/http_exchange.h
@@ -0,0 +1,61 @@
+#ifndef REDWINGDOCK_DAEMON_HTTP_EXCHANGE_H
+#define REDWINGDOCK_DAEMON_HTTP_EXCHANGE_H
+
+#include "base/keyed_shards.h"
+#include "daemon/http_text.h"
+#include "daemon/tcp.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+// One HTTP request on a connection of its own, closed after the reply.
+//
+//   http_exchanges exchanges(loop);
+//   exchanges.Start({ .mAddress = "127.0.0.1:9001", .mMethod = "GET", .mTarget = "/v1/health" },
+//                   [](const result<http_message>& aReply) { ... });
+
+namespace redwingdock {
+
+struct http_exchange
+{
+  std::string mAddress; // "ip:port"
+  std::string mMethod;
+  std::string mTarget;
+  std::string mBody;
+  std::size_t mReplyLimit = std::size_t{ 64 } * 1024;
+  micros mConnectTime = std::chrono::seconds(1);
+  micros mReplyTime = std::chrono::seconds(1); // from the open connection on
+};
+
+class http_exchanges
+{
+public:
+  using done_hook = std::function<void(const result<http_message>&)>;
+
+  explicit http_exchanges(io_loop& aLoop);
+
+  // Calls the hook once.
+  void Start(const http_exchange& aExchange, done_hook aDone);
+
+private:
+  struct pending
+  {
+    std::shared_ptr<tcp_connection> mConnection;
+    http_reader mReader;
+    done_hook mDone;
+    std::string mAddress;
+  };
+
+  void Received(std::uint64_t aId, std::string_view aBytes);
+  void Closed(std::uint64_t aId, const std::string& aWhy);
+
+  io_loop& mLoop;
+  std::atomic<std::uint64_t> mNextId{ 0 };
+  keyed_shards<std::uint64_t, pending> mPending;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/http_text.cc
@@ -0,0 +1,259 @@
+#include "daemon/http_text.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <charconv>
+#include <optional>
+#include <utility>
+#include <variant>
+
+namespace redwingdock {
+
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr std::uint32_t kHeaderLimit = 16 * 1024;
+
+using request_parser = http::request_parser<http::string_body>;
+using reply_parser = http::response_parser<http::string_body>;
+
+std::string ToString(boost::beast::string_view aText)
+{
+  return { aText.data(), aText.size() };
+}
+
+} // namespace
+
+struct http_reader::state
+{
+  http_side mSide;
+  std::size_t mBodyLimit;
+  std::optional<request_parser> mRequest;
+  std::optional<reply_parser> mReply;
+  std::string mBuffer;
+  bool mStarted = false;
+  bool mComplete = false;
+  bool mFailed = false;
+  unsigned mRefusal = 400;
+  reason mWhy;
+
+  template<typename Parser>
+  Parser& Prepare(std::optional<Parser>& aParser)
+  {
+    if (!aParser) {
+      aParser.emplace();
+      aParser->eager(true);
+      aParser->header_limit(kHeaderLimit);
+      aParser->body_limit(mBodyLimit);
+    }
+    return *aParser;
+  }
+
+  template<typename Parser>
+  http_status Parse(Parser& aParser)
+  {
+    while (!mBuffer.empty() && !aParser.is_done()) {
+      boost::beast::error_code error;
+      const std::size_t used =
+        aParser.put(boost::asio::const_buffer(mBuffer.data(), mBuffer.size()), error);
+      mBuffer.erase(0, used);
+      if (error == http::error::need_more) {
+        break;
+      }
+      if (error) {
+        return Fail(error);
+      }
+      if (used == 0) {
+        break;
+      }
+    }
+    if (!aParser.is_done()) {
+      return http_status::NeedMore;
+    }
+    mComplete = true;
+    return http_status::Complete;
+  }
+
+  http_status Fail(const boost::beast::error_code& aError)
+  {
+    mFailed = true;
+    if (aError == http::error::body_limit) {
+      mRefusal = 413;
+      mWhy = { "read body", "", "body is over " + std::to_string(mBodyLimit) + " bytes" };
+    } else if (aError == http::error::header_limit) {
+      mRefusal = 431;
+      mWhy = { "read header", "", "header is over " + std::to_string(kHeaderLimit) + " bytes" };
+    } else {
+      mWhy = { "read message", "", aError.message() };
+    }
+    return http_status::Failed;
+  }
+};
+
+http_reader::http_reader(http_side aSide, std::size_t aBodyLimit)
+  : mState(std::make_unique<state>())
+{
+  mState->mSide = aSide;
+  mState->mBodyLimit = aBodyLimit;
+}
+
+http_reader::~http_reader() = default;
+http_reader::http_reader(http_reader&&) noexcept = default;
+http_reader& http_reader::operator=(http_reader&&) noexcept = default;
+
+http_status http_reader::Feed(std::string_view aBytes)
+{
+  state& self = *mState;
+  if (self.mFailed) {
+    return http_status::Failed;
+  }
+  self.mBuffer.append(aBytes);
+  if (self.mComplete) {
+    return http_status::Complete;
+  }
+  if (self.mBuffer.empty() && !self.mStarted) {
+    return http_status::NeedMore;
+  }
+  self.mStarted = true;
+  return self.mSide == http_side::Server ? self.Parse(self.Prepare(self.mRequest))
+                                         : self.Parse(self.Prepare(self.mReply));
+}
+
+http_status http_reader::FeedEnd()
+{
+  state& self = *mState;
+  if (self.mFailed || self.mComplete) {
+    return self.mFailed ? http_status::Failed : http_status::Complete;
+  }
+  if (self.mSide == http_side::Server || !self.mReply || !self.mReply->is_header_done()) {
+    return http_status::Failed;
+  }
+  boost::beast::error_code error;
+  self.mReply->put_eof(error);
+  if (error || !self.mReply->is_done()) {
+    return self.Fail(error);
+  }
+  self.mComplete = true;
+  return http_status::Complete;
+}
+
+http_message http_reader::Take()
+{
+  state& self = *mState;
+  http_message taken;
+  if (self.mRequest) {
+    auto message = self.mRequest->release();
+    taken.mMethod = ToString(message.method_string());
+    taken.mTarget = ToString(message.target());
+    taken.mKeepAlive = message.keep_alive();
+    taken.mBody = std::move(message.body());
+  } else if (self.mReply) {
+    auto message = self.mReply->release();
+    taken.mStatus = message.result_int();
+    taken.mTableRevision = ToString(message["Table-Revision"]);
+    taken.mKeepAlive = message.keep_alive();
+    taken.mBody = std::move(message.body());
+  }
+  self.mRequest.reset();
+  self.mReply.reset();
+  self.mComplete = false;
+  self.mStarted = false;
+  return taken;
+}
+
+std::size_t http_reader::Buffered() const
+{
+  return mState->mBuffer.size();
+}
+
+bool http_reader::Started() const
+{
+  return mState->mStarted;
+}
+
+const reason& http_reader::Why() const
+{
+  return mState->mWhy;
+}
+
+unsigned http_reader::RefusalStatus() const
+{
+  return mState->mRefusal;
+}
+
+std::string FormatRequest(std::string_view aMethod,
+                          std::string_view aTarget,
+                          std::string_view aHost,
+                          std::string_view aBody)
+{
+  std::string text;
+  text.reserve(160 + aTarget.size() + aBody.size());
+  text.append(aMethod).append(" ").append(aTarget).append(" HTTP/1.1\r\nHost: ").append(aHost);
+  if (!aBody.empty()) {
+    text.append("\r\nContent-Type: application/json");
+  }
+  if (!aBody.empty() || aMethod == "POST") {
+    text.append("\r\nContent-Length: ").append(std::to_string(aBody.size()));
+  }
+  return text.append("\r\n\r\n").append(aBody);
+}
+
+std::string FormatReply(const http_response& aReply, bool aKeepAlive)
+{
+  std::string text;
+  text.reserve(200 + aReply.mBody.size());
+  const auto status = http::obsolete_reason(http::int_to_status(aReply.mStatus));
+  text.append("HTTP/1.1 ").append(std::to_string(aReply.mStatus)).append(" ");
+  text.append(status.data(), status.size());
+  if (!aReply.mTableRevision.empty()) {
+    text.append("\r\nTable-Revision: ").append(aReply.mTableRevision);
+  }
+  // A 204 reply has no body and must not name a length.
+  if (aReply.mStatus != 204) {
+    text.append("\r\nContent-Type: ").append(aReply.mContentType);
+    text.append("\r\nContent-Length: ").append(std::to_string(aReply.mBody.size()));
+  }
+  if (!aKeepAlive) {
+    text.append("\r\nConnection: close");
+  }
+  return text.append("\r\n\r\n").append(aReply.mBody);
+}
+
+std::string_view PathOf(std::string_view aTarget)
+{
+  return aTarget.substr(0, aTarget.find('?'));
+}
+
+std::string QueryParameter(std::string_view aTarget, std::string_view aName)
+{
+  std::size_t at = aTarget.find('?');
+  while (at != std::string_view::npos) {
+    const std::size_t next = aTarget.find('&', at + 1);
+    const std::string_view pair = aTarget.substr(at + 1, next - at - 1);
+    const std::size_t equals = pair.find('=');
+    if (pair.substr(0, equals) == aName) {
+      const std::string_view raw =
+        equals == std::string_view::npos ? std::string_view() : pair.substr(equals + 1);
+      std::string value;
+      for (std::size_t i = 0; i < raw.size(); ++i) {
+        unsigned code = 0;
+        if (raw[i] == '%' && i + 2 < raw.size() &&
+            std::from_chars(raw.data() + i + 1, raw.data() + i + 3, code, 16).ptr ==
+              raw.data() + i + 3) {
+          value.push_back(static_cast<char>(code));
+          i += 2;
+        } else {
+          value.push_back(raw[i] == '+' ? ' ' : raw[i]);
+        }
+      }
+      return value;
+    }
+    at = next;
+  }
+  return {};
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/metrics.cc
@@ -0,0 +1,165 @@
+#include "daemon/metrics.h"
+
+#include "base/keyed_shards.h"
+#include "core/values.h"
+
+#include <boost/histogram/axis/variable.hpp>
+#include <boost/histogram/histogram.hpp>
+#include <boost/histogram/make_histogram.hpp>
+#include <cstdio>
+#include <vector>
+
+namespace redwingdock {
+
+namespace {
+
+namespace histograms = boost::histogram;
+
+using axis = histograms::axis::variable<double>;
+using histogram = decltype(histograms::make_histogram(axis{ 0.0, 1.0 }));
+
+// Bounds in milliseconds; 72 is the target for 99 in 100 answers.
+const std::vector<double> kBounds{ 0,  0.25, 0.5, 1,   2,   3,   5,    10,   15,   20,
+                                   30, 50,   72,  100, 200, 500, 1000, 2000, 5000, 10000 };
+
+struct series
+{
+  histogram mCounts = histograms::make_histogram(axis(kBounds));
+  double mSumMs = 0;
+
+  void Add(micros aLatency)
+  {
+    const double ms = static_cast<double>(aLatency.count()) / 1000.0;
+    mCounts(ms);
+    mSumMs += ms;
+  }
+};
+
+using series_map = keyed_shards<std::string, series>;
+
+std::string Escape(const std::string& aText)
+{
+  std::string escaped;
+  for (const char each : aText) {
+    if (each == '\\' || each == '"') {
+      escaped.push_back('\\');
+    }
+    escaped.push_back(each == '\n' ? ' ' : each);
+  }
+  return escaped;
+}
+
+std::string Number(double aValue)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.10g", aValue);
+  return text;
+}
+
+void AddHeader(std::string& aText, const std::string& aName, const char* aHelp, const char* aType)
+{
+  aText.append("# HELP ").append(aName).append(" ").append(aHelp);
+  aText.append("\n# TYPE ").append(aName).append(" ").append(aType).append("\n");
+}
+
+void AddLine(std::string& aText,
+             const std::string& aName,
+             const std::string& aLabels,
+             const std::string& aValue)
+{
+  aText.append(aName).append("{").append(aLabels).append("} ").append(aValue).append("\n");
+}
+
+void AddSeries(std::string& aText,
+               const std::string& aName,
+               const std::string& aLabels,
+               const series& aSeries)
+{
+  double count = 0;
+  const auto& bins = aSeries.mCounts.axis();
+  for (int i = 0; i < bins.size(); ++i) {
+    count += static_cast<double>(aSeries.mCounts.at(i));
+    AddLine(aText,
+            aName + "_bucket",
+            aLabels + ",le=\"" + Number(bins.bin(i).upper()) + "\"",
+            Number(count));
+  }
+  count += static_cast<double>(aSeries.mCounts.at(bins.size()));
+  AddLine(aText, aName + "_bucket", aLabels + ",le=\"+Inf\"", Number(count));
+  AddLine(aText, aName + "_sum", aLabels, Number(aSeries.mSumMs));
+  AddLine(aText, aName + "_count", aLabels, Number(count));
+}
+
+} // namespace
+
+struct metrics::state
+{
+  series_map mQueries; // by labels
+  series_map mParts;   // by labels
+};
+
+metrics::metrics()
+  : mState(std::make_unique<state>())
+{
+}
+
+metrics::~metrics() = default;
+
+void metrics::CountQuery(const std::string& aRoute,
+                         std::optional<urgency> aUrgency,
+                         outcome aOutcome,
+                         micros aLatency)
+{
+  const char* urgencyName = "route";
+  if (aUrgency) {
+    urgencyName = *aUrgency == urgency::Urgent   ? "urgent"
+                  : *aUrgency == urgency::Normal ? "normal"
+                                                 : "background";
+  }
+  // A caller chooses the name of an unknown route freely.
+  const std::string route = aOutcome == outcome::Rejected ? std::string() : Escape(aRoute);
+  const std::string labels = "route=\"" + route + "\",urgency=\"" + urgencyName + "\",outcome=\"" +
+                             redwingdock::ToString(aOutcome) + "\"";
+  const bool known =
+    mState->mQueries.With(labels, [aLatency](series& aSeries) { aSeries.Add(aLatency); });
+  if (!known && mState->mQueries.Size() < kSeriesLimit) {
+    mState->mQueries.WithNew(labels, [aLatency](series& aSeries) { aSeries.Add(aLatency); });
+  }
+}
+
+void metrics::CountPart(const part_reply& aReply, micros aLatency)
+{
+  const std::string labels =
+    std::string("failure=\"") + redwingdock::ToString(aReply.mFailure) + "\"";
+  mState->mParts.WithNew(labels, [aLatency](series& aSeries) { aSeries.Add(aLatency); });
+}
+
+std::string metrics::Text(const blackboard& aBoard,
+                          const std::map<std::string, double>& aGauges) const
+{
+  std::string text;
+  const std::string queries = "redwingdock_query_latency_ms";
+  AddHeader(text, queries, "Time from a request to its answer.", "histogram");
+  mState->mQueries.ForEach([&](const std::string& aLabels, const series& aSeries) {
+    AddSeries(text, queries, aLabels, aSeries);
+  });
+  const std::string parts = "redwingdock_part_latency_ms";
+  AddHeader(text, parts, "Time from sending a part to its reply or loss.", "histogram");
+  mState->mParts.ForEach([&](const std::string& aLabels, const series& aSeries) {
+    AddSeries(text, parts, aLabels, aSeries);
+  });
+  AddHeader(text, "redwingdock_decisions_total", "Decisions of the core by name.", "counter");
+  for (const auto& [name, count] : aBoard.List<counter>()) {
+    AddLine(text,
+            "redwingdock_decisions_total",
+            "name=\"" + Escape(name) + "\"",
+            std::to_string(count->mCount));
+  }
+  for (const auto& [name, value] : aGauges) {
+    AddHeader(text, name, "Current value.", "gauge");
+    text += name + " " + Number(value) + "\n";
+  }
+  return text;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/metrics.h
@@ -0,0 +1,46 @@
+#ifndef REDWINGDOCK_DAEMON_METRICS_H
+#define REDWINGDOCK_DAEMON_METRICS_H
+
+#include "blackboard/blackboard.h"
+#include "core/requests.h"
+
+#include <map>
+#include <memory>
+#include <string>
+
+// Latency histograms and the text exposition format of /metrics.
+//
+//   metrics measured;
+//   measured.CountQuery("case-search", urgency::Urgent, outcome::Complete, latency);
+//   std::string text = measured.Text(core.Board(), { { "redwingdock_peers", 4 } });
+
+namespace redwingdock {
+
+class metrics
+{
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics&) = delete;
+  metrics& operator=(const metrics&) = delete;
+
+  // Urgency is empty when the caller left it to the route. At most kSeriesLimit series are kept.
+  void CountQuery(const std::string& aRoute,
+                  std::optional<urgency> aUrgency,
+                  outcome aOutcome,
+                  micros aLatency);
+  void CountPart(const part_reply& aReply, micros aLatency);
+
+  // The histograms, the counter entries of the blackboard, and the given gauges by name.
+  std::string Text(const blackboard& aBoard, const std::map<std::string, double>& aGauges) const;
+
+  static constexpr std::size_t kSeriesLimit = 500;
+
+private:
+  struct state;
+  std::unique_ptr<state> mState;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/peer_streams.h
@@ -0,0 +1,133 @@
+#ifndef REDWINGDOCK_DAEMON_PEER_STREAMS_H
+#define REDWINGDOCK_DAEMON_PEER_STREAMS_H
+
+#include "base/keyed_shards.h"
+#include "core/core.h"
+#include "daemon/http2_session.h"
+#include "daemon/tcp.h"
+
+#include <atomic>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+// Messages between daemons over HTTP/2 (docs/interfaces.md, section 4): one connection per peer
+// and direction.
+//
+//   peer_streams peers(loop, { "vm-1", "5f2c" }, { .mPost = [&](fact aFact) { ... } });
+//   peers.ListenOn("127.0.0.1:7101");
+//   peers.Send({ "vm-2", "127.0.0.1:7102", probe_message{} });
+
+namespace redwingdock {
+
+struct peer_identity
+{
+  std::string mVm;
+  std::string mIncarnation;
+};
+
+struct peer_hooks
+{
+  std::function<void(fact)> mPost;
+  std::function<void(std::string)> mLog;
+};
+
+struct peer_limits
+{
+  micros mConnectTime = std::chrono::seconds(1);
+  micros mPingInterval = std::chrono::seconds(1);
+  micros mSilence = std::chrono::seconds(3);   // without any bytes while a ping is outstanding
+  micros mIdleTime = std::chrono::seconds(10); // without a message to send
+  // A message carries remaining times, which are wrong once it has waited.
+  micros mStaleAfter = std::chrono::milliseconds(500);
+  micros mFirstBackoff = std::chrono::milliseconds(50);
+  micros mLongestBackoff = std::chrono::seconds(1);
+  std::size_t mQueueBytes = std::size_t{ 8 } * 1024 * 1024; // per peer
+  std::size_t mUnsentBytes =
+    std::size_t{ 4 } * 1024 * 1024; // in the socket; above this, messages stay queued
+  std::size_t mStreams = 16;        // unanswered envelopes per peer
+  std::size_t mIncoming = 4096;     // connections
+};
+
+class peer_streams
+{
+public:
+  peer_streams(io_loop& aLoop, peer_identity aSelf, peer_hooks aHooks, peer_limits aLimits = {});
+  peer_streams(const peer_streams&) = delete;
+  peer_streams& operator=(const peer_streams&) = delete;
+
+  // Returns the bound address.
+  result<std::string> ListenOn(const std::string& aAddress);
+
+  // Queues a message; all messages queued for a peer in one turn of the loop go in one envelope.
+  // Connects when there is no connection, and drops the message while a failed peer backs off, when
+  // the queue is full, or when it has waited for longer than mStaleAfter.
+  void Send(const send_to_peer& aCommand);
+
+  std::uint64_t DroppedMessages() const { return mDropped; }
+  std::uint64_t RefusedEnvelopes() const { return mRefused; }
+
+private:
+  struct queued
+  {
+    std::string mBytes; // encoded message
+    instant mSince{};
+  };
+
+  struct outgoing
+  {
+    std::string mAddress;
+    std::uint64_t mId = 0; // of the connection, 0 when there is none
+    std::shared_ptr<tcp_connection> mConnection;
+    std::unique_ptr<http2_session> mSession;
+    std::deque<queued> mQueue;
+    std::size_t mQueueBytes = 0;
+    std::size_t mStreams = 0;
+    bool mFlushPosted = false;
+    bool mOpen = false;
+    bool mAnswered = false;   // the peer has sent bytes on this connection
+    bool mReportedUp = false; // by the last peer_connection fact
+    bool mEndedIdle = false;  // this side closed the connection for lack of messages
+    bool mPingOutstanding = false;
+    instant mLastSend{};
+    instant mRetryAt{};
+    micros mBackoff{ 0 };
+  };
+
+  struct incoming
+  {
+    std::shared_ptr<tcp_connection> mConnection;
+    std::unique_ptr<http2_session> mSession;
+  };
+
+  void Connect(const std::string& aVm, outgoing& aPeer);
+  void Opened(const std::string& aVm, std::uint64_t aId);
+  void Flush(const std::string& aVm);
+  void FlushLocked(outgoing& aPeer);
+  void Drop(outgoing& aPeer, std::size_t aCount);
+  void Answered(const std::string& aVm, std::uint64_t aId, std::string_view aBytes);
+  void Tick(const std::string& aVm, std::uint64_t aId);
+  void Disconnected(const std::string& aVm, std::uint64_t aId);
+
+  void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
+  void Received(std::uint64_t aId, std::string_view aBytes);
+  unsigned Handle(const http2_request& aRequest);
+  void LogRefusal(const reason& aReason);
+
+  io_loop& mLoop;
+  const peer_identity mSelf;
+  const peer_hooks mHooks;
+  const peer_limits mLimits;
+  std::atomic<std::uint64_t> mNextId{ 0 };
+  std::atomic<std::uint64_t> mDropped{ 0 };
+  std::atomic<std::uint64_t> mRefused{ 0 };
+  std::atomic<std::int64_t> mLastRefusalLog{ 0 };
+  keyed_shards<std::string, outgoing> mOutgoing; // by VM
+  keyed_shards<std::uint64_t, incoming> mIncoming;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/platform_client.cc
@@ -0,0 +1,96 @@
+#include "daemon/platform_client.h"
+
+#include <charconv>
+#include <optional>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// Values have up to 1 MB.
+constexpr std::size_t kTableLimit = std::size_t{ 2 } * 1024 * 1024;
+// The service answers in milliseconds; a watch takes its wait in addition.
+constexpr micros kAnswerTime = std::chrono::seconds(2);
+
+std::optional<std::uint64_t> ParseRevision(const std::string& aText)
+{
+  std::uint64_t revision = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, revision);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  return revision;
+}
+
+} // namespace
+
+std::string TableTarget(const read_table& aCommand)
+{
+  std::string target = aCommand.mKind == table_kind::Routes  ? "/v1/tables/routes"
+                       : aCommand.mKind == table_kind::Pools ? "/v1/tables/pools"
+                                                             : "/v1/vms";
+  if (aCommand.mWait > micros(0)) {
+    target += "?after=" + std::to_string(aCommand.mAfter) +
+              "&wait_ms=" + std::to_string(ToMs(aCommand.mWait));
+  }
+  return target;
+}
+
+fact TableFact(const read_table& aCommand, instant aSince, const result<http_message>& aReply)
+{
+  const auto failed = [&aCommand](std::string aText) {
+    return table_read_failed{ aCommand.mKind,
+                              { "read table", TableTarget(aCommand), std::move(aText) } };
+  };
+  if (!aReply) {
+    return failed(Describe(aReply.mReason));
+  }
+  if (aReply->mStatus != 200 && aReply->mStatus != 204) {
+    return failed("status " + std::to_string(aReply->mStatus));
+  }
+  const std::optional<std::uint64_t> revision = ParseRevision(aReply->mTableRevision);
+  if (!revision) {
+    return failed("header Table-Revision is \"" + aReply->mTableRevision +
+                  "\", expected a whole number");
+  }
+  if (aReply->mStatus == 204) {
+    return table_unchanged{ aCommand.mKind, *revision, aSince };
+  }
+  return table_read{ aCommand.mKind, *revision, aReply->mBody, aSince };
+}
+
+platform_client::platform_client(io_loop& aLoop,
+                                 std::vector<std::string> aAddresses,
+                                 std::function<void(fact)> aPost)
+  : mExchanges(aLoop)
+  , mAddresses(std::move(aAddresses))
+  , mPost(std::move(aPost))
+{
+}
+
+void platform_client::Read(const read_table& aCommand)
+{
+  if (mAddresses.empty()) {
+    mPost(table_read_failed{ aCommand.mKind, { "read table", "", "no address is configured" } });
+    return;
+  }
+  const std::size_t index = mCurrent.load() % mAddresses.size();
+  const instant since = SteadyNow();
+  http_exchange exchange;
+  exchange.mAddress = mAddresses[index];
+  exchange.mMethod = "GET";
+  exchange.mTarget = TableTarget(aCommand);
+  exchange.mReplyLimit = kTableLimit;
+  exchange.mReplyTime = kAnswerTime + aCommand.mWait;
+  mExchanges.Start(exchange, [this, aCommand, index, since](const result<http_message>& aReply) {
+    if (!aReply) {
+      std::size_t expected = index;
+      mCurrent.compare_exchange_strong(expected, (index + 1) % mAddresses.size());
+    }
+    mPost(TableFact(aCommand, since, aReply));
+  });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/platform_client.h
@@ -0,0 +1,45 @@
+#ifndef REDWINGDOCK_DAEMON_PLATFORM_CLIENT_H
+#define REDWINGDOCK_DAEMON_PLATFORM_CLIENT_H
+
+#include "core/core.h"
+#include "daemon/http_exchange.h"
+
+#include <atomic>
+#include <functional>
+#include <string>
+#include <vector>
+
+// Reads and watches tables of the configuration service (docs/interfaces.md, section 3).
+//
+//   platform_client platform(loop, { "127.0.0.1:7900" }, [&](fact aFact) { ... });
+//   platform.Read({ table_kind::Routes, 12, std::chrono::seconds(20) });
+
+namespace redwingdock {
+
+class platform_client
+{
+public:
+  // With several addresses, the next one is used after a failure.
+  platform_client(io_loop& aLoop,
+                  std::vector<std::string> aAddresses,
+                  std::function<void(fact)> aPost);
+
+  // Posts table_read, table_unchanged or table_read_failed, once.
+  void Read(const read_table& aCommand);
+
+private:
+  http_exchanges mExchanges;
+  const std::vector<std::string> mAddresses;
+  const std::function<void(fact)> mPost;
+  std::atomic<std::size_t> mCurrent{ 0 };
+};
+
+// The fact that the reply to a read stands for.
+fact TableFact(const read_table& aCommand, instant aSince, const result<http_message>& aReply);
+
+// Target of the request for a read, for example "/v1/vms?after=5&wait_ms=20000".
+std::string TableTarget(const read_table& aCommand);
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/daemon/query_daemon.cc
@@ -0,0 +1,241 @@
+#include "daemon/query_daemon.h"
+
+#include "daemon/logging.h"
+#include "daemon/operator_view.h"
+
+#include <random>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace redwingdock {
+
+namespace {
+
+// After the core has finished, answers that are still on their way to callers get this long.
+constexpr micros kLastAnswers = std::chrono::seconds(2);
+constexpr micros kLastAnswersCheck = std::chrono::milliseconds(10);
+
+std::uint64_t RandomNumber()
+{
+  std::random_device source;
+  return (static_cast<std::uint64_t>(source()) << 32U) | source();
+}
+
+daemon_settings Complete(daemon_settings aSettings)
+{
+  if (aSettings.mCore.mIncarnation.empty()) {
+    aSettings.mCore.mIncarnation = RandomIncarnation();
+    aSettings.mCore.mSeed = RandomNumber();
+  }
+  return aSettings;
+}
+
+} // namespace
+
+std::string RandomIncarnation()
+{
+  constexpr char kDigits[] = "0123456789abcdef";
+  constexpr int kLength = 12;
+  std::uint64_t number = RandomNumber();
+  std::string text;
+  for (int i = 0; i < kLength; ++i) {
+    text.push_back(kDigits[number & 0xfU]);
+    number >>= 4U;
+  }
+  return text;
+}
+
+query_daemon::query_daemon(daemon_settings aSettings, const core_hooks& aHooks)
+  : mSettings(Complete(std::move(aSettings)))
+  , mLoop(mSettings.mWorkers)
+  , mDriver(mLoop,
+            mSettings.mCore,
+            aHooks,
+            mSettings.mWorkers,
+            [this](command& aCommand) { Execute(aCommand); })
+  , mBackends(mLoop,
+              { [this](fact aFact) { mDriver.Post(std::move(aFact)); },
+                [this](micros aLatency, const part_reply& aReply) {
+                  mMetrics.CountPart(aReply, aLatency);
+                } })
+  , mPlatform(mLoop,
+              mSettings.mConfigurationService,
+              [this](fact aFact) { mDriver.Post(std::move(aFact)); })
+  , mPeers(mLoop,
+           { mSettings.mCore.mVm, mSettings.mCore.mIncarnation },
+           { [this](fact aFact) { mDriver.Post(std::move(aFact)); },
+             [](std::string aText) {
+               Log({ log_level::Warning, "peer", std::move(aText) });
+             } })
+  , mApi({ [this](fact aFact) { mDriver.Post(std::move(aFact)); },
+           [this] { return FormatView(Core().Board(), Core().Config(), SteadyNow()); },
+           [this](const std::string& aRoute, const std::string& aId) {
+             return FormatExplanation(Core().Board(), Core().Config(), SteadyNow(), aRoute, aId);
+           },
+           [this] { return MetricsText(); } },
+         mMetrics)
+  , mCallerServer(mLoop,
+                  mNumbers,
+                  { [this](std::uint64_t aNumber, const http_message& aRequest) {
+                     mApi.Handle(aNumber,
+                                 aRequest,
+                                 { true, mSettings.mOperatorsOnCallers },
+                                 [this](std::uint64_t aAnswered, const http_response& aReply) {
+                                   mCallerServer.Reply(aAnswered, aReply);
+                                 });
+                   },
+                    [this](std::uint64_t aNumber) { mApi.Gone(aNumber); },
+                    [this](std::uint64_t aNumber) { mApi.Late(aNumber); } })
+  , mOperatorServer(mLoop,
+                    mNumbers,
+                    { [this](std::uint64_t aNumber, const http_message& aRequest) {
+                       mApi.Handle(aNumber,
+                                   aRequest,
+                                   { false, true },
+                                   [this](std::uint64_t aAnswered, const http_response& aReply) {
+                                     mOperatorServer.Reply(aAnswered, aReply);
+                                   });
+                     },
+                      nullptr,
+                      nullptr })
+{
+}
+
+query_daemon::~query_daemon()
+{
+  Stop();
+}
+
+result<daemon_addresses> query_daemon::Start()
+{
+  daemon_addresses bound;
+  const auto listen =
+    [](auto& aServer, const std::string& aAddress, std::string& aBound) -> std::optional<reason> {
+    if (aAddress.empty()) {
+      return std::nullopt;
+    }
+    const result<std::string> address = aServer.ListenOn(aAddress);
+    if (!address) {
+      return address.mReason;
+    }
+    aBound = *address;
+    return std::nullopt;
+  };
+  std::optional<reason> failed = listen(mCallerServer, mSettings.mListenCallers, bound.mCallers);
+  if (!failed) {
+    failed = listen(mPeers, mSettings.mListenPeers, bound.mPeers);
+  }
+  if (!failed) {
+    failed = listen(mOperatorServer, mSettings.mListenOperators, bound.mOperators);
+  }
+  if (failed) {
+    return { std::nullopt, *failed };
+  }
+  mLoop.Start();
+  mDriver.Start();
+  Log({ log_level::Info,
+        "entry",
+        mSettings.mCore.mVm + " incarnation " + mSettings.mCore.mIncarnation +
+          " serves callers on " + bound.mCallers + ", peers on " + bound.mPeers +
+          ", operators on " + bound.mOperators });
+  return Success(std::move(bound));
+}
+
+void query_daemon::AskStop()
+{
+  mStopAsked = true;
+  mDriver.Post(stop_asked{});
+}
+
+void query_daemon::StopOnSignals()
+{
+  mLoop.OnStopSignals([this] {
+    if (mStopAsked.exchange(true)) {
+      Log({ log_level::Warning, "entry", "second signal, ends without waiting for its work" });
+      End(end_state::Cut);
+      return;
+    }
+    Log({ log_level::Info, "entry", "signal, planned stop begins" });
+    mDriver.Post(stop_asked{});
+  });
+}
+
+bool query_daemon::WaitForEnd()
+{
+  std::unique_lock lock(mEndLock);
+  mEnded.wait(lock, [this] { return mEnd != end_state::Running; });
+  return mEnd == end_state::Done;
+}
+
+void query_daemon::End(end_state aHow)
+{
+  {
+    const std::lock_guard lock(mEndLock);
+    if (mEnd == end_state::Running) {
+      mEnd = aHow;
+    }
+  }
+  mEnded.notify_all();
+}
+
+void query_daemon::EndWhenAnswered(instant aLatest)
+{
+  if (SteadyNow() >= aLatest ||
+      (mCallerServer.Waiting() == 0 && mCallerServer.UnsentBytes() == 0)) {
+    End(end_state::Done);
+    return;
+  }
+  mLoop.After(kLastAnswersCheck, [this, aLatest] { EndWhenAnswered(aLatest); });
+}
+
+void query_daemon::Stop()
+{
+  mLoop.Stop();
+  mDriver.Stop();
+}
+
+void query_daemon::Execute(command& aCommand)
+{
+  std::visit(
+    [this](auto& aEach) {
+      using type = std::decay_t<decltype(aEach)>;
+      if constexpr (std::is_same_v<type, answer_query> || std::is_same_v<type, answer_entry>) {
+        mApi.Answer(aEach);
+      } else if constexpr (std::is_same_v<type, open_connection>) {
+        mBackends.Open(aEach);
+      } else if constexpr (std::is_same_v<type, close_connection>) {
+        mBackends.Close(aEach);
+      } else if constexpr (std::is_same_v<type, send_part>) {
+        mBackends.Send(aEach);
+      } else if constexpr (std::is_same_v<type, cancel_part>) {
+        mBackends.Cancel(aEach);
+      } else if constexpr (std::is_same_v<type, check_connection>) {
+        mBackends.Check(aEach);
+      } else if constexpr (std::is_same_v<type, send_to_peer>) {
+        mPeers.Send(aEach);
+      } else if constexpr (std::is_same_v<type, read_table>) {
+        mPlatform.Read(aEach);
+      } else if constexpr (std::is_same_v<type, log_line>) {
+        Log(aEach);
+      } else {
+        static_assert(std::is_same_v<type, stop_now>);
+        Log({ log_level::Info, "entry", "planned stop done" });
+        EndWhenAnswered(SteadyNow() + kLastAnswers);
+      }
+    },
+    aCommand);
+}
+
+std::string query_daemon::MetricsText() const
+{
+  return mMetrics.Text(
+    Core().Board(),
+    { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
+      { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.Waiting()) },
+      { "redwingdock_backend_connections", static_cast<double>(mBackends.Connections()) },
+      { "redwingdock_peer_messages_dropped", static_cast<double>(mPeers.DroppedMessages()) },
+      { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) } });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/tcp.cc
@@ -0,0 +1,619 @@
+#include "daemon/tcp.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <charconv>
+#include <csignal>
+#include <mutex>
+#include <optional>
+#include <thread>
+#include <utility>
+#include <vector>
+
+namespace redwingdock {
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+instant SteadyNow()
+{
+  return instant(
+    std::chrono::duration_cast<micros>(std::chrono::steady_clock::now().time_since_epoch()));
+}
+
+namespace {
+
+std::chrono::steady_clock::time_point ToSteady(instant aTime)
+{
+  return std::chrono::steady_clock::time_point(aTime.time_since_epoch());
+}
+
+std::optional<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const char* end = aAddress.data() + aAddress.size();
+  const auto [rest, error] = std::from_chars(aAddress.data() + colon + 1, end, port);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  std::string host = aAddress.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  error_code failed;
+  const asio::ip::address address = asio::ip::make_address(host, failed);
+  if (failed) {
+    return std::nullopt;
+  }
+  return tcp::endpoint(address, port);
+}
+
+constexpr std::size_t kReadSize = std::size_t{ 64 } * 1024;
+// Accepting again at once after an error such as "too many open files" would loop without pause.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+constexpr std::chrono::seconds kLinger{ 1 };
+
+} // namespace
+
+namespace detail {
+
+struct io_loop_state
+{
+  explicit io_loop_state(std::size_t aThreads)
+    : mThreadCount(aThreads)
+    , mContext(static_cast<int>(aThreads))
+    , mGuard(mContext.get_executor())
+    , mSignals(mContext)
+  {
+  }
+
+  std::size_t mThreadCount;
+  asio::io_context mContext;
+  asio::executor_work_guard<asio::io_context::executor_type> mGuard;
+  asio::signal_set mSignals;
+  std::vector<std::thread> mThreads;
+};
+
+struct timer_state : std::enable_shared_from_this<timer_state>
+{
+  timer_state(asio::io_context& aContext, std::function<void()> aHook)
+    : mTimer(aContext)
+    , mHook(std::move(aHook))
+  {
+  }
+
+  void Set(instant aDue)
+  {
+    const std::lock_guard lock(mLock);
+    if (aDue == mDue || mStopped) {
+      return;
+    }
+    mDue = aDue;
+    if (aDue == kNever) {
+      mTimer.cancel();
+      return;
+    }
+    mTimer.expires_at(ToSteady(aDue));
+    mTimer.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (aError) {
+        return;
+      }
+      {
+        const std::lock_guard relock(self->mLock);
+        if (self->mStopped || self->mDue > SteadyNow()) {
+          return;
+        }
+        self->mDue = kNever;
+      }
+      self->mHook();
+    });
+  }
+
+  void Stop()
+  {
+    const std::lock_guard lock(mLock);
+    mStopped = true;
+    mTimer.cancel();
+  }
+
+  std::mutex mLock;
+  asio::steady_timer mTimer;
+  std::function<void()> mHook;
+  instant mDue = kNever;
+  bool mStopped = false;
+};
+
+struct connection_state : std::enable_shared_from_this<connection_state>
+{
+  explicit connection_state(asio::io_context& aContext)
+    : mContext(aContext)
+    , mSocket(aContext)
+    , mTimer(aContext)
+  {
+  }
+
+  void Open(const std::string& aAddress, micros aTimeout)
+  {
+    const std::lock_guard lock(mLock);
+    const std::optional<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+    if (!endpoint) {
+      CloseLocked("\"" + aAddress + "\" is not an address of the form ip:port");
+      return;
+    }
+    ExpireLocked(aTimeout);
+    mSocket.async_connect(
+      *endpoint, [self = shared_from_this()](const error_code& aError) { self->Opened(aError); });
+  }
+
+  void Opened(const error_code& aError)
+  {
+    {
+      const std::lock_guard lock(mLock);
+      if (mClosed) {
+        return;
+      }
+      if (aError) {
+        CloseLocked("connect: " + aError.message());
+        return;
+      }
+      ExpireLocked(tcp_connection::kNoLimit);
+      ReadyLocked();
+    }
+    if (mHooks.mOnOpen) {
+      mHooks.mOnOpen();
+    }
+    Write();
+    WaitForBytes();
+  }
+
+  void ReadyLocked()
+  {
+    error_code ignored;
+    mSocket.set_option(tcp::no_delay(true), ignored);
+    mSocket.non_blocking(true, ignored);
+    mOpen = true;
+  }
+
+  void WaitForBytes()
+  {
+    const std::lock_guard lock(mLock);
+    if (mClosed) {
+      return;
+    }
+    // Waiting for readiness instead of reading keeps idle connections free of buffers.
+    mSocket.async_wait(tcp::socket::wait_read,
+                       [self = shared_from_this()](const error_code& aError) {
+                         if (!aError) {
+                           self->Read();
+                         }
+                       });
+  }
+
+  void Read()
+  {
+    thread_local std::array<char, kReadSize> buffer;
+    std::size_t size = 0;
+    {
+      const std::lock_guard lock(mLock);
+      if (mClosed) {
+        return;
+      }
+      error_code error;
+      size = mSocket.read_some(asio::buffer(buffer), error);
+      if (error && error != asio::error::would_block && error != asio::error::try_again) {
+        CloseLocked(mClosing                    ? mClosingWhy
+                    : error == asio::error::eof ? "closed by the other side"
+                                                : error.message());
+        return;
+      }
+      if (mClosing) {
+        size = 0;
+      }
+    }
+    if (size > 0 && mHooks.mOnBytes) {
+      mHooks.mOnBytes(std::string_view(buffer.data(), size));
+    }
+    WaitForBytes();
+  }
+
+  void Send(std::string aBytes)
+  {
+    const std::lock_guard lock(mLock);
+    if (mClosed || mClosing || aBytes.empty()) {
+      return;
+    }
+    if (mUnsent.empty()) {
+      mUnsent = std::move(aBytes);
+    } else {
+      mUnsent += aBytes;
+    }
+    WriteLocked();
+  }
+
+  void Write()
+  {
+    const std::lock_guard lock(mLock);
+    WriteLocked();
+  }
+
+  void WriteLocked()
+  {
+    if (!mOpen || mClosed || mWaitingToWrite) {
+      return;
+    }
+    while (mSent < mUnsent.size()) {
+      error_code error;
+      mSent +=
+        mSocket.write_some(asio::buffer(mUnsent.data() + mSent, mUnsent.size() - mSent), error);
+      if (error == asio::error::would_block || error == asio::error::try_again) {
+        mWaitingToWrite = true;
+        mSocket.async_wait(tcp::socket::wait_write,
+                           [self = shared_from_this()](const error_code& aError) {
+                             const std::lock_guard lock(self->mLock);
+                             self->mWaitingToWrite = false;
+                             if (!aError) {
+                               self->WriteLocked();
+                             }
+                           });
+        return;
+      }
+      if (error) {
+        CloseLocked(error.message());
+        return;
+      }
+    }
+    mUnsent.clear();
+    mSent = 0;
+    if (mClosing && !mLingering) {
+      // Closing at once while bytes still arrive would reset the connection and could discard the
+      // last reply on its way to the other side.
+      mLingering = true;
+      error_code ignored;
+      mSocket.shutdown(tcp::socket::shutdown_send, ignored);
+      ExpireLocked(kLinger);
+    }
+  }
+
+  void CloseAfterSend(std::string aWhy)
+  {
+    const std::lock_guard lock(mLock);
+    if (mClosed) {
+      return;
+    }
+    mClosing = true;
+    mClosingWhy = std::move(aWhy);
+    WriteLocked();
+  }
+
+  void CloseLocked(std::string aWhy)
+  {
+    if (mClosed) {
+      return;
+    }
+    mClosed = true;
+    error_code ignored;
+    mSocket.shutdown(tcp::socket::shutdown_both, ignored);
+    mSocket.close(ignored);
+    mTimer.cancel();
+    mUnsent = std::string();
+    mSent = 0;
+    asio::post(mContext, [self = shared_from_this(), why = std::move(aWhy)] {
+      if (self->mHooks.mOnClosed) {
+        self->mHooks.mOnClosed(why);
+      }
+    });
+  }
+
+  void ExpireLocked(micros aDelay)
+  {
+    if (mClosed) {
+      return;
+    }
+    mExpiry = aDelay == tcp_connection::kNoLimit ? kNever : SteadyNow() + aDelay;
+    if (mExpiry < mTimerAt) {
+      ArmLocked();
+    }
+  }
+
+  // The timer runs to an earlier limit at most, so that a limit that is moved on with every
+  // request does not touch the timer.
+  void ArmLocked()
+  {
+    mTimerAt = mExpiry;
+    mTimer.expires_at(ToSteady(mTimerAt));
+    mTimer.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->Expired();
+      }
+    });
+  }
+
+  void Expired()
+  {
+    {
+      const std::lock_guard lock(mLock);
+      if (mClosed || mTimerAt > SteadyNow()) {
+        return;
+      }
+      mTimerAt = kNever;
+      if (mExpiry > SteadyNow()) {
+        if (mExpiry != kNever) {
+          ArmLocked();
+        }
+        return;
+      }
+      mExpiry = kNever;
+      if (mClosing || !mOpen || !mHooks.mOnExpired) {
+        CloseLocked(mClosing ? mClosingWhy : mOpen ? "timed out" : "connect: timed out");
+        return;
+      }
+    }
+    mHooks.mOnExpired();
+  }
+
+  asio::io_context& mContext;
+  tcp_hooks mHooks; // set before the first operation, then constant
+
+  mutable std::mutex mLock;
+  tcp::socket mSocket;
+  asio::steady_timer mTimer;
+  instant mExpiry = kNever;
+  instant mTimerAt = kNever;
+  std::string mUnsent;
+  std::size_t mSent = 0;
+  std::string mClosingWhy;
+  bool mOpen = false;
+  bool mClosing = false;
+  bool mLingering = false;
+  bool mClosed = false;
+  bool mWaitingToWrite = false;
+};
+
+struct listener_state : std::enable_shared_from_this<listener_state>
+{
+  listener_state(asio::io_context& aContext, accept_hook aOnAccept)
+    : mContext(aContext)
+    , mAcceptor(aContext)
+    , mPause(aContext)
+    , mOnAccept(std::move(aOnAccept))
+  {
+  }
+
+  error_code Bind(const tcp::endpoint& aEndpoint)
+  {
+    error_code error;
+    mAcceptor.open(aEndpoint.protocol(), error);
+    if (!error) {
+      mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    }
+    if (!error) {
+      mAcceptor.bind(aEndpoint, error);
+    }
+    if (!error) {
+      mAcceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (!error) {
+      mBound = mAcceptor.local_endpoint(error);
+    }
+    return error;
+  }
+
+  void Accept()
+  {
+    const std::lock_guard lock(mLock);
+    if (mStopped) {
+      return;
+    }
+    auto next = std::make_shared<connection_state>(mContext);
+    mAcceptor.async_accept(next->mSocket,
+                           [self = shared_from_this(), next](const error_code& aError) {
+                             self->Accepted(next, aError);
+                           });
+  }
+
+  void Accepted(const std::shared_ptr<connection_state>& aNext, const error_code& aError)
+  {
+    if (aError) {
+      const std::lock_guard lock(mLock);
+      if (!mStopped) {
+        mPause.expires_after(kAcceptPause);
+        mPause.async_wait([self = shared_from_this()](const error_code& aWaitError) {
+          if (!aWaitError) {
+            self->Accept();
+          }
+        });
+      }
+      return;
+    }
+    {
+      const std::lock_guard lock(aNext->mLock);
+      aNext->ReadyLocked();
+    }
+    mOnAccept(std::make_shared<tcp_connection>(aNext));
+    Accept();
+  }
+
+  void Stop()
+  {
+    const std::lock_guard lock(mLock);
+    mStopped = true;
+    error_code ignored;
+    mAcceptor.close(ignored);
+    mPause.cancel();
+  }
+
+  std::mutex mLock;
+  asio::io_context& mContext;
+  tcp::acceptor mAcceptor;
+  asio::steady_timer mPause;
+  accept_hook mOnAccept;
+  tcp::endpoint mBound;
+  bool mStopped = false;
+};
+
+} // namespace detail
+
+io_loop::io_loop(std::size_t aThreads)
+  : mState(std::make_unique<detail::io_loop_state>(std::max<std::size_t>(aThreads, 1)))
+{
+}
+
+io_loop::~io_loop()
+{
+  Stop();
+}
+
+void io_loop::Start()
+{
+  for (std::size_t i = 0; i < mState->mThreadCount; ++i) {
+    mState->mThreads.emplace_back([this] { mState->mContext.run(); });
+  }
+}
+
+void io_loop::Stop()
+{
+  mState->mContext.stop();
+  for (std::thread& thread : mState->mThreads) {
+    thread.join();
+  }
+  mState->mThreads.clear();
+}
+
+void io_loop::Post(std::function<void()> aWork)
+{
+  asio::post(mState->mContext, std::move(aWork));
+}
+
+void io_loop::After(micros aDelay, std::function<void()> aWork)
+{
+  auto timer = std::make_shared<asio::steady_timer>(mState->mContext, aDelay);
+  timer->async_wait([timer, work = std::move(aWork)](const error_code& aError) {
+    if (!aError) {
+      work();
+    }
+  });
+}
+
+void io_loop::OnStopSignals(std::function<void()> aHook)
+{
+  error_code ignored;
+  mState->mSignals.add(SIGINT, ignored);
+  mState->mSignals.add(SIGTERM, ignored);
+  mState->mSignals.async_wait([this, hook = std::move(aHook)](const error_code& aError, int) {
+    if (!aError) {
+      hook();
+      OnStopSignals(hook);
+    }
+  });
+}
+
+loop_timer::loop_timer(io_loop& aLoop, std::function<void()> aHook)
+  : mState(std::make_shared<detail::timer_state>(aLoop.State().mContext, std::move(aHook)))
+{
+}
+
+loop_timer::~loop_timer()
+{
+  mState->Stop();
+}
+
+void loop_timer::Set(instant aDue)
+{
+  mState->Set(aDue);
+}
+
+tcp_connection::tcp_connection(std::shared_ptr<detail::connection_state> aState)
+  : mState(std::move(aState))
+{
+}
+
+void tcp_connection::Start(tcp_hooks aHooks)
+{
+  mState->mHooks = std::move(aHooks);
+  mState->WaitForBytes();
+}
+
+void tcp_connection::Send(std::string aBytes)
+{
+  mState->Send(std::move(aBytes));
+}
+
+void tcp_connection::Close(std::string aWhy)
+{
+  const std::lock_guard lock(mState->mLock);
+  mState->CloseLocked(std::move(aWhy));
+}
+
+void tcp_connection::CloseAfterSend(std::string aWhy)
+{
+  mState->CloseAfterSend(std::move(aWhy));
+}
+
+void tcp_connection::ExpireAfter(micros aDelay)
+{
+  const std::lock_guard lock(mState->mLock);
+  mState->ExpireLocked(aDelay);
+}
+
+std::size_t tcp_connection::UnsentBytes() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->mUnsent.size() - mState->mSent;
+}
+
+std::shared_ptr<tcp_connection> Connect(io_loop& aLoop,
+                                        const std::string& aAddress,
+                                        micros aTimeout,
+                                        tcp_hooks aHooks)
+{
+  auto state = std::make_shared<detail::connection_state>(aLoop.State().mContext);
+  state->mHooks = std::move(aHooks);
+  state->Open(aAddress, aTimeout);
+  return std::make_shared<tcp_connection>(std::move(state));
+}
+
+tcp_listener::tcp_listener(std::shared_ptr<detail::listener_state> aState)
+  : mState(std::move(aState))
+{
+}
+
+tcp_listener::~tcp_listener()
+{
+  mState->Stop();
+}
+
+std::string tcp_listener::Address() const
+{
+  return mState->mBound.address().to_string() + ":" + std::to_string(mState->mBound.port());
+}
+
+result<std::shared_ptr<tcp_listener>> Listen(io_loop& aLoop,
+                                             const std::string& aAddress,
+                                             accept_hook aOnAccept)
+{
+  const std::optional<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  if (!endpoint) {
+    return Failure<std::shared_ptr<tcp_listener>>(
+      "listen", aAddress, "not an address of the form ip:port");
+  }
+  auto state =
+    std::make_shared<detail::listener_state>(aLoop.State().mContext, std::move(aOnAccept));
+  if (const error_code error = state->Bind(*endpoint)) {
+    return Failure<std::shared_ptr<tcp_listener>>("listen", aAddress, error.message());
+  }
+  state->Accept();
+  return Success(std::make_shared<tcp_listener>(std::move(state)));
+}
+
+} // namespace redwingdock
