--- a/src/codec/peer_codec.cc
+++ b/src/codec/peer_codec.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <google/protobuf/arena.h>
+#include <google/protobuf/stubs/logging.h>
 #include <type_traits>
 #include <utility>
 
@@ -592,6 +593,9 @@
                                   std::to_string(aBody.size()) + " bytes, allowed are " +
                                     std::to_string(kEnvelopeLimit));
   }
+  // protobuf writes a line for each text that is not UTF-8, which lets a sender fill the log.
+  static const auto* const kSilenced = google::protobuf::SetLogHandler(nullptr);
+  static_cast<void>(kSilenced);
   google::protobuf::Arena arena;
   auto* envelope = google::protobuf::Arena::CreateMessage<wire::envelope>(&arena);
   if (!envelope->ParseFromArray(aBody.data(), static_cast<int>(aBody.size()))) {
