Use the settings module and carry the new peer fields

The peer codec carries list_age, knew_other and pair_revision, without which a witness's age would be lost.

peer_connection is repeated with each answered ping: the core drops it for a VM that it does not know yet, after which 4 of 5 members stayed 'connected: false' and queries ended partial (3482 of 4096 positions).

--- a/src/codec/peer_codec.cc
+++ b/src/codec/peer_codec.cc
@@ -180,6 +180,10 @@
     out->set_sent_at(aMessage.mSentAt);
     out->set_vm_revision(aMessage.mVmRevision);
     out->set_lists_you(aMessage.mListsYou);
+    if (aMessage.mListAge) {
+      out->set_list_age(ToWire(*aMessage.mListAge));
+    }
+    out->set_knew_other(aMessage.mKnewOther);
   }
 
   void operator()(const table_pull_message& aMessage) const
@@ -200,6 +204,7 @@
       out->set_confirmed_age(ToWire(*aMessage.mConfirmedAge));
     }
     out->set_in_force(aMessage.mInForce);
+    out->set_pair_revision(aMessage.mPairRevision);
   }
 
   void operator()(const forward_part_message& aMessage) const
@@ -267,8 +272,9 @@
 
 // Names are at most 63 characters; origins join two of them. Longer ones come from no daemon.
 constexpr std::size_t kNameLimit = 255;
-// Ages and remaining times of state; requests have kDeadlineLimit.
-constexpr micros kDurationLimit = std::chrono::hours(24 * 30);
+// Ages and remaining times of state, which can be as old as a process; requests have kDeadlineLimit.
+// The bound keeps sums with a clock from overflowing.
+constexpr micros kDurationLimit = std::chrono::hours(24 * 365 * 30);
 // The longest deadline of the interface is 5 s.
 constexpr micros kDeadlineLimit = std::chrono::seconds(60);
 constexpr std::uint32_t kStageLimit = 64;
@@ -287,9 +293,7 @@
       case wire::peer_message::kProbe:
         return probe_message{ aMessage.probe().sent_at(), aMessage.probe().vm_revision() };
       case wire::peer_message::kProbeReply:
-        return probe_reply_message{ aMessage.probe_reply().sent_at(),
-                                    aMessage.probe_reply().vm_revision(),
-                                    aMessage.probe_reply().lists_you() };
+        return ProbeReply(aMessage.probe_reply());
       case wire::peer_message::kTablePull:
         return table_pull_message{ aMessage.table_pull().routes_revision(),
                                    aMessage.table_pull().pools_revision(),
@@ -424,6 +428,19 @@
     return view;
   }
 
+  probe_reply_message ProbeReply(const wire::probe_reply& aReply)
+  {
+    probe_reply_message reply;
+    reply.mSentAt = aReply.sent_at();
+    reply.mVmRevision = aReply.vm_revision();
+    reply.mListsYou = aReply.lists_you();
+    if (aReply.has_list_age()) {
+      reply.mListAge = Duration("list age", aReply.list_age(), kDurationLimit);
+    }
+    reply.mKnewOther = aReply.knew_other();
+    return reply;
+  }
+
   suspect_entry Suspect(const wire::suspect_entry& aEntry)
   {
     return { aEntry.fingerprint(),
@@ -442,6 +459,7 @@
       table.mConfirmedAge = Duration("confirmed age", aTable.confirmed_age(), kDurationLimit);
     }
     table.mInForce = aTable.in_force();
+    table.mPairRevision = aTable.pair_revision();
     return table;
   }
 
@@ -594,7 +612,7 @@
                                     std::to_string(kEnvelopeLimit));
   }
   // protobuf writes a line for each text that is not UTF-8, which lets a sender fill the log.
-  static const auto* const kSilenced = google::protobuf::SetLogHandler(nullptr);
+  static google::protobuf::LogHandler* const kSilenced = google::protobuf::SetLogHandler(nullptr);
   static_cast<void>(kSilenced);
   google::protobuf::Arena arena;
   auto* envelope = google::protobuf::Arena::CreateMessage<wire::envelope>(&arena);
--- a/src/core/facts.h
+++ b/src/core/facts.h
@@ -111,7 +111,7 @@
   auto operator<=>(const peer_received&) const = default;
 };
 
-// The stream to a peer went up or down.
+// The stream to a peer went up or down; repeated about once a second while it is up.
 struct peer_connection
 {
   std::string mVm;
--- a/src/daemon/core_driver.cc
+++ b/src/daemon/core_driver.cc
@@ -17,9 +17,10 @@
                          core_config aConfig,
                          const core_hooks& aHooks,
                          std::size_t aWorkers,
+                         std::size_t aShards,
                          std::function<void(command&)> aExecute)
   : mLoop(aLoop)
-  , mCore(std::move(aConfig), aHooks)
+  , mCore(std::move(aConfig), aHooks, aShards)
   , mWorkerCount(std::max<std::size_t>(aWorkers, 1))
   , mExecute(std::move(aExecute))
   , mTimer(aLoop, [this] { Run(); })
--- a/src/daemon/core_driver.h
+++ b/src/daemon/core_driver.h
@@ -14,7 +14,7 @@
 // Drives the core with the steady clock: posts facts, runs its workers and timers, and hands its
 // commands to a hook.
 //
-//   core_driver driver(loop, config, core_hooks{}, 2, [](command& aCommand) { ... });
+//   core_driver driver(loop, config, core_hooks{}, 2, 64, [](command& aCommand) { ... });
 //   driver.Start();
 //   driver.Post(stop_asked{});
 
@@ -29,6 +29,7 @@
               core_config aConfig,
               const core_hooks& aHooks,
               std::size_t aWorkers,
+              std::size_t aShards,
               std::function<void(command&)> aExecute);
   ~core_driver();
   core_driver(const core_driver&) = delete;
--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -24,7 +24,7 @@
 std::shared_ptr<spdlog::logger>& Logger()
 {
   static std::shared_ptr<spdlog::logger> logger =
-    MakeLogger(std::make_shared<spdlog::sinks::stderr_sink_mt>());
+    MakeLogger(std::make_shared<spdlog::sinks::stdout_sink_mt>());
   return logger;
 }
 
@@ -33,9 +33,24 @@
   return aLevel == log_level::Warning ? spdlog::level::warn : spdlog::level::info;
 }
 
+spdlog::level::level_enum LevelOf(log_threshold aThreshold)
+{
+  switch (aThreshold) {
+    case log_threshold::Debug:
+      return spdlog::level::debug;
+    case log_threshold::Info:
+      return spdlog::level::info;
+    case log_threshold::Warning:
+      return spdlog::level::warn;
+    case log_threshold::Error:
+      return spdlog::level::err;
+  }
+  return spdlog::level::info;
+}
+
 } // namespace
 
-result<bool> StartLogging(log_level aLowest, const std::string& aFile)
+result<bool> StartLogging(log_threshold aThreshold, const std::string& aFile)
 {
   if (aFile != "-") {
     try {
@@ -43,10 +58,10 @@
     } catch (const spdlog::spdlog_ex& error) {
       return Failure<bool>("open log", aFile, error.what());
     }
-    // A daemon can be killed at any time; its last lines must be in the file.
-    Logger()->flush_on(spdlog::level::info);
   }
-  Logger()->set_level(LevelOf(aLowest));
+  // A daemon can be killed at any time; its last lines must have been written.
+  Logger()->flush_on(spdlog::level::debug);
+  Logger()->set_level(LevelOf(aThreshold));
   return Success(true);
 }
 
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -2,19 +2,20 @@
 #define REDWINGDOCK_DAEMON_LOGGING_H
 
 #include "core/commands.h"
+#include "settings/settings.h"
 
 #include <string>
 
 // The log of the process: lines "2026-01-31T12:00:00.000Z info prefix: text".
 //
-//   StartLogging(log_level::Info, "-");
+//   StartLogging(log_threshold::Info, "-");
 //   Log({ log_level::Warning, "peer", "refused an envelope" });
 
 namespace redwingdock {
 
-// Lines below the level are dropped. The file "-" is standard error, which is also where lines go
-// before the first call. Fails when the file cannot be opened.
-result<bool> StartLogging(log_level aLowest, const std::string& aFile);
+// Lines below the threshold are dropped. The file "-" is standard output, which is also where lines
+// go before the first call. Fails when the file cannot be opened.
+result<bool> StartLogging(log_threshold aThreshold, const std::string& aFile);
 
 // Control characters in the text are replaced, so that foreign text cannot forge a line.
 void Log(const log_line& aLine);
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -57,7 +57,7 @@
     std::printf("%s: ok\n", aFile.c_str());
     return 0;
   }
-  const result<bool> logging = StartLogging(settings->mLogLevel, settings->mLogFile);
+  const result<bool> logging = StartLogging(settings->mLogThreshold, settings->mLogFile);
   if (!logging) {
     return Fail(kUnavailable, logging.mReason);
   }
--- a/src/daemon/peer_streams.cc
+++ b/src/daemon/peer_streams.cc
@@ -169,7 +169,8 @@
       aPeer.mConnection->Close(events.mReason.mText);
       return;
     }
-    connected = !aPeer.mReportedUp;
+    // Repeated with each answered ping: the core drops the fact while it does not know the VM.
+    connected = !aPeer.mReportedUp || events->mPong;
     aPeer.mReportedUp = true;
     aPeer.mAnswered = true;
     aPeer.mBackoff = micros(0);
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -26,6 +26,9 @@
 {
   if (aSettings.mCore.mIncarnation.empty()) {
     aSettings.mCore.mIncarnation = RandomIncarnation();
+  }
+  // Daemons with equal seeds would retry in step.
+  if (aSettings.mCore.mSeed == core_config{}.mSeed) {
     aSettings.mCore.mSeed = RandomNumber();
   }
   return aSettings;
@@ -53,11 +56,15 @@
             mSettings.mCore,
             aHooks,
             mSettings.mWorkers,
+            mSettings.mBoardShards,
             [this](command& aCommand) { Execute(aCommand); })
   , mBackends(mLoop,
               { [this](fact aFact) { mDriver.Post(std::move(aFact)); },
                 [this](micros aLatency, const part_reply& aReply) {
                   mMetrics.CountPart(aReply, aLatency);
+                  if (aReply.mFailure == part_failure::Malformed) {
+                    Log({ log_level::Warning, "gate", Describe(aReply.mReason) });
+                  }
                 } })
   , mPlatform(mLoop,
               mSettings.mConfigurationService,
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -19,6 +19,7 @@
 membership: {hold_ms: 3000, take_delay_ms: 9000}
 gates: {ramp_replies: 5}
 queries: {hedge_budget: 0.02}
+operator: true
 )";
 
 TEST(settings, FillsAllFieldsAndKeepsDefaults)
@@ -31,6 +32,7 @@
   expected.mCore.mAddress = expected.mListenPeers = "127.0.0.11:7101";
   expected.mCore.mCallAddress = expected.mListenCallers = "127.0.0.11:7001";
   expected.mListenOperators = "127.0.0.11:7201";
+  expected.mOperatorsOnCallers = true;
   expected.mConfigurationService = { "127.0.1.100:20900", "[::1]:20900" };
   expected.mCore.mSeeds = { { "vm-toto-1", "127.0.0.12:7101", "127.0.0.12:7001", "toto" } };
   expected.mWorkers = 4;
