Tell slow parts from silent connections

Cause: a part slower than the silence limit, or one that expired at the server, cost its connection for mSilentHold and its permit until the deadline and mDeadlineSlack. A permit has 5 connections in most pools, so that a few stragglers a minute stopped it. Change: after an answered check, and 3 ms before the deadline, a search is cancelled; its connection is closed and held only if the cancellation is not answered on it within mSilenceLimit. A submit waits for its reply. Before: straggling_parts, expired_parts and slow_submit fail (parts after a slow one are shed). Conclusion: only connections that answer nothing are held.

--- a/src/gate/gate_controller_test.cc
+++ b/src/gate/gate_controller_test.cc
@@ -280,6 +280,7 @@
       aRig.Load(seconds(8), milliseconds(5), seconds(1));
       aRig.RunFor(seconds(4));
       aRig.mServer.mService = milliseconds(900);
+      aRig.mServer.mHeedsCancel = false;
       aRig.RunFor(milliseconds(10));
       aRig.SilenceConnections();
       aRig.RunFor(seconds(4));
@@ -733,7 +734,7 @@
     OneSlot(),
     [](gate_rig& aRig) {
       aRig.mServer.mService = milliseconds(200);
-      aRig.mServer.mAnswersCancelled = false;
+      aRig.mServer.mHeedsCancel = false;
       std::vector attempts{ aRig.Ask(0) };
       aRig.RunFor(milliseconds(10));
       aRig.Cancel(0, attempts[0]);
@@ -779,6 +780,53 @@
       return attempts;
     },
     { kAnswered, Unknown(part_failure::Silent), kAnswered } },
+  { "straggling_parts",
+    "connections of slow parts are held like silent ones until the permit has none left",
+    OneSlot(),
+    [](gate_rig& aRig) {
+      std::vector<attempt_id> attempts;
+      for (int i = 0; i < 20; ++i) {
+        aRig.mServer.mService = milliseconds(400);
+        aRig.Ask(0);
+        aRig.RunFor(milliseconds(300));
+        aRig.mServer.mService = milliseconds(5);
+        attempts.push_back(aRig.Ask(0));
+        aRig.RunFor(milliseconds(100));
+      }
+      return attempts;
+    },
+    std::vector(20, kAnswered) },
+  { "expired_parts",
+    "connections of expired parts are held until the permit has none left",
+    OneSlot(),
+    [](gate_rig& aRig) {
+      std::vector<attempt_id> attempts;
+      for (int i = 0; i < 20; ++i) {
+        aRig.mServer.mService = milliseconds(200);
+        aRig.Ask(0, milliseconds(100));
+        aRig.RunFor(milliseconds(150));
+        aRig.mServer.mService = milliseconds(5);
+        attempts.push_back(aRig.Ask(0));
+        aRig.RunFor(milliseconds(100));
+      }
+      return attempts;
+    },
+    std::vector(20, kAnswered) },
+  { "slow_submit",
+    "a part that must not run twice is given up while its server still works on it",
+    OneSlot(),
+    [](gate_rig& aRig) {
+      aRig.mServer.mService = milliseconds(400);
+      part_request request;
+      request.mAttempt = { "vm-0.x", 9U << kAttemptBits };
+      request.mServer = kRigServer;
+      request.mOperation = operation::Submit;
+      request.mDeadline = aRig.Now() + seconds(1);
+      aRig.mAsked[request.mAttempt] = request;
+      aRig.AskAgain(0, request, "vm-0");
+      return std::vector{ request.mAttempt };
+    },
+    { kAnswered } },
   { "hung_server",
     "a server whose process does not answer is taken for lost",
     OneSlot(),
--- a/src/gate/gate_events.cc
+++ b/src/gate/gate_events.cc
@@ -114,6 +114,14 @@
 
 } // namespace
 
+void CancelUse(gate_turn& aTurn, const permit_use& aUse)
+{
+  if (aTurn.mServer != nullptr && TakeSide(aTurn, aUse.mPermit, kCancelTime)) {
+    aTurn.mContext.Emit(
+      cancel_part{ aTurn.mState.mServer, aTurn.mServer->mAddress, aUse.mPart.mRequest.mAttempt });
+  }
+}
+
 void HoldConnection(gate_turn& aTurn, std::uint64_t aConnection)
 {
   aTurn.mContext.Emit(close_connection{ aTurn.mState.mServer, aConnection });
@@ -183,9 +191,7 @@
     permit_use use = *found;
     use.mReported = true;
     state = WithUse(std::move(state), use);
-    if (aTurn.mServer != nullptr && TakeSide(aTurn, use.mPermit, kCancelTime)) {
-      aTurn.mContext.Emit(cancel_part{ state.mServer, aTurn.mServer->mAddress, aAttempt });
-    }
+    CancelUse(aTurn, use);
     Finish(aTurn, use.mPart, part_result::Unknown, part_failure::Cancelled, "cancelled");
     return;
   }
@@ -321,16 +327,18 @@
   const std::vector<permit_use> uses = state.mUses;
   if (aAnswered.mAlive) {
     for (permit_use use : uses) {
-      if (!use.mChecked || use.mConnection == 0) {
+      // A part that must not run twice waits for its own reply.
+      if (!use.mChecked || use.mConnection == 0 || use.mCloseAt != kNever ||
+          use.mPart.mRequest.mOperation == operation::Submit) {
         continue;
       }
-      HoldConnection(aTurn, use.mConnection);
-      use.mConnection = 0;
-      use.mFreeAt = aTurn.mHooks.mReleaseAt(use.mPart.mRequest, aTurn.mNow, aTurn.mContext.mConfig);
+      // The part may only be slow. Its connection answers the cancellation then, and is used again
+      // instead of being held.
+      use.mCloseAt = aTurn.mNow + aTurn.mContext.mConfig.mSilenceLimit;
       const bool report = !use.mReported;
       use.mReported = true;
       state = WithUse(std::move(state), use);
-      aTurn.mContext.Count("gate.silent");
+      CancelUse(aTurn, use);
       if (report) {
         Finish(aTurn, use.mPart, part_result::Unknown, part_failure::Silent, "connection silent");
       }
--- a/src/gate/gate_events.h
+++ b/src/gate/gate_events.h
@@ -18,6 +18,9 @@
 void OnCheck(gate_turn& aTurn, const check_answered& aAnswered);
 void OnForeignEvidence(gate_turn& aTurn, const server_evidence& aEvidence);
 
+// Asks the server to stop working on the part of a use, if the permit has room for the connection.
+void CancelUse(gate_turn& aTurn, const permit_use& aUse);
+
 // Closes a connection of which the server may not learn, and counts it for mSilentHold.
 void HoldConnection(gate_turn& aTurn, std::uint64_t aConnection);
 
--- a/src/gate/gate_state.h
+++ b/src/gate/gate_state.h
@@ -17,10 +17,11 @@
   waiting_part mPart;
   std::uint64_t mConnection = 0; // 0 once it is closed or lost
   instant mSentAt{};
-  instant mFreeAt{};      // the server has stopped working on it at the latest
-  bool mReported = false; // its attempt has a final result
-  bool mChecked = false;  // a check of the server process was started or had no room
-  bool mLost = false;     // named in a server_lost fact
+  instant mFreeAt{};         // the server has stopped working on it at the latest
+  bool mReported = false;    // its attempt has a final result
+  bool mChecked = false;     // a check of the server process was started or had no room
+  instant mCloseAt = kNever; // its connection counts as silent from then on
+  bool mLost = false;        // named in a server_lost fact
 
   auto operator<=>(const permit_use&) const = default;
 };
--- a/src/gate/gate_test_rig.cc
+++ b/src/gate/gate_test_rig.cc
@@ -421,7 +421,7 @@
   CountOpen();
   At(kHop, [this, aGate, attempt = aCommand.mAttempt] {
     --mSides;
-    if (mServer.mRunning.erase(attempt) == 0 || !mServer.mAnswersCancelled) {
+    if (!mServer.mHeedsCancel || mServer.mRunning.erase(attempt) == 0) {
       return;
     }
     part_reply reply;
--- a/src/gate/gate_test_rig.h
+++ b/src/gate/gate_test_rig.h
@@ -45,8 +45,8 @@
   micros mService = std::chrono::milliseconds(5);
   micros mColdService = std::chrono::milliseconds(5); // below the full level
   bool mSheds = false;                                // refuses requests above what it bears
-  bool mAnswersCancelled = true;
-  std::uint32_t mLevel = 0; // bears mLevel + 1 requests
+  bool mHeedsCancel = true;                           // stops a cancelled part and answers it
+  std::uint32_t mLevel = 0;                           // bears mLevel + 1 requests
   std::uint32_t mReplies = 0;
   instant mLevelSince{};
   instant mGraceUntil{}; // load before this time is not counted as overload
--- a/src/gate/settle.cc
+++ b/src/gate/settle.cc
@@ -9,6 +9,9 @@
 
 namespace {
 
+// One way to a server in another zone takes up to 1.5 ms, and the callers' daemon needs the rest.
+constexpr micros kCancelLead = std::chrono::milliseconds(3);
+
 // Connections cost at most a few milliseconds; one that opens for longer is silent.
 constexpr micros kOpenTime = std::chrono::seconds(1);
 
@@ -24,6 +27,17 @@
          aTurn.mHooks.mSilentAfter(aTurn.mState.mRamp.mUsual, aTurn.mContext.mConfig);
 }
 
+// A search is cancelled shortly before its deadline, so that the server answers on the connection.
+// A server that stops without an answer would cost the connection and block the permit.
+instant GiveUpAt(const permit_use& aUse)
+{
+  const part_request& request = aUse.mPart.mRequest;
+  const instant early = request.mDeadline - kCancelLead;
+  return request.mOperation == operation::Search && aUse.mSentAt + 2 * kCancelLead < early
+           ? early
+           : request.mDeadline;
+}
+
 void EndZone(gate_turn& aTurn)
 {
   const bool closed = InClosedZone(aTurn);
@@ -79,8 +93,11 @@
   const std::vector<permit_use> uses = aTurn.mState.mUses;
   for (permit_use use : uses) {
     const part_request& request = use.mPart.mRequest;
-    if (!use.mReported && aTurn.mNow >= request.mDeadline) {
+    if (!use.mReported && aTurn.mNow >= GiveUpAt(use)) {
       use.mReported = true;
+      if (request.mOperation == operation::Search) {
+        CancelUse(aTurn, use);
+      }
       aTurn.mState = WithUse(std::move(aTurn.mState), use);
       ApplyRamp(aTurn,
                 AfterNoReply(aTurn.mState.mRamp, use.mSentAt, aTurn.mNow, aTurn.mHooks.mIsSlow),
@@ -91,6 +108,13 @@
              part_failure::DeadlinePassed,
              "no reply before the deadline");
     }
+    if (use.mConnection != 0 && aTurn.mNow >= use.mCloseAt) {
+      aTurn.mContext.Count("gate.silent");
+      HoldConnection(aTurn, use.mConnection);
+      use.mConnection = 0;
+      use.mFreeAt = aTurn.mHooks.mReleaseAt(request, aTurn.mNow, aTurn.mContext.mConfig);
+      aTurn.mState = WithUse(std::move(aTurn.mState), use);
+    }
     if (aTurn.mNow >= use.mFreeAt) {
       aTurn.mState = WithoutUse(std::move(aTurn.mState), request.mAttempt);
       if (use.mConnection != 0) {
@@ -263,8 +287,11 @@
   }
   for (const permit_use& use : state.mUses) {
     add(use.mFreeAt);
+    if (use.mConnection != 0) {
+      add(use.mCloseAt);
+    }
     if (!use.mReported) {
-      add(use.mPart.mRequest.mDeadline);
+      add(GiveUpAt(use));
     }
     if (use.mConnection != 0 && !use.mChecked) {
       add(SilentAt(aTurn, use));
