--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,8 +45,8 @@
 echo "== one query of each deployment"
 query() { # DEPLOYMENT ROUTE FILTER
   local daemon
-  daemon=$(cluster_setting "$run/$1/$(cluster_daemons "$run/$1" | head -1).yaml" callers)
-  build/bin/redwingdockctl query "$2" --daemon "$daemon" --filter "$3" | head -8 || true
+  daemon=$(cluster_setting "$run/$1/$(cluster_daemons "$run/$1" | sed -n 1p).yaml" callers)
+  build/bin/redwingdockctl query "$2" --daemon "$daemon" --filter "$3" | sed -n 1,8p || true
 }
 query occidente case-search status=granted
 query ro-nord pattern-lookup stitch=fill
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -244,14 +244,13 @@
   auto operator<=>(const server_status&) const = default;
 };
 
-// Parts that a server may be running for this daemon, written by its gate before the first part is
-// sent. A permit that moved away is released once it is not in use; without an entry it is never
-// released early. Entry key: server name.
+// Work of this daemon in flight at a server, written by its gate before the first part is sent.
+// A permit that moved away is released once this is zero; without an entry it is never released
+// early. Entry key: server name.
 struct gate_load
 {
   std::string mServer;
   std::uint32_t mInFlight = 0;
-  std::set<std::uint32_t> mPermitsInUse; // by index
 
   auto operator<=>(const gate_load&) const = default;
 };
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -289,7 +289,7 @@
   Run(aWork, aPart, *version);
 }
 
-void Late(work& aWork, const running_part& aPart, const char* aText)
+void Stopped(work& aWork, const running_part& aPart, const char* aRefusal, const char* aText)
 {
   Send(aWork,
        reply_refusal{ aPart.mConnection,
@@ -297,7 +297,7 @@
                       aWork.mState.mSpec.mName,
                       aWork.mState.mSpec.mShard,
                       false,
-                      "deadline_passed",
+                      aRefusal,
                       aText,
                       Evidence(aWork.mState) });
 }
@@ -313,7 +313,7 @@
   state.mParts.erase(found);
   if (part.mLate) {
     ++state.mCounts.mLate;
-    Late(aWork, part, "deadline passed while running");
+    Stopped(aWork, part, "deadline_passed", "deadline passed while running");
     return;
   }
   if (!state.mWarm) {
@@ -346,7 +346,7 @@
       ++aWork.mState.mCounts.mCancelled;
       const running_part part = std::move(at->second);
       at = parts.erase(at);
-      Late(aWork, part, "cancelled");
+      Stopped(aWork, part, "cancelled", "cancelled while running");
     } else {
       ++at;
     }
