Test the stand-in over loopback connections

Checks replies against the page, resets above the connection cap, crash and cold restart, silence, malformed replies, watches and the switched-off service on real sockets with a client that gives up after 1 s. 11 tests pass, also in 30 repeated runs and under the address sanitizer. main does not compile at this commit (gate_load is defined twice); they ran with one definition removed.

--- /dev/null
+++ b/src/standin/front_test.cc
@@ -0,0 +1,337 @@
+#include "standin/front.h"
+
+#include "tables/parse.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+#include <boost/json.hpp>
+#include <functional>
+#include <gtest/gtest.h>
+#include <thread>
+
+namespace redwingdock::standin {
+namespace {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+
+constexpr char kHost[] = "127.0.1.200";
+
+// A port that was free a moment ago.
+std::string FreeAddress()
+{
+  asio::io_context io;
+  const tcp::acceptor acceptor(io, { asio::ip::make_address(kHost), 0 });
+  return std::string(kHost) + ":" + std::to_string(acceptor.local_endpoint().port());
+}
+
+struct reply
+{
+  unsigned mStatus = 0; // 0 when the connection ended without a whole reply
+  std::string mBody;
+  std::string mRevision;
+};
+
+// A connection whose replies are awaited for 1 s.
+class client
+{
+public:
+  explicit client(const std::string& aAddress)
+    : mSocket(mIo)
+  {
+    const auto port = std::stoi(aAddress.substr(aAddress.rfind(':') + 1));
+    mSocket.connect({ asio::ip::make_address(kHost), static_cast<unsigned short>(port) }, mError);
+  }
+
+  bool Connected() const { return !mError; }
+
+  void Send(http::verb aVerb, const std::string& aTarget, const std::string& aBody)
+  {
+    http::request<http::string_body> request(aVerb, aTarget, 11, aBody);
+    request.set(http::field::host, kHost);
+    request.prepare_payload();
+    http::write(mSocket, request, mError);
+  }
+
+  reply Receive()
+  {
+    http::response<http::string_body> response;
+    mError = asio::error::timed_out;
+    http::async_read(
+      mSocket,
+      mBuffer,
+      response,
+      [this](const boost::system::error_code& aError, std::size_t /*aBytes*/) { mError = aError; });
+    mIo.restart();
+    mIo.run_for(std::chrono::seconds(1));
+    if (mError == asio::error::timed_out) {
+      mSocket.cancel();
+      mIo.run(); // the aborted read uses the response
+      mError = asio::error::timed_out;
+    }
+    return mError ? reply{}
+                  : reply{ response.result_int(),
+                           response.body(),
+                           std::string(response["Table-Revision"]) };
+  }
+
+  reply Post(const std::string& aTarget, const std::string& aBody)
+  {
+    Send(http::verb::post, aTarget, aBody);
+    return Receive();
+  }
+
+  reply Get(const std::string& aTarget)
+  {
+    Send(http::verb::get, aTarget, "");
+    return Receive();
+  }
+
+private:
+  asio::io_context mIo;
+  tcp::socket mSocket;
+  boost::system::error_code mError;
+  boost::beast::flat_buffer mBuffer;
+};
+
+// A stand-in with one server of one slot that owns all positions and starts warm.
+class front_test : public testing::Test
+{
+protected:
+  front_test()
+    : mIo(1)
+    , mServer(FreeAddress())
+    , mPlatform(FreeAddress())
+    , mAdmin(FreeAddress())
+  {
+    standin_input input;
+    input.mConfig.mPlatformAddress = mPlatform;
+    input.mConfig.mAdminAddress = mAdmin;
+    input.mConfig.mStartWarm = true;
+    input.mConfig.mDefaults.mVersions = { { 40, 3 } };
+    input.mConfig.mDefaults.mServiceMedian = std::chrono::milliseconds(1);
+    const std::string pools = "revision: 7\npools: [{name: p, slots: 1, connections: 3, shards: "
+                              "[{name: h, ranges: {3: [[0, 4096]]}, servers: [{name: s, zone: z, "
+                              "address: \"" +
+                              mServer + "\"}]}]}]";
+    input.mParsedPools = *ParsePools(pools, "pools.yaml");
+    input.mPools = { 7, std::make_shared<const std::string>(pools) };
+    input.mVms = { 1, std::make_shared<const std::string>("revision: 1\nvms: []") };
+    input.mRecords["p"] = std::make_shared<const record_store>(
+      *ReadRecords(R"({"id": "r1", "fields": {"office": "Sololá"}})", "r.jsonl"));
+    mFront = std::make_unique<standin_front>(mIo, std::move(input));
+    const auto listening = mFront->Listen();
+    EXPECT_TRUE(listening) << Describe(listening.mReason);
+    mThread = std::thread([this] { mIo.run(); });
+  }
+
+  ~front_test() override
+  {
+    mIo.stop();
+    mThread.join();
+  }
+  front_test(const front_test&) = delete;
+  front_test& operator=(const front_test&) = delete;
+
+  static std::string Part(const std::string& aNumber, const std::string& aOffice = "Sololá")
+  {
+    return R"({"attempt": "vm.1#)" + aNumber +
+           R"(", "server": "s", "pool": "p", "shard": "h", "version": 0, "operation": "search",
+             "filter": {"office": ")" +
+           aOffice + R"("}, "request_key": "", "urgency": "normal", "deadline_ms": 1000})";
+  }
+
+  static std::string Submit(const std::string& aKey)
+  {
+    return R"({"attempt": "vm.1#9", "server": "s", "pool": "p", "shard": "h", "version": 40,
+               "operation": "submit", "filter": {"id": "new"}, "request_key": ")" +
+           aKey + R"(", "urgency": "urgent", "deadline_ms": 1000})";
+  }
+
+  void Admin(const std::string& aTarget, const std::string& aBody) const
+  {
+    const reply done = client(mAdmin).Post("/admin/" + aTarget, aBody);
+    ASSERT_EQ(done.mStatus, 200U) << done.mBody;
+  }
+
+  json::value State() const { return json::parse(client(mAdmin).Get("/admin/state").mBody); }
+
+  std::int64_t Count(const std::string& aName) const
+  {
+    return Server().at("counts").at(aName).as_int64();
+  }
+
+  json::value Server() const { return State().at("servers").at("s"); }
+
+  // Checks every 5 ms, at most 3 s.
+  static bool WaitFor(const std::function<bool()>& aCondition)
+  {
+    asio::io_context io;
+    for (int i = 0; i < 600; ++i) {
+      if (aCondition()) {
+        return true;
+      }
+      asio::steady_timer(io, std::chrono::milliseconds(5)).wait();
+    }
+    return false;
+  }
+
+  asio::io_context mIo;
+  std::string mServer;
+  std::string mPlatform;
+  std::string mAdmin;
+  std::unique_ptr<standin_front> mFront;
+  std::thread mThread;
+};
+
+// Guards against replies that do not fit docs/interfaces.md.
+TEST_F(front_test, AnswersAPartWithItsRecords)
+{
+  client one(mServer);
+  const json::value found = json::parse(one.Post("/v1/part", Part("1")).mBody);
+  EXPECT_EQ(found, json::parse(R"({"attempt": "vm.1#1", "server": "s", "shard": "h", "version": 40,
+    "map": 3, "records": [{"id": "r1", "fields": {"office": "Sololá"}}], "evidence": {"instance":
+    "s-1", "mode": "warm", "versions": [{"version": 40, "map": 3}]}})"));
+  const json::value health = json::parse(one.Get("/v1/health").mBody);
+  EXPECT_EQ(health, json::parse(R"({"status": "ok", "instance": "s-1", "mode": "warm",
+    "in_flight": 0, "connections": 1})"));
+  EXPECT_EQ(one.Post("/v1/part", "{}").mStatus, 400U);
+}
+
+// Guards against a second run of a request key that no count shows.
+TEST_F(front_test, ShowsKeysAndAttemptsThatRunTwice)
+{
+  client one(mServer);
+  EXPECT_EQ(one.Post("/v1/part", Submit("k")).mStatus, 200U);
+  EXPECT_EQ(one.Post("/v1/part", Submit("k")).mStatus, 200U);
+  const json::value state = State();
+  EXPECT_EQ(state.at("request_keys").at("k").as_int64(), 2);
+  EXPECT_EQ(state.at("repeated_attempts").at("vm.1#9").as_int64(), 2);
+  EXPECT_EQ(state.at("summary").at("repeated_keys").as_int64(), 1);
+  Admin("reset", "{}");
+  EXPECT_EQ(State().at("request_keys"), json::object());
+  EXPECT_EQ(Count("requests"), 0);
+}
+
+TEST_F(front_test, RefusesAboveSlotsAndCancels)
+{
+  Admin("servers", R"({"set": {"latency_ms": 900}})");
+  client one(mServer);
+  client two(mServer);
+  one.Send(http::verb::post, "/v1/part", Part("1"));
+  ASSERT_TRUE(WaitFor([this] { return Count("run") == 1; }));
+  const json::value shed = json::parse(two.Post("/v1/part", Part("2")).mBody);
+  EXPECT_EQ(shed.at("refusal").as_string(), "shed");
+  EXPECT_TRUE(shed.at("not_run").as_bool());
+  EXPECT_EQ(two.Post("/v1/cancel", R"({"attempt": "vm.1#1"})").mStatus, 200U);
+  const json::value cancelled = json::parse(one.Receive().mBody);
+  EXPECT_EQ(cancelled.at("refusal").as_string(), "deadline_passed");
+  EXPECT_FALSE(cancelled.at("not_run").as_bool());
+}
+
+// Guards against connections above the cap that are served, and closed ones that still count.
+TEST_F(front_test, ResetsConnectionsAboveTheCap)
+{
+  std::vector<std::unique_ptr<client>> open;
+  for (int i = 0; i < 3; ++i) {
+    open.push_back(std::make_unique<client>(mServer));
+    EXPECT_EQ(open.back()->Get("/v1/health").mStatus, 200U);
+  }
+  EXPECT_EQ(client(mServer).Get("/v1/health").mStatus, 0U);
+  open.pop_back();
+  ASSERT_TRUE(WaitFor([this] { return Server().at("connections").as_int64() == 2; }));
+  EXPECT_EQ(client(mServer).Get("/v1/health").mStatus, 200U);
+  EXPECT_EQ(Count("most_connections"), 4);
+}
+
+// Guards against a crash that leaves other connections, the port or the instance as they were.
+TEST_F(front_test, CrashesOnAMarkedRequestAndRestartsCold)
+{
+  Admin("servers",
+        R"({"set": {"crash_field": "office", "crash_value": "poison", "restart_ms": 300}})");
+  client other(mServer);
+  EXPECT_EQ(other.Get("/v1/health").mStatus, 200U);
+  EXPECT_EQ(client(mServer).Post("/v1/part", Part("1", "poison")).mStatus, 0U);
+  EXPECT_EQ(other.Get("/v1/health").mStatus, 0U);
+  EXPECT_FALSE(client(mServer).Connected());
+  ASSERT_TRUE(WaitFor([this] { return Server().at("phase").as_string() == "up"; }));
+  const json::value health = json::parse(client(mServer).Get("/v1/health").mBody);
+  EXPECT_EQ(health.at("instance").as_string(), "s-2");
+  EXPECT_EQ(health.at("mode").as_string(), "cold");
+}
+
+// Guards against a silence that the client can tell from a slow reply, or that frees the
+// connection at once.
+TEST_F(front_test, SilentConnectionStaysOpenAndCounts)
+{
+  {
+    client silent(mServer);
+    EXPECT_EQ(silent.Get("/v1/health").mStatus, 200U);
+    Admin("servers", R"({"do": "silence"})");
+    EXPECT_EQ(silent.Post("/v1/part", Part("1")).mStatus, 0U);
+    EXPECT_EQ(client(mServer).Post("/v1/part", Part("1")).mStatus, 200U);
+  }
+  EXPECT_GE(Server().at("connections").as_int64(), 1);
+  EXPECT_EQ(Count("swallowed"), 1);
+}
+
+struct bad_row
+{
+  const char* mGuardsAgainst;
+  const char* mKind;
+  unsigned mStatus;
+  const char* mContains;
+};
+
+class bad_reply_test
+  : public front_test
+  , public testing::WithParamInterface<bad_row>
+{};
+
+TEST_P(bad_reply_test, IsSent)
+{
+  Admin("servers",
+        R"({"set": {"bad_reply_share": 1, "bad_reply": ")" + std::string(GetParam().mKind) +
+          "\"}}");
+  const reply found = client(mServer).Post("/v1/part", Part("1"));
+  EXPECT_EQ(found.mStatus, GetParam().mStatus) << GetParam().mGuardsAgainst;
+  EXPECT_NE(found.mBody.find(GetParam().mContains), std::string::npos) << found.mBody;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  bad_reply_test,
+  testing::Values(
+    bad_row{ "a cut reply that looks whole", "truncated", 0, "" },
+    bad_row{ "JSON where none is expected", "not_json", 200, "<html>" },
+    bad_row{ "the right attempt", "wrong_attempt", 200, "\"other#1\"" },
+    bad_row{ "the right version", "wrong_version", 200, "\"version\":41,\"map\":3" }));
+
+// Guards against watches that miss a revision, and a service that answers while it is off.
+TEST_F(front_test, ServesTablesAndWatches)
+{
+  client watch(mPlatform);
+  EXPECT_EQ(watch.Get("/v1/tables/pools").mRevision, "7");
+  const reply none = watch.Get("/v1/tables/pools?after=7&wait_ms=5");
+  EXPECT_EQ(none.mStatus, 204U);
+  EXPECT_EQ(none.mRevision, "7");
+  watch.Send(http::verb::get, "/v1/tables/pools?wait_ms=2000&after=7", "");
+  Admin("tables", R"({"edit": "close_zone", "name": "z"})");
+  const reply changed = watch.Receive();
+  EXPECT_EQ(changed.mRevision, "8");
+  EXPECT_NE(changed.mBody.find("closed_zones: [z]"), std::string::npos);
+  EXPECT_EQ(watch.Post("/v1/tables/pools", "").mStatus, 405U);
+  Admin("platform", R"({"mode": "off"})");
+  EXPECT_EQ(watch.Get("/v1/vms").mStatus, 0U);
+  EXPECT_FALSE(client(mPlatform).Connected());
+  Admin("platform", R"({"mode": "ok"})");
+  EXPECT_EQ(client(mPlatform).Get("/v1/vms").mRevision, "1");
+  EXPECT_EQ(State().at("platform").at("tables").at("pools").at("reads").as_int64(), 3);
+}
+
+} // namespace
+} // namespace redwingdock::standin
