Check permits on every side of a schedule and fix three takeover faults

Claims now record whether the holder is listed at the same address, releases are not sent over a gap in the revisions, and repeated claims are merged. A released permit goes by gate_load::mPermitsInUse.

Fifteen schedules and six random ones run on simulated daemons with an observer that sees all sides after every event.

--- a/src/core/values.h
+++ b/src/core/values.h
@@ -220,17 +220,6 @@
   auto operator<=>(const server_permits&) const = default;
 };
 
-// Work of this daemon in flight at a server, written by its gate before the first part is sent.
-// A permit that moved away is released once this is zero; without an entry it is never released
-// early. Entry key: server name.
-struct gate_load
-{
-  std::string mServer;
-  std::uint32_t mInFlight = 0;
-
-  auto operator<=>(const gate_load&) const = default;
-};
-
 // A version of the index that a server can serve, and the partition map it was built with.
 struct index_version
 {
--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -71,7 +71,7 @@
 
   void AdoptList(membership_state& aState, const vm_list& aList);
   void AdoptPools(membership_state& aState);
-  void Plan(membership_state& aState, bool aKeepsOwn);
+  void Plan(membership_state& aState, bool aKeepsOwn, bool aReleases);
   void Evaluate(membership_state& aState);
   void Confirm(membership_state& aState);
   void SendProbes(membership_state& aState);
@@ -139,7 +139,8 @@
     mContext.mBoard.Write(kMembersKey, member_view{ config.mVm, config.mIncarnation, {}, {} });
   }
   ++state.mRotation;
-  for (const std::string& vm : PeersInRotation(OtherVms(), config.mViewPeers, state.mRotation)) {
+  for (const std::string& vm :
+       mHooks.mViewTargets(OtherVms(), config.mViewPeers, state.mRotation)) {
     SendViewTo(vm, state.mRotation);
   }
   Confirm(state);
@@ -197,7 +198,7 @@
   aState.mWitnesses = WitnessesOf(aList, config.mVm, config.mWitnesses);
   if (first || gap) {
     aState.mStartClaim =
-      claim{ claim_kind::Start, "", 0, aList.mRevision, aState.mWitnesses, now, kNever };
+      claim{ claim_kind::Start, "", 0, aList.mRevision, aState.mWitnesses, false, now, kNever };
   }
   aState.mKnown.try_emplace(config.mVm);
   Learn(aState, config.mVm, config.mIncarnation, aList.mRevision, now);
@@ -219,7 +220,12 @@
       mContext.mBoard.Erase<seen_processes>(key);
     }
   }
-  Plan(aState, !gap || wasConfirmed);
+  for (auto& [id, claims] : aState.mPending) {
+    for (claim& each : claims) {
+      each.mHolderAnswers = each.mHolderAnswers && SameAddress(before, aList, each.mHolder);
+    }
+  }
+  Plan(aState, !gap || wasConfirmed, !gap);
   Announce(aState);
   SendProbes(aState);
 }
@@ -244,14 +250,15 @@
       }
     }
     aState.mShapes = std::make_shared<const std::vector<permit_shape>>(std::move(shapes));
-    Plan(aState, true);
+    Plan(aState, true, false);
   }
   Announce(aState);
 }
 
 // Writes the holders of all permits. A permit that this daemon held and could use stays usable
-// (aKeepsOwn); any other one waits for the claims of earlier holders.
-void membership_controller::Plan(membership_state& aState, bool aKeepsOwn)
+// (aKeepsOwn); any other one waits for the claims of earlier holders. aReleases: permits that moved
+// away are released by message.
+void membership_controller::Plan(membership_state& aState, bool aKeepsOwn, bool aReleases)
 {
   const core_config& config = mContext.mConfig;
   const instant now = mContext.Now();
@@ -280,7 +287,14 @@
     const auto waiting = aState.mPending.find(id);
     if (waiting != aState.mPending.end()) {
       for (const claim& each : waiting->second) {
-        claims.push_back(each);
+        const auto same = std::find_if(claims.begin(), claims.end(), [&each](const claim& aClaim) {
+          return SameClaim(aClaim, each);
+        });
+        if (same == claims.end()) {
+          claims.push_back(each);
+        } else {
+          same->mEnds = std::min(same->mEnds, each.mEnds);
+        }
       }
     }
     pending.emplace(id, std::move(claims));
@@ -291,8 +305,9 @@
     for (std::uint32_t i = 0; i < held.size(); ++i) {
       const permit_id id{ server, i };
       permits.mPermits.push_back({ i, held[i], aState.mPending.contains(id) ? kNever : instant{} });
-      if (held[i] != config.mVm && usableBefore(id)) {
-        aState.mReleases.push_back({ server, held[i], list.mRevision, now });
+      // After a gap in the revisions a holder under a list in between may still take the permit.
+      if (aReleases && held[i] != config.mVm && usableBefore(id)) {
+        aState.mReleases.push_back({ server, i, held[i], list.mRevision, now });
       }
     }
     mContext.mBoard.Write(server, std::move(permits));
@@ -375,12 +390,13 @@
       since = read->mReadSince;
       aState.mRecovered = true;
     }
-    const instant answered = MajorityAnsweredSince(aState.mWitnesses, config.mVm, aState.mAnswered);
+    const instant answered = mHooks.mAnsweredSince(aState.mWitnesses, config.mVm, aState.mAnswered);
     if (answered >= aState.mConfirmNotBefore) {
       since = std::max(since, answered);
     }
   }
-  const instant until = since == instant{} ? instant{} : since + config.mHoldTime;
+  const instant until =
+    since == instant{} ? instant{} : mHooks.mConfirmationEnds(since, config.mHoldTime);
   const bool confirmed = until > now;
   if (until != view->mConfirmedUntil) {
     member_view next = *view;
@@ -397,8 +413,7 @@
   }
   // With probes every second, a view that they confirm has more than half of the hold time left.
   mContext.mBoard.Write(kMembersKey,
-                        confirmation_need{ view->mVms.mRevision > 0 && !aState.mSuperseded &&
-                                           until < now + config.mHoldTime * 5 / 8 });
+                        confirmation_need{ listed && until < now + config.mHoldTime * 5 / 8 });
 }
 
 void membership_controller::SendProbes(membership_state& aState)
@@ -430,11 +445,22 @@
   std::erase_if(aState.mReleases, [&](const pending_release& aRelease) {
     return now > aRelease.mMovedAt + mContext.mConfig.mTakeDelay;
   });
-  std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> ready;
+  // A server is named once all permits that moved to that VM are free. Without an entry of the gate
+  // it is not known what is in flight, so the receiver waits for the take rule.
+  std::map<std::pair<std::string, std::uint64_t>, std::map<std::string, bool>> moved;
   for (const pending_release& each : aState.mReleases) {
     const auto load = mContext.mBoard.Read<gate_load>(each.mServer);
-    if (now >= each.mMovedAt + kReleaseWait && load && load->mInFlight == 0) {
-      ready[{ each.mTo, each.mVmRevision }].insert(each.mServer);
+    const bool free =
+      now >= each.mMovedAt + kReleaseWait && load && !load->mPermitsInUse.contains(each.mIndex);
+    auto& servers = moved[{ each.mTo, each.mVmRevision }];
+    servers.emplace(each.mServer, true).first->second &= free;
+  }
+  std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> ready;
+  for (const auto& [to, servers] : moved) {
+    for (const auto& [server, free] : servers) {
+      if (free) {
+        ready[to].insert(server);
+      }
     }
   }
   for (const auto& [to, servers] : ready) {
--- a/src/membership/membership_hooks.h
+++ b/src/membership/membership_hooks.h
@@ -2,7 +2,9 @@
 #define REDWINGDOCK_MEMBERSHIP_MEMBERSHIP_HOOKS_H
 
 #include "core/messages.h"
+#include "membership/peer_rotation.h"
 #include "membership/take_rule.h"
+#include "membership/witness.h"
 
 #include <functional>
 
@@ -19,6 +21,16 @@
 
 struct membership_hooks
 {
+  std::function<instant(const std::vector<std::string>& aWitnesses,
+                        const std::string& aSelf,
+                        const std::map<std::string, instant>& aAnswered)>
+    mAnsweredSince = MajorityAnsweredSince;
+  std::function<instant(instant aSince, micros aHoldTime)> mConfirmationEnds =
+    [](instant aSince, micros aHoldTime) { return aSince + aHoldTime; };
+  std::function<std::vector<std::string>(const std::vector<std::string>& aNames,
+                                         std::size_t aCount,
+                                         std::uint64_t aRotation)>
+    mViewTargets = PeersInRotation;
   std::function<bool(const probe_reply_message&, std::uint64_t aOwnRevision)> mReplyConfirms =
     ProbeReplyConfirms;
   std::function<instant(const claim&, const claim_evidence&, const core_config&)> mClaimEnds =
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -35,6 +35,7 @@
 struct pending_release
 {
   std::string mServer;
+  std::uint32_t mIndex = 0;
   std::string mTo;
   std::uint64_t mVmRevision = 0;
   instant mMovedAt{};
--- a/src/membership/permit_plan.cc
+++ b/src/membership/permit_plan.cc
@@ -40,8 +40,7 @@
 void AddClaim(std::vector<claim>& aClaims, claim aClaim)
 {
   const bool known = std::any_of(aClaims.begin(), aClaims.end(), [&aClaim](const claim& aKnown) {
-    return aKnown.mKind == aClaim.mKind && aKnown.mHolder == aClaim.mHolder &&
-           aKnown.mListRevision == aClaim.mListRevision && aKnown.mRevision == aClaim.mRevision;
+    return SameClaim(aKnown, aClaim);
   });
   if (!known) {
     aClaims.push_back(std::move(aClaim));
@@ -50,6 +49,19 @@
 
 } // namespace
 
+bool SameAddress(const vm_list& aBefore, const vm_list& aNow, const std::string& aVm)
+{
+  const vm_spec* before = aBefore.Find(aVm);
+  const vm_spec* now = aNow.Find(aVm);
+  return before != nullptr && now != nullptr && before->mAddress == now->mAddress;
+}
+
+bool SameClaim(const claim& aLeft, const claim& aRight)
+{
+  return aLeft.mKind == aRight.mKind && aLeft.mHolder == aRight.mHolder &&
+         aLeft.mListRevision == aRight.mListRevision && aLeft.mRevision == aRight.mRevision;
+}
+
 permit_plan PlanPermits(const vm_list& aList,
                         const membership_state& aState,
                         const std::string& aSelf,
@@ -100,6 +112,7 @@
                          list.mList->mRevision,
                          list.mEndsWith,
                          WitnessesOf(*list.mList, holder, aWitnesses),
+                         SameAddress(*list.mList, aList, holder),
                          list.mReplacedAt,
                          kNever });
             }
@@ -117,6 +130,7 @@
                        aList.mRevision,
                        older->mPoolsRevision,
                        {},
+                       true,
                        older->mReplacedAt,
                        kNever });
           }
--- a/src/membership/permit_plan.h
+++ b/src/membership/permit_plan.h
@@ -29,6 +29,12 @@
                         std::uint32_t aWitnesses,
                         const std::function<bool(const permit_id&)>& aNeedsClaims);
 
+// Whether a VM is in both lists under one address. Otherwise its VM was replaced.
+bool SameAddress(const vm_list& aBefore, const vm_list& aNow, const std::string& aVm);
+
+// Whether two claims differ in nothing but what has been found out about them.
+bool SameClaim(const claim& aLeft, const claim& aRight);
+
 // Shapes that differ from those before, for servers that are in both.
 std::vector<older_shape> ReplacedShapes(const std::vector<permit_shape>& aBefore,
                                         const std::vector<permit_shape>& aAfter,
--- a/src/membership/take_rule.cc
+++ b/src/membership/take_rule.cc
@@ -104,12 +104,12 @@
     return std::min(ends, StartClaimEnds(aClaim, aEvidence, aConfig));
   }
   if (aClaim.mKind == claim_kind::Pools) {
-    return aEvidence.mHolderPoolsRevision >= aClaim.mRevision
+    return aClaim.mHolderAnswers && aEvidence.mHolderPoolsRevision >= aClaim.mRevision
              ? std::min(ends, aEvidence.mNow + workEnds)
              : ends;
   }
   const instant holder = SinceRevision(aEvidence.mKnown, aClaim.mHolder, aClaim.mRevision);
-  if (holder != kNever) {
+  if (holder != kNever && aClaim.mHolderAnswers) {
     ends = std::min(ends, holder + workEnds);
   }
   const instant majority = NthSince(
--- a/src/membership/take_rule.h
+++ b/src/membership/take_rule.h
@@ -48,8 +48,9 @@
   std::uint64_t mListRevision = 0; // of the list under which it holds the permit
   std::uint64_t mRevision = 0;     // from which on it does not hold it (VM list, or pools)
   std::vector<std::string> mWitnesses;
-  instant mSeenAt{};      // when this daemon learned of that revision
-  instant mEnds = kNever; // earliest end found so far
+  bool mHolderAnswers = false; // the holder is listed now at the same address, so it can answer
+  instant mSeenAt{};           // when this daemon learned of that revision
+  instant mEnds = kNever;      // earliest end found so far
 
   auto operator<=>(const claim&) const = default;
 };
@@ -66,7 +67,8 @@
 
 // The take rule. Earliest of
 // - the holder is known to have the new list: it starts no work under the permit, and work in
-//   flight ends within the longest deadline and its slack;
+//   flight ends within the longest deadline and its slack (not when its VM was replaced under the
+//   same name, because then another process answers);
 // - a strict majority of the holder's witnesses has the new list: the holder is not confirmed
 //   mHoldTime later, and its work has ended mTakeDelay later;
 // - mTakeLong.
--- a/src/membership/test_fleet.cc
+++ b/src/membership/test_fleet.cc
@@ -137,6 +137,9 @@
   for (int i = 0; i < std::min(mOptions.mProcesses, 5); ++i) {
     config.mSeeds.push_back({ VmName(i), mProcesses[i]->mAddress, "", "", vm_state::Live });
   }
+  if (mOptions.mConfigure) {
+    mOptions.mConfigure(config);
+  }
   core_hooks hooks;
   hooks.mTables.mParseRoutes = [this](const std::string& aText, const std::string& aFile) {
     return LookUp(mRoutes, aText, aFile);
@@ -157,7 +160,7 @@
     for (int i = 0; i < mOptions.mShards; ++i) {
       for (const char* replica : { "a", "b" }) {
         const std::string server = "s" + std::to_string(i) + replica;
-        process.mCore->mBoard.Write(server, gate_load{ server, 0 });
+        process.mCore->mBoard.Write(server, gate_load{ server, 0, {} });
       }
     }
   }
@@ -188,6 +191,9 @@
   test_process& process = *mProcesses[aProcess];
   process.mPaused = false;
   Run(aProcess);
+  if (mCheck) {
+    mCheck(); // before anything that arrived meanwhile is processed
+  }
   std::vector<std::function<void()>> held;
   held.swap(process.mHeld);
   for (const auto& deliver : held) {
@@ -361,7 +367,9 @@
   Add(from.mSendFree + mOptions.mDelay + jitter,
       [this, aProcess, to, name = from.mName, incarnation, message = aSend.mMessage] {
         if (mReachable(aProcess, to)) {
-          Deliver(to, [&](core_context& aCore) { PostMessage(aCore, name, incarnation, message); });
+          Deliver(to, [name, incarnation, message](core_context& aCore) {
+            PostMessage(aCore, name, incarnation, message);
+          });
         }
       });
 }
@@ -443,6 +451,7 @@
   const instant end = instant(std::chrono::seconds(1000)) + aTime;
   instant nextCheck = mNow;
   while (mNow < end) {
+    bool sampled = false;
     if (!mEvents.empty() && mEvents.top().mAt <= std::min(end, nextCheck)) {
       const event next = mEvents.top();
       mEvents.pop();
@@ -451,8 +460,9 @@
     } else {
       mNow = std::min(end, nextCheck);
       nextCheck = mNow + kCheckEvery;
+      sampled = true;
     }
-    if (mCheck) {
+    if (mCheck && (mOptions.mCheckEvents || sampled)) {
       mCheck();
     }
   }
--- a/src/membership/test_fleet.h
+++ b/src/membership/test_fleet.h
@@ -33,8 +33,10 @@
   micros mJitter = std::chrono::milliseconds(1);
   double mLoss = 0; // share of messages dropped
   std::uint64_t mSeed = 1;
+  bool mCheckEvents = true;                // checks after every event, not only every 50 ms
   bool mIdleGates = true;                  // gates report no work in flight; otherwise none reports
   std::function<void(core_hooks&)> mBreak; // replaces a mechanism
+  std::function<void(core_config&)> mConfigure;
 };
 
 struct traffic
--- a/src/membership/view_exchange.h
+++ b/src/membership/view_exchange.h
@@ -21,12 +21,6 @@
 // This daemon's own entry, then other daemons: half those heard of last, half by rotation.
 view_message MakeView(core_context& aContext, std::uint64_t aRotation);
 
-// aCount of the names from a position that moves on with aRotation; all of them when they are
-// at most one more than aCount.
-std::vector<std::string> PeersInRotation(const std::vector<std::string>& aNames,
-                                         std::size_t aCount,
-                                         std::uint64_t aRotation);
-
 } // namespace redwingdock
 
 #endif
--- a/src/tables/table_controller.cc
+++ b/src/tables/table_controller.cc
@@ -329,9 +329,11 @@
   table_state state = Load();
   ReadAnswered(state, aRead.mKind, aRead.mReadSince);
   if (aRead.mKind == table_kind::Vms) {
-    if (aRead.mRevision > Latest(state, table_kind::Vms) &&
-        !TakeVms(state, aRead.mText, "service")) {
-      state.mRefused[table_kind::Vms] = aRead.mRevision;
+    if (aRead.mRevision != state.mRefused[table_kind::Vms] &&
+        mHooks.mMayReplaceVms(aRead.mRevision, state.mVms.Revision())) {
+      if (!TakeVms(state, aRead.mText, "service")) {
+        state.mRefused[table_kind::Vms] = aRead.mRevision;
+      }
     } else if (aRead.mRevision < state.mVms.Revision()) {
       StaleRead(state);
     }
@@ -410,9 +412,6 @@
     mContext.Log("tables", "refused VM list: " + Describe(list.mReason), log_level::Warning);
     return false;
   }
-  if (!mHooks.mMayReplaceVms(list->mRevision, aState.mVms.Revision())) {
-    return false;
-  }
   mContext.Log("tables", "VM list " + std::to_string(list->mRevision) + " from " + aFrom);
   aState.mVms = { std::make_shared<const std::string>(aText),
                   std::make_shared<const vm_list>(*list) };
@@ -595,7 +594,7 @@
       state.mReaderHeardAt =
         std::max(state.mReaderHeardAt, mContext.Now() - *message.mConfirmedAge);
     }
-    if (!message.mText.empty() && message.mRevision > state.mVms.Revision()) {
+    if (!message.mText.empty() && mHooks.mMayReplaceVms(message.mRevision, state.mVms.Revision())) {
       TakeVms(state, message.mText, aTable.mFrom);
       state.mPullUntil = instant{};
     }
