Compare each route with its own data set

The load program compared all routes with the records of both data sets of a deployment, which reported 73026 records as lost in a run of 390 calls. It now reads the deployment's folder. Runs on other loopback addresses each, so that two at a time do not meet; a process that ends while it starts is reported with its log. Reading only one line of a pipe no longer ends the scripts through pipefail.

--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -11,18 +11,22 @@
 bin=${REDWINGDOCK_BIN:-build/bin}
 # Starting takes under 1 s each; the limit covers a machine that is busy with builds.
 cluster_start_limit=30
+# First two parts of the loopback addresses, in place of the examples' 127.0, so that runs at the
+# same time do not meet.
+cluster_loopback=${REDWINGDOCK_LOOPBACK:-127.$((20 + $$ % 200))}
 
 # Value of "key: text" in a YAML file of the examples, without quotes.
 cluster_setting() { # FILE KEY
-  sed -n "s/^ *$2: *\"\{0,1\}\([^\"]*\)\"\{0,1\} *\$/\1/p" "$1" | head -1
+  sed -n "s/^ *$2: *\"\{0,1\}\([^\"]*\)\"\{0,1\} *\$/\1/p" "$1" | sed -n 1p
 }
 
-# Polls until an URL answers with 200.
-cluster_wait_for() { # URL [SECONDS]
-  local until=$((SECONDS + ${2:-$cluster_start_limit}))
-  until curl -sf -m 1 -o /dev/null "$1"; do
-    if [ $SECONDS -ge $until ]; then
-      echo "no answer from $1 within ${2:-$cluster_start_limit} s" >&2
+# Polls until an URL of a process in the run folder answers with 200, or the process has ended.
+cluster_wait_for() { # RUN_DIR NAME URL
+  local until=$((SECONDS + cluster_start_limit))
+  until curl -sf -m 1 -o /dev/null "$3"; do
+    if [ $SECONDS -ge $until ] || ! kill -0 "$(cat "$1/$2.pid")" 2>/dev/null; then
+      echo "$2 has ended or does not answer at $3; its log ends with:" >&2
+      tail -5 "$1/$2.log" >&2
       return 1
     fi
     sleep 0.1
@@ -65,16 +69,18 @@
   mkdir -p "$run"
   rm -f "$run"/*.pid "$run"/*.log "$run"/stopped "$run"/*.restart
   cp "$example"/*.yaml "$example"/*.jsonl "$run"/
+  sed -i "s/127\.0\./$cluster_loopback./g" "$run"/*.yaml
   cluster_override "${3:-}" "$run"/vm-*.yaml
   cluster_override "${4:-}" "$run/standin.yaml"
   "$bin/redwingdock_standin" serve "$run/standin.yaml" >"$run/standin.log" 2>&1 &
   echo $! >"$run/standin.pid"
-  cluster_wait_for "http://$(cluster_setting "$run/standin.yaml" admin)/admin/state" || return 1
+  cluster_wait_for "$run" standin "http://$(cluster_setting "$run/standin.yaml" admin)/admin/state" || return 1
   for name in $(cluster_daemons "$run"); do
     cluster_start_daemon "$run" "$name"
   done
   for name in $(cluster_daemons "$run"); do
-    cluster_wait_for "http://$(cluster_setting "$run/$name.yaml" callers)/v1/entry?caller=start" || return 1
+    cluster_wait_for "$run" "$name" \
+      "http://$(cluster_setting "$run/$name.yaml" callers)/v1/entry?caller=start" || return 1
   done
   cluster_restarter "$run" &
   echo $! >"$run/restarter.pid"
@@ -100,7 +106,7 @@
 # every shard has answered.
 cluster_wait_for_route() { # RUN_DIR ROUTE [SECONDS]
   local until=$((SECONDS + ${3:-$cluster_start_limit})) name address reply=
-  name=$(cluster_daemons "$1" | head -1)
+  name=$(cluster_daemons "$1" | sed -n 1p)
   address=$(cluster_setting "$1/$name.yaml" callers)
   while [ $SECONDS -lt $until ]; do
     reply=$(curl -s -m 6 -d "{\"route\": \"$2\", \"caller\": \"start\", \"filter\": {\"id\": \"none\"}}" \
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -45,8 +45,8 @@
 echo "== one query of each deployment"
 query() { # DEPLOYMENT ROUTE FILTER
   local daemon
-  daemon=$(cluster_setting "$run/$1/$(cluster_daemons "$run/$1" | head -1).yaml" callers)
-  build/bin/redwingdockctl query "$2" --daemon "$daemon" --filter "$3" | head -8 || true
+  daemon=$(cluster_setting "$run/$1/$(cluster_daemons "$run/$1" | sed -n 1p).yaml" callers)
+  "$bin"/redwingdockctl query "$2" --daemon "$daemon" --filter "$3" | sed -n 1,8p
 }
 query occidente case-search status=granted
 query ro-nord pattern-lookup stitch=fill
@@ -55,15 +55,10 @@
 declare -A load
 for deployment in "${deployments[@]}"; do
   folder=$run/$deployment
-  records=()
-  for file in "$folder"/*.jsonl; do
-    records+=(--records "$file")
-  done
   # shellcheck disable=SC2046
-  build/bin/redwingdock_load run "examples/experiments/demo-$deployment.yaml" \
-    $(cluster_options "$folder" --daemon callers) "${records[@]}" \
+  "$bin"/redwingdock_load run "examples/experiments/demo-$deployment.yaml" \
+    $(cluster_options "$folder" --daemon callers) --deployment "$folder" \
     --standin "$(cluster_setting "$folder/standin.yaml" admin)" --pids "$folder" \
-    --routes "$folder/routes.yaml" --pools "$folder/pools.yaml" \
     --json "$folder/report.json" >"$folder/report.txt" 2>&1 &
   load[$deployment]=$!
 done
--- a/src/load/call_plan.cc
+++ b/src/load/call_plan.cc
@@ -53,12 +53,12 @@
 
 } // namespace
 
-std::vector<planned_call> PlanCalls(const experiment& aExperiment, const record_list& aRecords)
+std::vector<planned_call> PlanCalls(const experiment& aExperiment, const route_records& aRecords)
 {
   generator random(aExperiment.mSeed);
   std::vector<kind_use> kinds;
   for (const request_kind& each : aExperiment.mMix) {
-    if (each.mSample.empty() || !aRecords.empty()) {
+    if (each.mSample.empty() || !RecordsOf(aRecords, each.mRoute).empty()) {
       kinds.push_back({ &each, 0 });
     }
   }
@@ -85,7 +85,8 @@
     call.mRequest.mDeadline = kind.mDeadline;
     call.mRequest.mFilter = kind.mFilter;
     if (!kind.mSample.empty()) {
-      const record& sample = aRecords[random.Below(aRecords.size())].mRecord;
+      const record_list& records = RecordsOf(aRecords, kind.mRoute);
+      const record& sample = records[random.Below(records.size())].mRecord;
       for (const std::string& name : kind.mSample) {
         auto found = sample.mFields.find(name);
         if (name == "id") {
--- a/src/load/call_plan.h
+++ b/src/load/call_plan.h
@@ -22,8 +22,8 @@
 };
 
 // Arrivals with exponential gaps at the experiment's rate until its duration. A caller keeps its
-// zone. Kinds that sample fields are left out when there are no records.
-std::vector<planned_call> PlanCalls(const experiment& aExperiment, const record_list& aRecords);
+// zone. Kinds that sample fields are left out when their route has no records.
+std::vector<planned_call> PlanCalls(const experiment& aExperiment, const route_records& aRecords);
 
 } // namespace redwingdock::load
 
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -2,8 +2,10 @@
 #include "load/plot.h"
 #include "load/report_json.h"
 #include "load/run.h"
+#include "standin/config.h"
 #include "tables/parse.h"
 
+#include <algorithm>
 #include <iostream>
 #include <mutex>
 
@@ -13,19 +15,17 @@
   R"(Sends the calls of an experiment to daemons and reports how they were answered.
 
 Usage:
-  redwingdock_load run EXPERIMENT --daemon ADDRESS... [--records FILE]... [--standin ADDRESS]
-                   [--pids DIR] [--routes FILE] [--pools FILE]
-                   [--json FILE] [--svg FILE] [--baseline FILE] [--name NAME] [--verbose]
+  redwingdock_load run EXPERIMENT --daemon ADDRESS... [--deployment DIR]
+                   [--standin ADDRESS] [--pids DIR] [--json FILE] [--svg FILE] [--baseline FILE] [--name NAME] [--verbose]
   redwingdock_load check EXPERIMENT
   redwingdock_load (-h | --help | --version)
 
 Options:
   --daemon ADDRESS    Caller address of a daemon, ip:port; any of them is enough to start.
-  --records FILE      Records behind the servers (JSON lines), to check answers against.
+  --deployment DIR    Folder of the stand-in's configuration, tables and records, to check answers
+                      against and to compute the parts that calls need.
   --standin ADDRESS   Admin address of the stand-in, for events and server counts.
   --pids DIR          Folder with the NAME.pid files of the daemons that events signal.
-  --routes FILE       Routes table, with --pools: to compute the parts that calls need.
-  --pools FILE        Pools table.
   --json FILE         Writes the report as JSON.
   --svg FILE          Writes a plot over time.
   --baseline FILE     Compares with an earlier JSON report.
@@ -53,26 +53,46 @@
   return text ? aParse(*text, aPath) : result<T>{ std::nullopt, text.mReason };
 }
 
+// Tables and records of a folder with the stand-in's configuration.
+std::optional<reason> ReadDeployment(const std::string& aFolder, run_config& aConfig)
+{
+  result<standin::standin_config> files = Load(aFolder + "/standin.yaml", standin::ParseConfig);
+  if (!files) {
+    return files.mReason;
+  }
+  result<routes_table> routes = Load(aFolder + "/" + files->mRoutesFile, ParseRoutes);
+  result<pools_table> pools = Load(aFolder + "/" + files->mPoolsFile, ParsePools);
+  if (!routes || !pools) {
+    return routes ? pools.mReason : routes.mReason;
+  }
+  aConfig.mRoutes = std::make_shared<const routes_table>(*routes);
+  aConfig.mPools = std::make_shared<const pools_table>(*pools);
+  for (const standin::dataset_config& dataset : files->mDatasets) {
+    result<record_list> records = Load(aFolder + "/" + dataset.mFile, ReadRecordFile);
+    if (!records) {
+      return records.mReason;
+    }
+    auto shared = std::make_shared<const record_list>(std::move(*records));
+    for (const route_spec& route : routes->mRoutes) {
+      // The pools of a route share a data set, in which each position has one owner.
+      if (std::find(dataset.mPools.begin(), dataset.mPools.end(), route.mPools.front()) !=
+          dataset.mPools.end()) {
+        aConfig.mRecords[route.mName] = shared;
+      }
+    }
+  }
+  return std::nullopt;
+}
+
 int RunExperiment(const parsed_arguments& aArguments, experiment aExperiment)
 {
   run_config config{ .mDaemons = aArguments.List("--daemon"),
                      .mStandin = aArguments.Text("--standin"),
                      .mPidFolder = aArguments.Text("--pids") };
-  for (const std::string& path : aArguments.List("--records")) {
-    result<record_list> records = Load(path, ReadRecordFile);
-    if (!records) {
-      return Fail(records.mReason, kExitBadData);
-    }
-    config.mRecords.insert(config.mRecords.end(), records->begin(), records->end());
-  }
-  if (aArguments.Has("--routes") && aArguments.Has("--pools")) {
-    result<routes_table> routes = Load(aArguments.Text("--routes"), ParseRoutes);
-    result<pools_table> pools = Load(aArguments.Text("--pools"), ParsePools);
-    if (!routes || !pools) {
-      return Fail(routes ? pools.mReason : routes.mReason, kExitBadData);
+  if (aArguments.Has("--deployment")) {
+    if (auto why = ReadDeployment(aArguments.Text("--deployment"), config)) {
+      return Fail(*why, kExitBadData);
     }
-    config.mRoutes = std::make_shared<const routes_table>(std::move(*routes));
-    config.mPools = std::make_shared<const pools_table>(std::move(*pools));
   }
   std::optional<load_report> baseline;
   if (aArguments.Has("--baseline")) {
--- a/src/load/record_scan.cc
+++ b/src/load/record_scan.cc
@@ -63,6 +63,13 @@
   return Success(std::move(records));
 }
 
+const record_list& RecordsOf(const route_records& aRecords, const std::string& aRoute)
+{
+  static const record_list kNone;
+  auto found = aRecords.find(aRoute);
+  return found == aRecords.end() ? kNone : *found->second;
+}
+
 std::vector<record> Scan(const record_list& aRecords,
                          std::uint64_t aVersion,
                          const fields& aFilter,
--- a/src/load/record_scan.h
+++ b/src/load/record_scan.h
@@ -3,6 +3,7 @@
 
 #include "core/requests.h"
 
+#include <memory>
 #include <vector>
 
 // The records behind the backend servers, read from the same files (JSON lines, docs/interfaces.md
@@ -25,6 +26,12 @@
 
 using record_list = std::vector<versioned_record>;
 
+// Records that a route reaches, by route.
+using route_records = std::map<std::string, std::shared_ptr<const record_list>>;
+
+// The records of a route; empty when there are none.
+const record_list& RecordsOf(const route_records& aRecords, const std::string& aRoute);
+
 result<record_list> ReadRecordFile(const std::string& aText, const std::string& aFile);
 
 // Records of a version that match the filter and lie outside the missing ranges, by id.
--- a/src/load/report.cc
+++ b/src/load/report.cc
@@ -113,6 +113,12 @@
   return line;
 }
 
+// For %llu; std::uint64_t is unsigned long here.
+unsigned long long Wide(std::uint64_t aCount)
+{
+  return aCount;
+}
+
 double Share(std::uint64_t aPart, std::uint64_t aWhole)
 {
   return aWhole == 0 ? 0 : static_cast<double>(aPart) / static_cast<double>(aWhole);
@@ -122,15 +128,15 @@
 {
   return Format("%-24s %7llu %8.3f %8.3f %8.3f %8.3f%% %8.3f%% %7llu %7llu %7llu\n",
                 aName.c_str(),
-                static_cast<unsigned long long>(aGroup.mCalls),
+                Wide(aGroup.mCalls),
                 aGroup.mLatency.mP50,
                 aGroup.mLatency.mP99,
                 aGroup.mLatency.mP999,
                 100 * Share(aGroup.mInTime, aGroup.mCalls),
                 100 * aGroup.mCoverage,
-                static_cast<unsigned long long>(aGroup.mPartial),
-                static_cast<unsigned long long>(aGroup.mNotRun),
-                static_cast<unsigned long long>(aGroup.mUnknown + aGroup.mRejected));
+                Wide(aGroup.mPartial),
+                Wide(aGroup.mNotRun),
+                Wide(aGroup.mUnknown + aGroup.mRejected));
 }
 
 std::string RatioLine(const char* aName, double aNow, double aBase)
@@ -249,9 +255,9 @@
 {
   std::string text = Format("%s: %llu calls in %.1f s, seed %llu\n",
                             aReport.mName.c_str(),
-                            static_cast<unsigned long long>(aReport.mTotal.mCalls),
+                            Wide(aReport.mTotal.mCalls),
                             static_cast<double>(aReport.mDuration.count()) / 1e6,
-                            static_cast<unsigned long long>(aReport.mSeed));
+                            Wide(aReport.mSeed));
   text += Format("%-24s %7s %8s %8s %8s %9s %9s %7s %7s %7s\n",
                  "",
                  "calls",
@@ -273,22 +279,21 @@
     text += GroupLine("second " + std::to_string(second), aReport.mSeconds[second]);
   }
   text += Format("answered in time, weighted by urgency: %.3f%%\n", 100 * aReport.mInTimeShare);
-  text += Format("sent again by callers: %llu\n",
-                 static_cast<unsigned long long>(aReport.mTotal.mRepeated));
+  text += Format("sent again by callers: %llu\n", Wide(aReport.mTotal.mRepeated));
   if (aReport.mServers) {
     const server_load& servers = *aReport.mServers;
     text += Format("servers: %llu parts received for %llu needed (%+.2f%%), %llu run, %llu shed\n",
-                   static_cast<unsigned long long>(servers.mReceived),
-                   static_cast<unsigned long long>(servers.mNeeded),
+                   Wide(servers.mReceived),
+                   Wide(servers.mNeeded),
                    100 * ExtraLoad(aReport),
-                   static_cast<unsigned long long>(servers.mRun),
-                   static_cast<unsigned long long>(servers.mShed));
+                   Wide(servers.mRun),
+                   Wide(servers.mShed));
     text += Format("servers: %llu crashes, %llu cold overloads, %llu over slots, %llu over "
                    "connections\n",
-                   static_cast<unsigned long long>(servers.mCrashes),
-                   static_cast<unsigned long long>(servers.mColdOverloads),
-                   static_cast<unsigned long long>(servers.mOverSlots),
-                   static_cast<unsigned long long>(servers.mOverConnections));
+                   Wide(servers.mCrashes),
+                   Wide(servers.mColdOverloads),
+                   Wide(servers.mOverSlots),
+                   Wide(servers.mOverConnections));
   }
   for (const auto& [at, label] : aReport.mEvents) {
     text += Format("event at %.1f s: ", static_cast<double>(at.count()) / 1e6) + label + "\n";
--- a/src/load/run.cc
+++ b/src/load/run.cc
@@ -133,7 +133,11 @@
     });
   });
   aBoard.OnFact<call_done>([&aBoard, &aConfig](const std::string& aKey, const call_done& aDone) {
-    std::vector<violation> found = CheckAnswer(aDone.mCall, aDone.mResult, aConfig.mRecords);
+    auto records = aConfig.mRecords.find(aDone.mCall.mRequest.mRoute);
+    if (records == aConfig.mRecords.end()) {
+      return;
+    }
+    std::vector<violation> found = CheckAnswer(aDone.mCall, aDone.mResult, *records->second);
     if (found.empty()) {
       return;
     }
@@ -271,6 +275,7 @@
   blackboard board(16);
   Register(board, aConfig);
   std::vector<std::thread> workers;
+  workers.reserve(kWorkers);
   for (int i = 0; i < kWorkers; ++i) {
     workers.emplace_back([&board] { board.Work(); });
   }
@@ -283,12 +288,20 @@
     std::this_thread::sleep_until(start + call.mAt);
     open->Begin();
     (*clients)[call.mZone]->Start(
-      call.mOperation, call.mRequest, [&board, &call, open, start](const call_result& aResult) {
+      call.mOperation,
+      call.mRequest,
+      [&board, &call, open, start, &log = aConfig.mLog](const call_result& aResult) {
         auto latency =
           std::chrono::duration_cast<micros>(std::chrono::steady_clock::now() - (start + call.mAt));
         board.Post(std::to_string(call.mAt / std::chrono::seconds(1)) + "/" +
                      std::to_string(call.mNumber % kStripes),
                    call_done{ call, aResult, latency });
+        if (log && aResult.mAnswer.mOutcome != outcome::Complete) {
+          log(std::string(ToString(aResult.mAnswer.mOutcome)) + " at " +
+              std::to_string(ToMs(call.mAt)) + " ms for " + call.mRequest.mRoute + " of " +
+              call.mRequest.mCaller + " from " + aResult.mVm + ": " +
+              Describe(aResult.mAnswer.mReason));
+        }
         open->End();
       });
   }
--- a/src/load/run.h
+++ b/src/load/run.h
@@ -15,7 +15,7 @@
   std::vector<std::string> mDaemons; // caller addresses
   std::string mStandin;              // admin address; empty without one
   std::string mPidFolder;            // <daemon>.pid files of the starting script; may be empty
-  record_list mRecords;
+  route_records mRecords;            // searches of routes without records are not compared
   std::shared_ptr<const routes_table> mRoutes; // for the parts that calls need; may be null
   std::shared_ptr<const pools_table> mPools;
   std::function<void(const std::string&)> mLog;
