--- a/src/core/values.h
+++ b/src/core/values.h
@@ -244,9 +244,9 @@
   auto operator<=>(const server_status&) const = default;
 };
 
-// Parts that a server may be running for this daemon, written by its gate before the first part is
-// sent. A permit that moved away is released once it is not in use; without an entry it is never
-// released early. Entry key: server name.
+// Work of this daemon in flight at a server, written by its gate before the first part is sent.
+// A permit that moved away is released once it is not in use; without an entry it is never released
+// early. Entry key: server name.
 struct gate_load
 {
   std::string mServer;
