--- a/src/standin/front.cc
+++ b/src/standin/front.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace redwingdock::standin {
@@ -273,7 +274,8 @@
     server.Serve(serve->mConnection, serve->mAfter);
   } else if (const auto* drop = std::get_if<drop_connection>(&aCommand)) {
     server.Drop(drop->mConnection);
-  } else if (std::holds_alternative<stop_listening>(aCommand)) {
+  } else if (const auto* down = std::get_if<stop_listening>(&aCommand)) {
+    std::clog << "standin: " << down->mInstance << " " << down->mWhy << std::endl;
     server.Close();
   } else if (std::holds_alternative<listen>(aCommand)) {
     if (!server.Listen()) {
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -95,18 +95,18 @@
   }
 }
 
-void GoDown(work& aWork, server_phase aPhase)
+void GoDown(work& aWork, server_phase aPhase, std::string aWhy)
 {
   aWork.mState.mPhase = aPhase;
   aWork.mState.mConnections.clear();
   aWork.mState.mParts.clear();
-  aWork.mCommands.emplace_back(stop_listening{});
+  aWork.mCommands.emplace_back(stop_listening{ InstanceName(aWork.mState), std::move(aWhy) });
 }
 
-void Crash(work& aWork)
+void Crash(work& aWork, std::string aWhy)
 {
   ++aWork.mState.mCounts.mCrashes;
-  GoDown(aWork, server_phase::Restarting);
+  GoDown(aWork, server_phase::Restarting, std::move(aWhy));
   aWork.mCommands.emplace_back(
     post_later{ aWork.mState.mBehaviour.mRestartDelay, restart_due{ aWork.mState.mInstance } });
 }
@@ -223,7 +223,7 @@
   const auto marked = aPart.mCall.mFilter.find(state.mBehaviour.mCrashField);
   if (!state.mBehaviour.mCrashField.empty() && marked != aPart.mCall.mFilter.end() &&
       marked->second == state.mBehaviour.mCrashValue) {
-    Crash(aWork);
+    Crash(aWork, "crashed on attempt " + aPart.mCall.mAttempt + ", a marked request");
     return;
   }
   const micros service = ServiceTime(state, aPart.mCall.mCallerZone);
@@ -277,7 +277,9 @@
   if (wanted > Capacity(state, aWork.mNow)) {
     if (!state.mWarm) {
       ++state.mCounts.mColdOverloads;
-      Crash(aWork);
+      Crash(aWork,
+            "crashed: cold, bears " + std::to_string(Capacity(state, aWork.mNow)) +
+              " parts at once, received " + std::to_string(wanted));
     } else {
       Refuse(aWork,
              aPart,
@@ -391,11 +393,11 @@
   switch (aEvent.mAction) {
     case server_action::Crash:
       if (state.mPhase == server_phase::Up) {
-        Crash(aWork);
+        Crash(aWork, "crashed by an operator");
       }
       break;
     case server_action::Stop:
-      GoDown(aWork, server_phase::Stopped);
+      GoDown(aWork, server_phase::Stopped, "stopped by an operator");
       break;
     case server_action::Start:
       if (state.mPhase != server_phase::Up) {
--- a/src/standin/server.h
+++ b/src/standin/server.h
@@ -208,6 +208,8 @@
 // Drops all connections of the server and refuses new ones until Listen.
 struct stop_listening
 {
+  std::string mInstance;
+  std::string mWhy;
   auto operator<=>(const stop_listening&) const = default;
 };
 
