--- a/src/standin/behaviour.cc
+++ b/src/standin/behaviour.cc
@@ -69,6 +69,7 @@
   next.mVersions = ReadVersions(aMapping, std::move(next.mVersions));
   ReadMs(aMapping, "service_median_ms", next.mServiceMedian);
   next.mServiceSigma = aMapping.Number("service_sigma", 0, 3, next.mServiceSigma);
+  next.mLoadFactor = aMapping.Number("load_factor", 0, 100, next.mLoadFactor);
   ReadMs(aMapping, "latency_ms", next.mLatency);
   ReadShare(aMapping, "straggler_share", next.mStragglerShare);
   ReadMs(aMapping, "straggler_ms", next.mStragglerLatency);
--- a/src/standin/behaviour.h
+++ b/src/standin/behaviour.h
@@ -51,10 +51,12 @@
   micros mConnectCost{ 0 };
   std::vector<index_version> mVersions; // ascending
 
-  // Time from receipt to reply: log-normal service time, plus mLatency, plus mStragglerLatency for
+  // Time from receipt to reply: log-normal service time, which grows by the factor mLoadFactor for
+  // each other part in service, plus mLatency, plus mStragglerLatency for
   // a share of the parts, plus twice mZoneLatency when the sender is in another zone.
   micros mServiceMedian = std::chrono::milliseconds(2);
   double mServiceSigma = 0.3;
+  double mLoadFactor = 0;
   micros mLatency{ 0 };
   double mStragglerShare = 0;
   micros mStragglerLatency{ 0 };
@@ -62,6 +64,8 @@
 
   // A cold server bears 1 part, and 1 more for each mColdReplies replies and mColdStep of time;
   // one part above that and it crashes. It is warm when it bears mSlots parts.
+  // The defaults are below the daemons' ramp (8 replies, 500 ms), which a correct daemon never
+  // exceeds even though it learns of a reply later than the server.
   std::uint32_t mColdReplies = 6;
   micros mColdStep = std::chrono::milliseconds(400);
   double mColdFactor = 3; // service time while cold
--- a/src/standin/server.cc
+++ b/src/standin/server.cc
@@ -40,7 +40,8 @@
   const double normal =
     std::sqrt(-2 * std::log(1 - Random(aState))) * std::cos(2 * std::numbers::pi * Random(aState));
   double service = static_cast<double>(how.mServiceMedian.count()) *
-                   std::exp(how.mServiceSigma * normal) * (aState.mWarm ? 1 : how.mColdFactor);
+                   std::exp(how.mServiceSigma * normal) * (aState.mWarm ? 1 : how.mColdFactor) *
+                   (1 + how.mLoadFactor * static_cast<double>(aState.mParts.size()));
   // Keeps the time well below the range of the integer for any setting.
   service = std::min(service, 3.6e9);
   micros total = micros(static_cast<micros::rep>(service)) + how.mLatency;
