--- a/scripts/cluster.sh
+++ b/scripts/cluster.sh
@@ -14,7 +14,7 @@
 
 # Value of "key: text" in a YAML file of the examples, without quotes.
 cluster_setting() { # FILE KEY
-  sed -n "s/^ *$2: *\"\{0,1\}\([^\"]*\)\"\{0,1\} *\$/\1/p" "$1" | head -1
+  sed -n "s/^ *$2: *\"\{0,1\}\([^\"]*\)\"\{0,1\} *\$/\1/p" "$1" | sed -n 1p
 }
 
 # Polls until an URL answers with 200.
@@ -100,7 +100,7 @@
 # every shard has answered.
 cluster_wait_for_route() { # RUN_DIR ROUTE [SECONDS]
   local until=$((SECONDS + ${3:-$cluster_start_limit})) name address reply=
-  name=$(cluster_daemons "$1" | head -1)
+  name=$(cluster_daemons "$1" | sed -n 1p)
   address=$(cluster_setting "$1/$name.yaml" callers)
   while [ $SECONDS -lt $until ]; do
     reply=$(curl -s -m 6 -d "{\"route\": \"$2\", \"caller\": \"start\", \"filter\": {\"id\": \"none\"}}" \
--- a/src/codec/server_json.cc
+++ b/src/codec/server_json.cc
@@ -26,12 +26,14 @@
                                           "draining",
                                           "version_gone",
                                           "wrong_target",
-                                          "deadline_passed" };
+                                          "deadline_passed",
+                                          "cancelled" };
 constexpr part_failure kRefusals[] = { part_failure::Shed,
                                        part_failure::Draining,
                                        part_failure::VersionGone,
                                        part_failure::WrongTarget,
-                                       part_failure::DeadlinePassed };
+                                       part_failure::DeadlinePassed,
+                                       part_failure::Cancelled };
 
 const char* RefusalName(part_failure aFailure)
 {
@@ -112,11 +114,15 @@
 void ParseRefusal(detail::json_reader& aReader, const part_request& aRequest, part_reply& aReply)
 {
   const json::object& root = aReader.Root();
-  if (!aReader.Bool(root, "not_run")) {
-    aReader.Fail("\"not_run\" is not true in a refusal");
-  }
+  const bool notRun = aReader.Bool(root, "not_run");
   const auto index = aReader.OneOf<std::size_t>(root, "refusal", kRefusalNames);
   aReply.mFailure = kRefusals[index];
+  // Only a part that was stopped while it ran is refused without being "not run".
+  const bool stopped = aReply.mFailure == part_failure::Cancelled ||
+                       aReply.mFailure == part_failure::DeadlinePassed;
+  if (!notRun && !stopped) {
+    aReader.Fail("\"not_run\" is not true in a refusal");
+  }
   const std::string server = aReader.Text(root, "server", 0, kNameLimit);
   const std::string shard = aReader.Text(root, "shard", 0, kNameLimit);
   if (aReply.mFailure != part_failure::WrongTarget) {
@@ -124,7 +130,7 @@
     Require(aReader, "shard", shard, aRequest.mShard);
   }
   aReply.mReason = { "run part", aRequest.mServer, aReader.Text(root, "text", 0, kTextLimit) };
-  aReply.mResult = part_result::NotRun;
+  aReply.mResult = notRun ? part_result::NotRun : part_result::Unknown;
 }
 
 } // namespace
