--- a/src/standin/front_test.cc
+++ b/src/standin/front_test.cc
@@ -229,7 +229,7 @@
   EXPECT_TRUE(shed.at("not_run").as_bool());
   EXPECT_EQ(two.Post("/v1/cancel", R"({"attempt": "vm.1#1"})").mStatus, 200U);
   const json::value cancelled = json::parse(one.Receive().mBody);
-  EXPECT_EQ(cancelled.at("refusal").as_string(), "deadline_passed");
+  EXPECT_EQ(cancelled.at("refusal").as_string(), "cancelled");
   EXPECT_FALSE(cancelled.at("not_run").as_bool());
 }
 
