--- a/src/standin/config.h
+++ b/src/standin/config.h
@@ -37,6 +37,10 @@
 
 result<standin_config> ParseConfig(const std::string& aText, const std::string& aFile);
 
+// Why the configuration does not fit the pools table, or nothing: each pool of the table has a
+// data set, and each pool that the configuration names is in the table.
+std::optional<reason> CheckPools(const standin_config& aConfig, const pools_table& aPools);
+
 } // namespace redwingdock::standin
 
 #endif
--- /dev/null
+++ b/src/standin/config_test.cc
@@ -0,0 +1,80 @@
+#include "standin/config.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::standin {
+namespace {
+
+constexpr char kConfig[] = R"(platform: "127.0.1.100:20900"
+admin: "127.0.1.100:20901"
+defaults: {versions: [{version: 40, map: 3}], service_median_ms: 2.5}
+pools:
+  - {name: ledger, service_median_ms: 4}
+datasets:
+  - {name: cases, file: cases.jsonl, pools: [desk, ledger]}
+)";
+
+// Guards against behaviour of a pool that loses the defaults.
+TEST(config, PoolsStartFromTheDefaults)
+{
+  const auto config = ParseConfig(kConfig, "standin.yaml");
+  ASSERT_TRUE(config) << Describe(config.mReason);
+  EXPECT_EQ(config->mDefaults.mServiceMedian, micros(2500));
+  const behaviour& ledger = config->mPools.at("ledger");
+  EXPECT_EQ(ledger.mServiceMedian, std::chrono::milliseconds(4));
+  EXPECT_EQ(ledger.mVersions, (std::vector<index_version>{ { 40, 3 } }));
+  EXPECT_EQ(config->mPoolsFile, "pools.yaml");
+}
+
+struct refused_row
+{
+  const char* mGuardsAgainst;
+  const char* mFrom; // replaced once in the valid configuration
+  const char* mTo;
+  const char* mReason;
+};
+
+class refused_test : public testing::TestWithParam<refused_row>
+{};
+
+TEST_P(refused_test, NamesTheFault)
+{
+  const refused_row& row = GetParam();
+  std::string text = kConfig;
+  text.replace(text.find(row.mFrom), std::string(row.mFrom).size(), row.mTo);
+  const auto config = ParseConfig(text, "standin.yaml");
+  reason found = config.mReason;
+  if (config) {
+    pools_table pools;
+    pools.mPools.resize(2);
+    pools.mPools[0].mName = "desk";
+    pools.mPools[1].mName = "ledger";
+    found = CheckPools(*config, pools).value_or(reason{});
+  }
+  EXPECT_NE(Describe(found).find(row.mReason), std::string::npos) << row.mGuardsAgainst << "\n"
+                                                                  << Describe(found);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  refused_test,
+  testing::Values(refused_row{ "a pool whose searches find nothing",
+                               "desk, ledger",
+                               "ledger",
+                               "desk: the pool "
+                               "has no data set" },
+                  refused_row{ "a misspelt pool keeps the defaults",
+                               "name: ledger",
+                               "name: leger",
+                               "leger: the pool is not in the pools table" },
+                  refused_row{ "a pool with two sets of records",
+                               "[desk, ledger]}",
+                               "[desk, ledger]}\n  - {name: more, file: m.jsonl, pools: [desk]}",
+                               "line 8: datasets[1].pools: found \"desk\" again" },
+                  refused_row{ "limits that differ from the pools table at the start",
+                               "service_median_ms: 4",
+                               "slots: 4",
+                               "line 5: pools[0].slots: found an unknown key" }));
+
+} // namespace
+} // namespace redwingdock::standin
--- a/src/standin/front.cc
+++ b/src/standin/front.cc
@@ -113,6 +113,9 @@
   if (const auto fault = CheckJoin(*parsedRoutes, *parsedPools)) {
     return { std::nullopt, *fault };
   }
+  if (const auto fault = CheckPools(*config, *parsedPools)) {
+    return { std::nullopt, *fault };
+  }
   input.mRoutes = { parsedRoutes->mRevision, std::make_shared<const std::string>(*routes) };
   input.mPools = { parsedPools->mRevision, std::make_shared<const std::string>(*pools) };
   input.mVms = { parsedVms->mRevision, std::make_shared<const std::string>(*vms) };
