--- a/src/gate/gate_turn.cc
+++ b/src/gate/gate_turn.cc
@@ -86,8 +86,11 @@
 void WriteLoad(const gate_turn& aTurn)
 {
   const gate_state& state = aTurn.mState;
-  aTurn.mContext.mBoard.Write(
-    state.mServer, gate_load{ state.mServer, static_cast<std::uint32_t>(state.mUses.size()) });
+  gate_load load{ state.mServer, static_cast<std::uint32_t>(state.mUses.size()), {} };
+  for (const permit_use& use : state.mUses) {
+    load.mPermitsInUse.insert(use.mPermit);
+  }
+  aTurn.mContext.mBoard.Write(state.mServer, std::move(load));
 }
 
 bool Leads(const gate_turn& aTurn)
