--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -272,7 +272,7 @@
     return;
   }
   const std::vector<shard_info> shards = ReadShards(mContext, aTables, aRoute);
-  const snapshot chosen = ChooseSnapshot(shards);
+  const snapshot chosen = mHooks.mChooseSnapshot(shards);
   std::optional<std::uint32_t> position;
   if (aState.mOperation == operation::Submit) {
     position = PositionOf(aState.mRequest.mFilter.at("id"));
@@ -409,7 +409,7 @@
       return std::optional(AddLatency(aOld != nullptr ? *aOld : latency_record{}, elapsed));
     });
   }
-  query_state next = ApplyReply(*state, aReply);
+  query_state next = ApplyReply(*state, aReply, mHooks.mCheckReply);
   if (next.mParts[place->mPart].mPhase == part_phase::Answered) {
     next = CancelAttempts(mContext, std::move(next), place->mPart);
   } else if (aReply.mResult != part_result::Answered ||
--- a/src/query/query_hooks.h
+++ b/src/query/query_hooks.h
@@ -1,7 +1,8 @@
 #ifndef REDWINGDOCK_QUERY_QUERY_HOOKS_H
 #define REDWINGDOCK_QUERY_QUERY_HOOKS_H
 
-#include "core/requests.h"
+#include "query/plan.h"
+#include "query/query_state.h"
 
 #include <functional>
 #include <optional>
@@ -20,8 +21,12 @@
 // Only when it certainly did not run.
 bool RepeatOnlyNotRun(part_result aResult);
 
+using snapshot_rule = std::function<snapshot(const std::vector<shard_info>&)>;
+
 struct query_hooks
 {
+  snapshot_rule mChooseSnapshot = ChooseSnapshot;
+  reply_check mCheckReply = CheckReply;
   hedge_rule mHedgeDelay = HedgeAfterQuantile;
   repeat_rule mMayRepeatSubmit = RepeatOnlyNotRun;
   // Runs a suspect on one shard before the others.
--- a/src/query/query_state.cc
+++ b/src/query/query_state.cc
@@ -62,9 +62,12 @@
   return aPhase != part_phase::Answered && aPhase != part_phase::Failed;
 }
 
-void ApplyAnswer(query_state& aState, part_state& aPart, const part_reply& aReply)
+void ApplyAnswer(query_state& aState,
+                 part_state& aPart,
+                 const part_reply& aReply,
+                 const reply_check& aCheck)
 {
-  if (const std::optional<reason> wrong = CheckReply(aState, aPart, aReply)) {
+  if (const std::optional<reason> wrong = aCheck(aState, aPart, aReply)) {
     aPart.mReason = *wrong;
     aPart.mMayHaveRun = true;
     const bool otherSnapshot = aReply.mVersion != aState.mVersion || aReply.mMap != aState.mMap;
@@ -103,7 +106,7 @@
 
 } // namespace
 
-query_state ApplyReply(query_state aState, const part_reply& aReply)
+query_state ApplyReply(query_state aState, const part_reply& aReply, const reply_check& aCheck)
 {
   const std::optional<attempt_place> place = FindAttempt(aState, aReply.mAttempt.mNumber);
   if (!place || !aState.mParts[place->mPart].mAttempts[place->mAttempt].mOpen) {
@@ -121,7 +124,7 @@
     return next;
   }
   if (aReply.mResult == part_result::Answered) {
-    ApplyAnswer(next, part, aReply);
+    ApplyAnswer(next, part, aReply, aCheck);
     if (part.mPhase != part_phase::Answered) {
       attempt.mFailure = part.mVersionGone ? part_failure::VersionGone : part_failure::Malformed;
     }
--- a/src/query/query_state.h
+++ b/src/query/query_state.h
@@ -4,6 +4,7 @@
 #include "core/requests.h"
 #include "query/coverage.h"
 
+#include <functional>
 #include <optional>
 #include <string>
 #include <vector>
@@ -94,9 +95,14 @@
                                  const part_state& aPart,
                                  const part_reply& aReply);
 
+using reply_check = std::function<
+  std::optional<reason>(const query_state&, const part_state&, const part_reply&)>;
+
 // Takes the result of an attempt into the state. Replies to attempts that are closed or unknown
 // (late, repeated, or of an earlier restart) change nothing.
-query_state ApplyReply(query_state aState, const part_reply& aReply);
+query_state ApplyReply(query_state aState,
+                       const part_reply& aReply,
+                       const reply_check& aCheck = CheckReply);
 
 // Adds an open attempt to a part and makes it Running.
 query_state AddAttempt(query_state aState, std::size_t aPart, attempt_state aAttempt);
--- a/src/testing/fault_schedule.cc
+++ b/src/testing/fault_schedule.cc
@@ -9,6 +9,7 @@
 constexpr micros kStep = std::chrono::milliseconds(100);
 constexpr micros kWarmUp = std::chrono::seconds(4);
 constexpr micros kRollout = std::chrono::milliseconds(50); // between servers that get a version
+constexpr micros kEntryLifetime = std::chrono::seconds(11); // 10 s, and 1 s to hear of the stop
 constexpr std::size_t kMostViolations = 5;
 constexpr std::size_t kMostResends = 4;
 
@@ -51,6 +52,7 @@
   seeded_random mLoad;
   instant mEnd{};
   std::set<std::uint64_t> mChecked;
+  std::map<std::size_t, instant> mStopAsked;
   std::uint64_t mNextKey = 1;
   std::uint64_t mVersion = 40;
   std::uint32_t mMap = 3;
@@ -77,12 +79,16 @@
   }
 }
 
-// Callers only know daemons that answer; a paused one still looks alive.
+// Callers only know daemons that answer; a paused one still looks alive. A stopping one is no longer
+// named, and callers that were told to use it leave when the lifetime of that answer is over.
 std::size_t schedule_run::PickDaemon()
 {
   for (int i = 0; i < 20; ++i) {
     const std::size_t daemon = mLoad.Below(mFleet.DaemonCount());
-    if (!mFleet.HasStopped(daemon) && mFleet.HasProcess(daemon)) {
+    const auto stop = mStopAsked.find(daemon);
+    const bool left =
+      stop != mStopAsked.end() && mFleet.Events().Now() > stop->second + kEntryLifetime;
+    if (!left && mFleet.HasProcess(daemon)) {
       return daemon;
     }
   }
@@ -185,6 +191,7 @@
       break;
     case fault_kind::StopDaemon:
       mFleet.AskToStop(daemon);
+      mStopAsked[daemon] = mFleet.Events().Now();
       break;
     case fault_kind::CutFromPlatform:
       mFleet.SetPlatformReachable(daemon, false);
@@ -302,6 +309,9 @@
 {
   mFleet.RunFor(kWarmUp);
   mEnd = mFleet.Events().Now() + mSchedule.mLength;
+  if (mSchedule.mPrepare) {
+    mSchedule.mPrepare(mFleet);
+  }
   ScheduleNextQuery();
   for (const fault& each : mSchedule.mFaults) {
     mFleet.Events().After(each.mAt, [this, each] { Begin(each); });
@@ -324,6 +334,9 @@
   for (const auto& server : mFleet.Servers()) {
     mResult.mServersLost += server->Counts().mCrashes;
   }
+  for (std::size_t i = 0; i < mFleet.DaemonCount(); ++i) {
+    mResult.mDaemonsStopped += mFleet.HasStopped(i) ? 1 : 0;
+  }
   mResult.mTotals = Totals(mFleet);
   mResult.mLog = mFleet.LogLines();
   return std::move(mResult);
--- a/src/testing/fault_schedule.h
+++ b/src/testing/fault_schedule.h
@@ -55,6 +55,7 @@
   micros mGap = std::chrono::milliseconds(25); // mean time between queries
   std::uint32_t mSubmitShare = 10;             // in 100
   micros mDeadline = std::chrono::milliseconds(500);
+  std::function<void(fake_fleet&)> mPrepare; // called before the load begins; may be empty
 };
 
 struct schedule_result
@@ -62,6 +63,7 @@
   std::vector<std::string> mViolations; // first ones, with the time
   fleet_totals mTotals;
   std::uint64_t mServersLost = 0;
+  std::uint64_t mDaemonsStopped = 0; // by a planned stop
   std::vector<std::string> mLog;
 };
 
--- /dev/null
+++ b/src/testing/fleet_proof_test.cc
@@ -0,0 +1,323 @@
+#include "testing/fault_schedule.h"
+
+#include <gtest/gtest.h>
+
+// Each row causes one failure. The checks hold with the default behaviour and fail with the
+// mechanism's hook replaced, which shows that they can fail.
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+struct proof_row
+{
+  const char* mGuardsAgainst;
+  std::uint64_t mSeed;
+  std::vector<fault> mFaults;
+  std::function<void(fault_schedule&)> mShape;  // load and fleet of the row; may be empty
+  std::function<void(core_hooks&)> mWithout;    // replaces the mechanism
+};
+
+fault_schedule ScheduleOf(const proof_row& aRow)
+{
+  fault_schedule schedule;
+  schedule.mFleet.mSeed = aRow.mSeed;
+  schedule.mFaults = aRow.mFaults;
+  if (aRow.mShape) {
+    aRow.mShape(schedule);
+  }
+  return schedule;
+}
+
+std::string Join(const std::vector<std::string>& aLines)
+{
+  std::string text;
+  for (const std::string& line : aLines) {
+    text += line + "\n";
+  }
+  return text;
+}
+
+std::string ReportOf(const schedule_result& aResult)
+{
+  const fleet_totals& totals = aResult.mTotals;
+  return std::to_string(totals.mQueries) + " queries, " + std::to_string(totals.mComplete) +
+         " complete, " + std::to_string(totals.mPartial) + " partial, " +
+         std::to_string(totals.mNotRun) + " not run, " + std::to_string(totals.mUnknown) +
+         " unknown, coverage " + std::to_string(totals.mCoverage) + ", p99 " +
+         std::to_string(LatencyAt(totals, 0.99).count()) + " us";
+}
+
+class fleet_proof : public ::testing::TestWithParam<proof_row>
+{};
+
+TEST_P(fleet_proof, Holds)
+{
+  const schedule_result result = RunSchedule(ScheduleOf(GetParam()));
+  EXPECT_TRUE(result.mViolations.empty())
+    << GetParam().mGuardsAgainst << "\n" << Join(result.mViolations);
+  EXPECT_GT(result.mTotals.mComplete, 0U);
+  std::cout << GetParam().mGuardsAgainst << ": " << ReportOf(result) << "\n";
+}
+
+TEST_P(fleet_proof, FailsWithoutTheMechanism)
+{
+  fault_schedule schedule = ScheduleOf(GetParam());
+  GetParam().mWithout(schedule.mFleet.mHooks);
+  const schedule_result result = RunSchedule(schedule);
+  EXPECT_FALSE(result.mViolations.empty()) << GetParam().mGuardsAgainst;
+  std::cout << GetParam().mGuardsAgainst << ", mechanism replaced: " << Join(result.mViolations);
+}
+
+void NewestOfEachServer(core_hooks& aHooks)
+{
+  aHooks.mQuery.mChooseSnapshot = [](const std::vector<shard_info>& aShards) {
+    return snapshot{ 0, ChooseSnapshot(aShards).mMap };
+  };
+  aHooks.mQuery.mCheckReply = [](const query_state&, const part_state&, const part_reply&) {
+    return std::optional<reason>();
+  };
+}
+
+void RepeatAnySubmit(core_hooks& aHooks)
+{
+  aHooks.mQuery.mMayRepeatSubmit = [](part_result) { return true; };
+}
+
+void UseEveryOwnPermit(core_hooks& aHooks)
+{
+  aHooks.mGate.mMayUse = [](const permit& aPermit, const member_view& aView, instant) {
+    return aPermit.mHolder == aView.mSelf;
+  };
+}
+
+void IgnoreStages(core_hooks& aHooks)
+{
+  aHooks.mGate.mStage = [](const ramp_state&, instant, const core_config&) { return 9U; };
+}
+
+void ForgetSilentConnections(core_hooks& aHooks)
+{
+  aHooks.mGate.mHoldUntil = [](instant aNow, const core_config&) { return aNow; };
+  aHooks.mGate.mConnectionCap = [](const pool_spec& aPool) {
+    return aPool.mConnections / aPool.mSlots;
+  };
+}
+
+void IgnoreClosedZones(core_hooks& aHooks)
+{
+  aHooks.mTables.mParsePools = [](const std::string& aText, const std::string& aFile) {
+    result<pools_table> parsed = ParsePools(aText, aFile);
+    if (parsed) {
+      parsed.mValue->mClosedZones.clear();
+    }
+    return parsed;
+  };
+}
+
+void IgnoreDrains(core_hooks& aHooks)
+{
+  aHooks.mTables.mParsePools = [](const std::string& aText, const std::string& aFile) {
+    result<pools_table> parsed = ParsePools(aText, aFile);
+    if (parsed) {
+      for (pool_spec& pool : parsed.mValue->mPools) {
+        for (server_spec& server : pool.mServers) {
+          server.mDraining = false;
+        }
+      }
+    }
+    return parsed;
+  };
+}
+
+void HalfSubmits(fault_schedule& aSchedule)
+{
+  aSchedule.mSubmitShare = 50;
+}
+
+void Busy(fault_schedule& aSchedule)
+{
+  aSchedule.mGap = milliseconds(4);
+}
+
+void FewConnections(fault_schedule& aSchedule)
+{
+  aSchedule.mFleet.mConnections = 6;
+  aSchedule.mGap = milliseconds(4);
+}
+
+std::vector<fault> CrashEveryServerOnce()
+{
+  std::vector<fault> faults;
+  for (std::size_t server = 0; server < 12; ++server) {
+    faults.push_back({ fault_kind::CrashServer, milliseconds(1000 + 600 * server), {}, server, 1 });
+  }
+  return faults;
+}
+
+std::vector<fault> SilenceAgainAndAgain()
+{
+  std::vector<fault> faults;
+  for (std::size_t round = 0; round < 8; ++round) {
+    for (std::size_t daemon = 0; daemon < 5; ++daemon) {
+      faults.push_back(
+        { fault_kind::SilenceConnections, milliseconds(500 + 1000 * round), {}, 0, daemon });
+    }
+  }
+  return faults;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  fleet_proof,
+  ::testing::Values(
+    proof_row{ "answer mixed from two index versions while one rolls out",
+               11,
+               { { fault_kind::NewVersion, seconds(2), {}, 0, 1 },
+                 { fault_kind::Repartition, seconds(6), {}, 0, 1 } },
+               Busy,
+               NewestOfEachServer },
+    proof_row{ "submit run twice after servers were lost",
+               12,
+               CrashEveryServerOnce(),
+               HalfSubmits,
+               RepeatAnySubmit },
+    proof_row{ "submit run twice after daemons restarted empty, one paused 10 s, one cut off",
+               13,
+               { { fault_kind::RestartDaemon, seconds(2), {}, 0, 1 },
+                 { fault_kind::PauseDaemon, seconds(3), seconds(10), 1, 1 },
+                 { fault_kind::PartitionDaemons, seconds(5), seconds(4), 2, 2 },
+                 { fault_kind::RestartDaemon, seconds(7), {}, 3, 1 },
+                 { fault_kind::CrashServer, milliseconds(2500), {}, 3, 1 },
+                 { fault_kind::CrashServer, milliseconds(8500), {}, 6, 1 } },
+               HalfSubmits,
+               RepeatAnySubmit },
+    proof_row{ "slots passed while an old VM lives on, cut off, beside its replacement",
+               14,
+               { { fault_kind::ReplaceVm, seconds(2), seconds(16), 1, 1 } },
+               [](fault_schedule& aSchedule) {
+                 aSchedule.mLength = seconds(20);
+                 aSchedule.mGap = milliseconds(3);
+                 aSchedule.mFleet.mShards = 3;
+               },
+               UseEveryOwnPermit },
+    proof_row{ "load on cold servers above what they bear",
+               15,
+               { { fault_kind::CrashServer, seconds(2), {}, 0, 1 },
+                 { fault_kind::TurnServerCold, seconds(5), {}, 3, 1 },
+                 { fault_kind::CrashServer, seconds(7), {}, 5, 1 } },
+               [](fault_schedule& aSchedule) {
+                 aSchedule.mGap = milliseconds(3);
+                 aSchedule.mFleet.mShards = 3;
+               },
+               IgnoreStages },
+    proof_row{ "connections passed while the server still counts silent ones",
+               16,
+               SilenceAgainAndAgain(),
+               FewConnections,
+               ForgetSilentConnections },
+    proof_row{ "new work in a closed zone after 5 s",
+               17,
+               { { fault_kind::CloseZone, seconds(1), {}, 1, 1 } },
+               {},
+               IgnoreClosedZones },
+    proof_row{ "new work on a leaving server after 5 s",
+               18,
+               { { fault_kind::DrainServer, seconds(1), {}, 4, 1 } },
+               {},
+               IgnoreDrains }));
+
+struct crash_row
+{
+  const char* mGuardsAgainst;
+  std::uint32_t mShards;
+  std::uint32_t mReplicas;
+};
+
+class crash_request : public ::testing::TestWithParam<crash_row>
+{};
+
+// The caller sends the crashing request to each of the five daemons in turn. Bound of the design:
+// one server per shard in the first scatter, the hedges of one query, and one canary part.
+std::uint64_t LossBound(const crash_row& aRow)
+{
+  return aRow.mShards + (1 + aRow.mShards / 10) + 1;
+}
+
+fault_schedule CrashSchedule(const crash_row& aRow)
+{
+  fault_schedule schedule;
+  schedule.mFleet.mSeed = 21;
+  schedule.mFleet.mShards = aRow.mShards;
+  schedule.mFleet.mReplicas = aRow.mReplicas;
+  schedule.mFaults = { { fault_kind::CrashRequest, seconds(2), {}, 0, 1 } };
+  return schedule;
+}
+
+TEST_P(crash_request, LosesAtMostTheBound)
+{
+  const schedule_result result = RunSchedule(CrashSchedule(GetParam()));
+  EXPECT_TRUE(result.mViolations.empty()) << Join(result.mViolations);
+  EXPECT_GT(result.mServersLost, 0U) << "the request crashed no server";
+  EXPECT_LE(result.mServersLost, LossBound(GetParam())) << GetParam().mGuardsAgainst;
+  std::cout << GetParam().mGuardsAgainst << ": " << result.mServersLost << " servers lost, bound "
+            << LossBound(GetParam()) << "; " << ReportOf(result) << "\n";
+}
+
+TEST_P(crash_request, LosesMoreWithoutTheMechanism)
+{
+  fault_schedule schedule = CrashSchedule(GetParam());
+  schedule.mFleet.mHooks.mQuery.mHoldLostParts = false;
+  schedule.mFleet.mHooks.mQuery.mCanary = false;
+  schedule.mFleet.mConfigure = [](core_config& aConfig) {
+    aConfig.mQuarantineTime = milliseconds(1);
+    aConfig.mSuspectTime = milliseconds(1);
+  };
+  EXPECT_GT(RunSchedule(schedule).mServersLost, LossBound(GetParam()));
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  crash_request,
+  ::testing::Values(crash_row{ "crashing request sent to each daemon, 6 shards", 6, 2 },
+                    crash_row{ "crashing request sent to each daemon, 20 shards", 20, 2 }));
+
+struct stop_row
+{
+  const char* mGuardsAgainst;
+  fault_kind mKind;
+  bool mCuts;
+};
+
+class planned_stop : public ::testing::TestWithParam<stop_row>
+{};
+
+// A planned stop serves until the longest entry lifetime is over; a kill shows that the count of cut
+// requests can be above zero.
+TEST_P(planned_stop, CutRequests)
+{
+  fault_schedule schedule;
+  schedule.mFleet.mSeed = 31;
+  schedule.mLength = seconds(18);
+  schedule.mGap = milliseconds(5);
+  schedule.mFaults = { { GetParam().mKind, seconds(2), {}, 2, 1 } };
+  const schedule_result result = RunSchedule(schedule);
+  EXPECT_TRUE(result.mViolations.empty()) << Join(result.mViolations);
+  EXPECT_EQ(result.mTotals.mDaemonLost > 0, GetParam().mCuts) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(result.mDaemonsStopped, GetParam().mCuts ? 0U : 1U) << GetParam().mGuardsAgainst;
+  std::cout << GetParam().mGuardsAgainst << ": " << result.mTotals.mDaemonLost << " cut; "
+            << ReportOf(result) << "\n";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  planned_stop,
+  ::testing::Values(stop_row{ "planned stop cuts requests", fault_kind::StopDaemon, false },
+                    stop_row{ "the count of cut requests is always zero",
+                              fault_kind::KillDaemon,
+                              true }));
+
+} // namespace
+} // namespace redwingdock::testing
