Carry the question for the leader's stage between daemons

Cause: server_stage_message.mAsks was not encoded, so that a holder waited for the leader's periodic message, up to 500 ms, after each straggler. Conclusion: the field arrives.

--- a/src/codec/peer_codec.cc
+++ b/src/codec/peer_codec.cc
@@ -238,6 +238,7 @@
       ToWire(version, out->add_versions());
     }
     out->set_age(ToWire(aMessage.mAge));
+    out->set_asks(aMessage.mAsks);
   }
 
   void operator()(const suspect_message& aMessage) const
@@ -272,8 +273,8 @@
 
 // Names are at most 63 characters; origins join two of them. Longer ones come from no daemon.
 constexpr std::size_t kNameLimit = 255;
-// Ages and remaining times of state, which can be as old as a process; requests have kDeadlineLimit.
-// The bound keeps sums with a clock from overflowing.
+// Ages and remaining times of state, which can be as old as a process; requests have
+// kDeadlineLimit. The bound keeps sums with a clock from overflowing.
 constexpr micros kDurationLimit = std::chrono::hours(24 * 365 * 30);
 // The longest deadline of the interface is 5 s.
 constexpr micros kDeadlineLimit = std::chrono::seconds(60);
@@ -511,7 +512,8 @@
              aStage.leads(),
              aStage.draining(),
              Versions(aStage.versions()),
-             Duration("age", aStage.age(), kDurationLimit) };
+             Duration("age", aStage.age(), kDurationLimit),
+             aStage.asks() };
   }
 
   query_request QueryRequest(const wire::query_request& aRequest)
--- a/src/codec/peer_codec_test.cc
+++ b/src/codec/peer_codec_test.cc
@@ -103,7 +103,7 @@
     part_reply_message{ Reply() },
     part_reply_message{ LostReply() },
     cancel_part_message{ kAttempt, "cw-03a" },
-    server_stage_message{ "cw-03a", "cw-03a-2", 2, true, true, { { 41, 3 } }, micros(5) },
+    server_stage_message{ "cw-03a", "cw-03a-2", 2, true, true, { { 41, 3 } }, micros(5), true },
     suspect_message{ kSuspect },
     permit_release_message{ 6, { "cw-00a", "cw-00b" } },
     forward_query_message{ 99, Query(), std::chrono::milliseconds(150) },
