--- a/src/gate/gate_queue.cc
+++ b/src/gate/gate_queue.cc
@@ -20,7 +20,7 @@
   const auto found = std::find_if(aQueue.begin(), aQueue.end(), [&](const waiting_part& aEach) {
     return aEach.mRequest.mAttempt == aAttempt;
   });
-  return found == aQueue.end() ? nullptr : &*found;
+  return found == aQueue.end() ? nullptr : &**found;
 }
 
 queue_step AfterArrival(gate_queue aQueue,
@@ -48,7 +48,7 @@
                         const std::function<bool(const waiting_part&)>& aRemove)
 {
   queue_step step;
-  for (const waiting_part& each : aQueue) {
+  for (const shared_value<waiting_part>& each : aQueue) {
     (aRemove(each) ? step.mRemoved : step.mQueue).push_back(each);
   }
   return step;
@@ -63,9 +63,9 @@
   const bool freeNow =
     std::any_of(aFreeAt.begin(), aFreeAt.end(), [aNow](instant aAt) { return aAt <= aNow; });
   queue_step step;
-  for (const waiting_part& each : aQueue) {
+  for (const shared_value<waiting_part>& each : aQueue) {
     const auto earliest = std::min_element(aFreeAt.begin(), aFreeAt.end());
-    if (earliest == aFreeAt.end() || aShed(each.mRequest, *earliest, aService)) {
+    if (earliest == aFreeAt.end() || aShed(each->mRequest, *earliest, aService)) {
       step.mRemoved.push_back(each);
       continue;
     }
--- a/src/gate/gate_queue.h
+++ b/src/gate/gate_queue.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_GATE_GATE_QUEUE_H
 
 #include "core/requests.h"
+#include "gate/shared_value.h"
 
 #include <functional>
 
@@ -22,7 +23,7 @@
 };
 
 // In dispatch order.
-using gate_queue = std::vector<waiting_part>;
+using gate_queue = std::vector<shared_value<waiting_part>>;
 
 struct queue_step
 {
--- a/src/gate/settle.cc
+++ b/src/gate/settle.cc
@@ -189,7 +189,7 @@
 void EndQuarantined(gate_turn& aTurn)
 {
   gate_queue& queue = aTurn.mState.mQueue;
-  while (!queue.empty() && IsQuarantined(aTurn, queue.front().mRequest)) {
+  while (!queue.empty() && IsQuarantined(aTurn, queue.front()->mRequest)) {
     const waiting_part part = queue.front();
     queue.erase(queue.begin());
     Finish(aTurn, part, part_result::NotRun, part_failure::Shed, "request is quarantined");
