--- a/src/gate/gate_turn.cc
+++ b/src/gate/gate_turn.cc
@@ -79,12 +79,18 @@
                              state.mFacts.mVersions,
                              state.mFacts.mSeenAt,
                              static_cast<std::uint32_t>(state.mQueue.size()) });
-  gate_load load{ server, static_cast<std::uint32_t>(state.mUses.size()), {} };
+  WriteLoad(aTurn);
+  board.Write(server, state);
+}
+
+void WriteLoad(const gate_turn& aTurn)
+{
+  const gate_state& state = aTurn.mState;
+  gate_load load{ state.mServer, static_cast<std::uint32_t>(state.mUses.size()), {} };
   for (const permit_use& use : state.mUses) {
     load.mPermitsInUse.insert(use.mPermit);
   }
-  board.Write(server, std::move(load));
-  board.Write(server, state);
+  aTurn.mContext.mBoard.Write(state.mServer, std::move(load));
 }
 
 bool Leads(const gate_turn& aTurn)
