Send releases of moved permits at the short interval

The holder of a moved permit looked at its gates once per second. It now uses the short interval (200 ms) while releases are open, in the first 2 s after a list. membership_test: 42 of 42 pass.

--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -156,7 +156,7 @@
   Evaluate(state);
   SendReleases(state);
   const instant now = mContext.Now();
-  const bool quick = (!state.mPending.empty() || !state.mRecovered) &&
+  const bool quick = (!state.mPending.empty() || !state.mReleases.empty() || !state.mRecovered) &&
                      now - std::max(state.mListSince, state.mStartedAt) < kQuickProbeTime;
   mContext.After(quick ? kQuickProbeInterval : kProbeInterval, kMembersKey, probe_tick{});
   Save(std::move(state));
