--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -156,7 +156,7 @@
   Evaluate(state);
   SendReleases(state);
   const instant now = mContext.Now();
-  const bool quick = (!state.mPending.empty() || !state.mRecovered) &&
+  const bool quick = (!state.mPending.empty() || !state.mReleases.empty() || !state.mRecovered) &&
                      now - std::max(state.mListSince, state.mStartedAt) < kQuickProbeTime;
   mContext.After(quick ? kQuickProbeInterval : kProbeInterval, kMembersKey, probe_tick{});
   Save(std::move(state));
@@ -166,7 +166,7 @@
 {
   membership_state state = Load();
   const auto published = mContext.mBoard.Read<vm_list>(kTablesKey);
-  if (published && published->mRevision > List().mRevision) {
+  if (published && mHooks.mMayReplaceList(published->mRevision, List().mRevision)) {
     AdoptList(state, *published);
   }
   AdoptPools(state);
