--- a/scripts/experiments.sh
+++ b/scripts/experiments.sh
@@ -20,7 +20,7 @@
   local deployment=$1 experiment=$2 name=$3 settings=$4 folder=$run/$3 code=0
   shift 4
   cluster_start "$deployment" "$folder" "$settings" "start_warm: true"
-  for route in $(sed -n 's/^  - name: *//p' "$folder/routes.yaml" | head -2); do
+  for route in $(sed -n 's/^  - name: *//p' "$folder/routes.yaml" | sed -n 1,2p); do
     cluster_wait_for_route "$folder" "$route"
   done
   # shellcheck disable=SC2046
