--- /dev/null
+++ b/src/daemon/backend_client_test.cc
@@ -0,0 +1,365 @@
+#include "daemon/backend_client.h"
+
+#include "codec/server_json.h"
+#include "daemon/loopback_kit.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using testing_kit::answering_server;
+using testing_kit::Eventually;
+using testing_kit::fact_log;
+using testing_kit::scripted_reply;
+using testing_kit::scripted_server;
+
+constexpr std::uint64_t kConnection = 17;
+
+part_request Request(std::uint64_t aNumber = 1)
+{
+  part_request request;
+  request.mAttempt = { "vm-1.5f2c", aNumber };
+  request.mServer = "cw-03a";
+  request.mPool = "caseworker-desk";
+  request.mShard = "cw-03";
+  request.mVersion = 41;
+  request.mDeadline = SteadyNow() + std::chrono::seconds(5);
+  return request;
+}
+
+std::string Body()
+{
+  part_reply reply;
+  reply.mAttempt = Request().mAttempt;
+  reply.mResult = part_result::Answered;
+  reply.mServer = "cw-03a";
+  reply.mShard = "cw-03";
+  reply.mVersion = 41;
+  reply.mMap = 3;
+  reply.mEvidence = server_evidence{ "cw-03a-1", server_mode::Warm, { { 41, 3 } } };
+  return FormatPartReply(reply);
+}
+
+std::string Replied(unsigned aStatus, const std::string& aBody, bool aKeepAlive = true)
+{
+  return FormatReply({ aStatus, "application/json", aBody, "" }, aKeepAlive);
+}
+
+struct client
+{
+  explicit client(io_loop& aLoop)
+    : mBackends(aLoop, { [this](fact aFact) { mFacts.Add(std::move(aFact)); }, nullptr })
+  {
+  }
+
+  std::optional<connection_event> LastEvent() const
+  {
+    const auto events = mFacts.Of<connection_changed>();
+    return events.empty() ? std::nullopt : std::optional(events.back().mEvent);
+  }
+
+  fact_log mFacts;
+  backend_client mBackends;
+};
+
+struct reply_row
+{
+  const char* mGuardsAgainst;
+  std::optional<std::string> mReply; // nothing closes the connection
+  part_result mResult;
+  part_failure mFailure;
+  std::optional<connection_event> mEnd; // empty when the connection stays
+};
+
+class reply_test : public testing::TestWithParam<reply_row>
+{};
+
+TEST_P(reply_test, EndsInOneReply)
+{
+  const reply_row& row = GetParam();
+  io_loop loop(2);
+  scripted_server server(loop, [&row](const std::string&) {
+    return scripted_reply{ row.mReply.value_or(""), !row.mReply };
+  });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", server.Address(), kConnection });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>());
+  ASSERT_EQ(tested.LastEvent(), connection_event::Opened);
+  tested.mBackends.Send({ kConnection, Request(), SteadyNow() + std::chrono::seconds(5) });
+  ASSERT_TRUE(tested.mFacts.WaitForType<part_replied>()) << row.mGuardsAgainst;
+  if (row.mEnd) {
+    ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>(2));
+    EXPECT_EQ(tested.LastEvent(), row.mEnd) << row.mGuardsAgainst;
+  }
+  loop.Stop();
+  const auto replies = tested.mFacts.Of<part_replied>();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies[0].mServer, "cw-03a");
+  EXPECT_EQ(replies[0].mConnection, kConnection);
+  EXPECT_EQ(replies[0].mReply.mAttempt, Request().mAttempt);
+  EXPECT_EQ(replies[0].mReply.mResult, row.mResult) << row.mGuardsAgainst;
+  EXPECT_EQ(replies[0].mReply.mFailure, row.mFailure) << row.mGuardsAgainst;
+  EXPECT_EQ(tested.mFacts.Of<connection_changed>().size(), row.mEnd ? 2U : 1U);
+}
+
+std::string Changed(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  return aText.replace(aText.find(aFrom), aFrom.size(), aTo);
+}
+
+constexpr auto kUnknown = part_result::Unknown;
+constexpr auto kMalformed = part_failure::Malformed;
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  reply_test,
+  testing::Values(
+    reply_row{ "the usual case",
+               Replied(200, Body()),
+               part_result::Answered,
+               part_failure::None,
+               std::nullopt },
+    reply_row{ "a server that closes after its reply",
+               Replied(200, Body(), false),
+               part_result::Answered,
+               part_failure::None,
+               connection_event::Closed },
+    reply_row{ "a server that crashes on the request",
+               std::nullopt,
+               kUnknown,
+               part_failure::ConnectionLost,
+               connection_event::Lost },
+    reply_row{ "noise",
+               std::string(200, '\xa5') + "\r\n\r\n",
+               kUnknown,
+               kMalformed,
+               connection_event::Closed },
+    reply_row{ "another protocol",
+               "SSH-2.0-x\r\n\r\n",
+               kUnknown,
+               kMalformed,
+               connection_event::Closed },
+    reply_row{ "a body that is not JSON", Replied(200, "ok"), kUnknown, kMalformed, std::nullopt },
+    reply_row{ "the reply to another attempt",
+               Replied(200, Changed(Body(), "5f2c#1", "5f2c#2")),
+               kUnknown,
+               kMalformed,
+               std::nullopt },
+    reply_row{ "the reply of another shard",
+               Replied(200, Changed(Body(), "\"cw-03\"", "\"cw-04\"")),
+               kUnknown,
+               kMalformed,
+               std::nullopt },
+    reply_row{ "another status", Replied(500, Body()), kUnknown, kMalformed, std::nullopt },
+    reply_row{ "a body over the limit",
+               "HTTP/1.1 200 OK\r\nContent-Length: 999999999\r\n\r\n",
+               kUnknown,
+               kMalformed,
+               connection_event::Closed },
+    reply_row{ "a header without end",
+               "HTTP/1.1 200 OK\r\nA: " + std::string(20000, 'a'),
+               kUnknown,
+               kMalformed,
+               connection_event::Closed },
+    reply_row{ "two replies to one request",
+               Replied(200, Body()) + Replied(200, Body()),
+               part_result::Answered,
+               part_failure::None,
+               connection_event::Closed }));
+
+struct cut_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mBytes;
+};
+
+class cut_test : public testing::TestWithParam<cut_row>
+{};
+
+// Guards against a reply that is cut by a crash and taken for a whole one.
+TEST_P(cut_test, IsAConnectionLoss)
+{
+  io_loop loop(2);
+  scripted_server server(loop, [](const std::string&) {
+    return scripted_reply{ Replied(200, Body()).substr(0, GetParam().mBytes), true };
+  });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", server.Address(), kConnection });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>());
+  tested.mBackends.Send({ kConnection, Request(), SteadyNow() + std::chrono::seconds(5) });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>(2)) << GetParam().mGuardsAgainst;
+  loop.Stop();
+  EXPECT_EQ(tested.LastEvent(), connection_event::Lost);
+  ASSERT_EQ(tested.mFacts.Of<part_replied>().size(), 1U);
+  EXPECT_EQ(tested.mFacts.Of<part_replied>()[0].mReply.mFailure, part_failure::ConnectionLost);
+}
+
+INSTANTIATE_TEST_SUITE_P(rows,
+                         cut_test,
+                         testing::Values(cut_row{ "nothing but the end", 0 },
+                                         cut_row{ "a cut header", 30 },
+                                         cut_row{ "a cut body", 150 }));
+
+struct send_row
+{
+  const char* mGuardsAgainst;
+  micros mNotAfter; // from now
+  micros mDeadline; // from now
+  std::uint64_t mConnection;
+  part_failure mFailure;
+};
+
+class refused_send_test : public testing::TestWithParam<send_row>
+{};
+
+TEST_P(refused_send_test, SendsNothing)
+{
+  const send_row& row = GetParam();
+  io_loop loop(2);
+  answering_server server(loop, [](const http_message&) {
+    return http_response{ 200, "", "", "" };
+  });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", server.Address(), kConnection });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>());
+  part_request request = Request();
+  request.mDeadline = SteadyNow() + row.mDeadline;
+  tested.mBackends.Send({ row.mConnection, request, SteadyNow() + row.mNotAfter });
+  ASSERT_TRUE(tested.mFacts.WaitForType<part_replied>()) << row.mGuardsAgainst;
+  loop.Stop();
+  const part_replied reply = tested.mFacts.Of<part_replied>()[0];
+  EXPECT_EQ(reply.mReply.mResult, part_result::NotRun);
+  EXPECT_EQ(reply.mReply.mFailure, row.mFailure) << row.mGuardsAgainst;
+  EXPECT_EQ(server.Requests(), 0U);
+}
+
+constexpr micros kSecond = std::chrono::seconds(1);
+
+INSTANTIATE_TEST_SUITE_P(rows,
+                         refused_send_test,
+                         testing::Values(send_row{ "a command from before a pause",
+                                                   -kSecond,
+                                                   kSecond,
+                                                   kConnection,
+                                                   part_failure::NotSent },
+                                         send_row{ "a part whose deadline passed in a queue",
+                                                   kSecond,
+                                                   -kSecond,
+                                                   kConnection,
+                                                   part_failure::DeadlinePassed },
+                                         send_row{ "a connection that was closed meanwhile",
+                                                   kSecond,
+                                                   kSecond,
+                                                   99,
+                                                   part_failure::NotSent }));
+
+// Guards against two parts on one connection, which the server would answer in turn.
+TEST(backend_client_test, SecondPartIsRefused)
+{
+  io_loop loop(2);
+  scripted_server silent(loop, [](const std::string&) { return scripted_reply{}; });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", silent.Address(), kConnection });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>());
+  const instant notAfter = SteadyNow() + kSecond;
+  tested.mBackends.Send({ kConnection, Request(1), notAfter });
+  tested.mBackends.Send({ kConnection, Request(2), notAfter });
+  ASSERT_TRUE(tested.mFacts.WaitForType<part_replied>());
+  EXPECT_EQ(tested.mFacts.Of<part_replied>()[0].mReply.mAttempt.mNumber, 2U);
+  EXPECT_EQ(tested.mFacts.Of<part_replied>()[0].mReply.mFailure, part_failure::NotSent);
+  // A connection that the core closes gives no further facts.
+  tested.mBackends.Close({ "cw-03a", kConnection });
+  EXPECT_EQ(tested.mBackends.Connections(), 0U);
+  loop.Stop();
+  EXPECT_EQ(tested.mFacts.All().size(), 2U);
+}
+
+// Guards against a part that waits for ever on a server that went silent.
+TEST(backend_client_test, SilentServerEndsWithTheDeadline)
+{
+  io_loop loop(2);
+  scripted_server silent(loop, [](const std::string&) { return scripted_reply{}; });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", silent.Address(), kConnection });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>());
+  part_request request = Request();
+  request.mDeadline = SteadyNow() + std::chrono::milliseconds(50);
+  tested.mBackends.Send({ kConnection, request, SteadyNow() + kSecond });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>(2));
+  loop.Stop();
+  EXPECT_EQ(tested.LastEvent(), connection_event::Closed);
+  EXPECT_EQ(tested.mFacts.Of<part_replied>()[0].mReply.mFailure, part_failure::Silent);
+}
+
+TEST(backend_client_test, RefusedConnectionIsReported)
+{
+  io_loop loop(2);
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Open({ "cw-03a", "127.0.0.1:1", 1 });
+  tested.mBackends.Open({ "cw-03a", "no address", 2 });
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>(2));
+  loop.Stop();
+  for (const connection_changed& each : tested.mFacts.Of<connection_changed>()) {
+    EXPECT_EQ(each.mEvent, connection_event::Refused);
+  }
+}
+
+struct check_row
+{
+  const char* mGuardsAgainst;
+  std::optional<http_response> mReply; // nothing: the server is silent
+  bool mAlive;
+};
+
+class check_test : public testing::TestWithParam<check_row>
+{};
+
+TEST_P(check_test, OnlyAnAnswerCounts)
+{
+  io_loop loop(2);
+  answering_server server(loop, [](const http_message&) { return GetParam().mReply; });
+  client tested(loop);
+  loop.Start();
+  tested.mBackends.Check({ "cw-03a", server.Address() });
+  ASSERT_TRUE(tested.mFacts.WaitForType<check_answered>());
+  loop.Stop();
+  EXPECT_EQ(tested.mFacts.Of<check_answered>()[0].mAlive, GetParam().mAlive)
+    << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  check_test,
+  testing::Values(
+    check_row{ "the usual case", http_response{ 200, "", "{}", "" }, true },
+    check_row{ "a port that another program uses", http_response{ 404, "", "", "" }, false },
+    check_row{ "a server that accepts and does not answer", std::nullopt, false }));
+
+// Guards against one connection per cancel, each of which costs the server about 6 ms.
+TEST(backend_client_test, CancelsShareAConnection)
+{
+  io_loop loop(2);
+  std::atomic<int> cancels{ 0 };
+  answering_server server(loop, [&cancels](const http_message& aRequest) {
+    cancels += aRequest.mTarget == "/v1/cancel" && ParseCancel(aRequest.mBody) ? 1 : 0;
+    return http_response{ 200, "application/json", "{}", "" };
+  });
+  client tested(loop);
+  loop.Start();
+  for (std::uint64_t i = 0; i < 20; ++i) {
+    tested.mBackends.Cancel({ "cw-03a", server.Address(), { "vm-1.5f2c", i } });
+  }
+  EXPECT_TRUE(Eventually([&] { return cancels == 20; }));
+  EXPECT_EQ(server.Connections(), 1U);
+  loop.Stop();
+}
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/daemon/loopback_kit.cc
@@ -0,0 +1,214 @@
+#include "daemon/loopback_kit.h"
+
+#include <arpa/inet.h>
+#include <array>
+#include <cstdlib>
+#include <sys/socket.h>
+#include <sys/time.h>
+#include <unistd.h>
+#include <utility>
+
+namespace redwingdock::testing_kit {
+
+namespace {
+
+constexpr std::chrono::milliseconds kAskAgain{ 5 };
+
+} // namespace
+
+raw_socket::raw_socket(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_port =
+    htons(static_cast<std::uint16_t>(std::strtoul(aAddress.c_str() + colon + 1, nullptr, 10)));
+  inet_pton(AF_INET, aAddress.substr(0, colon).c_str(), &address.sin_addr);
+  mSocket = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  const timeval limit{ kDeadline.count(), 0 };
+  ::setsockopt(mSocket, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof(limit));
+  ::setsockopt(mSocket, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof(limit));
+  if (::connect(mSocket, reinterpret_cast<const sockaddr*>(&address), sizeof(address)) != 0) {
+    ::close(mSocket);
+    mSocket = -1;
+  }
+}
+
+raw_socket::~raw_socket()
+{
+  if (mSocket >= 0) {
+    ::close(mSocket);
+  }
+}
+
+void raw_socket::Send(const std::string& aBytes)
+{
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
+    const ssize_t size = ::send(mSocket, aBytes.data() + sent, aBytes.size() - sent, MSG_NOSIGNAL);
+    if (size <= 0) {
+      return; // the other side may refuse before it has read everything
+    }
+    sent += static_cast<std::size_t>(size);
+  }
+}
+
+void raw_socket::EndSending()
+{
+  ::shutdown(mSocket, SHUT_WR);
+}
+
+bool raw_socket::ReadMore(std::string& aText)
+{
+  std::array<char, 16384> buffer{};
+  const ssize_t size = ::recv(mSocket, buffer.data(), buffer.size(), 0);
+  if (size <= 0) {
+    mEnded = size == 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+    return false;
+  }
+  aText.append(buffer.data(), static_cast<std::size_t>(size));
+  return true;
+}
+
+std::string raw_socket::ReadReply()
+{
+  std::string text;
+  do {
+    const std::size_t head = text.find("\r\n\r\n");
+    if (head == std::string::npos) {
+      continue;
+    }
+    const std::size_t length = text.find("Content-Length: ");
+    const std::size_t body =
+      length < head ? std::strtoul(text.c_str() + length + 16, nullptr, 10) : 0;
+    if (text.size() >= head + 4 + body) {
+      return text;
+    }
+  } while (ReadMore(text));
+  return text;
+}
+
+std::string raw_socket::ReadSome()
+{
+  std::string text;
+  ReadMore(text);
+  return text;
+}
+
+std::string raw_socket::ReadToEnd()
+{
+  std::string text;
+  while (ReadMore(text)) {
+  }
+  return text;
+}
+
+unsigned StatusIn(const std::string& aText)
+{
+  const std::string start = "HTTP/1.1 ";
+  return aText.compare(0, start.size(), start) == 0
+           ? static_cast<unsigned>(std::strtoul(aText.c_str() + start.size(), nullptr, 10))
+           : 0;
+}
+
+std::string Ask(const std::string& aAddress,
+                const std::string& aMethod,
+                const std::string& aTarget,
+                const std::string& aBody)
+{
+  raw_socket socket(aAddress);
+  socket.Send(FormatRequest(aMethod, aTarget, aAddress, aBody));
+  return socket.ReadReply();
+}
+
+void fact_log::Add(fact aFact)
+{
+  {
+    const std::lock_guard lock(mLock);
+    mFacts.push_back(std::move(aFact));
+  }
+  mAdded.notify_all();
+}
+
+bool fact_log::WaitFor(const std::function<bool(const fact&)>& aPredicate, std::size_t aCount)
+{
+  std::unique_lock lock(mLock);
+  return mAdded.wait_for(lock, kDeadline, [&] {
+    std::size_t count = 0;
+    for (const fact& each : mFacts) {
+      count += aPredicate(each) ? 1 : 0;
+    }
+    return count >= aCount;
+  });
+}
+
+std::vector<fact> fact_log::All() const
+{
+  const std::lock_guard lock(mLock);
+  return mFacts;
+}
+
+bool Eventually(const std::function<bool()>& aCondition)
+{
+  std::mutex lock;
+  std::condition_variable never;
+  std::unique_lock held(lock);
+  const auto end = std::chrono::steady_clock::now() + kDeadline;
+  while (std::chrono::steady_clock::now() < end) {
+    if (never.wait_for(held, kAskAgain, aCondition)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+scripted_server::scripted_server(io_loop& aLoop, script aScript, const std::string& aAddress)
+{
+  auto listener = Listen(
+    aLoop, aAddress, [this, run = std::move(aScript)](const std::shared_ptr<tcp_connection>& aNew) {
+      {
+        const std::lock_guard lock(mLock);
+        mConnections.push_back(aNew);
+      }
+      const std::weak_ptr<tcp_connection> connection = aNew;
+      tcp_hooks hooks;
+      hooks.mOnBytes = [run, connection](std::string_view aBytes) {
+        const auto open = connection.lock();
+        if (!open) {
+          return;
+        }
+        scripted_reply reply = run(std::string(aBytes));
+        open->Send(std::move(reply.mBytes));
+        if (reply.mClose) {
+          open->CloseAfterSend("script ended");
+        }
+      };
+      aNew->Start(std::move(hooks));
+    });
+  mListener = listener ? *listener : nullptr;
+  mAddress = mListener ? mListener->Address() : std::string();
+}
+
+std::size_t scripted_server::Connections()
+{
+  const std::lock_guard lock(mLock);
+  return mConnections.size();
+}
+
+answering_server::answering_server(io_loop& aLoop, handler aHandler)
+  : mServer(
+      aLoop,
+      mNumbers,
+      { [this, handle = std::move(aHandler)](std::uint64_t aNumber, const http_message& aRequest) {
+         ++mRequests;
+         if (const std::optional<http_response> reply = handle(aRequest)) {
+           mServer.Reply(aNumber, *reply);
+         }
+       },
+        nullptr,
+        nullptr })
+  , mAddress(mServer.ListenOn("127.0.0.1:0").mValue.value_or(""))
+{
+}
+
+} // namespace redwingdock::testing_kit
--- /dev/null
+++ b/src/daemon/loopback_kit.h
@@ -0,0 +1,146 @@
+#ifndef REDWINGDOCK_DAEMON_LOOPBACK_KIT_H
+#define REDWINGDOCK_DAEMON_LOOPBACK_KIT_H
+
+#include "core/core.h"
+#include "daemon/http_server.h"
+#include "daemon/tcp.h"
+
+#include <condition_variable>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+// Real sockets on loopback for tests. Every wait has a deadline and ends as soon as its condition
+// holds.
+//
+//   raw_socket socket("127.0.0.1:7001");
+//   socket.Send("GET / HTTP/1.1\r\n\r\n");
+//   std::string reply = socket.ReadReply();
+
+namespace redwingdock::testing_kit {
+
+// Longest wait of a test for anything that must happen.
+inline constexpr std::chrono::seconds kDeadline{ 10 };
+
+// A blocking client socket with a timeout.
+class raw_socket
+{
+public:
+  explicit raw_socket(const std::string& aAddress);
+  ~raw_socket();
+  raw_socket(const raw_socket&) = delete;
+  raw_socket& operator=(const raw_socket&) = delete;
+
+  bool Connected() const { return mSocket >= 0; }
+  void Send(const std::string& aBytes);
+  // Ends the sending direction.
+  void EndSending();
+  // What arrives until the end of a reply with Content-Length, of the connection, or kDeadline.
+  std::string ReadReply();
+  // The next bytes; empty at the end of the connection or after kDeadline.
+  std::string ReadSome();
+  // What arrives until the other side closes.
+  std::string ReadToEnd();
+  bool Ended() const { return mEnded; }
+
+private:
+  bool ReadMore(std::string& aText);
+
+  int mSocket = -1;
+  bool mEnded = false;
+};
+
+// Status of the first reply in a text, 0 when there is none.
+unsigned StatusIn(const std::string& aText);
+
+// Sends one request on a connection of its own.
+std::string Ask(const std::string& aAddress,
+                const std::string& aMethod,
+                const std::string& aTarget,
+                const std::string& aBody = "");
+
+// Facts in the order they were posted.
+class fact_log
+{
+public:
+  void Add(fact aFact);
+  // Waits until the number of facts that the predicate accepts reaches the count.
+  bool WaitFor(const std::function<bool(const fact&)>& aPredicate, std::size_t aCount = 1);
+  std::vector<fact> All() const;
+
+  template<typename T>
+  std::vector<T> Of() const
+  {
+    std::vector<T> found;
+    for (const fact& each : All()) {
+      if (const T* value = std::get_if<T>(&each)) {
+        found.push_back(*value);
+      }
+    }
+    return found;
+  }
+
+  template<typename T>
+  bool WaitForType(std::size_t aCount = 1)
+  {
+    return WaitFor([](const fact& aFact) { return std::holds_alternative<T>(aFact); }, aCount);
+  }
+
+private:
+  mutable std::mutex mLock;
+  std::condition_variable mAdded;
+  std::vector<fact> mFacts;
+};
+
+// Waits until the condition holds, asking again every few milliseconds; for state that gives no
+// notice of its changes, such as a page of the daemon.
+bool Eventually(const std::function<bool()>& aCondition);
+
+// What a scripted server does with a batch of bytes.
+struct scripted_reply
+{
+  std::string mBytes;
+  bool mClose = false; // after sending the bytes
+};
+
+// A TCP server that answers the bytes it gets by a script.
+class scripted_server
+{
+public:
+  using script = std::function<scripted_reply(const std::string&)>;
+
+  scripted_server(io_loop& aLoop, script aScript, const std::string& aAddress = "127.0.0.1:0");
+  const std::string& Address() const { return mAddress; }
+  std::size_t Connections();
+
+private:
+  std::shared_ptr<tcp_listener> mListener;
+  std::string mAddress;
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mConnections;
+};
+
+// An HTTP server that answers at once; a nullopt reply leaves the request unanswered.
+class answering_server
+{
+public:
+  using handler = std::function<std::optional<http_response>(const http_message&)>;
+
+  answering_server(io_loop& aLoop, handler aHandler);
+  const std::string& Address() const { return mAddress; }
+  std::size_t Requests() const { return mRequests; }
+  std::size_t Connections() const { return mServer.Connections(); }
+
+private:
+  number_source mNumbers{ 0 };
+  std::atomic<std::size_t> mRequests{ 0 };
+  http_server mServer;
+  std::string mAddress;
+};
+
+} // namespace redwingdock::testing_kit
+
+#endif
--- /dev/null
+++ b/src/daemon/platform_client_test.cc
@@ -0,0 +1,128 @@
+#include "daemon/platform_client.h"
+
+#include "daemon/loopback_kit.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using testing_kit::answering_server;
+using testing_kit::fact_log;
+using testing_kit::scripted_reply;
+using testing_kit::scripted_server;
+
+struct read_row
+{
+  const char* mGuardsAgainst;
+  std::string mReply; // raw; empty: the service is silent
+  fact mFact;         // without reason and time
+};
+
+class read_test : public testing::TestWithParam<read_row>
+{};
+
+const read_table kRead{ table_kind::Pools, 31, micros(0) };
+
+std::string Replied(unsigned aStatus, const std::string& aBody, const std::string& aRevision)
+{
+  return FormatReply({ aStatus, "text/yaml", aBody, aRevision }, true);
+}
+
+TEST_P(read_test, EndsInOneFact)
+{
+  io_loop loop(2);
+  scripted_server service(loop,
+                          [](const std::string&) { return scripted_reply{ GetParam().mReply }; });
+  fact_log facts;
+  platform_client tested(
+    loop, { service.Address() }, [&facts](fact aFact) { facts.Add(std::move(aFact)); });
+  loop.Start();
+  const instant before = SteadyNow();
+  tested.Read(kRead);
+  ASSERT_TRUE(facts.WaitFor([](const fact&) { return true; })) << GetParam().mGuardsAgainst;
+  loop.Stop();
+  ASSERT_EQ(facts.All().size(), 1U);
+  fact found = facts.All()[0];
+  if (auto* read = std::get_if<table_read>(&found)) {
+    EXPECT_GE(read->mReadSince, before);
+    read->mReadSince = {};
+  } else if (auto* same = std::get_if<table_unchanged>(&found)) {
+    EXPECT_GE(same->mReadSince, before);
+    same->mReadSince = {};
+  } else if (auto* failed = std::get_if<table_read_failed>(&found)) {
+    EXPECT_FALSE(failed->mReason.mText.empty());
+    failed->mReason = {};
+  }
+  EXPECT_EQ(found, GetParam().mFact) << GetParam().mGuardsAgainst;
+}
+
+const fact kFailed = table_read_failed{ table_kind::Pools, {} };
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  read_test,
+  testing::Values(
+    read_row{ "the usual case",
+              Replied(200, "revision: 32\n", "32"),
+              table_read{ table_kind::Pools, 32, "revision: 32\n", {} } },
+    read_row{ "a stale service, which the core must see",
+              Replied(200, "revision: 3\n", "3"),
+              table_read{ table_kind::Pools, 3, "revision: 3\n", {} } },
+    read_row{ "a watch without news",
+              Replied(204, "", "31"),
+              table_unchanged{ table_kind::Pools, 31, {} } },
+    read_row{ "a reply without revision", Replied(200, "revision: 32\n", ""), kFailed },
+    read_row{ "a revision that is no number", Replied(200, "", "32x"), kFailed },
+    read_row{ "a negative revision", Replied(200, "", "-1"), kFailed },
+    read_row{ "another status", Replied(500, "", "32"), kFailed },
+    read_row{ "noise", std::string(100, '\xa5') + "\r\n\r\n", kFailed },
+    read_row{ "a table of 16 MB",
+              "HTTP/1.1 200 OK\r\nTable-Revision: 32\r\nContent-Length: 16000000\r\n\r\n",
+              kFailed },
+    read_row{ "a service that is silent", "", kFailed }));
+
+struct target_row
+{
+  read_table mRead;
+  const char* mTarget;
+};
+
+class target_test : public testing::TestWithParam<target_row>
+{};
+
+TEST_P(target_test, FollowsTheInterface)
+{
+  EXPECT_EQ(TableTarget(GetParam().mRead), GetParam().mTarget);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  target_test,
+  testing::Values(target_row{ { table_kind::Routes, 12, micros(0) }, "/v1/tables/routes" },
+                  target_row{ { table_kind::Pools, 31, std::chrono::seconds(20) },
+                              "/v1/tables/pools?after=31&wait_ms=20000" },
+                  target_row{ { table_kind::Vms, 0, std::chrono::milliseconds(5) },
+                              "/v1/vms?after=0&wait_ms=5" }));
+
+// Guards against a daemon that stays with an address of the service that is gone.
+TEST(platform_client_test, UsesTheNextAddressAfterAFailure)
+{
+  io_loop loop(2);
+  answering_server service(loop, [](const http_message&) {
+    return http_response{ 200, "text/yaml", "x", "7" };
+  });
+  fact_log facts;
+  platform_client tested(loop, { "127.0.0.1:1", service.Address() }, [&facts](fact aFact) {
+    facts.Add(std::move(aFact));
+  });
+  loop.Start();
+  tested.Read(kRead);
+  ASSERT_TRUE(facts.WaitForType<table_read_failed>());
+  tested.Read(kRead);
+  EXPECT_TRUE(facts.WaitForType<table_read>());
+  loop.Stop();
+}
+
+} // namespace
+} // namespace redwingdock
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -63,7 +63,7 @@
                 [this](micros aLatency, const part_reply& aReply) {
                   mMetrics.CountPart(aReply, aLatency);
                   if (aReply.mFailure == part_failure::Malformed) {
-                    Log({ log_level::Warning, "gate", Describe(aReply.mReason) });
+                    Log({ log_level::Info, "gate", Describe(aReply.mReason) });
                   }
                 } })
   , mPlatform(mLoop,
--- /dev/null
+++ b/src/daemon/query_daemon_test.cc
@@ -0,0 +1,367 @@
+#include "daemon/query_daemon.h"
+
+#include "codec/server_json.h"
+#include "daemon/loopback_kit.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using testing_kit::answering_server;
+using testing_kit::Ask;
+using testing_kit::Eventually;
+using testing_kit::raw_socket;
+using testing_kit::StatusIn;
+
+enum class behaviour
+{
+  Good,
+  Silent,
+  WrongShard,
+  WrongVersion,
+  NotJson,
+};
+
+std::optional<http_response> AnswerPart(const http_message& aRequest, behaviour aBehaviour)
+{
+  if (aRequest.mTarget != "/v1/part") {
+    return http_response{ 200, "application/json", "{}", "" };
+  }
+  const result<part_call> call = ParsePartRequest(aRequest.mBody);
+  if (!call || aBehaviour == behaviour::Silent) {
+    return std::nullopt;
+  }
+  part_reply reply;
+  reply.mAttempt = call->mRequest.mAttempt;
+  reply.mResult = part_result::Answered;
+  reply.mServer = call->mRequest.mServer;
+  reply.mShard = aBehaviour == behaviour::WrongShard ? "other" : call->mRequest.mShard;
+  reply.mVersion = aBehaviour == behaviour::WrongVersion ? 39 : 40;
+  reply.mMap = 3;
+  reply.mEvidence = server_evidence{ "i-1", server_mode::Warm, { { 40, 3 } } };
+  return http_response{ 200,
+                        "application/json",
+                        aBehaviour == behaviour::NotJson ? "<html>" : FormatPartReply(reply),
+                        "" };
+}
+
+// One daemon between two backend servers and a configuration service.
+struct deployment
+{
+  deployment()
+    : mFirst(mLoop,
+             [](const http_message& aRequest) { return AnswerPart(aRequest, behaviour::Good); })
+    , mSecond(mLoop,
+              [this](const http_message& aRequest) { return AnswerPart(aRequest, mBehaviour); })
+    , mService(mLoop, [this](const http_message& aRequest) { return Table(aRequest); })
+    , mDaemon(Settings(), core_hooks{})
+  {
+    mLoop.Start();
+    const result<daemon_addresses> bound = mDaemon.Start();
+    EXPECT_TRUE(bound) << Describe(bound.mReason);
+    mAt = bound.mValue.value_or(daemon_addresses{});
+  }
+
+  ~deployment() { mLoop.Stop(); }
+
+  daemon_settings Settings() const
+  {
+    daemon_settings settings;
+    settings.mCore.mVm = "vm-1";
+    settings.mCore.mZone = "xela";
+    settings.mCore.mLogDecisions = false;
+    settings.mCore.mEntryLifetime = std::chrono::milliseconds(50);
+    // No earlier process can hold the permits of this deployment, and a single VM has no witness
+    // that could confirm its view without the service.
+    settings.mCore.mTakeDelay = std::chrono::milliseconds(20);
+    settings.mCore.mHoldTime = std::chrono::seconds(60);
+    settings.mCore.mWatchWait = std::chrono::milliseconds(100);
+    settings.mCore.mRelaySilence = std::chrono::milliseconds(20);
+    settings.mCore.mReadRetry = std::chrono::milliseconds(20);
+    settings.mListenCallers = "127.0.0.1:0";
+    settings.mListenPeers = "127.0.0.1:0";
+    settings.mListenOperators = "127.0.0.1:0";
+    settings.mConfigurationService = { mService.Address() };
+    return settings;
+  }
+
+  std::optional<http_response> Table(const http_message& aRequest) const
+  {
+    const bool watch = aRequest.mTarget.find('?') != std::string::npos;
+    if (mServiceDown || (watch && !mServiceStale)) {
+      return std::nullopt;
+    }
+    const int older = mServiceStale ? 1 : 0;
+    if (aRequest.mTarget.starts_with("/v1/vms")) {
+      return Reply(5 - older,
+                   R"(vms:
+  - {name: vm-1, zone: xela, address: "127.0.0.1:1", call_address: "127.0.0.1:2", state: live}
+)");
+    }
+    if (aRequest.mTarget.starts_with("/v1/tables/routes")) {
+      return Reply(12 - older,
+                   "routes:\n  - {name: case-search, pools: [desk], deadline_ms: 300}\n");
+    }
+    return Reply(31 - older,
+                 R"(pools:
+  - name: desk
+    slots: 2
+    connections: 20
+    shards:
+      - name: d-0
+        ranges: {3: [[0, 2000]]}
+        servers: [{name: d-0a, zone: xela, address: ")" +
+                   mFirst.Address() + R"("}]
+      - name: d-1
+        ranges: {3: [[2000, 4096]]}
+        servers: [{name: d-1a, zone: toto, address: ")" +
+                   mSecond.Address() + "\"}]\n");
+  }
+
+  static http_response Reply(int aRevision, const std::string& aText)
+  {
+    const std::string revision = std::to_string(aRevision);
+    return { 200, "text/yaml", "revision: " + revision + "\n" + aText, revision };
+  }
+
+  std::string Query() const
+  {
+    return Ask(mAt.mCallers, "POST", "/v1/query", R"({"route":"case-search"})");
+  }
+
+  testing::AssertionResult ServesComplete() const
+  {
+    std::string reply;
+    if (Eventually([&] {
+          reply = Query();
+          return reply.find("\"outcome\":\"complete\"") != std::string::npos;
+        })) {
+      return testing::AssertionSuccess();
+    }
+    return testing::AssertionFailure() << reply;
+  }
+
+  std::string View() const { return Ask(mAt.mOperators, "GET", "/v1/view"); }
+
+  std::atomic<behaviour> mBehaviour{ behaviour::Good };
+  std::atomic<bool> mServiceStale{ false };
+  std::atomic<bool> mServiceDown{ false };
+  io_loop mLoop{ 1 };
+  answering_server mFirst;
+  answering_server mSecond;
+  answering_server mService;
+  query_daemon mDaemon;
+  daemon_addresses mAt;
+};
+
+struct input_row
+{
+  const char* mGuardsAgainst;
+  std::string mBytes;
+  unsigned mStatus; // 0: the connection ends without a reply
+  const char* mText;
+};
+
+class bad_input_test : public testing::TestWithParam<input_row>
+{};
+
+std::string Post(const std::string& aTarget, const std::string& aBody)
+{
+  return FormatRequest("POST", aTarget, "a", aBody);
+}
+
+// Bad input is refused with the name of the check, and the daemon serves on.
+TEST_P(bad_input_test, IsRefusedAndTheDaemonServesOn)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  raw_socket socket(tested.mAt.mCallers);
+  socket.Send(GetParam().mBytes);
+  if (GetParam().mStatus == 0) {
+    socket.EndSending(); // the rest never comes
+  }
+  const std::string reply = socket.ReadReply();
+  EXPECT_EQ(StatusIn(reply), GetParam().mStatus) << GetParam().mGuardsAgainst;
+  EXPECT_NE(reply.find(GetParam().mText), std::string::npos) << reply;
+  EXPECT_TRUE(tested.ServesComplete());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  bad_input_test,
+  testing::Values(
+    input_row{ "noise", std::string(300, '\xa5') + "\r\n\r\n", 400, "read message" },
+    input_row{ "another protocol", "SSH-2.0-OpenSSH\r\n\r\n", 400, "read message" },
+    input_row{ "nothing", "", 0, "" },
+    input_row{ "a cut header", "POST /v1/query HT", 0, "" },
+    input_row{ "a cut body", Post("/v1/query", R"({"route":"case-search"})").substr(0, 80), 0, "" },
+    input_row{ "a header without end",
+               "GET / HTTP/1.1\r\nA: " + std::string(20000, 'a'),
+               431,
+               "header is over" },
+    input_row{ "an announced body over the limit",
+               "POST /v1/query HTTP/1.1\r\nContent-Length: 65537\r\n\r\n",
+               413,
+               "65536" },
+    input_row{ "a body over the limit", Post("/v1/query", std::string(200000, ' ')), 413, "65536" },
+    input_row{ "a negative length",
+               "POST /v1/query HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+               400,
+               "read message" },
+    input_row{ "a body that is not JSON", Post("/v1/query", "route=case-search"), 400, "not JSON" },
+    input_row{ "a wrong type",
+               Post("/v1/query", R"({"route":["case-search"]})"),
+               400,
+               "\\\"route\\\" is not a string" },
+    input_row{ "an unknown route", Post("/v1/query", R"({"route":"none"})"), 400, "rejected" },
+    input_row{ "a key for a search",
+               Post("/v1/query", R"({"route":"case-search","request_key":"v.i.k"})"),
+               400,
+               "rejected" },
+    input_row{ "a query by GET", "GET /v1/query HTTP/1.1\r\n\r\n", 405, "use POST" },
+    input_row{ "an unknown path", "GET /v2/query HTTP/1.1\r\n\r\n", 404, "no such path" },
+    input_row{ "a stop by a caller", Post("/v1/stop", ""), 404, "no such path" },
+    input_row{ "an entry question without caller",
+               "GET /v1/entry HTTP/1.1\r\n\r\n",
+               400,
+               "caller" }));
+
+struct backend_row
+{
+  const char* mGuardsAgainst;
+  behaviour mBehaviour;
+};
+
+class bad_backend_test : public testing::TestWithParam<backend_row>
+{};
+
+// A gap is reported in time with its shard, and the server is used again once it is well.
+TEST_P(bad_backend_test, GapIsNamedAndTheDaemonServesOn)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  tested.mBehaviour = GetParam().mBehaviour;
+  const instant before = SteadyNow();
+  const std::string reply = tested.Query();
+  EXPECT_LT(SteadyNow() - before, std::chrono::seconds(1)) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(StatusIn(reply), 200U) << reply;
+  EXPECT_NE(reply.find("\"covered\":2000"), std::string::npos) << reply;
+  EXPECT_NE(reply.find("\"shard\":\"d-1\""), std::string::npos) << reply;
+  tested.mBehaviour = behaviour::Good;
+  EXPECT_TRUE(tested.ServesComplete());
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  bad_backend_test,
+  testing::Values(backend_row{ "a silent server", behaviour::Silent },
+                  backend_row{ "the reply of another shard", behaviour::WrongShard },
+                  backend_row{ "records of another snapshot", behaviour::WrongVersion },
+                  backend_row{ "a reply that is not JSON", behaviour::NotJson }));
+
+struct service_row
+{
+  const char* mGuardsAgainst;
+  bool mStale;
+  bool mDown;
+};
+
+class bad_service_test : public testing::TestWithParam<service_row>
+{};
+
+// Tables in force never revert, and queries do not depend on the service.
+TEST_P(bad_service_test, TablesStayAndTheDaemonServesOn)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  tested.mServiceStale = GetParam().mStale;
+  tested.mServiceDown = GetParam().mDown;
+  const std::size_t before = tested.mService.Requests();
+  if (GetParam().mStale) {
+    EXPECT_TRUE(Eventually([&] { return tested.mService.Requests() >= before + 3; }));
+  }
+  EXPECT_TRUE(tested.ServesComplete());
+  EXPECT_NE(tested.View().find(R"("revisions":{"routes":12,"pools":31,"vms":5})"),
+            std::string::npos)
+    << tested.View();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  bad_service_test,
+  testing::Values(service_row{ "a service that answers with older tables", true, false },
+                  service_row{ "a service that answers no more", false, true }));
+
+TEST(query_daemon_test, OperatorsSeeTheCore)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  const std::string explained =
+    Ask(tested.mAt.mOperators, "GET", "/v1/explain?route=case-search&id=case-1");
+  EXPECT_EQ(StatusIn(explained), 200U);
+  EXPECT_NE(explained.find("\"usable\":\"yes\""), std::string::npos) << explained;
+  EXPECT_EQ(StatusIn(Ask(tested.mAt.mOperators, "GET", "/v1/explain?route=none&id=1")), 404U);
+  const std::string counted = Ask(tested.mAt.mOperators, "GET", "/metrics");
+  EXPECT_NE(counted.find("redwingdock_query_latency_ms_count{route=\"case-search\""),
+            std::string::npos)
+    << counted;
+}
+
+// Guards against work for a caller that has gone, and against a request that is never forgotten.
+TEST(query_daemon_test, CallerThatLeavesIsForgotten)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  tested.mBehaviour = behaviour::Silent;
+  {
+    raw_socket socket(tested.mAt.mCallers);
+    socket.Send(Post("/v1/query", R"({"route":"case-search","deadline_ms":5000})"));
+  }
+  EXPECT_TRUE(Eventually([&] {
+    return Ask(tested.mAt.mOperators, "GET", "/metrics").find("redwingdock_requests_waiting 0") !=
+           std::string::npos;
+  }));
+}
+
+// Guards against answers that are mixed up between requests sent ahead on one connection.
+TEST(query_daemon_test, RequestsSentAheadAreAnsweredInOrder)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  raw_socket socket(tested.mAt.mCallers);
+  socket.Send(Post("/v1/query", R"({"route":"case-search"})") + Post("/v1/query", "{}") +
+              "GET /none HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const std::string replies = socket.ReadToEnd();
+  const std::size_t first = replies.find("\"outcome\":\"complete\"");
+  const std::size_t second = replies.find("\"outcome\":\"rejected\"");
+  const std::size_t third = replies.find("no such path");
+  EXPECT_LT(first, second) << replies;
+  EXPECT_LT(second, third) << replies;
+  EXPECT_NE(third, std::string::npos) << replies;
+}
+
+TEST(query_daemon_test, PlannedStopEnds)
+{
+  deployment tested;
+  ASSERT_TRUE(tested.ServesComplete());
+  EXPECT_EQ(StatusIn(Ask(tested.mAt.mOperators, "POST", "/v1/stop")), 202U);
+  auto ended = std::async(std::launch::async, [&tested] { return tested.mDaemon.WaitForEnd(); });
+  ASSERT_EQ(ended.wait_for(std::chrono::seconds(30)), std::future_status::ready);
+  EXPECT_TRUE(ended.get());
+}
+
+TEST(query_daemon_test, AddressInUseIsNamed)
+{
+  deployment tested;
+  daemon_settings settings = tested.Settings();
+  settings.mListenCallers = tested.mAt.mCallers;
+  query_daemon second(settings, core_hooks{});
+  const result<daemon_addresses> bound = second.Start();
+  ASSERT_FALSE(bound);
+  EXPECT_EQ(bound.mReason.mPeer, tested.mAt.mCallers);
+}
+
+} // namespace
+} // namespace redwingdock
