--- a/src/codec/peer_codec.cc
+++ b/src/codec/peer_codec.cc
@@ -272,8 +272,8 @@
 
 // Names are at most 63 characters; origins join two of them. Longer ones come from no daemon.
 constexpr std::size_t kNameLimit = 255;
-// Ages and remaining times of state, which can be as old as a process; requests have kDeadlineLimit.
-// The bound keeps sums with a clock from overflowing.
+// Ages and remaining times of state, which can be as old as a process; requests have
+// kDeadlineLimit. The bound keeps sums with a clock from overflowing.
 constexpr micros kDurationLimit = std::chrono::hours(24 * 365 * 30);
 // The longest deadline of the interface is 5 s.
 constexpr micros kDeadlineLimit = std::chrono::seconds(60);
--- a/src/codec/server_json.cc
+++ b/src/codec/server_json.cc
@@ -22,18 +22,11 @@
 constexpr std::uint64_t kAnyNumber = ~std::uint64_t{ 0 };
 constexpr std::uint64_t kAnyMap = 0xffffffff;
 
-constexpr const char* kRefusalNames[] = { "shed",
-                                          "draining",
-                                          "version_gone",
-                                          "wrong_target",
-                                          "deadline_passed",
-                                          "cancelled" };
-constexpr part_failure kRefusals[] = { part_failure::Shed,
-                                       part_failure::Draining,
-                                       part_failure::VersionGone,
-                                       part_failure::WrongTarget,
-                                       part_failure::DeadlinePassed,
-                                       part_failure::Cancelled };
+constexpr const char* kRefusalNames[] = { "shed",         "draining",        "version_gone",
+                                          "wrong_target", "deadline_passed", "cancelled" };
+constexpr part_failure kRefusals[] = { part_failure::Shed,           part_failure::Draining,
+                                       part_failure::VersionGone,    part_failure::WrongTarget,
+                                       part_failure::DeadlinePassed, part_failure::Cancelled };
 
 const char* RefusalName(part_failure aFailure)
 {
@@ -118,8 +111,8 @@
   const auto index = aReader.OneOf<std::size_t>(root, "refusal", kRefusalNames);
   aReply.mFailure = kRefusals[index];
   // Only a part that was stopped while it ran is refused without being "not run".
-  const bool stopped = aReply.mFailure == part_failure::Cancelled ||
-                       aReply.mFailure == part_failure::DeadlinePassed;
+  const bool stopped =
+    aReply.mFailure == part_failure::Cancelled || aReply.mFailure == part_failure::DeadlinePassed;
   if (!notRun && !stopped) {
     aReader.Fail("\"not_run\" is not true in a refusal");
   }
--- a/src/daemon/loopback_kit.cc
+++ b/src/daemon/loopback_kit.cc
@@ -148,6 +148,12 @@
   return mFacts;
 }
 
+void fact_log::Clear()
+{
+  const std::lock_guard lock(mLock);
+  mFacts.clear();
+}
+
 bool Eventually(const std::function<bool()>& aCondition)
 {
   std::mutex lock;
--- a/src/daemon/loopback_kit.h
+++ b/src/daemon/loopback_kit.h
@@ -70,6 +70,7 @@
   // Waits until the number of facts that the predicate accepts reaches the count.
   bool WaitFor(const std::function<bool(const fact&)>& aPredicate, std::size_t aCount = 1);
   std::vector<fact> All() const;
+  void Clear();
 
   template<typename T>
   std::vector<T> Of() const
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -26,7 +26,7 @@
   std::string mListenCallers; // "ip:port", as the next two
   std::string mListenPeers;
   std::string mListenOperators;
-  bool mOperatorsOnCallers = false; // the address of callers serves operators as well
+  bool mOperatorsOnCallers = false;               // the address of callers serves operators as well
   std::vector<std::string> mConfigurationService; // tried in this order
   std::uint32_t mWorkers = 2;                     // threads that run controllers
   std::uint32_t mBoardShards = 64;
