--- a/src/standin/front.cc
+++ b/src/standin/front.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <filesystem>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace redwingdock::standin {
@@ -112,6 +113,9 @@
   if (const auto fault = CheckJoin(*parsedRoutes, *parsedPools)) {
     return { std::nullopt, *fault };
   }
+  if (const auto fault = CheckPools(*config, *parsedPools)) {
+    return { std::nullopt, *fault };
+  }
   input.mRoutes = { parsedRoutes->mRevision, std::make_shared<const std::string>(*routes) };
   input.mPools = { parsedPools->mRevision, std::make_shared<const std::string>(*pools) };
   input.mVms = { parsedVms->mRevision, std::make_shared<const std::string>(*vms) };
@@ -273,7 +277,8 @@
     server.Serve(serve->mConnection, serve->mAfter);
   } else if (const auto* drop = std::get_if<drop_connection>(&aCommand)) {
     server.Drop(drop->mConnection);
-  } else if (std::holds_alternative<stop_listening>(aCommand)) {
+  } else if (const auto* down = std::get_if<stop_listening>(&aCommand)) {
+    std::clog << "standin: " << down->mInstance << " " << down->mWhy << std::endl;
     server.Close();
   } else if (std::holds_alternative<listen>(aCommand)) {
     if (!server.Listen()) {
