--- /dev/null
+++ b/scripts/first_hour.sh
@@ -0,0 +1,42 @@
+#!/usr/bin/env bash
+# Runs the commands of the section "First hour" of docs/operators.md in order, in one shell, so that
+# the page cannot name a command that fails. Usage: first_hour.sh [--print]
+#
+# --print shows the commands without running them. Exits 0 when every command succeeded.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+page=docs/operators.md
+# The second part of the address is above those of cluster.sh (20 to 219), so that this run meets no
+# other script; runs of this script at the same time differ by process id.
+export REDWINGDOCK_LOOPBACK=127.$((220 + $$ % 11))
+
+# The text of the fenced "sh" blocks between the heading "## First hour" and the next one.
+commands=$(awk '/^## / { section = $0 == "## First hour" }
+  /^```/ { block = section && $0 == "```sh"; next }
+  block' "$page")
+if [ -z "$commands" ]; then
+  echo "$page has no commands under the heading \"## First hour\"" >&2
+  exit 1
+fi
+case ${1:-} in
+  '') ;;
+  --print)
+    printf '%s\n' "$commands"
+    exit 0
+    ;;
+  *)
+    echo "usage: scripts/first_hour.sh [--print]" >&2
+    exit 64
+    ;;
+esac
+
+source scripts/cluster.sh
+run=
+# The commands set $run. cluster_stop ends what they started, by the process ids in that folder.
+trap '[ -z "$run" ] || { cluster_stop "$run"; rm -rf "$run"; }' EXIT
+trap 'exit 130' INT TERM
+trap 'echo "first hour: failed: $BASH_COMMAND" >&2' ERR
+# Not called from a condition, in which "set -e" would have no effect.
+# shellcheck disable=SC1090
+source <(printf 'set -v\n%s\nset +v\n' "$commands")
+echo "first hour: all commands succeeded"
