--- a/scripts/first_hour.sh
+++ b/scripts/first_hour.sh
@@ -6,9 +6,15 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 page=docs/operators.md
+source scripts/cluster.sh
 # The second part of the address is above those of cluster.sh (20 to 219), so that this run meets no
-# other script; runs of this script at the same time differ by process id.
-export REDWINGDOCK_LOOPBACK=127.$((220 + $$ % 11))
+# other script. Another run of this one is passed over when its stand-in answers already.
+second=$((220 + $$ % 35))
+admin=$(cluster_setting examples/occidente/standin.yaml admin)
+while curl -s -m 1 -o /dev/null "http://127.$second.${admin#127.0.}/admin/state"; do
+  second=$((220 + (second - 219) % 35))
+done
+export REDWINGDOCK_LOOPBACK=127.$second
 
 # The text of the fenced "sh" blocks between the heading "## First hour" and the next one.
 commands=$(awk '/^## / { section = $0 == "## First hour" }
@@ -30,12 +36,20 @@
     ;;
 esac
 
-source scripts/cluster.sh
 run=
 # The commands set $run. cluster_stop ends what they started, by the process ids in that folder.
-trap '[ -z "$run" ] || { cluster_stop "$run"; rm -rf "$run"; }' EXIT
+finish() { # EXIT_CODE
+  set +v
+  if [ -n "$run" ]; then
+    cluster_stop "$run"
+    rm -rf "$run"
+  fi
+  if [ "$1" != 0 ]; then
+    echo "first hour: the last command shown failed with exit code $1" >&2
+  fi
+}
+trap 'finish $?' EXIT
 trap 'exit 130' INT TERM
-trap 'echo "first hour: failed: $BASH_COMMAND" >&2' ERR
 # Not called from a condition, in which "set -e" would have no effect.
 # shellcheck disable=SC1090
 source <(printf 'set -v\n%s\nset +v\n' "$commands")
