--- /dev/null
+++ b/src/core/core_benchmark.cc
@@ -0,0 +1,462 @@
+#include "codec/peer_codec.h"
+#include "core/core.h"
+#include "core/core_facts.h"
+#include "membership/view_exchange.h"
+#include "permits/permits.h"
+#include "tables/readers.h"
+
+#include <algorithm>
+#include <array>
+#include <cstdio>
+#include <cstdlib>
+#include <ctime>
+#include <malloc.h>
+#include <set>
+#include <sstream>
+
+// Control cost of one daemon in a fleet of a given size: messages and encoded bytes, processor time,
+// heap and reads of the configuration service. One real core runs on a manual clock; its peers and
+// the service are answered by this program.
+//
+//   core_benchmark                                   (a table over several sizes)
+//   core_benchmark DAEMONS SECONDS LIST_CHANGES [reader]   (one size, for callgrind)
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::uint32_t kZones = 10;
+constexpr micros kStep = milliseconds(10);
+constexpr micros kListChange = seconds(41); // 2,111 VMs a day fail, restart or are replaced
+
+struct run_options
+{
+  std::uint32_t mDaemons = 5;
+  std::uint32_t mSeconds = 30;
+  std::uint32_t mListChanges = 2;
+  bool mReader = false;
+};
+
+double CpuMs()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6;
+}
+
+double HeapMb()
+{
+  return static_cast<double>(mallinfo2().uordblks) / 1e6;
+}
+
+struct traffic
+{
+  std::uint64_t mMessages = 0;
+  std::uint64_t mBytes = 0;
+};
+
+constexpr std::array<const char*, 13> kNames{ "view",   "probe",       "probe_reply",
+                                              "pull",   "table",       "forward_part",
+                                              "reply",  "cancel",      "stage",
+                                              "suspect", "release",    "forward_query",
+                                              "answer" };
+
+class rig
+{
+public:
+  explicit rig(run_options aOptions)
+    : mOptions(aOptions)
+    , mReplicas(aOptions.mDaemons * 5100 / 710)
+  {
+    for (std::uint32_t i = 0; i < mOptions.mDaemons; ++i) {
+      AddVm(i);
+    }
+    const auto readers = ReadersOf(mList, "zone-0", 2);
+    for (const vm_spec& vm : mList.mVms) {
+      const bool reads = std::find(readers.begin(), readers.end(), vm.mName) != readers.end();
+      if (mSelf.empty() && (mOptions.mReader ? vm.mZone == "zone-0" && reads
+                                             : vm.mZone != "zone-0" || !reads)) {
+        mSelf = vm.mName;
+        mZone = vm.mZone;
+        mAddress = vm.mAddress;
+      }
+    }
+    if (!mOptions.mReader && mOptions.mDaemons < 2 * kZones + 1) {
+      mZone = "zone-0"; // every VM reads in so small a fleet
+    }
+    mList.mRevision = 1;
+    PoolsText();
+    mHeapBefore = HeapMb();
+    core_config config;
+    config.mVm = mSelf;
+    config.mIncarnation = "i1";
+    config.mZone = mZone;
+    config.mAddress = mAddress;
+    config.mSeeds = { mList.mVms.begin(), mList.mVms.begin() + 5 };
+    config.mLogDecisions = false;
+    mCore = std::make_unique<core>(config, core_hooks{}, 64);
+  }
+
+  void Run()
+  {
+    RunFor(seconds(15)); // start, first lists, take delay
+    FindPermits();
+    RunFor(seconds(5));
+    const double warmHeap = HeapMb() - mHeapBefore;
+    Reset();
+    RunFor(seconds(mOptions.mSeconds));
+    const double steadyCpu = mCpu / (10.0 * std::max(1U, mOptions.mSeconds));
+    const auto out = mOut;
+    const auto in = mIn;
+    const auto reads = mReads;
+    double first = 0;
+    double last = 0;
+    for (std::uint32_t i = 0; i < mOptions.mListChanges; ++i) {
+      Reset();
+      ReplaceVm(i);
+      RunFor(kListChange);
+      last = mCpu - steadyCpu * 10.0 * 41;
+      first = i == 0 ? last : first;
+    }
+    double pools = 0;
+    if (mOptions.mListChanges > 0) {
+      Reset();
+      ++mPoolsRevision;
+      RunFor(seconds(10));
+      pools = mCpu - steadyCpu * 10.0 * 10;
+    }
+    const double span = std::max(1U, mOptions.mSeconds);
+    std::printf("%4u daemons %5u replicas %-7s cpu %7.3f%% list-change first %8.1f last %8.1f ms "
+                "pools-change %8.1f ms heap %6.2f MB after changes %6.2f MB reads/s %.2f "
+                "pools text %zu B vm text %zu B leads %zu holds %zu\n",
+                mOptions.mDaemons,
+                mReplicas,
+                mOptions.mReader ? "reader" : "member",
+                steadyCpu,
+                first,
+                last,
+                pools,
+                warmHeap,
+                HeapMb() - mHeapBefore,
+                static_cast<double>(reads) / span,
+                Text(table_kind::Pools).size(),
+                Text(table_kind::Vms).size(),
+                mLeads.size(),
+                mHolds.size());
+    Print("out", out, span);
+    Print("in", in, span);
+    std::fflush(stdout);
+  }
+
+private:
+  using counts = std::array<traffic, kNames.size()>;
+
+  static void Print(const char* aName, const counts& aCounts, double aSpan)
+  {
+    std::printf("  %-3s", aName);
+    double bytes = 0;
+    for (std::size_t i = 0; i < kNames.size(); ++i) {
+      if (aCounts[i].mMessages > 0) {
+        std::printf(" %s %.2f/s %.0f B/s,",
+                    kNames[i],
+                    static_cast<double>(aCounts[i].mMessages) / aSpan,
+                    static_cast<double>(aCounts[i].mBytes) / aSpan);
+        bytes += static_cast<double>(aCounts[i].mBytes) / aSpan;
+      }
+    }
+    std::printf(" total %.0f B/s\n", bytes);
+  }
+
+  void AddVm(std::uint32_t aNumber)
+  {
+    std::string name = std::to_string(aNumber);
+    name = "vm-" + std::string(4 - std::min<std::size_t>(4, name.size()), '0') + name;
+    const std::string address =
+      "127.0." + std::to_string(aNumber / 250) + "." + std::to_string(aNumber % 250 + 1);
+    mList.mVms.push_back({ name,
+                           address + ":7000",
+                           address + ":7001",
+                           "zone-" + std::to_string(aNumber % kZones),
+                           vm_state::Live });
+  }
+
+  void ReplaceVm(std::uint32_t aIndex)
+  {
+    // From the end of the list, so that the daemon under test and the readers asked stay.
+    std::size_t at = mList.mVms.size() - 1 - aIndex;
+    if (mList.mVms[at].mName == mSelf) {
+      at = 0;
+    }
+    vm_spec vm = mList.mVms[at];
+    mList.mVms.erase(mList.mVms.begin() + static_cast<std::ptrdiff_t>(at));
+    vm.mName = "vm-x" + std::to_string(aIndex);
+    vm.mAddress = "127.1.0." + std::to_string(aIndex + 1) + ":7000";
+    mList.mVms.push_back(vm);
+    ++mList.mRevision;
+  }
+
+  // Pools of 53 shards with 2 replicas each, as a query of the target size goes to 53 replicas.
+  void PoolsText()
+  {
+    std::ostringstream text;
+    const std::uint32_t pools = std::max(1U, mReplicas / 106);
+    const std::uint32_t shards = mReplicas / pools / 2;
+    for (std::uint32_t p = 0; p < pools; ++p) {
+      text << "  - name: pool-" << p
+           << "\n    slots: 3\n    connections: 30\n    connect_ms: 6\n    shards:\n";
+      for (std::uint32_t s = 0; s < shards; ++s) {
+        text << "      - name: shard-" << p << "-" << s << "\n        ranges: {1: [["
+             << s * 4096 / shards << ", " << (s + 1) * 4096 / shards
+             << "]]}\n        servers:\n";
+        for (std::uint32_t r = 0; r < 2; ++r) {
+          text << "          - {name: s-" << p << "-" << s << "-" << r << ", zone: zone-"
+               << (s + 5 * r) % kZones << ", address: \"127.2." << p << "." << s * 2 + r + 1
+               << ":9000\", draining: false}\n";
+        }
+      }
+    }
+    mPools = text.str();
+  }
+
+  std::string Text(table_kind aKind) const
+  {
+    std::ostringstream text;
+    if (aKind == table_kind::Vms) {
+      text << "revision: " << mList.mRevision << "\nvms:\n";
+      for (const vm_spec& vm : mList.mVms) {
+        text << "  - {name: " << vm.mName << ", zone: " << vm.mZone << ", address: \""
+             << vm.mAddress << "\", call_address: \"" << vm.mCallAddress << "\", state: live}\n";
+      }
+    } else if (aKind == table_kind::Pools) {
+      text << "revision: " << mPoolsRevision << "\nclosed_zones: []\npools:\n" << mPools;
+    } else {
+      text << "revision: 1\nroutes:\n  - {name: search, pools: [pool-0], deadline_ms: 1000}\n";
+    }
+    return text.str();
+  }
+
+  std::uint64_t Revision(table_kind aKind) const
+  {
+    return aKind == table_kind::Vms     ? mList.mRevision
+           : aKind == table_kind::Pools ? mPoolsRevision
+                                        : 1;
+  }
+
+  void Reset()
+  {
+    mOut = {};
+    mIn = {};
+    mReads = 0;
+    mCpu = 0;
+  }
+
+  void FindPermits()
+  {
+    for (const auto& [key, held] : mCore->Board().List<server_permits>()) {
+      for (const permit& each : held->mPermits) {
+        if (each.mHolder == mSelf) {
+          (each.mIndex == 0 ? mLeads : mHolds)[key] = *held;
+        }
+      }
+    }
+  }
+
+  // A message from a peer, as decoded from its bytes.
+  void Receive(const std::string& aFrom, const peer_message& aMessage)
+  {
+    const std::string body = JoinMessages(aFrom, "i1", { EncodeMessage(aMessage) });
+    mIn[aMessage.index()].mMessages += 1;
+    mIn[aMessage.index()].mBytes += body.size();
+    const double start = CpuMs();
+    const auto envelope = DecodeEnvelope(body);
+    for (const peer_message& each : envelope->mMessages) {
+      mCore->Post(peer_received{ aFrom, "i1", each });
+    }
+    mCpu += CpuMs() - start;
+  }
+
+  const std::string& Peer(std::uint64_t aNumber) const
+  {
+    const auto& vms = mList.mVms;
+    const std::size_t at = aNumber % vms.size();
+    return vms[at].mName == mSelf ? vms[(at + 1) % vms.size()].mName : vms[at].mName;
+  }
+
+  view_entry EntryOf(const std::string& aVm, micros aAge) const
+  {
+    return { aVm, "i1", mList.mRevision, 1, mPoolsRevision, false, aAge };
+  }
+
+  server_stage_message Stage(const std::string& aServer, bool aLeads) const
+  {
+    return { aServer, "s1", 2, aLeads, false, { { 1, 1 } }, milliseconds(20), false };
+  }
+
+  // What the other daemons send by themselves, on average over the fleet.
+  void PeersSend()
+  {
+    const std::int64_t step = mNow.time_since_epoch() / kStep;
+    if (step % 50 == 0) {
+      for (int i = 0; i < 3; ++i) {
+        view_message view;
+        for (int entry = 0; entry < 9; ++entry) {
+          view.mEntries.push_back(EntryOf(Peer(mPeer + static_cast<std::uint64_t>(entry) * 37),
+                                          milliseconds(entry * 900)));
+        }
+        Receive(Peer(mPeer), view);
+        mPeer += 101;
+      }
+      for (const auto& [server, held] : mLeads) {
+        for (const permit& each : held.mPermits) {
+          if (each.mHolder != mSelf) {
+            Receive(each.mHolder, Stage(server, false));
+          }
+        }
+      }
+      for (const auto& [server, held] : mHolds) {
+        if (held.mPermits[0].mHolder != mSelf) {
+          Receive(held.mPermits[0].mHolder, Stage(server, true));
+        }
+      }
+    }
+    if (step % 100 == 20) {
+      const std::size_t witnessOf = std::min<std::size_t>(8, mList.mVms.size() - 1);
+      for (std::size_t i = 0; i < witnessOf; ++i) {
+        Receive(Peer(i * 13 + 5), probe_message{ mNow.time_since_epoch().count(), mList.mRevision });
+      }
+      if (mOptions.mReader) {
+        const std::size_t zone = mList.mVms.size() / kZones;
+        for (std::size_t i = 0; zone > 2 && i < (zone - 2) / 2; ++i) {
+          Receive(Peer(i * kZones), table_pull_message{ 1, mPoolsRevision, mList.mRevision });
+        }
+      }
+    }
+  }
+
+  void Answer(const send_to_peer& aSend)
+  {
+    if (const auto* probe = std::get_if<probe_message>(&aSend.mMessage)) {
+      Receive(aSend.mVm,
+              probe_reply_message{ probe->mSentAt, mList.mRevision, true, seconds(3600), false });
+    } else if (const auto* pull = std::get_if<table_pull_message>(&aSend.mMessage)) {
+      if (pull->mRoutesRevision < 1) {
+        Receive(aSend.mVm,
+                table_message{ table_kind::Routes, 1, Text(table_kind::Routes), {}, true,
+                               mPoolsRevision });
+      }
+      if (pull->mPoolsRevision < mPoolsRevision) {
+        Receive(aSend.mVm,
+                table_message{ table_kind::Pools, mPoolsRevision, Text(table_kind::Pools), {}, true,
+                               1 });
+      }
+      const bool newer = pull->mVmRevision < mList.mRevision;
+      Receive(aSend.mVm,
+              table_message{ table_kind::Vms, mList.mRevision,
+                             newer ? Text(table_kind::Vms) : "", micros(0), false, 0 });
+    }
+  }
+
+  void Carry(const command& aCommand)
+  {
+    if (const auto* sent = std::get_if<send_to_peer>(&aCommand)) {
+      const double start = CpuMs();
+      const std::string body = JoinMessages(mSelf, "i1", { EncodeMessage(sent->mMessage) });
+      mCpu += CpuMs() - start;
+      mOut[sent->mMessage.index()].mMessages += 1;
+      mOut[sent->mMessage.index()].mBytes += body.size();
+      Answer(*sent);
+    } else if (const auto* read = std::get_if<read_table>(&aCommand)) {
+      ++mReads;
+      mWatches.push_back({ *read, mNow });
+    }
+  }
+
+  void ServiceAnswers()
+  {
+    auto waiting = std::move(mWatches);
+    mWatches.clear();
+    for (const auto& [read, since] : waiting) {
+      const bool news = read.mWait == micros(0) || Revision(read.mKind) > read.mAfter;
+      if (!news && mNow - since < read.mWait) {
+        mWatches.push_back({ read, since });
+        continue;
+      }
+      const double start = CpuMs();
+      if (news) {
+        mCore->Post(table_read{ read.mKind, Revision(read.mKind), Text(read.mKind), since });
+      } else {
+        mCore->Post(table_unchanged{ read.mKind, Revision(read.mKind), since });
+      }
+      mCpu += CpuMs() - start;
+    }
+  }
+
+  void RunFor(micros aSpan)
+  {
+    const instant end = mNow + aSpan;
+    while (mNow < end) {
+      mNow += kStep;
+      const double start = CpuMs();
+      mCore->Advance(mNow);
+      mCpu += CpuMs() - start;
+      PeersSend();
+      ServiceAnswers();
+      for (int round = 0; round < 4; ++round) {
+        const double work = CpuMs();
+        mCore->RunUntilIdle();
+        const auto commands = mCore->TakeCommands();
+        mCpu += CpuMs() - work;
+        if (commands.empty()) {
+          break;
+        }
+        for (const command& each : commands) {
+          Carry(each);
+        }
+      }
+    }
+  }
+
+  run_options mOptions;
+  std::uint32_t mReplicas;
+  vm_list mList;
+  std::uint64_t mPoolsRevision = 1;
+  std::string mPools;
+  std::string mSelf;
+  std::string mZone;
+  std::string mAddress;
+  std::unique_ptr<core> mCore;
+  instant mNow{ seconds(1) };
+  std::map<std::string, server_permits> mLeads;
+  std::map<std::string, server_permits> mHolds;
+  std::vector<std::pair<read_table, instant>> mWatches;
+  std::uint64_t mPeer = 1;
+  counts mOut{};
+  counts mIn{};
+  std::uint64_t mReads = 0;
+  double mCpu = 0;
+  double mHeapBefore = 0;
+};
+
+} // namespace
+} // namespace redwingdock
+
+int main(int aCount, char** aArguments)
+{
+  using redwingdock::run_options;
+  if (aCount >= 4) {
+    redwingdock::rig({ static_cast<std::uint32_t>(std::atoi(aArguments[1])),
+                       static_cast<std::uint32_t>(std::atoi(aArguments[2])),
+                       static_cast<std::uint32_t>(std::atoi(aArguments[3])),
+                       aCount > 4 })
+      .Run();
+    return 0;
+  }
+  for (const bool reader : { false, true }) {
+    for (const std::uint32_t daemons : { 45U, 90U, 180U, 355U, 710U }) {
+      redwingdock::rig({ daemons, 20, 3, reader }).Run();
+    }
+  }
+  return 0;
+}
--- /dev/null
+++ b/src/testing/fake_fleet_benchmark.cc
@@ -0,0 +1,145 @@
+#include "core/core_facts.h"
+#include "membership/view_exchange.h"
+#include "testing/fake_fleet.h"
+
+#include <cstdio>
+#include <cstdlib>
+
+// Spread of tables and of membership news over fleets of several sizes, on the manual clock: time
+// until the last daemon has a new pools table or VM list and until every daemon knows of a restart,
+// reads of the configuration service, and confirmed views while the regions are apart.
+//
+//   fake_fleet_benchmark [DAEMONS...]
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr micros kStep = milliseconds(100);
+constexpr micros kLimit = seconds(60);
+
+// Virtual seconds until the condition holds for every running daemon; negative when it did not.
+double TimeUntil(fake_fleet& aFleet, const std::function<bool(std::size_t)>& aCondition)
+{
+  for (micros spent = kStep; spent <= kLimit; spent += kStep) {
+    aFleet.RunFor(kStep);
+    bool all = true;
+    for (std::size_t i = 0; all && i < aFleet.DaemonCount(); ++i) {
+      all = !aFleet.IsRunning(i) || aCondition(i);
+    }
+    if (all) {
+      return std::chrono::duration<double>(spent).count();
+    }
+  }
+  return -1;
+}
+
+std::uint64_t PoolsOf(const fake_fleet& aFleet, std::size_t aDaemon)
+{
+  const auto tables = aFleet.Core(aDaemon).Board().Read<tables_in_force>(kTablesKey);
+  return tables ? tables->PoolsRevision() : 0;
+}
+
+std::uint64_t VmsOf(const fake_fleet& aFleet, std::size_t aDaemon)
+{
+  const auto view = aFleet.Core(aDaemon).Board().Read<member_view>(kMembersKey);
+  return view ? view->mVms.mRevision : 0;
+}
+
+std::size_t Confirmed(fake_fleet& aFleet)
+{
+  std::size_t confirmed = 0;
+  for (std::size_t i = 0; i < aFleet.DaemonCount(); ++i) {
+    const auto view = aFleet.Core(i).Board().Read<member_view>(kMembersKey);
+    confirmed += view && view->mConfirmedUntil > aFleet.Events().Now() ? 1 : 0;
+  }
+  return confirmed;
+}
+
+void Run(std::uint32_t aDaemons)
+{
+  fleet_options options;
+  options.mDaemons = aDaemons;
+  options.mShards = aDaemons * 5100 / 710 / 2;
+  options.mZones = 10;
+  fake_fleet fleet(options);
+  const double ready = TimeUntil(
+    fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) > 0; });
+  const std::uint64_t startReads = fleet.PlatformReads();
+  fleet.RunFor(seconds(20));
+  const std::uint64_t messages = fleet.PeerMessages();
+  const std::uint64_t reads = fleet.PlatformReads();
+  fleet.RunFor(seconds(20));
+  const double messageRate =
+    static_cast<double>(fleet.PeerMessages() - messages) / 20.0 / aDaemons;
+  const double readRate = static_cast<double>(fleet.PlatformReads() - reads) / 20.0;
+
+  fleet.Publish(table_kind::Pools);
+  const std::uint64_t pools = fleet.Revision(table_kind::Pools);
+  const double poolsTime = TimeUntil(
+    fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) == pools; });
+  fleet.Publish(table_kind::Vms);
+  const std::uint64_t vms = fleet.Revision(table_kind::Vms);
+  const double vmsTime =
+    TimeUntil(fleet, [&](std::size_t aDaemon) { return VmsOf(fleet, aDaemon) == vms; });
+
+  const std::size_t restarted = aDaemons - 1;
+  fleet.Kill(restarted);
+  fleet.RunFor(seconds(1));
+  fleet.Start(restarted);
+  const auto self = fleet.Core(restarted).Config();
+  const double restartTime = TimeUntil(fleet, [&](std::size_t aDaemon) {
+    const auto peer = fleet.Core(aDaemon).Board().Read<peer_state>(PeerKey(self.mVm));
+    return aDaemon == restarted || (peer && peer->mIncarnation == self.mIncarnation);
+  });
+
+  // Region 0 has zones 0 to 3; the service stays reachable, then it is away as well.
+  std::set<std::size_t> region;
+  for (std::size_t i = 0; i < aDaemons; ++i) {
+    if (i % 10 < 4) {
+      region.insert(i);
+    }
+  }
+  fleet.Partition(region);
+  const std::uint64_t apartReads = fleet.PlatformReads();
+  fleet.RunFor(seconds(60));
+  const double apartRate = static_cast<double>(fleet.PlatformReads() - apartReads) / 60.0;
+  const std::size_t apartConfirmed = Confirmed(fleet);
+  fleet.SetPlatformDown(true);
+  fleet.RunFor(seconds(30));
+  const std::size_t darkConfirmed = Confirmed(fleet);
+  std::printf("%4u daemons: ready %.1f s, reads at start %llu; messages per daemon %.1f/s, reads "
+              "%.2f/s; pools everywhere %.1f s, VM list %.1f s, restart known %.1f s; regions "
+              "apart: reads %.2f/s, confirmed %zu; and service down: confirmed %zu\n",
+              aDaemons,
+              ready,
+              static_cast<unsigned long long>(startReads),
+              messageRate,
+              readRate,
+              poolsTime,
+              vmsTime,
+              restartTime,
+              apartRate,
+              apartConfirmed,
+              darkConfirmed);
+  std::fflush(stdout);
+}
+
+} // namespace
+} // namespace redwingdock::testing
+
+int main(int aCount, char** aArguments)
+{
+  if (aCount > 1) {
+    for (int i = 1; i < aCount; ++i) {
+      redwingdock::testing::Run(static_cast<std::uint32_t>(std::atoi(aArguments[i])));
+    }
+    return 0;
+  }
+  for (const std::uint32_t daemons : { 20U, 40U, 80U, 160U }) {
+    redwingdock::testing::Run(daemons);
+  }
+  return 0;
+}
