--- a/src/core/core_benchmark.cc
+++ b/src/core/core_benchmark.cc
@@ -3,6 +3,7 @@
 #include "core/core_facts.h"
 #include "membership/view_exchange.h"
 #include "permits/permits.h"
+#include "safety/request_key.h"
 #include "tables/readers.h"
 
 #include <algorithm>
@@ -14,12 +15,13 @@
 #include <set>
 #include <sstream>
 
-// Control cost of one daemon in a fleet of a given size: messages and encoded bytes, processor time,
-// heap and reads of the configuration service. One real core runs on a manual clock; its peers and
-// the service are answered by this program.
+// Control cost of one daemon in a fleet of a given size: messages and encoded bytes, processor
+// time, heap and reads of the configuration service. One real core runs on a manual clock; its
+// peers and the service are answered by this program.
 //
 //   core_benchmark                                   (a table over several sizes)
 //   core_benchmark DAEMONS SECONDS LIST_CHANGES [reader]   (one size, for callgrind)
+//   core_benchmark keys                              (heap per remembered request key)
 
 namespace redwingdock {
 namespace {
@@ -57,11 +59,10 @@
   std::uint64_t mBytes = 0;
 };
 
-constexpr std::array<const char*, 13> kNames{ "view",   "probe",       "probe_reply",
-                                              "pull",   "table",       "forward_part",
-                                              "reply",  "cancel",      "stage",
-                                              "suspect", "release",    "forward_query",
-                                              "answer" };
+constexpr std::array<const char*, 13> kNames{
+  "view",   "probe", "probe_reply", "pull",    "table",         "forward_part", "reply",
+  "cancel", "stage", "suspect",     "release", "forward_query", "answer"
+};
 
 class rig
 {
@@ -76,8 +77,8 @@
     const auto readers = ReadersOf(mList, "zone-0", 2);
     for (const vm_spec& vm : mList.mVms) {
       const bool reads = std::find(readers.begin(), readers.end(), vm.mName) != readers.end();
-      if (mSelf.empty() && (mOptions.mReader ? vm.mZone == "zone-0" && reads
-                                             : vm.mZone != "zone-0" || !reads)) {
+      if (mSelf.empty() &&
+          (mOptions.mReader ? vm.mZone == "zone-0" && reads : vm.mZone != "zone-0" || !reads)) {
         mSelf = vm.mName;
         mZone = vm.mZone;
         mAddress = vm.mAddress;
@@ -208,8 +209,7 @@
            << "\n    slots: 3\n    connections: 30\n    connect_ms: 6\n    shards:\n";
       for (std::uint32_t s = 0; s < shards; ++s) {
         text << "      - name: shard-" << p << "-" << s << "\n        ranges: {1: [["
-             << s * 4096 / shards << ", " << (s + 1) * 4096 / shards
-             << "]]}\n        servers:\n";
+             << s * 4096 / shards << ", " << (s + 1) * 4096 / shards << "]]}\n        servers:\n";
         for (std::uint32_t r = 0; r < 2; ++r) {
           text << "          - {name: s-" << p << "-" << s << "-" << r << ", zone: zone-"
                << (s + 5 * r) % kZones << ", address: \"127.2." << p << "." << s * 2 + r + 1
@@ -324,7 +324,8 @@
     if (step % 100 == 20) {
       const std::size_t witnessOf = std::min<std::size_t>(8, mList.mVms.size() - 1);
       for (std::size_t i = 0; i < witnessOf; ++i) {
-        Receive(Peer(i * 13 + 5), probe_message{ mNow.time_since_epoch().count(), mList.mRevision });
+        Receive(Peer(i * 13 + 5),
+                probe_message{ mNow.time_since_epoch().count(), mList.mRevision });
       }
       if (mOptions.mReader) {
         const std::size_t zone = mList.mVms.size() / kZones;
@@ -343,18 +344,22 @@
     } else if (const auto* pull = std::get_if<table_pull_message>(&aSend.mMessage)) {
       if (pull->mRoutesRevision < 1) {
         Receive(aSend.mVm,
-                table_message{ table_kind::Routes, 1, Text(table_kind::Routes), {}, true,
-                               mPoolsRevision });
+                table_message{
+                  table_kind::Routes, 1, Text(table_kind::Routes), {}, true, mPoolsRevision });
       }
       if (pull->mPoolsRevision < mPoolsRevision) {
-        Receive(aSend.mVm,
-                table_message{ table_kind::Pools, mPoolsRevision, Text(table_kind::Pools), {}, true,
-                               1 });
+        Receive(
+          aSend.mVm,
+          table_message{ table_kind::Pools, mPoolsRevision, Text(table_kind::Pools), {}, true, 1 });
       }
       const bool newer = pull->mVmRevision < mList.mRevision;
       Receive(aSend.mVm,
-              table_message{ table_kind::Vms, mList.mRevision,
-                             newer ? Text(table_kind::Vms) : "", micros(0), false, 0 });
+              table_message{ table_kind::Vms,
+                             mList.mRevision,
+                             newer ? Text(table_kind::Vms) : "",
+                             micros(0),
+                             false,
+                             0 });
     }
   }
 
@@ -439,12 +444,36 @@
   double mHeapBefore = 0;
 };
 
+// Heap of the records of finished request keys, each with an answer of one record.
+void Keys()
+{
+  for (const std::size_t keys : { 10000U, 20000U, 40000U }) {
+    const double before = HeapMb();
+    blackboard board(64);
+    for (std::size_t i = 0; i < keys; ++i) {
+      key_record done;
+      done.mPhase = key_phase::Done;
+      done.mQuery = i;
+      done.mAnswer.mRecords = { record{ "grant-" + std::to_string(i),
+                                        { { "office", "xela" }, { "state", "submitted" } } } };
+      board.Write(KeyRecordKey("vm-0001.5f2c8a11.desk-7-" + std::to_string(i)), std::move(done));
+    }
+    std::printf("%zu keys: %.2f MB, %.0f B per key\n",
+                keys,
+                HeapMb() - before,
+                (HeapMb() - before) * 1e6 / static_cast<double>(keys));
+  }
+}
+
 } // namespace
 } // namespace redwingdock
 
 int main(int aCount, char** aArguments)
 {
-  using redwingdock::run_options;
+  if (aCount == 2) {
+    redwingdock::Keys();
+    return 0;
+  }
   if (aCount >= 4) {
     redwingdock::rig({ static_cast<std::uint32_t>(std::atoi(aArguments[1])),
                        static_cast<std::uint32_t>(std::atoi(aArguments[2])),
--- a/src/permits/permits_benchmark.cc
+++ b/src/permits/permits_benchmark.cc
@@ -25,7 +25,52 @@
     }
   }
 }
-BENCHMARK(AssignAll)->Args({ 5, 100 })->Args({ 710, 5100 })->Unit(benchmark::kMillisecond);
+// Share of the shards of which a region that is cut off from the rest holds no permit. VMs are
+// spread evenly over 10 zones; the region has the given number of them.
+void UnreachableShards(benchmark::State& aState)
+{
+  vm_list list;
+  for (int i = 0; i < aState.range(0); ++i) {
+    list.mVms.push_back({ "vm-" + std::to_string(i),
+                          "",
+                          "",
+                          i % 10 < aState.range(1) ? "inside" : "outside",
+                          vm_state::Live });
+  }
+  const permit_ring ring(list);
+  const int shards = static_cast<int>(aState.range(0)) * 5100 / 710 / 2;
+  int unreachable = 0;
+  for (auto each : aState) {
+    unreachable = 0;
+    for (int i = 0; i < shards; ++i) {
+      const std::string name = "s" + std::to_string(i);
+      bool reached = false;
+      for (const auto& [server, held] :
+           ring.Assign({ "pool", name, 3, { name + "a", name + "b" } })) {
+        for (const std::string& vm : held) {
+          const vm_spec* holder = list.Find(vm);
+          reached = reached || (holder != nullptr && holder->mZone == "inside");
+        }
+      }
+      unreachable += reached ? 0 : 1;
+    }
+  }
+  aState.counters["shards"] = shards;
+  aState.counters["unreachable"] = unreachable;
+}
+BENCHMARK(UnreachableShards)
+  ->Args({ 180, 4 })
+  ->Args({ 355, 4 })
+  ->Args({ 710, 4 })
+  ->Args({ 710, 3 })
+  ->Iterations(1);
+
+BENCHMARK(AssignAll)
+  ->Args({ 5, 100 })
+  ->Args({ 178, 1275 })
+  ->Args({ 355, 2550 })
+  ->Args({ 710, 5100 })
+  ->Unit(benchmark::kMillisecond);
 
 } // namespace
 
--- a/src/testing/fake_fleet_benchmark.cc
+++ b/src/testing/fake_fleet_benchmark.cc
@@ -2,14 +2,20 @@
 #include "membership/view_exchange.h"
 #include "testing/fake_fleet.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <cstdlib>
+#include <ctime>
+#include <string_view>
 
 // Spread of tables and of membership news over fleets of several sizes, on the manual clock: time
 // until the last daemon has a new pools table or VM list and until every daemon knows of a restart,
-// reads of the configuration service, and confirmed views while the regions are apart.
+// reads of the configuration service, and confirmed views while the regions are apart. With
+// "parts": messages between daemons and processor time (of all daemons, fake servers and this
+// program) per part of a search, at several numbers of shards.
 //
 //   fake_fleet_benchmark [DAEMONS...]
+//   fake_fleet_benchmark parts
 
 namespace redwingdock::testing {
 namespace {
@@ -58,6 +64,24 @@
   return confirmed;
 }
 
+// Table texts sent by all daemons, and by the one that sent most.
+struct tables_sent
+{
+  std::uint64_t mAll = 0;
+  std::uint64_t mMost = 0;
+};
+
+tables_sent TablesSent(const fake_fleet& aFleet)
+{
+  tables_sent sent;
+  for (std::size_t i = 0; i < aFleet.DaemonCount(); ++i) {
+    const auto count = aFleet.Core(i).Board().Read<counter>("tables.sent");
+    sent.mAll += count ? count->mCount : 0;
+    sent.mMost = std::max(sent.mMost, count ? count->mCount : 0);
+  }
+  return sent;
+}
+
 void Run(std::uint32_t aDaemons)
 {
   fleet_options options;
@@ -65,21 +89,27 @@
   options.mShards = aDaemons * 5100 / 710 / 2;
   options.mZones = 10;
   fake_fleet fleet(options);
-  const double ready = TimeUntil(
-    fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) > 0; });
+  const double ready =
+    TimeUntil(fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) > 0; });
   const std::uint64_t startReads = fleet.PlatformReads();
   fleet.RunFor(seconds(20));
   const std::uint64_t messages = fleet.PeerMessages();
   const std::uint64_t reads = fleet.PlatformReads();
   fleet.RunFor(seconds(20));
-  const double messageRate =
-    static_cast<double>(fleet.PeerMessages() - messages) / 20.0 / aDaemons;
+  const double messageRate = static_cast<double>(fleet.PeerMessages() - messages) / 20.0 / aDaemons;
   const double readRate = static_cast<double>(fleet.PlatformReads() - reads) / 20.0;
 
+  const tables_sent before = TablesSent(fleet);
   fleet.Publish(table_kind::Pools);
   const std::uint64_t pools = fleet.Revision(table_kind::Pools);
-  const double poolsTime = TimeUntil(
-    fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) == pools; });
+  const double poolsTime =
+    TimeUntil(fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) == pools; });
+  fleet.RunFor(seconds(3)); // transfers that are not needed any more
+  const tables_sent after = TablesSent(fleet);
+  std::printf("%4u daemons: %llu pools tables sent for one change; most of all time by one %llu\n",
+              aDaemons,
+              static_cast<unsigned long long>(after.mAll - before.mAll),
+              static_cast<unsigned long long>(after.mMost));
   fleet.Publish(table_kind::Vms);
   const std::uint64_t vms = fleet.Revision(table_kind::Vms);
   const double vmsTime =
@@ -127,11 +157,73 @@
   std::fflush(stdout);
 }
 
+double CpuMs()
+{
+  timespec now{};
+  clock_gettime(CLOCK_THREAD_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e3 + static_cast<double>(now.tv_nsec) / 1e6;
+}
+
+void Parts(std::uint32_t aDaemons, std::uint32_t aShards)
+{
+  fleet_options options;
+  options.mDaemons = aDaemons;
+  options.mShards = aShards;
+  options.mZones = 10;
+  fake_fleet fleet(options);
+  constexpr int kQueries = 200;
+  const auto ask = [&](int aCount) {
+    for (int i = 0; i < aCount; ++i) {
+      query_request request;
+      request.mRoute = "search";
+      request.mCaller = "benchmark";
+      request.mFilter["tag"] = std::to_string(fleet.Queries().size());
+      fleet.Ask(static_cast<std::size_t>(i) % aDaemons, request, seconds(1));
+      fleet.RunFor(milliseconds(50));
+    }
+  };
+  fleet.RunFor(seconds(15));
+  ask(100); // warms servers and latencies
+  const std::size_t first = fleet.Queries().size();
+  double cpu = CpuMs();
+  std::uint64_t messages = fleet.PeerMessages();
+  ask(kQueries);
+  const double busyCpu = CpuMs() - cpu;
+  const auto busyMessages = static_cast<double>(fleet.PeerMessages() - messages);
+  cpu = CpuMs();
+  messages = fleet.PeerMessages();
+  fleet.RunFor(milliseconds(50) * kQueries);
+  const double idleCpu = CpuMs() - cpu;
+  const auto idleMessages = static_cast<double>(fleet.PeerMessages() - messages);
+  int answered = 0;
+  for (std::size_t i = first; i < fleet.Queries().size(); ++i) {
+    answered += fleet.Queries()[i].mAnswers == 1 ? 1 : 0;
+  }
+  const double parts = static_cast<double>(kQueries) * aShards;
+  std::printf(
+    "%4u daemons %3u parts per query: %d of %d answered, %.2f messages and %.1f us per part\n",
+    aDaemons,
+    aShards,
+    answered,
+    kQueries,
+    (busyMessages - idleMessages) / parts,
+    (busyCpu - idleCpu) * 1e3 / parts);
+  std::fflush(stdout);
+}
+
 } // namespace
 } // namespace redwingdock::testing
 
 int main(int aCount, char** aArguments)
 {
+  if (aCount > 1 && std::string_view(aArguments[1]) == "parts") {
+    for (const std::uint32_t shards : { 13U, 26U, 53U }) {
+      redwingdock::testing::Parts(20, shards);
+    }
+    redwingdock::testing::Parts(10, 53);
+    redwingdock::testing::Parts(40, 53);
+    return 0;
+  }
   if (aCount > 1) {
     for (int i = 1; i < aCount; ++i) {
       redwingdock::testing::Run(static_cast<std::uint32_t>(std::atoi(aArguments[i])));
