--- a/src/testing/fake_fleet_benchmark.cc
+++ b/src/testing/fake_fleet_benchmark.cc
@@ -64,20 +64,13 @@
   return confirmed;
 }
 
-// Table texts sent by all daemons, and by the one that sent most.
-struct tables_sent
+// Table texts sent so far, by daemon.
+std::vector<std::uint64_t> TablesSent(const fake_fleet& aFleet)
 {
-  std::uint64_t mAll = 0;
-  std::uint64_t mMost = 0;
-};
-
-tables_sent TablesSent(const fake_fleet& aFleet)
-{
-  tables_sent sent;
+  std::vector<std::uint64_t> sent;
   for (std::size_t i = 0; i < aFleet.DaemonCount(); ++i) {
     const auto count = aFleet.Core(i).Board().Read<counter>("tables.sent");
-    sent.mAll += count ? count->mCount : 0;
-    sent.mMost = std::max(sent.mMost, count ? count->mCount : 0);
+    sent.push_back(count ? count->mCount : 0);
   }
   return sent;
 }
@@ -99,17 +92,23 @@
   const double messageRate = static_cast<double>(fleet.PeerMessages() - messages) / 20.0 / aDaemons;
   const double readRate = static_cast<double>(fleet.PlatformReads() - reads) / 20.0;
 
-  const tables_sent before = TablesSent(fleet);
+  const auto before = TablesSent(fleet);
   fleet.Publish(table_kind::Pools);
   const std::uint64_t pools = fleet.Revision(table_kind::Pools);
   const double poolsTime =
     TimeUntil(fleet, [&](std::size_t aDaemon) { return PoolsOf(fleet, aDaemon) == pools; });
   fleet.RunFor(seconds(3)); // transfers that are not needed any more
-  const tables_sent after = TablesSent(fleet);
-  std::printf("%4u daemons: %llu pools tables sent for one change; most of all time by one %llu\n",
+  const auto after = TablesSent(fleet);
+  std::uint64_t all = 0;
+  std::uint64_t most = 0;
+  for (std::size_t i = 0; i < after.size(); ++i) {
+    all += after[i] - before[i];
+    most = std::max(most, after[i] - before[i]);
+  }
+  std::printf("%4u daemons: %llu pools texts sent for one change, %llu of them by one daemon\n",
               aDaemons,
-              static_cast<unsigned long long>(after.mAll - before.mAll),
-              static_cast<unsigned long long>(after.mMost));
+              static_cast<unsigned long long>(all),
+              static_cast<unsigned long long>(most));
   fleet.Publish(table_kind::Vms);
   const std::uint64_t vms = fleet.Revision(table_kind::Vms);
   const double vmsTime =
