Discover the index version before a submit, clear suspects per pool, hedge by median too

Causes found by trials of the process fleet: - the first submit after a start asked for any version; the server ran it on another partition map than planned and the answer was unknown.

--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -193,7 +193,7 @@
   std::uint32_t mMap = 0;
   coverage mCoverage;
   shared_records mRecords; // by id
-  reason mReason;               // empty when complete
+  reason mReason;          // empty when complete
 
   auto operator<=>(const query_answer&) const = default;
 };
--- a/src/daemon/backend_client.cc
+++ b/src/daemon/backend_client.cc
@@ -198,30 +198,30 @@
     return;
   }
   connection_event event = closed->mOpen ? connection_event::Closed : connection_event::Refused;
-  if (closed->mPart) {
+  // A reply without a length ends with the connection.
+  const bool answered = closed->mPart && closed->mReader.FeedEnd() == http_status::Complete;
+  if (answered) {
+    const http_message message = closed->mReader.Take();
+    Finish(
+      aId, *closed->mPart, ParsePartReply(closed->mPart->mRequest, message.mStatus, message.mBody));
+  } else if (closed->mPart) {
     event = connection_event::Lost;
-    // A reply without a length ends with the connection.
-    if (closed->mReader.FeedEnd() == http_status::Complete) {
-      event = connection_event::Closed;
-      const http_message message = closed->mReader.Take();
-      Finish(aId,
-             *closed->mPart,
-             ParsePartReply(closed->mPart->mRequest, message.mStatus, message.mBody));
-    } else {
-      Finish(aId,
-             *closed->mPart,
-             Unanswered(closed->mPart->mRequest,
-                        part_result::Unknown,
-                        part_failure::ConnectionLost,
-                        "wait for reply",
-                        "connection lost: " + aWhy));
-    }
   }
+  // The loss goes before the result of the part: the gate still has to see what was in flight.
   mHooks.mPost(connection_changed{
     closed->mServer,
     aId,
     event,
     { event == connection_event::Refused ? "connect" : "connection", closed->mServer, aWhy } });
+  if (event == connection_event::Lost) {
+    Finish(aId,
+           *closed->mPart,
+           Unanswered(closed->mPart->mRequest,
+                      part_result::Unknown,
+                      part_failure::ConnectionLost,
+                      "wait for reply",
+                      "connection lost: " + aWhy));
+  }
 }
 
 void backend_client::Check(const check_connection& aCommand)
--- a/src/query/dispatch.cc
+++ b/src/query/dispatch.cc
@@ -121,11 +121,11 @@
   if (!aState.mHedge || aState.mOperation != operation::Search) {
     return;
   }
-  std::optional<micros> quantile;
+  shard_latency known;
   if (const auto latency = aContext.mBoard.Read<latency_record>(LatencyKey(aPart))) {
-    quantile = Quantile(*latency, aContext.mConfig.mHedgeQuantile);
+    known = { Quantile(*latency, 0.5), Quantile(*latency, aContext.mConfig.mHedgeQuantile) };
   }
-  const std::optional<micros> delay = aHooks.mHedgeDelay(quantile);
+  const std::optional<micros> delay = aHooks.mHedgeDelay(known);
   if (delay) {
     aContext.After(std::max(*delay, aContext.mConfig.mHedgeFloor),
                    QueryKey(aState.mNumber),
@@ -148,9 +148,9 @@
   request.mPool = part.mPool;
   request.mShard = part.mShard;
   request.mVersion = aState.mVersion;
-  request.mOperation = aState.mOperation;
+  request.mOperation = aState.mDiscovering ? operation::Search : aState.mOperation;
   request.mFilter = aState.mRequest.mFilter;
-  request.mRequestKey = aState.mRequest.mRequestKey;
+  request.mRequestKey = aState.mDiscovering ? std::string() : aState.mRequest.mRequestKey;
   request.mFingerprint = aState.mFingerprint;
   request.mUrgency = aState.mUrgency;
   request.mDeadline = aState.mDeadline;
@@ -215,9 +215,7 @@
   });
 }
 
-query_state PlaceReadyParts(core_context& aContext,
-                            const query_hooks& aHooks,
-                            query_state aState)
+query_state PlaceReadyParts(core_context& aContext, const query_hooks& aHooks, query_state aState)
 {
   const bool ready =
     std::any_of(aState.mParts.begin(), aState.mParts.end(), [](const part_state& aPart) {
@@ -245,7 +243,8 @@
       if (later) {
         again = true;
       } else {
-        next = FailPart(std::move(next), i, { "place part", "", "no usable replica with a reachable permit" });
+        next = FailPart(
+          std::move(next), i, { "place part", "", "no usable replica with a reachable permit" });
       }
       continue;
     }
@@ -274,7 +273,7 @@
   // A request that crashes servers is hedged before the crash is known; the limit per query bounds
   // the second replicas that it can reach.
   const std::size_t hedgeLimit = 1 + aState.mParts.size() / 10;
-  if (aState.mHedges >= hedgeLimit) {
+  if (aState.mHedges >= hedgeLimit || part.mAttempts.size() >= kMaxAttempts) {
     return aState;
   }
   const auto tables = aContext.mBoard.Read<tables_in_force>(kTablesKey);
--- a/src/query/dispatch.h
+++ b/src/query/dispatch.h
@@ -24,9 +24,7 @@
 
 // Places every Ready part that has an option. A part without one fails when no option can come
 // back before the deadline; otherwise it stays Ready and place_again follows.
-query_state PlaceReadyParts(core_context& aContext,
-                            const query_hooks& aHooks,
-                            query_state aState);
+query_state PlaceReadyParts(core_context& aContext, const query_hooks& aHooks, query_state aState);
 
 // Sends a second attempt for a part in Running, when the budgets and the fingerprint allow it.
 query_state PlaceHedge(core_context& aContext,
--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -11,6 +11,7 @@
 #include "safety/suspects.h"
 
 #include <algorithm>
+#include <set>
 
 namespace redwingdock {
 
@@ -55,9 +56,12 @@
   bool PassOnIfClosed(const query_state& aState, const tables_in_force& aTables);
   bool PassOn(query_state aState, const std::string& aVm);
   void Continue(query_state aState);
+  static void HoldAllButOnePerPool(query_state& aState);
   query_state ReleaseParts(query_state aState);
   query_state SettleSubmit(query_state aState);
   bool WantsRestart(const query_state& aState) const;
+  void RepeatHedge(query_state& aState, std::size_t aPart);
+  void Restart(query_state aState, const std::string& aWhy);
   void Finish(query_state aState);
   void Refuse(const query_state& aState, outcome aOutcome, reason aReason);
   void Deliver(const query_state& aState, query_answer aAnswer);
@@ -277,15 +281,12 @@
   if (aState.mOperation == operation::Submit) {
     position = PositionOf(aState.mRequest.mFilter.at("id"));
   }
+  aState.mDiscovering = aState.mOperation == operation::Submit && chosen.mVersion == 0;
   aState.mVersion = chosen.mVersion;
   aState.mMap = chosen.mMap;
   aState.mParts = PlanParts(shards, chosen.mMap, position);
-  if (suspected && mHooks.mCanary && aState.mParts.size() > 1) {
-    for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
-      if (i != aState.mFingerprint % aState.mParts.size()) {
-        aState.mParts[i].mPhase = part_phase::Held;
-      }
-    }
+  if (suspected && mHooks.mCanary) {
+    HoldAllButOnePerPool(aState);
   }
   const auto parts = static_cast<double>(aState.mParts.size());
   Earn(mBoard, kHedgeBudgetKey, parts * mContext.mConfig.mHedgeBudget);
@@ -297,10 +298,22 @@
   Continue(std::move(aState));
 }
 
+// The first part of each pool, from a start that depends on the request, is the canary.
+void query_controller::HoldAllButOnePerPool(query_state& aState)
+{
+  std::set<std::string> started;
+  for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
+    part_state& part = aState.mParts[(aState.mFingerprint + i) % aState.mParts.size()];
+    if (!started.insert(part.mPool).second) {
+      part.mPhase = part_phase::Held;
+    }
+  }
+}
+
 // A non-idempotent part that may have run is not sent again.
 query_state query_controller::SettleSubmit(query_state aState)
 {
-  if (aState.mOperation != operation::Submit) {
+  if (aState.mOperation != operation::Submit || aState.mDiscovering) {
     return aState;
   }
   query_state next = std::move(aState);
@@ -320,7 +333,12 @@
 query_state query_controller::ReleaseParts(query_state aState)
 {
   query_state next = std::move(aState);
-  const bool harmless = CountAnswered(next) > 0;
+  std::set<std::string> harmless; // pools with an answered part
+  for (const part_state& part : next.mParts) {
+    if (part.mPhase == part_phase::Answered) {
+      harmless.insert(part.mPool);
+    }
+  }
   const bool running =
     std::any_of(next.mParts.begin(), next.mParts.end(), [](const part_state& aPart) {
       return aPart.mPhase == part_phase::Running || aPart.mPhase == part_phase::Ready;
@@ -329,11 +347,11 @@
     if (part.mPhase == part_phase::Lost) {
       if (part.mLosses >= 2 && mHooks.mHoldLostParts) {
         part.mPhase = part_phase::Failed; // both replicas were lost while they ran it
-      } else if (harmless || !mHooks.mHoldLostParts) {
+      } else if (harmless.contains(part.mPool) || !mHooks.mHoldLostParts) {
         part.mPhase = part_phase::Ready;
       }
     } else if (part.mPhase == part_phase::Held) {
-      if (harmless) {
+      if (harmless.contains(part.mPool)) {
         part.mPhase = part_phase::Ready;
       } else if (!running) {
         part.mPhase = part_phase::Failed;
@@ -346,8 +364,9 @@
 
 bool query_controller::WantsRestart(const query_state& aState) const
 {
-  if (aState.mRestarts >= kMaxRestarts ||
-      (aState.mOperation == operation::Submit && MayHaveRun(aState))) {
+  const bool submitMayHaveRun =
+    aState.mOperation == operation::Submit && !aState.mDiscovering && MayHaveRun(aState);
+  if (aState.mRestarts >= kMaxRestarts || submitMayHaveRun) {
     return false;
   }
   return std::any_of(aState.mParts.begin(), aState.mParts.end(), [](const part_state& aPart) {
@@ -366,18 +385,7 @@
   aState = PlaceReadyParts(mContext, mHooks, std::move(aState));
   // A part without another replica for the version restarts the whole query on another snapshot.
   if (WantsRestart(aState)) {
-    for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
-      aState = CancelAttempts(mContext, std::move(aState), i);
-    }
-    ++aState.mRestarts;
-    aState.mRestarting = true;
-    aState.mPastRun = MayHaveRun(aState);
-    mContext.Count("query.restarts");
-    Log(aState,
-        "starts over, index version " + std::to_string(aState.mVersion) + " is gone",
-        log_level::Warning);
-    mContext.After(kRestartDelay, QueryKey(aState.mNumber), restart_query{ aState.mRestarts });
-    Store(std::move(aState));
+    Restart(aState, "index version " + std::to_string(aState.mVersion) + " is gone");
     return;
   }
   if (IsFinished(aState)) {
@@ -387,6 +395,22 @@
   Store(std::move(aState));
 }
 
+void query_controller::Restart(query_state aState, const std::string& aWhy)
+{
+  for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
+    aState = CancelAttempts(mContext, std::move(aState), i);
+  }
+  // A search that only discovered the version did not run the submit.
+  aState.mPastRun = MayHaveRun(aState) && !aState.mDiscovering;
+  aState.mDiscovering = false;
+  ++aState.mRestarts;
+  aState.mRestarting = true;
+  mContext.Count("query.restarts");
+  Log(aState, "starts over, " + aWhy);
+  mContext.After(kRestartDelay, QueryKey(aState.mNumber), restart_query{ aState.mRestarts });
+  Store(std::move(aState));
+}
+
 void query_controller::OnReply(const std::string& aKey, const part_reply& aReply)
 {
   const auto state = mBoard.Read<query_state>(aKey);
@@ -403,6 +427,16 @@
     return;
   }
   CloseAttempt(mContext, attempt, aReply.mFailure);
+  if (state->mDiscovering && aReply.mResult == part_result::Answered) {
+    if (state->mRestarts >= kMaxRestarts) {
+      Refuse(*state,
+             outcome::NotRun,
+             { "discover index version", aReply.mServer, "the version changes too often" });
+    } else {
+      Restart(*state, "knows the index version");
+    }
+    return;
+  }
   if (aReply.mResult == part_result::Answered) {
     const micros elapsed = mContext.Now() - attempt.mSentAt;
     mBoard.Update<latency_record>(LatencyKey(part), [elapsed](const latency_record* aOld) {
@@ -419,12 +453,30 @@
           " failed: " + next.mParts[place->mPart].mReason.mText,
         log_level::Warning);
   }
+  // A hedge that its gate refused reached no server; the part is hedged through another holder.
+  const attempt_state& closed = next.mParts[place->mPart].mAttempts[place->mAttempt];
+  if (closed.mHedge && aReply.mResult == part_result::NotRun &&
+      next.mParts[place->mPart].mPhase == part_phase::Running) {
+    RepeatHedge(next, place->mPart);
+  }
   if (CountLost(next) > 0 || IsSuspect(next.mFingerprint)) {
     ReportVerdict(next, false);
   }
   Continue(std::move(next));
 }
 
+void query_controller::RepeatHedge(query_state& aState, std::size_t aPart)
+{
+  for (const attempt_state& attempt : aState.mParts[aPart].mAttempts) {
+    if (attempt.mOpen) {
+      Earn(mBoard, kHedgeBudgetKey, 1.0);
+      --aState.mHedges;
+      mBoard.Post(QueryKey(aState.mNumber), hedge_due{ attempt.mNumber });
+      return;
+    }
+  }
+}
+
 void query_controller::OnHedgeDue(const std::string& aKey, const hedge_due& aFact)
 {
   const auto state = mBoard.Read<query_state>(aKey);
@@ -550,7 +602,7 @@
 {
   suspect_verdict verdict;
   verdict.mFingerprint = aState.mFingerprint;
-  verdict.mHarmless = CountAnswered(aState) > 0;
+  verdict.mHarmless = IsHarmless(aState);
   if (!verdict.mHarmless && !aFinished) {
     return;
   }
@@ -578,6 +630,9 @@
     ReportVerdict(aState, true);
   }
   query_answer answer = MakeAnswer(aState);
+  if (aState.mDiscovering && !aState.mPastRun) {
+    answer.mOutcome = outcome::NotRun;
+  }
   if (aState.mParts.empty()) {
     // Passed on, waiting for the same request key, or planned without any part.
     const bool elsewhere = !aState.mForwardedTo.empty() || aState.mOperation == operation::Submit;
--- a/src/query/query_hooks.h
+++ b/src/query/query_hooks.h
@@ -9,11 +9,22 @@
 
 namespace redwingdock {
 
-// Delay after which an unanswered part is hedged, from the quantile of the shard's recent latency
-// (nothing before enough replies were seen); nullopt never hedges.
-using hedge_rule = std::function<std::optional<micros>(std::optional<micros> aQuantile)>;
+// Recent latency of a shard; empty before enough replies were seen.
+struct shard_latency
+{
+  std::optional<micros> mMedian;
+  std::optional<micros> mQuantile; // mHedgeQuantile of the settings
+
+  auto operator<=>(const shard_latency&) const = default;
+};
+
+// Delay after which an unanswered part is hedged; nullopt never hedges.
+using hedge_rule = std::function<std::optional<micros>(const shard_latency&)>;
+
+// The quantile, but at most kHedgeMedians times the median.
+std::optional<micros> HedgeAfterQuantile(const shard_latency& aLatency);
 
-std::optional<micros> HedgeAfterQuantile(std::optional<micros> aQuantile);
+inline constexpr int kHedgeMedians = 3;
 
 // Whether a Submit that ended this way may be sent to a server again.
 using repeat_rule = std::function<bool(part_result)>;
--- a/src/query/query_state.cc
+++ b/src/query/query_state.cc
@@ -173,6 +173,25 @@
     }));
 }
 
+namespace {
+
+bool AnsweredInPool(const query_state& aState, const std::string& aPool)
+{
+  return std::any_of(aState.mParts.begin(), aState.mParts.end(), [&aPool](const part_state& aPart) {
+    return aPart.mPool == aPool && aPart.mPhase == part_phase::Answered;
+  });
+}
+
+} // namespace
+
+bool IsHarmless(const query_state& aState)
+{
+  return std::all_of(
+    aState.mParts.begin(), aState.mParts.end(), [&aState](const part_state& aPart) {
+      return aPart.mLosses < 2 && AnsweredInPool(aState, aPart.mPool);
+    });
+}
+
 std::size_t CountLost(const query_state& aState)
 {
   std::size_t losses = 0;
@@ -192,16 +211,14 @@
 
 bool IsFinished(const query_state& aState)
 {
-  bool lost = false;
   for (const part_state& part : aState.mParts) {
-    if (part.mPhase == part_phase::Lost) {
-      lost = true;
-    } else if (IsOpenPhase(part.mPhase)) {
+    // A lost part can only be cleared by an answer of the same pool.
+    const bool stuck = part.mPhase == part_phase::Lost && !AnsweredInPool(aState, part.mPool);
+    if (IsOpenPhase(part.mPhase) && !stuck) {
       return false;
     }
   }
-  // Lost parts alone can no longer be cleared by another part's answer.
-  return !lost || CountAnswered(aState) == 0;
+  return true;
 }
 
 namespace {
--- a/src/query/query_state.h
+++ b/src/query/query_state.h
@@ -73,6 +73,9 @@
   std::uint32_t mMap = 0;
   std::uint32_t mRestarts = 0;
   bool mRestarting = false; // waits for restart_query
+  // A submit whose index version is not known asks its shard with a search first: a server that
+  // picked the version itself could run the submit on a partition map that the plan did not have.
+  bool mDiscovering = false;
   std::uint32_t mHedges = 0;
   std::uint32_t mNextAttempt = 1; // goes on over restarts, so that old replies are never taken
   bool mPastRun = false;          // an attempt of an earlier restart may have run
@@ -95,8 +98,8 @@
                                  const part_state& aPart,
                                  const part_reply& aReply);
 
-using reply_check = std::function<
-  std::optional<reason>(const query_state&, const part_state&, const part_reply&)>;
+using reply_check =
+  std::function<std::optional<reason>(const query_state&, const part_state&, const part_reply&)>;
 
 // Takes the result of an attempt into the state. Replies to attempts that are closed or unknown
 // (late, repeated, or of an earlier restart) change nothing.
@@ -116,6 +119,10 @@
 // Whether any attempt so far ended without proof that it did not run.
 bool MayHaveRun(const query_state& aState);
 
+// Whether the query shows that its request does not crash the servers of any pool: each pool with a
+// part has an answered one, and no part lost both of its servers.
+bool IsHarmless(const query_state& aState);
+
 std::size_t CountAnswered(const query_state& aState);
 std::size_t CountLost(const query_state& aState);
 
--- a/src/testing/fake_fleet.cc
+++ b/src/testing/fake_fleet.cc
@@ -617,7 +617,7 @@
 void fake_fleet::CloseZone(const std::string& aZone)
 {
   mClosedZones.insert(aZone);
-  mClosedSince[aZone] = mEvents.Now();
+  mClosedSince[aZone] = ReadableAt();
   Publish(table_kind::Pools);
 }
 
@@ -632,7 +632,7 @@
 {
   if (aDraining) {
     mDrainingServers.insert(aServer);
-    mDrainingSince[aServer] = mEvents.Now();
+    mDrainingSince[aServer] = ReadableAt();
   } else {
     mDrainingServers.erase(aServer);
     mDrainingSince.erase(aServer);
@@ -659,6 +659,25 @@
   Start(number);
 }
 
+instant fake_fleet::ReadableAt() const
+{
+  // Far ahead of any run, and far enough from the end of the clock to add durations.
+  return mPlatformDown ? mEvents.Now() + std::chrono::hours(1000) : mEvents.Now();
+}
+
+void fake_fleet::SetPlatformDown(bool aDown)
+{
+  mPlatformDown = aDown;
+  if (aDown) {
+    return;
+  }
+  for (std::map<std::string, instant>* changes : { &mClosedSince, &mDrainingSince }) {
+    for (auto& [name, since] : *changes) {
+      since = std::min(since, mEvents.Now());
+    }
+  }
+}
+
 void fake_fleet::SetPlatformReachable(std::size_t aDaemon, bool aReachable)
 {
   mDaemons.at(aDaemon).mPlatformReachable = aReachable;
--- a/src/testing/fake_fleet.h
+++ b/src/testing/fake_fleet.h
@@ -94,7 +94,9 @@
   void SetServerDraining(const std::string& aServer, bool aDraining);
   // Replaces a VM of the list by another name; the old process keeps running unless killed.
   void ReplaceVm(std::size_t aDaemon, const std::string& aNewName);
-  void SetPlatformDown(bool aDown) { mPlatformDown = aDown; }
+  // What is published during an outage can be read only after it: the times in ClosedSince() and
+  // DrainingSince() of such changes are the end of the outage.
+  void SetPlatformDown(bool aDown);
   void SetPlatformReachable(std::size_t aDaemon, bool aReachable);
   void PublishText(table_kind aKind, std::uint64_t aRevision, std::string aText);
   std::uint64_t Revision(table_kind aKind) const { return mTables.at(aKind).mRevision; }
@@ -163,6 +165,7 @@
   void Execute(std::size_t aDaemon, const send_to_peer& aCommand);
   void Execute(std::size_t aDaemon, const read_table& aCommand);
   void Reply(const watch& aWatch);
+  instant ReadableAt() const;
   std::string RoutesText() const;
   std::string PoolsText() const;
   std::string VmsText() const;
--- a/src/testing/fault_schedule.cc
+++ b/src/testing/fault_schedule.cc
@@ -8,7 +8,7 @@
 
 constexpr micros kStep = std::chrono::milliseconds(100);
 constexpr micros kWarmUp = std::chrono::seconds(4);
-constexpr micros kRollout = std::chrono::milliseconds(50); // between servers that get a version
+constexpr micros kRollout = std::chrono::milliseconds(50);  // between servers that get a version
 constexpr micros kEntryLifetime = std::chrono::seconds(11); // 10 s, and 1 s to hear of the stop
 constexpr std::size_t kMostViolations = 5;
 constexpr std::size_t kMostResends = 4;
@@ -79,8 +79,9 @@
   }
 }
 
-// Callers only know daemons that answer; a paused one still looks alive. A stopping one is no longer
-// named, and callers that were told to use it leave when the lifetime of that answer is over.
+// Callers only know daemons that answer; a paused one still looks alive. A stopping one is no
+// longer named, and callers that were told to use it leave when the lifetime of that answer is
+// over.
 std::size_t schedule_run::PickDaemon()
 {
   for (int i = 0; i < 20; ++i) {
--- a/src/testing/fault_schedules_main.cc
+++ b/src/testing/fault_schedules_main.cc
@@ -7,7 +7,8 @@
 
 namespace {
 
-constexpr char kUsage[] = R"(Runs random fault schedules over the fake fleet and checks what must always hold.
+constexpr char kUsage[] =
+  R"(Runs random fault schedules over the fake fleet and checks what must always hold.
 
 Usage:
   fault_schedules [--first SEED] [--count N] [--log]
