Refuse parts of other daemons while a daemon finishes its work

Cause: a stopping daemon kept taking forwarded parts, so under steady load it was never without work.

--- a/src/gate/gate_events.cc
+++ b/src/gate/gate_events.cc
@@ -132,6 +132,13 @@
               aTurn.mHooks.mHoldUntil(aTurn.mNow, aTurn.mContext.mConfig));
 }
 
+// Parts that other daemons forward would keep a stopping daemon busy for ever.
+bool IsClosing(const gate_turn& aTurn)
+{
+  const auto drain = aTurn.mContext.mBoard.Read<drain_state>(kSelfKey);
+  return drain && drain->mPhase >= drain_phase::Closing;
+}
+
 void OnRequest(gate_turn& aTurn, waiting_part aPart)
 {
   gate_state& state = aTurn.mState;
@@ -149,6 +156,8 @@
   };
   if (fate == attempt_fate::Cancelled) {
     refuse(part_failure::Cancelled, "cancelled before it arrived");
+  } else if (aPart.mFrom != aTurn.mContext.mConfig.mVm && IsClosing(aTurn)) {
+    refuse(part_failure::NotSent, "the daemon finishes its work and stops");
   } else if (const auto refusal = RefusalOf(aTurn)) {
     refuse(refusal->mFailure, refusal->mText);
   } else if (IsQuarantined(aTurn, request)) {
--- a/src/testing/fault_schedule.cc
+++ b/src/testing/fault_schedule.cc
@@ -317,6 +317,11 @@
   for (const fault& each : mSchedule.mFaults) {
     mFleet.Events().After(each.mAt, [this, each] { Begin(each); });
   }
+  mFleet.Events().After(mSchedule.mLength, [this] {
+    for (std::size_t i = 0; i < mFleet.DaemonCount(); ++i) {
+      mResult.mDaemonsStopped += mFleet.HasStopped(i) ? 1 : 0;
+    }
+  });
   while (mFleet.Events().Now() < mEnd + std::chrono::seconds(6)) {
     mFleet.RunFor(kStep);
     Check();
@@ -335,9 +340,6 @@
   for (const auto& server : mFleet.Servers()) {
     mResult.mServersLost += server->Counts().mCrashes;
   }
-  for (std::size_t i = 0; i < mFleet.DaemonCount(); ++i) {
-    mResult.mDaemonsStopped += mFleet.HasStopped(i) ? 1 : 0;
-  }
   mResult.mTotals = Totals(mFleet);
   mResult.mLog = mFleet.LogLines();
   return std::move(mResult);
--- a/src/testing/fault_schedule.h
+++ b/src/testing/fault_schedule.h
@@ -63,7 +63,7 @@
   std::vector<std::string> mViolations; // first ones, with the time
   fleet_totals mTotals;
   std::uint64_t mServersLost = 0;
-  std::uint64_t mDaemonsStopped = 0; // by a planned stop
+  std::uint64_t mDaemonsStopped = 0; // by a planned stop, before the load ended
   std::vector<std::string> mLog;
 };
 
--- a/src/testing/fleet_proof_test.cc
+++ b/src/testing/fleet_proof_test.cc
@@ -165,7 +165,8 @@
 {
   std::vector<fault> faults;
   for (std::size_t server = 0; server < 12; ++server) {
-    faults.push_back({ fault_kind::CrashServer, milliseconds(1000 + 1000 * server), {}, server, 1 });
+    faults.push_back(
+      { fault_kind::CrashServer, milliseconds(1000 + 1000 * server), {}, server, 1 });
   }
   return faults;
 }
@@ -335,6 +336,7 @@
 {
   const char* mGuardsAgainst;
   fault_kind mKind;
+  micros mSlow; // added to the service time of every server
   bool mCuts;
 };
 
@@ -349,6 +351,11 @@
   schedule.mFleet.mSeed = 31;
   schedule.mLength = seconds(18);
   schedule.mGap = milliseconds(5);
+  schedule.mPrepare = [](fake_fleet& aFleet) {
+    for (const auto& server : aFleet.Servers()) {
+      server->Faults().mSlow = GetParam().mSlow;
+    }
+  };
   schedule.mFaults = { { GetParam().mKind, seconds(2), {}, 2, 1 } };
   const schedule_result result = RunSchedule(schedule);
   EXPECT_TRUE(result.mViolations.empty()) << Join(result.mViolations);
@@ -362,8 +369,15 @@
   rows,
   planned_stop,
   ::testing::Values(
-    stop_row{ "planned stop cuts requests", fault_kind::StopDaemon, false },
-    stop_row{ "the count of cut requests is always zero", fault_kind::KillDaemon, true }));
+    stop_row{ "planned stop cuts requests", fault_kind::StopDaemon, micros(0), false },
+    stop_row{ "planned stop never ends while other daemons forward parts",
+              fault_kind::StopDaemon,
+              milliseconds(30),
+              false },
+    stop_row{ "the count of cut requests is always zero",
+              fault_kind::KillDaemon,
+              micros(0),
+              true }));
 
 } // namespace
 } // namespace redwingdock::testing
--- a/src/testing/straggler_benchmark.cc
+++ b/src/testing/straggler_benchmark.cc
@@ -87,7 +87,9 @@
     { "after 10 ms",
       [](std::optional<micros>) { return std::optional<micros>(milliseconds(10)); },
       0.5 },
-    { "after the 95th percentile", [](std::optional<micros> aQuantile) { return aQuantile; }, 0.95 },
+    { "after the 95th percentile",
+      [](std::optional<micros> aQuantile) { return aQuantile; },
+      0.95 },
     { "after twice the median", HedgeAfterQuantile, 0.5 },
   };
   const case_row cases[] = {
