--- a/src/query/query_state_test.cc
+++ b/src/query/query_state_test.cc
@@ -248,18 +248,17 @@
 INSTANTIATE_TEST_SUITE_P(
   rows,
   harmless_test,
-  testing::Values(
-    harmless_row{ "innocent request stays suspected",
-                  "desk",
-                  { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
-                    Answered(2, 41, 3) },
-                  true },
-    harmless_row{ "request that crashes one pool is cleared by another pool's answer",
-                  "ledger",
-                  { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
-                    Answered(2, 41, 3) },
-                  false },
-    harmless_row{ "request is cleared before any answer", "desk", {}, false }));
+  testing::Values(harmless_row{ "innocent request stays suspected",
+                                "desk",
+                                { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
+                                  Answered(2, 41, 3) },
+                                true },
+                  harmless_row{ "request that crashes one pool is cleared by another pool's answer",
+                                "ledger",
+                                { Failed(1, part_result::Unknown, part_failure::ConnectionLost),
+                                  Answered(2, 41, 3) },
+                                false },
+                  harmless_row{ "request is cleared before any answer", "desk", {}, false }));
 
 } // namespace
 } // namespace redwingdock
