--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -56,7 +56,7 @@
   bool PassOnIfClosed(const query_state& aState, const tables_in_force& aTables);
   bool PassOn(query_state aState, const std::string& aVm);
   void Continue(query_state aState);
-  static void HoldAllButOnePerPool(query_state& aState);
+  static query_state HoldAllButOnePerPool(query_state aState);
   query_state ReleaseParts(query_state aState);
   query_state SettleSubmit(query_state aState);
   bool WantsRestart(const query_state& aState) const;
@@ -287,7 +287,7 @@
   aState.mMap = chosen.mMap;
   aState.mParts = PlanParts(shards, chosen.mMap, position);
   if (suspected && mHooks.mCanary) {
-    HoldAllButOnePerPool(aState);
+    aState = HoldAllButOnePerPool(std::move(aState));
   }
   const auto parts = static_cast<double>(aState.mParts.size());
   Earn(mBoard, kHedgeBudgetKey, parts * mContext.mConfig.mHedgeBudget);
@@ -300,15 +300,17 @@
 }
 
 // The first part of each pool, from a start that depends on the request, is the canary.
-void query_controller::HoldAllButOnePerPool(query_state& aState)
+query_state query_controller::HoldAllButOnePerPool(query_state aState)
 {
+  query_state next = std::move(aState);
   std::set<std::string> started;
-  for (std::size_t i = 0; i < aState.mParts.size(); ++i) {
-    part_state& part = aState.mParts[(aState.mFingerprint + i) % aState.mParts.size()];
+  for (std::size_t i = 0; i < next.mParts.size(); ++i) {
+    part_state& part = next.mParts[(next.mFingerprint + i) % next.mParts.size()];
     if (!started.insert(part.mPool).second) {
       part.mPhase = part_phase::Held;
     }
   }
+  return next;
 }
 
 // A non-idempotent part that may have run is not sent again.
