--- a/src/core/hooks.h
+++ b/src/assembly/hooks.h
@@ -1,5 +1,5 @@
-#ifndef REDWINGDOCK_CORE_HOOKS_H
-#define REDWINGDOCK_CORE_HOOKS_H
+#ifndef REDWINGDOCK_ASSEMBLY_HOOKS_H
+#define REDWINGDOCK_ASSEMBLY_HOOKS_H
 
 #include "core/values.h"
 #include "gate/gate_hooks.h"
--- /dev/null
+++ b/src/assembly/record_search.h
@@ -0,0 +1,17 @@
+#ifndef REDWINGDOCK_ASSEMBLY_RECORD_SEARCH_H
+#define REDWINGDOCK_ASSEMBLY_RECORD_SEARCH_H
+
+#include "assembly/hooks.h"
+#include "core/core.h"
+
+// The controllers of searches and submits on records with positions and index versions.
+//
+//   core decisions(config, RecordSearch(core_hooks{}));
+
+namespace redwingdock {
+
+assembly_hook RecordSearch(core_hooks aHooks);
+
+} // namespace redwingdock
+
+#endif
--- a/src/core/core_benchmark.cc
+++ b/src/assembly/record_search_benchmark.cc
@@ -1,5 +1,5 @@
 #include "codec/peer_codec.h"
-#include "core/core.h"
+#include "assembly/record_search.h"
 #include "core/core_facts.h"
 #include "membership/view_exchange.h"
 #include "permits/permits.h"
@@ -97,7 +97,7 @@
     config.mAddress = mAddress;
     config.mSeeds = { mList.mVms.begin(), mList.mVms.begin() + 5 };
     config.mLogDecisions = false;
-    mCore = std::make_unique<core>(config, core_hooks{}, 64);
+    mCore = std::make_unique<core>(config, RecordSearch(core_hooks{}), 64);
   }
 
   void Run()
--- /dev/null
+++ b/src/catalog/catalog_controller.cc
@@ -0,0 +1,195 @@
+#include "catalog/catalog_controller.h"
+
+#include "catalog/routes.h"
+#include "core/core_facts.h"
+#include "follow/feed_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// Both feeds change one entry, so their changes are processed in the shard of that entry.
+struct items_changed
+{
+  store_feed mFeed = store_feed::Operator;
+
+  auto operator<=>(const items_changed&) const = default;
+};
+
+item_map ItemsOf(core_context& aContext, store_feed aFeed)
+{
+  const auto items = aContext.mBoard.Read<published_items>(FeedKey(aFeed));
+  return items ? items->mItems : item_map{};
+}
+
+void LogUnreadable(core_context& aContext, const store_item& aItem)
+{
+  if (const auto* unreadable = std::get_if<unreadable_value>(&aItem.mValue)) {
+    aContext.Log("catalog",
+                 "event=unreadable key=\"" + aItem.mKey +
+                   "\" revision=" + std::to_string(aItem.mRevision) + " reason=\"" +
+                   Describe(unreadable->mReason) + "\"",
+                 log_level::Warning);
+  }
+}
+
+// The last revision of each key whose unreadable value was logged. Entry key: FeedKey.
+struct logged_revisions
+{
+  std::map<std::string, std::uint64_t> mRevisions;
+
+  auto operator<=>(const logged_revisions&) const = default;
+};
+
+void LogUnreadableOnce(core_context& aContext, store_feed aFeed, const item_map& aItems)
+{
+  const auto before = aContext.mBoard.Read<logged_revisions>(FeedKey(aFeed));
+  logged_revisions next;
+  for (const auto& [key, item] : aItems) {
+    if (!std::holds_alternative<unreadable_value>(item->mValue)) {
+      continue;
+    }
+    next.mRevisions[key] = item->mRevision;
+    if (!before || !before->mRevisions.contains(key) ||
+        before->mRevisions.at(key) != item->mRevision) {
+      LogUnreadable(aContext, *item);
+    }
+  }
+  aContext.mBoard.Write(FeedKey(aFeed), std::move(next));
+}
+
+void OnOperatorItems(core_context& aContext)
+{
+  const item_map items = ItemsOf(aContext, store_feed::Operator);
+  LogUnreadableOnce(aContext, store_feed::Operator, items);
+  const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
+  catalog next = before ? *before : catalog{};
+  next.mClosedZones.clear();
+  for (const auto& [key, item] : items) {
+    if (const auto* zone = std::get_if<closed_zone>(&item->mValue)) {
+      next.mClosedZones.insert(zone->mZone);
+    }
+    const auto* published = std::get_if<configuration>(&item->mValue);
+    if (published == nullptr || published->mVersion <= next.mVersion) {
+      continue;
+    }
+    next.mVersion = published->mVersion;
+    next.mRoutes = IndexRoutes(published->mRoutes);
+    next.mServices.clear();
+    for (const service_limits& service : published->mServices) {
+      next.mServices.emplace(service.mName, service);
+    }
+    next.mLimits = published->mLimits;
+    aContext.Log("catalog",
+                 "event=version_in_force version=" + std::to_string(next.mVersion) +
+                   " before=" + std::to_string(before ? before->mVersion : 0) +
+                   " routes=" + std::to_string(published->mRoutes.size()) +
+                   " revision=" + std::to_string(item->mRevision));
+    if (!before || before->mLimits != next.mLimits) {
+      aContext.Emit(apply_client_limits{ next.mLimits });
+    }
+  }
+  if (!before || before->mClosedZones != next.mClosedZones) {
+    std::string zones;
+    for (const std::string& zone : next.mClosedZones) {
+      zones += (zones.empty() ? "" : ",") + zone;
+    }
+    aContext.Log("catalog", "event=closed_zones zones=\"" + zones + "\"");
+  }
+  aContext.mBoard.Write(kCatalogKey, std::move(next));
+}
+
+// Entries that another process wrote late, from an earlier start or an earlier state of the same
+// start, are older than what is known.
+bool IsOlder(const replica_entry& aOne, const replica_entry& aOther)
+{
+  return aOne.mBornMs != aOther.mBornMs ? aOne.mBornMs < aOther.mBornMs
+                                        : aOne.mSequence < aOther.mSequence;
+}
+
+bool IsSame(const replica_entry& aPublished, const replica_entry& aKnown)
+{
+  replica_entry published = aPublished;
+  published.mColdUntil = aKnown.mColdUntil;
+  return published == aKnown;
+}
+
+std::map<std::string, replica_pointer> ReplicasById(const catalog& aCatalog)
+{
+  std::map<std::string, replica_pointer> replicas;
+  for (const auto& [service, ofService] : aCatalog.mReplicas) {
+    for (const replica_pointer& replica : ofService) {
+      replicas.emplace(replica->mId, replica);
+    }
+  }
+  return replicas;
+}
+
+void LogReplica(core_context& aContext, const char* aEvent, const replica_entry& aReplica)
+{
+  aContext.Log("catalog",
+               std::string("event=") + aEvent + " replica=" + aReplica.mId + " service=" +
+                 aReplica.mService + " address=" + aReplica.mAddress + " zone=" + aReplica.mZone +
+                 " draining=" + (aReplica.mDraining ? "yes" : "no") +
+                 " cold_ms=" + std::to_string(ToMs(aReplica.mColdFor)));
+}
+
+void OnReplicaItems(core_context& aContext)
+{
+  const item_map items = ItemsOf(aContext, store_feed::Replicas);
+  LogUnreadableOnce(aContext, store_feed::Replicas, items);
+  const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
+  const auto known = before ? ReplicasById(*before) : std::map<std::string, replica_pointer>{};
+  catalog next = before ? *before : catalog{};
+  next.mReplicas.clear();
+  std::set<std::string> present;
+  for (const auto& [key, item] : items) {
+    const auto* entry = std::get_if<replica_entry>(&item->mValue);
+    if (entry == nullptr) {
+      continue;
+    }
+    present.insert(entry->mId);
+    const auto old = known.find(entry->mId);
+    if (old != known.end() &&
+        (IsSame(*entry, *old->second) || IsOlder(*entry, *old->second))) {
+      next.mReplicas[old->second->mService].push_back(old->second);
+      continue;
+    }
+    LogReplica(aContext, old == known.end() ? "replica_new" : "replica_changed", *entry);
+    replica_entry added = *entry;
+    added.mColdUntil = aContext.Now() + added.mColdFor;
+    next.mReplicas[entry->mService].push_back(
+      std::make_shared<const replica_entry>(std::move(added)));
+  }
+  for (const auto& [id, replica] : known) {
+    if (!present.contains(id)) {
+      LogReplica(aContext, "replica_gone", *replica);
+    }
+  }
+  aContext.mBoard.Write(kCatalogKey, std::move(next));
+}
+
+} // namespace
+
+void AddCatalogController(core_context& aContext)
+{
+  aContext.mBoard.OnChange<published_items>([&aContext](const std::string& aKey) {
+    aContext.mBoard.Post(kCatalogKey,
+                         items_changed{ aKey == FeedKey(store_feed::Operator)
+                                          ? store_feed::Operator
+                                          : store_feed::Replicas });
+  });
+  aContext.mBoard.OnFact<items_changed>(
+    [&aContext](const std::string&, const items_changed& aFact) {
+      if (aFact.mFeed == store_feed::Operator) {
+        OnOperatorItems(aContext);
+      } else {
+        OnReplicaItems(aContext);
+      }
+    });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/codec/heartbeat_json.cc
@@ -0,0 +1,58 @@
+#include "codec/heartbeat_json.h"
+
+#include "codec/json_reader.h"
+
+#include <boost/json/serialize.hpp>
+#include <limits>
+
+namespace redwingdock {
+
+namespace {
+
+constexpr std::size_t kMostBytes = std::size_t{ 16 } * 1024;
+constexpr std::size_t kMostText = 100;
+
+} // namespace
+
+std::string FormatHeartbeat(const heartbeat& aHeartbeat)
+{
+  const daemon_state& sender = aHeartbeat.mSender;
+  boost::json::array peers;
+  for (const std::string& peer : aHeartbeat.mPeers) {
+    peers.emplace_back(peer);
+  }
+  return boost::json::serialize(boost::json::object{ { "vm", sender.mVm },
+                                                     { "incarnation", sender.mIncarnation },
+                                                     { "peer", sender.mPeerAddress },
+                                                     { "calls", sender.mCallAddress },
+                                                     { "zone", sender.mZone },
+                                                     { "serving", sender.mServing },
+                                                     { "peers", std::move(peers) } });
+}
+
+result<heartbeat> ParseHeartbeat(std::string_view aBytes)
+{
+  detail::json_reader reader(aBytes, kMostBytes);
+  const auto& root = reader.Root();
+  heartbeat parsed;
+  parsed.mSender.mVm = reader.Text(root, "vm", 1, kMostText);
+  parsed.mSender.mIncarnation =
+    reader.Number(root, "incarnation", 0, std::numeric_limits<std::int64_t>::max());
+  parsed.mSender.mPeerAddress = reader.Text(root, "peer", 1, kMostText);
+  parsed.mSender.mCallAddress = reader.Text(root, "calls", 1, kMostText);
+  parsed.mSender.mZone = reader.Text(root, "zone", 1, kMostText);
+  parsed.mSender.mServing = reader.Bool(root, "serving");
+  for (const boost::json::value& peer : reader.Array(root, "peers")) {
+    if (!peer.is_string()) {
+      reader.Fail("\"peers\" holds a value that is not a text");
+      break;
+    }
+    parsed.mPeers.emplace_back(peer.get_string());
+  }
+  if (reader.Error()) {
+    return Failure<heartbeat>("parse heartbeat", parsed.mSender.mVm, *reader.Error());
+  }
+  return Success(std::move(parsed));
+}
+
+} // namespace redwingdock
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -1,7 +1,10 @@
 #ifndef REDWINGDOCK_CORE_COMMANDS_H
 #define REDWINGDOCK_CORE_COMMANDS_H
 
+#include "core/fleet.h"
+#include "core/forwarding.h"
 #include "core/messages.h"
+#include "core/store.h"
 
 #include <variant>
 
@@ -128,7 +131,15 @@
                              send_to_peer,
                              read_table,
                              log_line,
-                             stop_now>;
+                             stop_now,
+                             send_attempt,
+                             cancel_attempt,
+                             answer_request,
+                             read_store_page,
+                             watch_store,
+                             apply_client_limits,
+                             send_heartbeat,
+                             close_callers>;
 
 } // namespace redwingdock
 
--- a/src/core/config.h
+++ b/src/core/config.h
@@ -1,6 +1,7 @@
 #ifndef REDWINGDOCK_CORE_CONFIG_H
 #define REDWINGDOCK_CORE_CONFIG_H
 
+#include "core/forward_config.h"
 #include "core/values.h"
 
 // Settings of the decision core. The defaults serve both deployments; docs/design.md gives the
@@ -61,6 +62,8 @@
   // Entry (question 10).
   micros mEntryLifetime = std::chrono::seconds(10);
 
+  forward_config mForward;
+
   bool operator==(const core_config&) const = default;
 };
 
--- a/src/core/context.cc
+++ b/src/core/context.cc
@@ -41,28 +41,14 @@
 
 void core_context::AddTimer(instant aDue, std::function<void()> aPost)
 {
-  bool first = false;
-  {
-    const std::lock_guard lock(mTimerLock);
-    first = mTimers.empty() || aDue < mTimers.begin()->first;
-    mTimers.emplace(aDue, std::move(aPost));
-  }
-  if (first && mOnWork) {
-    mOnWork();
-  }
+  const std::lock_guard lock(mTimerLock);
+  mTimers.emplace(aDue, std::move(aPost));
 }
 
 void core_context::Emit(command aCommand)
 {
-  bool first = false;
-  {
-    const std::lock_guard lock(mCommandLock);
-    first = mCommands.empty();
-    mCommands.push_back(std::move(aCommand));
-  }
-  if (first && mOnWork) {
-    mOnWork();
-  }
+  const std::lock_guard lock(mCommandLock);
+  mCommands.push_back(std::move(aCommand));
 }
 
 void core_context::Log(const char* aPart, std::string aText, log_level aLevel)
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -50,9 +50,6 @@
   void Log(const char* aPart, std::string aText, log_level aLevel = log_level::Info);
   std::vector<command> TakeCommands();
 
-  // Called after a command or an earlier timer was added; must not call the core back.
-  void OnWork(std::function<void()> aHook) { mOnWork = std::move(aHook); }
-
   // Seeded generator; numbers in [0, aBelow).
   std::uint64_t Random(std::uint64_t aBelow);
 
@@ -67,7 +64,6 @@
 
   std::atomic<std::int64_t> mNow{ 0 };
   std::atomic<std::uint64_t> mNumber{ 0 };
-  std::function<void()> mOnWork;
 
   mutable std::mutex mTimerLock;
   std::multimap<instant, std::function<void()>> mTimers;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -1,12 +1,5 @@
 #include "core/core.h"
 
-#include "entry/entry_controller.h"
-#include "gate/gate_controller.h"
-#include "membership/membership_controller.h"
-#include "query/query_controller.h"
-#include "safety/safety_controller.h"
-#include "tables/table_controller.h"
-
 #include <type_traits>
 
 namespace redwingdock {
@@ -27,6 +20,19 @@
   std::string operator()(const check_answered& aFact) const { return aFact.mServer; }
   std::string operator()(const peer_connection&) const { return kMembersKey; }
   std::string operator()(const stop_asked&) const { return kSelfKey; }
+  std::string operator()(const request_arrived& aFact) const { return RequestKey(aFact.mRequest); }
+  std::string operator()(const request_abandoned& aFact) const
+  {
+    return RequestKey(aFact.mRequest);
+  }
+  std::string operator()(const attempt_ended& aFact) const
+  {
+    return RequestKey(aFact.mKey.mRequest);
+  }
+  std::string operator()(const store_page_read& aFact) const { return FeedKey(aFact.mFeed); }
+  std::string operator()(const store_changes_read& aFact) const { return FeedKey(aFact.mFeed); }
+  std::string operator()(const store_read_failed& aFact) const { return FeedKey(aFact.mFeed); }
+  std::string operator()(const heartbeat_received&) const { return kFleetKey; }
 
   std::string operator()(const view_message&) const { return kMembersKey; }
   std::string operator()(const probe_message&) const { return kMembersKey; }
@@ -54,15 +60,10 @@
 
 } // namespace
 
-core::core(core_config aConfig, const core_hooks& aHooks, std::size_t aShards)
+core::core(core_config aConfig, const assembly_hook& aAssemble, std::size_t aShards)
   : mContext(std::move(aConfig), aShards)
 {
-  AddTableController(mContext, aHooks.mTables);
-  AddMembershipController(mContext, aHooks.mMembership);
-  AddGateController(mContext, aHooks.mGate);
-  AddSafetyController(mContext);
-  AddQueryController(mContext, aHooks.mQuery);
-  AddEntryController(mContext);
+  aAssemble(mContext);
 }
 
 void core::Advance(instant aNow)
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -3,14 +3,17 @@
 
 #include "core/context.h"
 #include "core/core_facts.h"
-#include "core/hooks.h"
+#include "core/fleet.h"
+#include "core/forwarding.h"
+#include "core/store.h"
 
+#include <functional>
 #include <variant>
 
-// The decision core: all controllers on one blackboard. A front end posts facts and time, lets
-// workers run, and carries out the commands.
+// The decision core: controllers on one blackboard. A front end posts facts and time, lets workers
+// run, and carries out the commands. src/assembly has the sets of controllers to choose from.
 //
-//   core decisions(config, core_hooks{});
+//   core decisions(config, RecordSearch(core_hooks{}));
 //   decisions.Advance(now);
 //   decisions.Post(query_arrived{ 1, request });
 //   decisions.RunUntilIdle(); // or Work() on several threads until Stop()
@@ -29,13 +32,23 @@
                           check_answered,
                           peer_received,
                           peer_connection,
-                          stop_asked>;
+                          stop_asked,
+                          request_arrived,
+                          request_abandoned,
+                          attempt_ended,
+                          store_page_read,
+                          store_changes_read,
+                          store_read_failed,
+                          heartbeat_received>;
+
+// Adds the controllers that decide.
+using assembly_hook = std::function<void(core_context&)>;
 
 class core
 {
 public:
   // With more than one shard, facts of different keys can run at the same time on several workers.
-  core(core_config aConfig, const core_hooks& aHooks, std::size_t aShards = 64);
+  core(core_config aConfig, const assembly_hook& aAssemble, std::size_t aShards = 64);
 
   // Posts the timers that are due, and process_paused first when the clock jumped. Call before
   // the facts of that time.
@@ -48,7 +61,6 @@
 
   std::vector<command> TakeCommands() { return mContext.TakeCommands(); }
   instant NextDue() const { return mContext.NextDue(); }
-  void OnWork(std::function<void()> aHook) { mContext.OnWork(std::move(aHook)); }
 
   // For operators' views: entries may be read at any time.
   const blackboard& Board() const { return mContext.mBoard; }
--- a/src/core/core_facts.h
+++ b/src/core/core_facts.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_CORE_CORE_FACTS_H
 
 #include "core/facts.h"
+#include "core/store.h"
 
 // Facts that controllers post to each other through the blackboard. A front end never posts these.
 
@@ -89,6 +90,17 @@
   return "query/" + std::to_string(aQuery);
 }
 
+// Key of a forwarded request.
+inline std::string RequestKey(std::uint64_t aRequest)
+{
+  return "request/" + std::to_string(aRequest);
+}
+
+inline std::string FeedKey(store_feed aFeed)
+{
+  return aFeed == store_feed::Operator ? "feed/operator" : "feed/replicas";
+}
+
 // Key of the suspect entry of a request fingerprint.
 inline std::string SuspectKey(std::uint64_t aFingerprint)
 {
--- /dev/null
+++ b/src/core/forwarding.cc
@@ -0,0 +1,41 @@
+#include "core/forwarding.h"
+
+namespace redwingdock {
+
+const char* ToString(attempt_end aEnd)
+{
+  switch (aEnd) {
+    case attempt_end::Answered:
+      return "answered";
+    case attempt_end::Rejected:
+      return "rejected";
+    case attempt_end::Misplaced:
+      return "misplaced";
+    case attempt_end::NotSent:
+      return "not_sent";
+    case attempt_end::Lost:
+      return "lost";
+  }
+  return "unknown";
+}
+
+const char* ToString(answer_kind aKind)
+{
+  switch (aKind) {
+    case answer_kind::Relayed:
+      return "relayed";
+    case answer_kind::Gathered:
+      return "gathered";
+    case answer_kind::NotRun:
+      return "not_run";
+    case answer_kind::NoRoute:
+      return "no_route";
+    case answer_kind::Failed:
+      return "failed";
+    case answer_kind::TimedOut:
+      return "timed_out";
+  }
+  return "unknown";
+}
+
+} // namespace redwingdock
--- a/src/core/requests.h
+++ b/src/core/requests.h
@@ -205,6 +205,7 @@
   std::string mAddress;
   micros mLifetime{ 0 };
   std::string mKeyPrefix; // "<vm>.<incarnation>."; empty when the incarnation is not known yet
+  std::vector<std::string> mAddresses; // all that serve; for callers that choose themselves
 
   auto operator<=>(const entry_answer&) const = default;
 };
--- a/src/daemon/core_driver.cc
+++ b/src/daemon/core_driver.cc
@@ -15,46 +15,27 @@
 
 core_driver::core_driver(io_loop& aLoop,
                          core_config aConfig,
-                         const core_hooks& aHooks,
-                         std::size_t aWorkers,
+                         const assembly_hook& aAssemble,
                          std::size_t aShards,
                          std::function<void(command&)> aExecute)
   : mLoop(aLoop)
-  , mCore(std::move(aConfig), aHooks, aShards)
-  , mWorkerCount(std::max<std::size_t>(aWorkers, 1))
+  , mCore(std::move(aConfig), aAssemble, aShards)
   , mExecute(std::move(aExecute))
   , mTimer(aLoop, [this] { Run(); })
 {
-  mCore.OnWork([this] { Schedule(); });
-}
-
-core_driver::~core_driver()
-{
-  Stop();
 }
 
 void core_driver::Start()
 {
   mCore.Advance(SteadyNow());
-  for (std::size_t i = 0; i < mWorkerCount; ++i) {
-    mWorkers.emplace_back([this] { mCore.Work(); });
-  }
   Schedule();
 }
 
-void core_driver::Stop()
-{
-  mCore.Stop();
-  for (std::thread& worker : mWorkers) {
-    worker.join();
-  }
-  mWorkers.clear();
-}
-
 void core_driver::Post(fact aFact)
 {
   mCore.Advance(SteadyNow());
   mCore.Post(std::move(aFact));
+  Schedule();
 }
 
 void core_driver::Schedule()
@@ -66,14 +47,15 @@
 
 void core_driver::Run()
 {
-  const std::lock_guard lock(mRunLock);
   mScheduled = false;
-  const instant now = SteadyNow();
-  mCore.Advance(now);
+  mCore.Advance(SteadyNow());
+  // Each thread of the loop may be here; the blackboard gives a shard to one of them at a time.
+  mCore.RunUntilIdle();
+  const std::lock_guard lock(mRunLock);
   for (command& each : mCore.TakeCommands()) {
     mExecute(each);
   }
-  mTimer.Set(std::min(mCore.NextDue(), now + kHeartbeat));
+  mTimer.Set(std::min(mCore.NextDue(), SteadyNow() + kHeartbeat));
 }
 
 } // namespace redwingdock
--- a/src/daemon/core_driver.h
+++ b/src/daemon/core_driver.h
@@ -8,13 +8,11 @@
 #include <cstddef>
 #include <functional>
 #include <mutex>
-#include <thread>
-#include <vector>
 
-// Drives the core with the steady clock: posts facts, runs its workers and timers, and hands its
-// commands to a hook.
+// Drives the core with the steady clock: posts facts, runs controllers and timers on the threads of
+// the loop, and hands the commands to a hook.
 //
-//   core_driver driver(loop, config, core_hooks{}, 2, 64, [](command& aCommand) { ... });
+//   core_driver driver(loop, config, assembly, 64, [](command& aCommand) { ... });
 //   driver.Start();
 //   driver.Post(stop_asked{});
 
@@ -27,17 +25,13 @@
   // them. It must not block.
   core_driver(io_loop& aLoop,
               core_config aConfig,
-              const core_hooks& aHooks,
-              std::size_t aWorkers,
+              const assembly_hook& aAssemble,
               std::size_t aShards,
               std::function<void(command&)> aExecute);
-  ~core_driver();
   core_driver(const core_driver&) = delete;
   core_driver& operator=(const core_driver&) = delete;
 
   void Start();
-  // Joins the workers. Stop the loop first.
-  void Stop();
 
   // From any thread.
   void Post(fact aFact);
@@ -50,12 +44,10 @@
 
   io_loop& mLoop;
   core mCore;
-  const std::size_t mWorkerCount;
   const std::function<void(command&)> mExecute;
   std::atomic<bool> mScheduled{ false };
   std::mutex mRunLock; // keeps commands in order when the loop has several threads
   loop_timer mTimer;
-  std::vector<std::thread> mWorkers;
 };
 
 } // namespace redwingdock
--- /dev/null
+++ b/src/daemon/endpoint.h
@@ -0,0 +1,29 @@
+#ifndef REDWINGDOCK_DAEMON_ENDPOINT_H
+#define REDWINGDOCK_DAEMON_ENDPOINT_H
+
+#include "daemon/tcp.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/address.hpp>
+#include <cstdint>
+#include <optional>
+#include <string>
+
+// What the sockets of this module share; not for other modules.
+
+namespace redwingdock::detail {
+
+struct endpoint
+{
+  boost::asio::ip::address mAddress;
+  std::uint16_t mPort = 0;
+};
+
+// From "ip:port", with an IPv6 address in brackets.
+std::optional<endpoint> ParseEndpoint(const std::string& aAddress);
+
+boost::asio::io_context& ContextOf(io_loop& aLoop);
+
+} // namespace redwingdock::detail
+
+#endif
--- a/src/daemon/http_exchange.cc
+++ b/src/daemon/http_exchange.cc
@@ -18,10 +18,10 @@
   hooks.mOnOpen = [this, id, timeout = aExchange.mReplyTime] {
     mPending.With(id, [timeout](pending& aPending) { aPending.mConnection->ExpireAfter(timeout); });
   };
-  hooks.mOnClosed = [this, id](const std::string& aWhy) { Closed(id, aWhy); };
+  hooks.mOnClosed = [this, id](const tcp_end& aEnd) { Closed(id, aEnd); };
   mPending.Insert(id,
                   { nullptr,
-                    http_reader(http_side::Client, aExchange.mReplyLimit),
+                    http_reader(http_side::Client, { aExchange.mReplyLimit }),
                     std::move(aDone),
                     aExchange.mAddress });
   // Connecting under the lock of the shard makes the hooks wait until mConnection is set.
@@ -52,16 +52,17 @@
   }
 }
 
-void http_exchanges::Closed(std::uint64_t aId, const std::string& aWhy)
+void http_exchanges::Closed(std::uint64_t aId, const tcp_end& aEnd)
 {
   std::optional<pending> done = mPending.Take(aId);
   if (!done) {
     return;
   }
-  if (done->mReader.FeedEnd() == http_status::Complete) {
+  // A reply without a length is complete only when the connection was not reset.
+  if (aEnd.mOrderly && done->mReader.FeedEnd() == http_status::Complete) {
     done->mDone(Success(done->mReader.Take()));
   } else {
-    done->mDone(Failure<http_message>("exchange", done->mAddress, aWhy));
+    done->mDone(Failure<http_message>("exchange", done->mAddress, aEnd.mWhy));
   }
 }
 
--- a/src/daemon/http_exchange.h
+++ b/src/daemon/http_exchange.h
@@ -49,7 +49,7 @@
   };
 
   void Received(std::uint64_t aId, std::string_view aBytes);
-  void Closed(std::uint64_t aId, const std::string& aWhy);
+  void Closed(std::uint64_t aId, const tcp_end& aEnd);
 
   io_loop& mLoop;
   std::atomic<std::uint64_t> mNextId{ 0 };
--- /dev/null
+++ b/src/daemon/http_pool.cc
@@ -0,0 +1,239 @@
+#include "daemon/http_pool.h"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// An idle connection is closed this long before the server would, so that no request crosses the
+// server's close.
+constexpr micros kIdleMargin = std::chrono::milliseconds(700);
+constexpr micros kLeastIdle = std::chrono::milliseconds(200);
+// While the server does not say how long it keeps idle connections.
+constexpr micros kDefaultIdle = std::chrono::seconds(20);
+
+// From "timeout=5, max=100".
+micros IdleTime(const http_message& aReply)
+{
+  const std::string* field = aReply.Find("Keep-Alive");
+  if (field == nullptr) {
+    return kDefaultIdle;
+  }
+  const std::size_t at = field->find("timeout=");
+  if (at == std::string::npos) {
+    return kDefaultIdle;
+  }
+  std::uint32_t seconds = 0;
+  const char* first = field->data() + at + std::string_view("timeout=").size();
+  if (std::from_chars(first, field->data() + field->size(), seconds).ec != std::errc()) {
+    return kDefaultIdle;
+  }
+  return std::max(kLeastIdle, micros(std::chrono::seconds(seconds)) - kIdleMargin);
+}
+
+} // namespace
+
+http_pool::http_pool(io_loop& aLoop)
+  : mLoop(aLoop)
+{
+}
+
+void http_pool::Start(pool_request aRequest, done_hook aDone)
+{
+  auto started = std::make_unique<exchange>(exchange{ std::move(aRequest), std::move(aDone) });
+  while (const std::uint64_t idle = TakeIdle(started->mRequest.mAddress)) {
+    if (SendOn(idle, started)) {
+      return;
+    }
+  }
+  Open(std::move(started));
+}
+
+std::uint64_t http_pool::TakeIdle(const std::string& aAddress)
+{
+  std::uint64_t taken = 0;
+  mPeers.With(aAddress, [&taken](peer& aPeer) {
+    if (!aPeer.mIdle.empty()) {
+      taken = aPeer.mIdle.back();
+      aPeer.mIdle.pop_back();
+    }
+  });
+  return taken;
+}
+
+bool http_pool::Reserve(const std::string& aAddress, std::uint32_t aMost)
+{
+  bool reserved = false;
+  mPeers.WithNew(aAddress, [&](peer& aPeer) {
+    reserved = aPeer.mCount < aMost;
+    aPeer.mCount += reserved ? 1 : 0;
+  });
+  return reserved;
+}
+
+void http_pool::Release(const std::string& aAddress, std::uint64_t aConnection)
+{
+  mPeers.With(aAddress, [aConnection](peer& aPeer) {
+    std::erase(aPeer.mIdle, aConnection);
+    --aPeer.mCount;
+  });
+}
+
+// Returns false when the connection has closed meanwhile; the exchange stays with the caller then.
+bool http_pool::SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange)
+{
+  const std::uint64_t id = aExchange->mRequest.mId;
+  return mConnections.With(aConnection, [&](connection& aState) {
+    mOpen.Insert(id, aConnection);
+    aState.mReader.SetLimits({ aExchange->mRequest.mReplyLimit });
+    aState.mWritten = true;
+    aState.mTcp->ExpireAfter(aExchange->mRequest.mReplyTime);
+    aState.mTcp->Send(std::move(aExchange->mRequest.mText));
+    aState.mExchange = std::move(aExchange);
+  });
+}
+
+void http_pool::Open(std::unique_ptr<exchange> aExchange)
+{
+  const std::string address = aExchange->mRequest.mAddress;
+  if (!Reserve(address, aExchange->mRequest.mConnections)) {
+    aExchange->mDone({ pool_end::NotSent, {}, { "connect", address, "connection limit reached" } });
+    return;
+  }
+  const std::uint64_t id = ++mNextConnection;
+  const std::uint64_t request = aExchange->mRequest.mId;
+  const micros connectTime = aExchange->mRequest.mConnectTime;
+  tcp_hooks hooks;
+  hooks.mOnOpen = [this, id] { Opened(id); };
+  hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
+  hooks.mOnClosed = [this, id](const tcp_end& aEnd) { Closed(id, aEnd); };
+  connection opened{ address,
+                     nullptr,
+                     http_reader(http_side::Client, { aExchange->mRequest.mReplyLimit }),
+                     std::move(aExchange) };
+  mOpen.Insert(request, id);
+  mConnections.Insert(id, std::move(opened));
+  // Connecting under the lock of the shard makes the hooks wait until mTcp is set.
+  mConnections.With(id, [&](connection& aState) {
+    aState.mTcp = Connect(mLoop, address, connectTime, std::move(hooks));
+  });
+}
+
+void http_pool::Opened(std::uint64_t aConnection)
+{
+  mConnections.With(aConnection, [](connection& aState) {
+    if (aState.mExchange) {
+      aState.mWritten = true;
+      aState.mTcp->ExpireAfter(aState.mExchange->mRequest.mReplyTime);
+      aState.mTcp->Send(std::move(aState.mExchange->mRequest.mText));
+    }
+  });
+}
+
+void http_pool::Received(std::uint64_t aConnection, std::string_view aBytes)
+{
+  std::unique_ptr<exchange> done;
+  http_message reply;
+  mConnections.With(aConnection, [&](connection& aState) {
+    if (!aState.mExchange) {
+      aState.mTcp->Close("bytes without a request");
+      return;
+    }
+    http_status status = aState.mReader.Feed(aBytes);
+    while (status == http_status::Complete) {
+      reply = aState.mReader.Take();
+      const auto& owns = aState.mExchange->mRequest.mOwns;
+      if (!owns || owns(reply)) {
+        done = std::move(aState.mExchange);
+        aState.mLeftover = aState.mLeftover || aState.mReader.Buffered() > 0;
+        return;
+      }
+      // A second reply to an earlier request. The own one follows; the connection is not used again.
+      aState.mLeftover = true;
+      if (!reply.mKeepAlive) {
+        aState.mTcp->Close("reply to another request");
+        return;
+      }
+      status = aState.mReader.Feed({});
+    }
+    if (status == http_status::Failed) {
+      aState.mTcp->Close(aState.mReader.Why().mText);
+    }
+  });
+  if (done) {
+    Finish(aConnection, std::move(reply), std::move(done));
+  }
+}
+
+// Keeps the connection for further requests, or closes it, before the hook may start another one.
+void http_pool::Finish(std::uint64_t aConnection,
+                       http_message aReply,
+                       std::unique_ptr<exchange> aExchange)
+{
+  mOpen.Take(aExchange->mRequest.mId);
+  bool idle = false;
+  mConnections.With(aConnection, [&](connection& aState) {
+    if (!aReply.mKeepAlive || aState.mLeftover) {
+      aState.mTcp->Close("used up");
+      return;
+    }
+    aState.mTcp->ExpireAfter(IdleTime(aReply));
+    idle = true;
+  });
+  if (idle) {
+    mPeers.With(aExchange->mRequest.mAddress,
+                [aConnection](peer& aPeer) { aPeer.mIdle.push_back(aConnection); });
+  }
+  aExchange->mDone({ pool_end::Answered, std::move(aReply), {} });
+}
+
+void http_pool::Closed(std::uint64_t aConnection, const tcp_end& aEnd)
+{
+  std::optional<connection> closed = mConnections.Take(aConnection);
+  if (!closed) {
+    return;
+  }
+  Release(closed->mAddress, aConnection);
+  if (!closed->mExchange) {
+    return;
+  }
+  const std::unique_ptr<exchange> open = std::move(closed->mExchange);
+  mOpen.Take(open->mRequest.mId);
+  if (!closed->mWritten) {
+    open->mDone({ pool_end::NotSent, {}, { "connect", closed->mAddress, aEnd.mWhy } });
+    return;
+  }
+  if (aEnd.mOrderly && closed->mReader.FeedEnd() == http_status::Complete) {
+    http_message reply = closed->mReader.Take();
+    if (!open->mRequest.mOwns || open->mRequest.mOwns(reply)) {
+      open->mDone({ pool_end::Answered, std::move(reply), {} });
+      return;
+    }
+  }
+  open->mDone({ pool_end::Broken, {}, { "read reply", closed->mAddress, aEnd.mWhy } });
+}
+
+void http_pool::Cancel(std::uint64_t aId, bool aDropIdle)
+{
+  const std::optional<std::uint64_t> id = mOpen.Take(aId);
+  if (!id) {
+    return;
+  }
+  std::string address;
+  mConnections.With(*id, [&address](connection& aState) {
+    aState.mExchange.reset();
+    address = aState.mAddress;
+    aState.mTcp->Close("cancelled");
+  });
+  if (!aDropIdle) {
+    return;
+  }
+  while (const std::uint64_t idle = TakeIdle(address)) {
+    mConnections.With(idle, [](connection& aState) { aState.mTcp->Close("may be silent"); });
+  }
+}
+
+} // namespace redwingdock
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -30,6 +30,31 @@
 {
 }
 
+http_server::~http_server() = default;
+
+http_limits http_server::Limits() const
+{
+  const std::lock_guard lock(mLimitsLock);
+  return mLimits;
+}
+
+void http_server::SetLimits(const http_limits& aLimits)
+{
+  const std::lock_guard lock(mLimitsLock);
+  mLimits = aLimits;
+}
+
+void http_server::CloseIdle()
+{
+  mClosing = true;
+  mListener.reset();
+  mSessions.ForEach([](std::uint64_t, const session& aState) {
+    if (aState.mRequest == 0 && !aState.mReader.Started()) {
+      aState.mConnection->CloseAfterSend("this daemon ends");
+    }
+  });
+}
+
 result<std::string> http_server::ListenOn(const std::string& aAddress)
 {
   auto listener =
@@ -46,17 +71,18 @@
 void http_server::Accepted(const std::shared_ptr<tcp_connection>& aConnection)
 {
   const std::uint64_t id = ++mNextSession;
-  if (mSessions.Size() >= mLimits.mConnections) {
+  const http_limits limits = Limits();
+  if (mSessions.Size() >= limits.mConnections) {
     aConnection->Close("too many connections");
     return;
   }
   mSessions.Insert(
-    id, session{ aConnection, http_reader(http_side::Server, mLimits.mBodyLimit), 0, true });
-  aConnection->ExpireAfter(mLimits.mIdleTime);
+    id, session{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true });
+  aConnection->ExpireAfter(limits.mIdleTime);
   tcp_hooks hooks;
   hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
   hooks.mOnExpired = [this, id] { Expired(id); };
-  hooks.mOnClosed = [this, id](const std::string&) { Closed(id); };
+  hooks.mOnClosed = [this, id](const tcp_end&) { Closed(id); };
   aConnection->Start(std::move(hooks));
 }
 
@@ -66,6 +92,7 @@
   std::uint64_t number = 0;
   mSessions.With(aSession, [&](session& aState) {
     const bool started = aState.mReader.Started();
+    const bool headerDone = aState.mReader.HeaderDone();
     const http_status status = aState.mReader.Feed(aBytes);
     if (aState.mRequest != 0) {
       if (aState.mReader.Buffered() > kAheadLimit) {
@@ -79,7 +106,10 @@
     } else if (status == http_status::Failed) {
       Refuse(aState);
     } else if (!started && aState.mReader.Started()) {
-      aState.mConnection->ExpireAfter(mLimits.mRequestTime);
+      aState.mConnection->ExpireAfter(aState.mReader.HeaderDone() ? Limits().mRequestTime
+                                                                  : Limits().mHeaderTime);
+    } else if (!headerDone && aState.mReader.HeaderDone()) {
+      aState.mConnection->ExpireAfter(Limits().mRequestTime);
     }
   });
   if (request) {
@@ -92,7 +122,9 @@
   http_message request = aState.mReader.Take();
   aState.mRequest = ++mNumbers;
   aState.mKeepAlive = request.mKeepAlive;
-  aState.mConnection->ExpireAfter(mLimits.mAnswerTime);
+  const http_limits limits = Limits();
+  aState.mReader.SetLimits(limits.mRead);
+  aState.mConnection->ExpireAfter(limits.mAnswerTime);
   mWaiting.Insert(aState.mRequest, aSession);
   return request;
 }
@@ -100,7 +132,7 @@
 void http_server::Refuse(session& aState)
 {
   const http_response refusal{
-    aState.mReader.RefusalStatus(), "application/json", ReasonBody(aState.mReader.Why()), ""
+    aState.mReader.RefusalStatus(), "application/json", ReasonBody(aState.mReader.Why()), {}
   };
   aState.mConnection->Send(FormatReply(refusal, false));
   aState.mConnection->CloseAfterSend("request refused");
@@ -116,8 +148,9 @@
   std::uint64_t number = 0;
   mSessions.With(*id, [&](session& aState) {
     aState.mRequest = 0;
-    aState.mConnection->Send(FormatReply(aReply, aState.mKeepAlive));
-    if (!aState.mKeepAlive) {
+    const bool keepAlive = aState.mKeepAlive && !mClosing;
+    aState.mConnection->Send(FormatReply(aReply, keepAlive));
+    if (!keepAlive) {
       aState.mConnection->CloseAfterSend("answered");
       return;
     }
@@ -129,8 +162,8 @@
     } else if (status == http_status::Failed) {
       Refuse(aState);
     } else {
-      aState.mConnection->ExpireAfter(aState.mReader.Started() ? mLimits.mRequestTime
-                                                               : mLimits.mIdleTime);
+      aState.mConnection->ExpireAfter(aState.mReader.Started() ? Limits().mRequestTime
+                                                               : Limits().mIdleTime);
     }
   });
   if (next) {
@@ -144,7 +177,11 @@
   std::uint64_t late = 0;
   mSessions.With(aSession, [&](session& aState) {
     late = aState.mRequest;
-    if (late == 0) {
+    if (late == 0 && aState.mReader.Started()) {
+      // The request was not read whole, so nothing of it was acted on.
+      aState.mConnection->Send(FormatReply({ 408, "", "", {} }, false));
+      aState.mConnection->CloseAfterSend("request timed out");
+    } else if (late == 0) {
       aState.mConnection->Close("timed out");
     }
   });
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 // HTTP/1.1 server whose requests are answered later, by number, from any thread.
@@ -32,8 +33,9 @@
 
 struct http_limits
 {
-  std::size_t mBodyLimit = std::size_t{ 64 } * 1024;
+  http_read_limits mRead{ std::size_t{ 64 } * 1024 };
   std::size_t mConnections = 4096;
+  micros mHeaderTime = std::chrono::seconds(10);  // from the first byte of a request to its header
   micros mRequestTime = std::chrono::seconds(10); // from the first byte of a request to its last
   micros mIdleTime = std::chrono::seconds(120);   // without a request
   // The longest deadline is 5 s; the core answers late queries itself.
@@ -50,6 +52,7 @@
               number_source& aNumbers,
               http_server_hooks aHooks,
               http_limits aLimits = {});
+  ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
 
@@ -59,6 +62,14 @@
   // Answers a request; ignored when its connection ended or it was answered before.
   void Reply(std::uint64_t aNumber, const http_response& aReply);
 
+  // Replaces the limits; a message that has begun keeps those it began with.
+  void SetLimits(const http_limits& aLimits);
+
+  // Announces the end of each connection with its next reply.
+  void AnnounceClose() { mClosing = true; }
+  // Stops accepting connections and closes those without a request.
+  void CloseIdle();
+
   // Requests that wait for their answer, and bytes of answers not yet passed to the kernel.
   std::size_t Waiting() const { return mWaiting.Size(); }
   std::size_t UnsentBytes() const;
@@ -83,7 +94,11 @@
   io_loop& mLoop;
   number_source& mNumbers;
   const http_server_hooks mHooks;
-  const http_limits mLimits;
+  http_limits Limits() const;
+
+  mutable std::mutex mLimitsLock;
+  http_limits mLimits;
+  std::atomic<bool> mClosing{ false };
   std::atomic<std::uint64_t> mNextSession{ 0 };
   keyed_shards<std::uint64_t, session> mSessions;
   keyed_shards<std::uint64_t, std::uint64_t> mWaiting; // session by request
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -1,6 +1,8 @@
 #include "daemon/http_text.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -15,8 +17,6 @@
 
 namespace {
 
-constexpr std::uint32_t kHeaderLimit = 16 * 1024;
-
 using request_parser = http::request_parser<http::string_body>;
 using reply_parser = http::response_parser<http::string_body>;
 
@@ -27,10 +27,30 @@
 
 } // namespace
 
+namespace {
+
+template<typename Message>
+void CopyFields(const Message& aMessage, http_message& aTaken)
+{
+  for (const auto& field : aMessage) {
+    aTaken.mFields.push_back({ ToString(field.name_string()), ToString(field.value()) });
+  }
+}
+
+} // namespace
+
+const std::string* http_message::Find(std::string_view aName) const
+{
+  const auto found = std::find_if(mFields.begin(), mFields.end(), [aName](const http_field& aField) {
+    return SameName(aField.mName, aName);
+  });
+  return found == mFields.end() ? nullptr : &found->mValue;
+}
+
 struct http_reader::state
 {
   http_side mSide;
-  std::size_t mBodyLimit;
+  http_read_limits mLimits;
   std::optional<request_parser> mRequest;
   std::optional<reply_parser> mReply;
   std::string mBuffer;
@@ -46,8 +66,8 @@
     if (!aParser) {
       aParser.emplace();
       aParser->eager(true);
-      aParser->header_limit(kHeaderLimit);
-      aParser->body_limit(mBodyLimit);
+      aParser->header_limit(static_cast<std::uint32_t>(mLimits.mHeader));
+      aParser->body_limit(mLimits.mBody);
     }
     return *aParser;
   }
@@ -82,10 +102,10 @@
     mFailed = true;
     if (aError == http::error::body_limit) {
       mRefusal = 413;
-      mWhy = { "read body", "", "body is over " + std::to_string(mBodyLimit) + " bytes" };
+      mWhy = { "read body", "", "body is over " + std::to_string(mLimits.mBody) + " bytes" };
     } else if (aError == http::error::header_limit) {
       mRefusal = 431;
-      mWhy = { "read header", "", "header is over " + std::to_string(kHeaderLimit) + " bytes" };
+      mWhy = { "read header", "", "header is over " + std::to_string(mLimits.mHeader) + " bytes" };
     } else {
       mWhy = { "read message", "", aError.message() };
     }
@@ -93,11 +113,11 @@
   }
 };
 
-http_reader::http_reader(http_side aSide, std::size_t aBodyLimit)
+http_reader::http_reader(http_side aSide, http_read_limits aLimits)
   : mState(std::make_unique<state>())
 {
   mState->mSide = aSide;
-  mState->mBodyLimit = aBodyLimit;
+  mState->mLimits = aLimits;
 }
 
 http_reader::~http_reader() = default;
@@ -148,12 +168,13 @@
     auto message = self.mRequest->release();
     taken.mMethod = ToString(message.method_string());
     taken.mTarget = ToString(message.target());
+    CopyFields(message, taken);
     taken.mKeepAlive = message.keep_alive();
     taken.mBody = std::move(message.body());
   } else if (self.mReply) {
     auto message = self.mReply->release();
     taken.mStatus = message.result_int();
-    taken.mTableRevision = ToString(message["Table-Revision"]);
+    CopyFields(message, taken);
     taken.mKeepAlive = message.keep_alive();
     taken.mBody = std::move(message.body());
   }
@@ -164,6 +185,11 @@
   return taken;
 }
 
+void http_reader::SetLimits(http_read_limits aLimits)
+{
+  mState->mLimits = aLimits;
+}
+
 std::size_t http_reader::Buffered() const
 {
   return mState->mBuffer.size();
@@ -174,6 +200,12 @@
   return mState->mStarted;
 }
 
+bool http_reader::HeaderDone() const
+{
+  return (mState->mRequest && mState->mRequest->is_header_done()) ||
+         (mState->mReply && mState->mReply->is_header_done());
+}
+
 const reason& http_reader::Why() const
 {
   return mState->mWhy;
@@ -184,6 +216,20 @@
   return mState->mRefusal;
 }
 
+std::string FormatRequest(const http_message& aRequest)
+{
+  std::string text;
+  text.reserve(256 + aRequest.mTarget.size() + aRequest.mBody.size());
+  text.append(aRequest.mMethod).append(" ").append(aRequest.mTarget).append(" HTTP/1.1");
+  for (const http_field& field : aRequest.mFields) {
+    text.append("\r\n").append(field.mName).append(": ").append(field.mValue);
+  }
+  if (!aRequest.mBody.empty() || aRequest.mMethod == "POST" || aRequest.mMethod == "PUT") {
+    text.append("\r\nContent-Length: ").append(std::to_string(aRequest.mBody.size()));
+  }
+  return text.append("\r\n\r\n").append(aRequest.mBody);
+}
+
 std::string FormatRequest(std::string_view aMethod,
                           std::string_view aTarget,
                           std::string_view aHost,
@@ -208,12 +254,14 @@
   const auto status = http::obsolete_reason(http::int_to_status(aReply.mStatus));
   text.append("HTTP/1.1 ").append(std::to_string(aReply.mStatus)).append(" ");
   text.append(status.data(), status.size());
-  if (!aReply.mTableRevision.empty()) {
-    text.append("\r\nTable-Revision: ").append(aReply.mTableRevision);
+  for (const http_field& field : aReply.mFields) {
+    text.append("\r\n").append(field.mName).append(": ").append(field.mValue);
   }
   // A 204 reply has no body and must not name a length.
   if (aReply.mStatus != 204) {
-    text.append("\r\nContent-Type: ").append(aReply.mContentType);
+    if (!aReply.mContentType.empty()) {
+      text.append("\r\nContent-Type: ").append(aReply.mContentType);
+    }
     text.append("\r\nContent-Length: ").append(std::to_string(aReply.mBody.size()));
   }
   if (!aKeepAlive) {
@@ -222,6 +270,11 @@
   return text.append("\r\n\r\n").append(aReply.mBody);
 }
 
+bool SameName(std::string_view aOne, std::string_view aOther)
+{
+  return boost::beast::iequals({ aOne.data(), aOne.size() }, { aOther.data(), aOther.size() });
+}
+
 std::string_view PathOf(std::string_view aTarget)
 {
   return aTarget.substr(0, aTarget.find('?'));
--- a/src/daemon/http_text.h
+++ b/src/daemon/http_text.h
@@ -7,25 +7,37 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 // HTTP/1.1 messages as text, without I/O; parsing is Boost.Beast's.
 //
-//   http_reader reader(http_side::Server, 64 * 1024);
+//   http_reader reader(http_side::Server, { 64 * 1024 });
 //   if (reader.Feed(bytes) == http_status::Complete) {
 //     http_message request = reader.Take();
 //   }
 
 namespace redwingdock {
 
+struct http_field
+{
+  std::string mName;
+  std::string mValue;
+
+  auto operator<=>(const http_field&) const = default;
+};
+
 struct http_message
 {
-  std::string mMethod;        // requests
-  std::string mTarget;        // requests
-  unsigned mStatus = 0;       // replies
-  std::string mTableRevision; // header Table-Revision
-  std::string mBody;
+  std::string mMethod;  // requests
+  std::string mTarget;  // requests
+  unsigned mStatus = 0; // replies
+  std::vector<http_field> mFields;
+  std::string mBody; // without chunk framing
   bool mKeepAlive = true;
 
+  // Value of the first field with this name in any case; null when there is none.
+  const std::string* Find(std::string_view aName) const;
+
   auto operator<=>(const http_message&) const = default;
 };
 
@@ -42,10 +54,18 @@
   Failed,
 };
 
+struct http_read_limits
+{
+  std::size_t mBody = 0; // bytes
+  std::size_t mHeader = std::size_t{ 16 } * 1024;
+
+  auto operator<=>(const http_read_limits&) const = default;
+};
+
 class http_reader
 {
 public:
-  http_reader(http_side aSide, std::size_t aBodyLimit);
+  http_reader(http_side aSide, http_read_limits aLimits);
   ~http_reader();
   http_reader(http_reader&&) noexcept;
   http_reader& operator=(http_reader&&) noexcept;
@@ -56,10 +76,13 @@
   // The connection ended, which completes a reply without a length.
   http_status FeedEnd();
   http_message Take();
+  // Takes effect with the next message.
+  void SetLimits(http_read_limits aLimits);
 
   // Bytes held, and whether a message has begun.
   std::size_t Buffered() const;
   bool Started() const;
+  bool HeaderDone() const;
 
   // After Failed: why, and the status for the other side (400, 413 or 431).
   const reason& Why() const;
@@ -70,6 +93,9 @@
   std::unique_ptr<state> mState;
 };
 
+// A request with its own fields, and Content-Length for a body.
+std::string FormatRequest(const http_message& aRequest);
+
 // A request with Host and Content-Length; the body is JSON unless empty.
 std::string FormatRequest(std::string_view aMethod,
                           std::string_view aTarget,
@@ -79,15 +105,18 @@
 struct http_response
 {
   unsigned mStatus = 200;
-  std::string mContentType = "application/json";
+  std::string mContentType = "application/json"; // no field when empty
   std::string mBody;
-  std::string mTableRevision; // header Table-Revision when not empty
+  std::vector<http_field> mFields; // further fields
 
   auto operator<=>(const http_response&) const = default;
 };
 
 std::string FormatReply(const http_response& aReply, bool aKeepAlive);
 
+// Whether two field names are equal in any case.
+bool SameName(std::string_view aOne, std::string_view aOther);
+
 // Value of a parameter in the query string of a target, percent-decoded; empty when missing.
 std::string QueryParameter(std::string_view aTarget, std::string_view aName);
 
--- a/src/daemon/platform_client.cc
+++ b/src/daemon/platform_client.cc
@@ -50,9 +50,11 @@
   if (aReply->mStatus != 200 && aReply->mStatus != 204) {
     return failed("status " + std::to_string(aReply->mStatus));
   }
-  const std::optional<std::uint64_t> revision = ParseRevision(aReply->mTableRevision);
+  const std::string* field = aReply->Find("Table-Revision");
+  const std::string header = field != nullptr ? *field : std::string();
+  const std::optional<std::uint64_t> revision = ParseRevision(header);
   if (!revision) {
-    return failed("header Table-Revision is \"" + aReply->mTableRevision +
+    return failed("header Table-Revision is \"" + header +
                   "\", expected a whole number");
   }
   if (aReply->mStatus == 204) {
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -54,8 +54,7 @@
   , mLoop(mSettings.mWorkers)
   , mDriver(mLoop,
             mSettings.mCore,
-            aHooks,
-            mSettings.mWorkers,
+            RecordSearch(aHooks),
             mSettings.mBoardShards,
             [this](command& aCommand) { Execute(aCommand); })
   , mBackends(mLoop,
@@ -199,7 +198,6 @@
 void query_daemon::Stop()
 {
   mLoop.Stop();
-  mDriver.Stop();
 }
 
 void query_daemon::Execute(command& aCommand)
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -1,6 +1,7 @@
 #ifndef REDWINGDOCK_DAEMON_QUERY_DAEMON_H
 #define REDWINGDOCK_DAEMON_QUERY_DAEMON_H
 
+#include "assembly/record_search.h"
 #include "daemon/backend_client.h"
 #include "daemon/caller_api.h"
 #include "daemon/core_driver.h"
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -1,5 +1,7 @@
 #include "daemon/tcp.h"
 
+#include "daemon/endpoint.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/asio/executor_work_guard.hpp>
@@ -10,6 +12,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <charconv>
 #include <csignal>
+#include <initializer_list>
 #include <mutex>
 #include <optional>
 #include <thread>
@@ -35,28 +38,10 @@
   return std::chrono::steady_clock::time_point(aTime.time_since_epoch());
 }
 
-std::optional<tcp::endpoint> ParseEndpoint(const std::string& aAddress)
+std::optional<tcp::endpoint> TcpEndpoint(const std::string& aAddress)
 {
-  const std::size_t colon = aAddress.rfind(':');
-  if (colon == std::string::npos) {
-    return std::nullopt;
-  }
-  std::uint16_t port = 0;
-  const char* end = aAddress.data() + aAddress.size();
-  const auto [rest, error] = std::from_chars(aAddress.data() + colon + 1, end, port);
-  if (error != std::errc() || rest != end) {
-    return std::nullopt;
-  }
-  std::string host = aAddress.substr(0, colon);
-  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
-    host = host.substr(1, host.size() - 2);
-  }
-  error_code failed;
-  const asio::ip::address address = asio::ip::make_address(host, failed);
-  if (failed) {
-    return std::nullopt;
-  }
-  return tcp::endpoint(address, port);
+  const std::optional<detail::endpoint> endpoint = detail::ParseEndpoint(aAddress);
+  return endpoint ? std::optional(tcp::endpoint(endpoint->mAddress, endpoint->mPort)) : std::nullopt;
 }
 
 constexpr std::size_t kReadSize = std::size_t{ 64 } * 1024;
@@ -78,6 +63,35 @@
   {
   }
 
+  void Watch(std::initializer_list<int> aSignals)
+  {
+    error_code ignored;
+    for (const int each : aSignals) {
+      mSignals.add(each, ignored);
+    }
+    if (!mWatching) {
+      mWatching = true;
+      Wait();
+    }
+  }
+
+  void Wait()
+  {
+    mSignals.async_wait([this](const error_code& aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      const auto& hook = aSignal == SIGHUP ? mReloadHook : mStopHook;
+      if (hook) {
+        hook();
+      }
+      Wait();
+    });
+  }
+
+  std::function<void()> mStopHook; // set before the threads start, as the next one
+  std::function<void()> mReloadHook;
+  bool mWatching = false;
   std::size_t mThreadCount;
   asio::io_context mContext;
   asio::executor_work_guard<asio::io_context::executor_type> mGuard;
@@ -146,7 +160,7 @@
   void Open(const std::string& aAddress, micros aTimeout)
   {
     const std::lock_guard lock(mLock);
-    const std::optional<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+    const std::optional<tcp::endpoint> endpoint = TcpEndpoint(aAddress);
     if (!endpoint) {
       CloseLocked("\"" + aAddress + "\" is not an address of the form ip:port");
       return;
@@ -212,9 +226,13 @@
       error_code error;
       size = mSocket.read_some(asio::buffer(buffer), error);
       if (error && error != asio::error::would_block && error != asio::error::try_again) {
-        CloseLocked(mClosing                    ? mClosingWhy
-                    : error == asio::error::eof ? "closed by the other side"
-                                                : error.message());
+        if (mClosing) {
+          CloseLocked(mClosingWhy);
+        } else if (error == asio::error::eof) {
+          CloseLocked("closed by the other side", true);
+        } else {
+          CloseLocked(error.message());
+        }
         return;
       }
       if (mClosing) {
@@ -296,7 +314,7 @@
     WriteLocked();
   }
 
-  void CloseLocked(std::string aWhy)
+  void CloseLocked(std::string aWhy, bool aOrderly = false)
   {
     if (mClosed) {
       return;
@@ -308,9 +326,9 @@
     mTimer.cancel();
     mUnsent = std::string();
     mSent = 0;
-    asio::post(mContext, [self = shared_from_this(), why = std::move(aWhy)] {
+    asio::post(mContext, [self = shared_from_this(), end = tcp_end{ std::move(aWhy), aOrderly }] {
       if (self->mHooks.mOnClosed) {
-        self->mHooks.mOnClosed(why);
+        self->mHooks.mOnClosed(end);
       }
     });
   }
@@ -464,6 +482,39 @@
 
 } // namespace detail
 
+namespace detail {
+
+std::optional<endpoint> ParseEndpoint(const std::string& aAddress)
+{
+  const std::size_t colon = aAddress.rfind(':');
+  if (colon == std::string::npos) {
+    return std::nullopt;
+  }
+  std::uint16_t port = 0;
+  const char* end = aAddress.data() + aAddress.size();
+  const auto [rest, error] = std::from_chars(aAddress.data() + colon + 1, end, port);
+  if (error != std::errc() || rest != end) {
+    return std::nullopt;
+  }
+  std::string host = aAddress.substr(0, colon);
+  if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+    host = host.substr(1, host.size() - 2);
+  }
+  error_code failed;
+  const boost::asio::ip::address address = asio::ip::make_address(host, failed);
+  if (failed) {
+    return std::nullopt;
+  }
+  return endpoint{ address, port };
+}
+
+boost::asio::io_context& ContextOf(io_loop& aLoop)
+{
+  return aLoop.State().mContext;
+}
+
+} // namespace detail
+
 io_loop::io_loop(std::size_t aThreads)
   : mState(std::make_unique<detail::io_loop_state>(std::max<std::size_t>(aThreads, 1)))
 {
@@ -507,15 +558,14 @@
 
 void io_loop::OnStopSignals(std::function<void()> aHook)
 {
-  error_code ignored;
-  mState->mSignals.add(SIGINT, ignored);
-  mState->mSignals.add(SIGTERM, ignored);
-  mState->mSignals.async_wait([this, hook = std::move(aHook)](const error_code& aError, int) {
-    if (!aError) {
-      hook();
-      OnStopSignals(hook);
-    }
-  });
+  mState->mStopHook = std::move(aHook);
+  mState->Watch({ SIGINT, SIGTERM });
+}
+
+void io_loop::OnReloadSignals(std::function<void()> aHook)
+{
+  mState->mReloadHook = std::move(aHook);
+  mState->Watch({ SIGHUP });
 }
 
 loop_timer::loop_timer(io_loop& aLoop, std::function<void()> aHook)
@@ -602,7 +652,7 @@
                                              const std::string& aAddress,
                                              accept_hook aOnAccept)
 {
-  const std::optional<tcp::endpoint> endpoint = ParseEndpoint(aAddress);
+  const std::optional<tcp::endpoint> endpoint = TcpEndpoint(aAddress);
   if (!endpoint) {
     return Failure<std::shared_ptr<tcp_listener>>(
       "listen", aAddress, "not an address of the form ip:port");
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -4,6 +4,7 @@
 #include "base/reason.h"
 #include "base/time.h"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -48,8 +49,10 @@
 
   void Post(std::function<void()> aWork);
   void After(micros aDelay, std::function<void()> aWork);
-  // Calls the hook for each SIGINT and SIGTERM.
+  // Calls the hook for each SIGINT and SIGTERM. Before Start().
   void OnStopSignals(std::function<void()> aHook);
+  // Calls the hook for each SIGHUP. Before Start().
+  void OnReloadSignals(std::function<void()> aHook);
 
   detail::io_loop_state& State() { return *mState; }
 
@@ -72,12 +75,21 @@
   std::shared_ptr<detail::timer_state> mState;
 };
 
+// How a connection ended.
+struct tcp_end
+{
+  std::string mWhy;
+  bool mOrderly = false; // the other side closed it after its last byte; otherwise reset or closed here
+
+  auto operator<=>(const tcp_end&) const = default;
+};
+
 struct tcp_hooks
 {
   std::function<void()> mOnOpen;                     // connected (outgoing connections)
   std::function<void(std::string_view)> mOnBytes;    // one call at a time per connection
   std::function<void()> mOnExpired;                  // ExpireAfter is over; closes when not set
-  std::function<void(const std::string&)> mOnClosed; // once, with the reason
+  std::function<void(const tcp_end&)> mOnClosed;     // once
 };
 
 // A TCP connection. Its socket and buffers are guarded by a lock of its own.
--- /dev/null
+++ b/src/fleet/fleet_controller.cc
@@ -0,0 +1,211 @@
+#include "fleet/fleet_controller.h"
+
+#include "core/core_facts.h"
+#include "fleet/members.h"
+#include "forward/forward_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+constexpr micros kStopCheck = std::chrono::milliseconds(50);
+
+struct heartbeat_due
+{
+  auto operator<=>(const heartbeat_due&) const = default;
+};
+
+// mBegan is the time of the stop signal.
+struct stop_check
+{
+  instant mBegan{};
+  bool mClosed = false; // callers have been closed
+
+  auto operator<=>(const stop_check&) const = default;
+};
+
+struct catalog_changed
+{
+  auto operator<=>(const catalog_changed&) const = default;
+};
+
+fleet_view ViewOf(core_context& aContext)
+{
+  const auto view = aContext.mBoard.Read<fleet_view>(kFleetKey);
+  return view ? *view : fleet_view{};
+}
+
+instant LiveSince(core_context& aContext)
+{
+  return aContext.Now() - aContext.mConfig.mForward.mMemberTtl;
+}
+
+void LogLiveChange(core_context& aContext, const fleet_view& aBefore, const fleet_view& aAfter)
+{
+  const instant since = LiveSince(aContext);
+  for (const auto& [vm, member] : aAfter.mMembers) {
+    const auto old = aBefore.mMembers.find(vm);
+    const bool wasLive = old != aBefore.mMembers.end() && old->second.mHeardAt >= since;
+    if (!wasLive || old->second.mState != member.mState) {
+      aContext.Log("members",
+                   "event=heard vm=" + vm +
+                     " incarnation=" + std::to_string(member.mState.mIncarnation) +
+                     " serving=" + (member.mState.mServing ? "yes" : "no") +
+                     " address=" + member.mState.mCallAddress);
+    }
+  }
+}
+
+void SendHeartbeats(core_context& aContext, const fleet_view& aView)
+{
+  const heartbeat sent{ aView.mSelf, LivePeers(aView, LiveSince(aContext)) };
+  for (const auto& [address, since] : aView.mAddresses) {
+    aContext.Emit(send_heartbeat{ address, sent });
+  }
+}
+
+fleet_view WithPresentSelf(core_context& aContext, fleet_view aView)
+{
+  const core_config& config = aContext.mConfig;
+  const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
+  const bool serving = known && known->mVersion > 0 && !known->mReplicas.empty();
+  aView.mSelf = { config.mVm,          std::stoull(config.mIncarnation), config.mAddress,
+                  config.mCallAddress, config.mZone,                     serving && !aView.mLeaving };
+  const auto live =
+    static_cast<std::uint32_t>(LivePeers(aView, LiveSince(aContext)).size()) + 1;
+  aView.mMostSeen = std::max(aView.mMostSeen, live);
+  return aView;
+}
+
+void OnHeartbeatDue(core_context& aContext)
+{
+  const forward_config& config = aContext.mConfig.mForward;
+  fleet_view view = ViewOf(aContext);
+  const fleet_view before = view;
+  for (const std::string& address : config.mPeers) {
+    if (address != aContext.mConfig.mAddress) {
+      view.mAddresses.emplace(address, aContext.Now());
+    }
+  }
+  view = WithPresentSelf(aContext,
+                         WithoutSilent(view, config.mPeers, aContext.Now() - config.mAddressTtl));
+  for (const auto& [vm, member] : view.mMembers) {
+    const instant due = member.mHeardAt + config.mMemberTtl;
+    if (due < aContext.Now() && due + config.mHeartbeatInterval >= aContext.Now()) {
+      aContext.Log("members", "event=silent vm=" + vm, log_level::Warning);
+    }
+  }
+  SendHeartbeats(aContext, view);
+  aContext.mBoard.Write(kFleetKey, std::move(view));
+  aContext.After(config.mHeartbeatInterval, kFleetKey, heartbeat_due{});
+}
+
+void OnHeartbeat(core_context& aContext, const heartbeat& aHeartbeat)
+{
+  const fleet_view before = ViewOf(aContext);
+  fleet_view next =
+    WithPresentSelf(aContext, WithHeartbeat(before, aHeartbeat, aContext.Now()));
+  LogLiveChange(aContext, before, next);
+  // A daemon that has just started is answered at once, so that it need not wait for a heartbeat.
+  if (next.mMembers.size() > before.mMembers.size()) {
+    aContext.Emit(
+      send_heartbeat{ aHeartbeat.mSender.mPeerAddress,
+                      { next.mSelf, LivePeers(next, LiveSince(aContext)) } });
+  }
+  aContext.mBoard.Write(kFleetKey, std::move(next));
+}
+
+void OnCatalogChanged(core_context& aContext)
+{
+  const fleet_view before = ViewOf(aContext);
+  fleet_view next = WithPresentSelf(aContext, before);
+  if (before.mSelf.mServing != next.mSelf.mServing) {
+    aContext.Log("entry", std::string("event=serving now=") + (next.mSelf.mServing ? "yes" : "no"));
+    SendHeartbeats(aContext, next);
+  }
+  aContext.mBoard.Write(kFleetKey, std::move(next));
+}
+
+void OnAsked(core_context& aContext, const entry_asked& aFact)
+{
+  const fleet_view view = ViewOf(aContext);
+  std::vector<std::string> addresses = CallAddresses(view, LiveSince(aContext));
+  aContext.Count("entry.answers");
+  if (addresses.empty()) {
+    aContext.Log("entry", "event=no_address caller_zone=" + aFact.mZone, log_level::Warning);
+    aContext.Emit(answer_entry{
+      aFact.mAsk, Failure<entry_answer>("choose address", "", "no daemon is known to serve") });
+    return;
+  }
+  entry_answer answer;
+  answer.mLifetime = aContext.mConfig.mForward.mEntryLifetime;
+  answer.mAddresses = std::move(addresses);
+  aContext.Emit(answer_entry{ aFact.mAsk, Success(std::move(answer)) });
+}
+
+void OnStopAsked(core_context& aContext)
+{
+  fleet_view view = ViewOf(aContext);
+  if (view.mLeaving) {
+    return;
+  }
+  view.mLeaving = true;
+  view = WithPresentSelf(aContext, std::move(view));
+  aContext.Log("entry", "event=stop_begun");
+  SendHeartbeats(aContext, view);
+  aContext.mBoard.Write(kFleetKey, std::move(view));
+  aContext.After(kStopCheck, kFleetKey, stop_check{ aContext.Now(), false });
+}
+
+void OnStopCheck(core_context& aContext, stop_check aFact)
+{
+  const forward_config& config = aContext.mConfig.mForward;
+  const micros elapsed = aContext.Now() - aFact.mBegan;
+  if (elapsed >= config.mLingerTime && !aFact.mClosed) {
+    aFact.mClosed = true;
+    aContext.Log("entry", "event=callers_closed");
+    aContext.Emit(close_callers{});
+  }
+  const std::size_t open = OpenRequests(aContext.mBoard);
+  if ((aFact.mClosed && open == 0) || elapsed >= config.mStopLimit) {
+    aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(open));
+    aContext.Emit(stop_now{});
+    return;
+  }
+  aContext.After(kStopCheck, kFleetKey, aFact);
+}
+
+} // namespace
+
+void AddFleetController(core_context& aContext)
+{
+  blackboard& board = aContext.mBoard;
+  board.OnFact<heartbeat_due>(
+    [&aContext](const std::string&, const heartbeat_due&) { OnHeartbeatDue(aContext); });
+  board.OnFact<heartbeat_received>([&aContext](const std::string&,
+                                               const heartbeat_received& aFact) {
+    OnHeartbeat(aContext, aFact.mHeartbeat);
+  });
+  board.OnFact<entry_asked>(
+    [&aContext](const std::string&, const entry_asked& aFact) { OnAsked(aContext, aFact); });
+  // These two are posted by others to keys of their own and are processed with the fleet.
+  board.OnFact<stop_asked>([&aContext](const std::string& aKey, const stop_asked& aFact) {
+    if (aKey == kFleetKey) {
+      OnStopAsked(aContext);
+    } else {
+      aContext.mBoard.Post(kFleetKey, aFact);
+    }
+  });
+  board.OnChange<catalog>(
+    [&aContext](const std::string&) { aContext.mBoard.Post(kFleetKey, catalog_changed{}); });
+  board.OnFact<catalog_changed>(
+    [&aContext](const std::string&, const catalog_changed&) { OnCatalogChanged(aContext); });
+  board.OnFact<stop_check>(
+    [&aContext](const std::string&, const stop_check& aFact) { OnStopCheck(aContext, aFact); });
+  aContext.After(micros(0), kFleetKey, heartbeat_due{});
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/fleet/members.cc
@@ -0,0 +1,68 @@
+#include "fleet/members.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+fleet_view WithHeartbeat(const fleet_view& aView, const heartbeat& aHeartbeat, instant aNow)
+{
+  const daemon_state& sender = aHeartbeat.mSender;
+  if (sender.mVm == aView.mSelf.mVm) {
+    return aView;
+  }
+  const auto known = aView.mMembers.find(sender.mVm);
+  if (known != aView.mMembers.end() &&
+      known->second.mState.mIncarnation > sender.mIncarnation) {
+    return aView;
+  }
+  fleet_view next = aView;
+  next.mMembers[sender.mVm] = { sender, aNow };
+  next.mAddresses[sender.mPeerAddress] = aNow;
+  for (const std::string& address : aHeartbeat.mPeers) {
+    if (address != aView.mSelf.mPeerAddress) {
+      next.mAddresses.emplace(address, aNow);
+    }
+  }
+  return next;
+}
+
+fleet_view WithoutSilent(const fleet_view& aView,
+                         const std::vector<std::string>& aKept,
+                         instant aSince)
+{
+  fleet_view next = aView;
+  std::erase_if(next.mAddresses, [&aKept, aSince](const auto& aEach) {
+    return aEach.second < aSince &&
+           std::find(aKept.begin(), aKept.end(), aEach.first) == aKept.end();
+  });
+  std::erase_if(next.mMembers,
+                [aSince](const auto& aEach) { return aEach.second.mHeardAt < aSince; });
+  return next;
+}
+
+std::vector<std::string> CallAddresses(const fleet_view& aView, instant aSince)
+{
+  std::vector<std::string> addresses;
+  if (aView.mSelf.mServing) {
+    addresses.push_back(aView.mSelf.mCallAddress);
+  }
+  for (const auto& [vm, member] : aView.mMembers) {
+    if (member.mHeardAt >= aSince && member.mState.mServing) {
+      addresses.push_back(member.mState.mCallAddress);
+    }
+  }
+  return addresses;
+}
+
+std::vector<std::string> LivePeers(const fleet_view& aView, instant aSince)
+{
+  std::vector<std::string> addresses;
+  for (const auto& [vm, member] : aView.mMembers) {
+    if (member.mHeardAt >= aSince) {
+      addresses.push_back(member.mState.mPeerAddress);
+    }
+  }
+  return addresses;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/follow/feed_state.h
@@ -0,0 +1,47 @@
+#ifndef REDWINGDOCK_FOLLOW_FEED_STATE_H
+#define REDWINGDOCK_FOLLOW_FEED_STATE_H
+
+#include "core/store.h"
+
+#include <map>
+
+// What is known of one feed of the store.
+//
+//   auto items = board.Read<published_items>(FeedKey(store_feed::Replicas));
+
+namespace redwingdock {
+
+using item_map = std::map<std::string, store_item_pointer>; // by key
+
+// Items in force. Entry key: FeedKey.
+struct published_items
+{
+  item_map mItems;
+
+  auto operator<=>(const published_items&) const = default;
+};
+
+enum class feed_phase
+{
+  Listing,
+  Watching,
+};
+
+// Progress of the reads. Entry key: FeedKey.
+struct feed_state
+{
+  feed_phase mPhase = feed_phase::Listing;
+  std::uint64_t mRound = 0; // of the read that is running; replies of others are ignored
+  item_map mListed;         // pages read so far
+  std::string mAfter;       // last key of those pages
+  std::uint64_t mAsOf = 0;  // the watch continues from this revision
+  std::uint32_t mFailures = 0; // in a row
+  instant mDistrustUntil{};    // deletions are held until then
+  std::map<std::string, instant> mHeld; // keys that are gone, and when they count as gone
+
+  auto operator<=>(const feed_state&) const = default;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/follow/follow_controller.cc
@@ -0,0 +1,259 @@
+#include "follow/follow_controller.h"
+
+#include "core/core_facts.h"
+#include "follow/feed_state.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+constexpr std::uint32_t kMostDoublings = 8;
+
+// Starts the read of a feed that is due, unless another round has begun.
+struct read_due
+{
+  store_feed mFeed = store_feed::Operator;
+  std::uint64_t mRound = 0;
+
+  auto operator<=>(const read_due&) const = default;
+};
+
+// Held deletions of a feed may be over.
+struct hold_due
+{
+  store_feed mFeed = store_feed::Operator;
+
+  auto operator<=>(const hold_due&) const = default;
+};
+
+const char* NameOf(store_feed aFeed)
+{
+  return aFeed == store_feed::Operator ? "operator" : "replicas";
+}
+
+feed_state StateOf(core_context& aContext, store_feed aFeed)
+{
+  const auto state = aContext.mBoard.Read<feed_state>(FeedKey(aFeed));
+  return state ? *state : feed_state{};
+}
+
+item_map ItemsOf(core_context& aContext, store_feed aFeed)
+{
+  const auto items = aContext.mBoard.Read<published_items>(FeedKey(aFeed));
+  return items ? items->mItems : item_map{};
+}
+
+// Begins the next read and keeps the state.
+void Continue(core_context& aContext, store_feed aFeed, feed_state aState)
+{
+  ++aState.mRound;
+  if (aState.mPhase == feed_phase::Listing) {
+    aContext.Emit(read_store_page{ aFeed, aState.mRound, aState.mAfter });
+  } else {
+    aContext.Emit(
+      watch_store{ aFeed, aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
+  }
+  aContext.mBoard.Write(FeedKey(aFeed), std::move(aState));
+}
+
+feed_state Heard(core_context& aContext, store_feed aFeed, feed_state aState)
+{
+  if (aState.mFailures > 0) {
+    aContext.Log("follow",
+                 std::string("event=store_regained feed=") + NameOf(aFeed) +
+                   " failures=" + std::to_string(aState.mFailures));
+    aState.mFailures = 0;
+  }
+  return aState;
+}
+
+// Takes a key out, or holds it when the store was away a moment ago.
+void Remove(core_context& aContext,
+            store_feed aFeed,
+            const std::string& aKey,
+            item_map& aItems,
+            feed_state& aState)
+{
+  if (!aItems.contains(aKey) || aState.mHeld.contains(aKey)) {
+    return;
+  }
+  if (aContext.Now() >= aState.mDistrustUntil) {
+    aItems.erase(aKey);
+    return;
+  }
+  const micros wait = aContext.mConfig.mForward.mReturnTime;
+  aState.mHeld.emplace(aKey, aContext.Now() + wait);
+  aContext.After(wait, FeedKey(aFeed), hold_due{ aFeed });
+}
+
+void Put(const store_item_pointer& aItem, item_map& aItems, feed_state& aState)
+{
+  const auto found = aItems.find(aItem->mKey);
+  if (found != aItems.end() && found->second->mRevision > aItem->mRevision) {
+    return;
+  }
+  aItems[aItem->mKey] = aItem;
+  aState.mHeld.erase(aItem->mKey);
+}
+
+void OnPage(core_context& aContext, const store_page_read& aFact)
+{
+  feed_state state = StateOf(aContext, aFact.mFeed);
+  if (state.mRound != aFact.mRound || state.mPhase != feed_phase::Listing) {
+    return;
+  }
+  state = Heard(aContext, aFact.mFeed, std::move(state));
+  // Pages are read at different revisions. A watch from that of the first one repeats what
+  // happened between them.
+  if (state.mAfter.empty()) {
+    state.mAsOf = aFact.mAsOf;
+    state.mListed.clear();
+  }
+  for (const store_item_pointer& item : aFact.mItems) {
+    state.mListed[item->mKey] = item;
+  }
+  if (aFact.mMore && !aFact.mItems.empty()) {
+    state.mAfter = aFact.mItems.back()->mKey;
+    Continue(aContext, aFact.mFeed, std::move(state));
+    return;
+  }
+  item_map items = ItemsOf(aContext, aFact.mFeed);
+  std::vector<std::string> gone;
+  for (const auto& [key, item] : items) {
+    if (!state.mListed.contains(key)) {
+      gone.push_back(key);
+    }
+  }
+  for (const std::string& key : gone) {
+    Remove(aContext, aFact.mFeed, key, items, state);
+  }
+  for (const auto& [key, item] : state.mListed) {
+    Put(item, items, state);
+  }
+  aContext.Log("follow",
+               std::string("event=listed feed=") + NameOf(aFact.mFeed) + " items=" +
+                 std::to_string(items.size()) + " gone=" + std::to_string(gone.size()) +
+                 " as_of=" + std::to_string(state.mAsOf));
+  state.mListed.clear();
+  state.mAfter.clear();
+  state.mPhase = feed_phase::Watching;
+  aContext.mBoard.Write(FeedKey(aFact.mFeed), published_items{ std::move(items) });
+  Continue(aContext, aFact.mFeed, std::move(state));
+}
+
+void OnChanges(core_context& aContext, const store_changes_read& aFact)
+{
+  feed_state state = StateOf(aContext, aFact.mFeed);
+  if (state.mRound != aFact.mRound || state.mPhase != feed_phase::Watching) {
+    return;
+  }
+  state = Heard(aContext, aFact.mFeed, std::move(state));
+  if (!aFact.mItems.empty()) {
+    item_map items = ItemsOf(aContext, aFact.mFeed);
+    for (const store_item_pointer& item : aFact.mItems) {
+      if (!std::holds_alternative<deleted_value>(item->mValue)) {
+        Put(item, items, state);
+        continue;
+      }
+      const auto found = items.find(item->mKey);
+      if (found != items.end() && found->second->mRevision < item->mRevision) {
+        Remove(aContext, aFact.mFeed, item->mKey, items, state);
+      }
+    }
+    aContext.mBoard.Write(FeedKey(aFact.mFeed), published_items{ std::move(items) });
+  }
+  state.mAsOf = std::max(state.mAsOf, aFact.mAsOf);
+  Continue(aContext, aFact.mFeed, std::move(state));
+}
+
+void OnFailed(core_context& aContext, const store_read_failed& aFact)
+{
+  feed_state state = StateOf(aContext, aFact.mFeed);
+  if (state.mRound != aFact.mRound) {
+    return;
+  }
+  const forward_config& config = aContext.mConfig.mForward;
+  if (state.mFailures == 0) {
+    aContext.Log("follow",
+                 std::string("event=store_lost feed=") + NameOf(aFact.mFeed) + " as_of=" +
+                   std::to_string(state.mAsOf) + " reason=\"" + Describe(aFact.mReason) + "\"",
+                 log_level::Warning);
+  }
+  aContext.Count("follow.failures");
+  ++state.mFailures;
+  state.mDistrustUntil = aContext.Now() + config.mDistrustTime;
+  if (aFact.mFailure == store_failure::HistoryGone) {
+    state.mPhase = feed_phase::Listing;
+    state.mAfter.clear();
+    Continue(aContext, aFact.mFeed, std::move(state));
+    return;
+  }
+  const auto doublings = std::min(state.mFailures - 1, kMostDoublings);
+  const micros wait =
+    std::min(config.mRetryMost, config.mRetryFirst * (std::int64_t{ 1 } << doublings));
+  // Daemons that lost the store together do not come back in step.
+  const micros spread(static_cast<std::int64_t>(
+    aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
+  aContext.After(wait / 2 + spread, FeedKey(aFact.mFeed), read_due{ aFact.mFeed, state.mRound });
+  aContext.mBoard.Write(FeedKey(aFact.mFeed), std::move(state));
+}
+
+void OnReadDue(core_context& aContext, const read_due& aFact)
+{
+  feed_state state = StateOf(aContext, aFact.mFeed);
+  if (state.mRound == aFact.mRound) {
+    Continue(aContext, aFact.mFeed, std::move(state));
+  }
+}
+
+void OnHoldDue(core_context& aContext, store_feed aFeed)
+{
+  feed_state state = StateOf(aContext, aFeed);
+  item_map items = ItemsOf(aContext, aFeed);
+  std::size_t over = 0;
+  for (auto it = state.mHeld.begin(); it != state.mHeld.end();) {
+    if (it->second > aContext.Now()) {
+      ++it;
+      continue;
+    }
+    items.erase(it->first);
+    it = state.mHeld.erase(it);
+    ++over;
+  }
+  if (over == 0) {
+    return;
+  }
+  aContext.Log("follow",
+               std::string("event=held_entries_gone feed=") + NameOf(aFeed) +
+                 " count=" + std::to_string(over));
+  aContext.mBoard.Write(FeedKey(aFeed), std::move(state));
+  aContext.mBoard.Write(FeedKey(aFeed), published_items{ std::move(items) });
+}
+
+} // namespace
+
+void AddFollowController(core_context& aContext)
+{
+  blackboard& board = aContext.mBoard;
+  board.OnFact<store_page_read>(
+    [&aContext](const std::string&, const store_page_read& aFact) { OnPage(aContext, aFact); });
+  board.OnFact<store_changes_read>([&aContext](const std::string&,
+                                               const store_changes_read& aFact) {
+    OnChanges(aContext, aFact);
+  });
+  board.OnFact<store_read_failed>([&aContext](const std::string&, const store_read_failed& aFact) {
+    OnFailed(aContext, aFact);
+  });
+  board.OnFact<read_due>(
+    [&aContext](const std::string&, const read_due& aFact) { OnReadDue(aContext, aFact); });
+  board.OnFact<hold_due>(
+    [&aContext](const std::string&, const hold_due& aFact) { OnHoldDue(aContext, aFact.mFeed); });
+  for (const store_feed feed : { store_feed::Operator, store_feed::Replicas }) {
+    aContext.After(micros(0), FeedKey(feed), read_due{ feed, 0 });
+  }
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/choice.cc
@@ -0,0 +1,70 @@
+#include "forward/choice.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Costs in multiples of the usual latency of a part.
+constexpr double kOtherZone = 0.35; // bytes between zones are paid for
+constexpr double kCold = 0.8;       // a cold replica takes about that much longer
+constexpr double kOverdue = 4;      // a pause lasts several times the usual latency
+constexpr double kFailing = 6;      // a failed attempt costs a repeat, which is scarce
+constexpr double kBlocked = 50;     // only when there is no other
+constexpr double kNoise = 0.1;
+
+bool IsCold(const choice_candidate& aCandidate, const choice_input& aInput)
+{
+  return aCandidate.mReplica->mColdUntil > aInput.mNow;
+}
+
+bool HasRoom(const choice_candidate& aCandidate, const choice_input& aInput)
+{
+  const replica_load& load = aCandidate.mLoad;
+  if (load.mOpen.size() >= aInput.mConnections) {
+    return false;
+  }
+  if (aInput.mColdRate <= 0 || !IsCold(aCandidate, aInput)) {
+    return true;
+  }
+  const std::int64_t second =
+    std::chrono::duration_cast<std::chrono::seconds>(aInput.mNow.time_since_epoch()).count();
+  return load.mSecond != second || load.mSent + 1 <= aInput.mColdRate;
+}
+
+} // namespace
+
+double CostOf(const choice_candidate& aCandidate, const choice_input& aInput)
+{
+  const replica_load& load = aCandidate.mLoad;
+  const replica_entry& replica = *aCandidate.mReplica;
+  const double slots = std::max<std::uint32_t>(replica.mSlots, 1);
+  double cost = SlownessAt(load, aInput.mNow) * (1 + static_cast<double>(load.mOpen.size()) / slots);
+  cost += FailingAt(load, aInput.mNow) * kFailing;
+  cost += replica.mZone == aInput.mZone ? 0 : kOtherZone;
+  cost += IsCold(aCandidate, aInput) ? kCold : 0;
+  cost += IsOverdue(load, aInput.mNow) ? kOverdue : 0;
+  cost += load.mBlockedUntil > aInput.mNow ? kBlocked : 0;
+  return cost + aCandidate.mNoise * kNoise;
+}
+
+std::optional<std::size_t> ChooseReplica(const std::vector<choice_candidate>& aCandidates,
+                                         const choice_input& aInput)
+{
+  std::optional<std::size_t> best;
+  double bestCost = 0;
+  for (std::size_t i = 0; i < aCandidates.size(); ++i) {
+    if (!HasRoom(aCandidates[i], aInput)) {
+      continue;
+    }
+    const double cost = CostOf(aCandidates[i], aInput);
+    if (!best || cost < bestCost) {
+      best = i;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/forward_hooks.h
@@ -0,0 +1,26 @@
+#ifndef REDWINGDOCK_FORWARD_FORWARD_HOOKS_H
+#define REDWINGDOCK_FORWARD_FORWARD_HOOKS_H
+
+#include "forward/choice.h"
+#include "forward/repeat_budget.h"
+#include "forward/timing.h"
+
+#include <functional>
+
+// Behaviour of forwarding that varies; tests replace one to show what it is for.
+
+namespace redwingdock {
+
+struct forward_hooks
+{
+  std::function<std::optional<std::size_t>(const std::vector<choice_candidate>&,
+                                           const choice_input&)>
+    mChoose = ChooseReplica;
+  std::function<bool(const repeat_budget&, const repeat_limits&, instant)> mMayRepeat = MayRepeat;
+  std::function<micros(const route_rule&, const latency_record&)> mHedgeAfter = HedgeAfter;
+  std::function<micros(const route_rule&)> mPartialAnswerAfter = PartialAnswerAfter;
+};
+
+} // namespace redwingdock
+
+#endif
--- /dev/null
+++ b/src/forward/forward_state.cc
@@ -0,0 +1,84 @@
+#include "forward/forward_state.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Rounding of the least share, which is published as a decimal fraction.
+constexpr double kShareRounding = 1e-9;
+
+bool MayRun(const forward_attempt& aAttempt)
+{
+  return aAttempt.mOpen || aAttempt.mEnd == attempt_end::Answered ||
+         aAttempt.mEnd == attempt_end::Lost;
+}
+
+} // namespace
+
+std::size_t OpenAttempts(const forward_part& aPart)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aPart.mAttempts.begin(),
+                  aPart.mAttempts.end(),
+                  [](const forward_attempt& aAttempt) { return aAttempt.mOpen; }));
+}
+
+std::size_t RunAttempts(const forward_part& aPart)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aPart.mAttempts.begin(), aPart.mAttempts.end(), MayRun));
+}
+
+bool HasArrived(const forward_part& aPart)
+{
+  return std::any_of(
+    aPart.mAttempts.begin(), aPart.mAttempts.end(), [](const forward_attempt& aAttempt) {
+      return aAttempt.mOpen || aAttempt.mEnd != attempt_end::NotSent;
+    });
+}
+
+std::size_t AnsweredParts(const forward_state& aState)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aState.mParts.begin(), aState.mParts.end(), [](const forward_part& aPart) {
+      return aPart.mReply != nullptr;
+    }));
+}
+
+std::size_t UndecidedParts(const forward_state& aState)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aState.mParts.begin(), aState.mParts.end(), [](const forward_part& aPart) {
+      return aPart.mReply == nullptr && !aPart.mGivenUp;
+    }));
+}
+
+bool MayHaveRun(const forward_state& aState)
+{
+  return std::any_of(aState.mParts.begin(), aState.mParts.end(), [](const forward_part& aPart) {
+    return RunAttempts(aPart) > 0;
+  });
+}
+
+bool IsEnough(const forward_state& aState, std::size_t aFurther)
+{
+  const std::size_t answered = AnsweredParts(aState) + aFurther;
+  if (!aState.mRoute->mGather) {
+    return answered == aState.mParts.size();
+  }
+  const double share = static_cast<double>(answered) / static_cast<double>(aState.mParts.size());
+  return answered > 0 && share >= aState.mRoute->mGather->mLeastShare - kShareRounding;
+}
+
+std::size_t OpenRequests(const blackboard& aBoard)
+{
+  std::size_t open = 0;
+  for (const auto& [key, state] : aBoard.List<forward_state>()) {
+    open += state->mAnswered ? 0 : 1;
+  }
+  return open;
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/replica_load.cc
@@ -0,0 +1,148 @@
+#include "forward/replica_load.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace redwingdock {
+
+namespace {
+
+// Weight of the newest attempt in the means.
+constexpr double kNewest = 0.3;
+// One attempt over a pause of the replica says little about the next one.
+constexpr double kMostSlowness = 12;
+// Slowness halves in this time without attempts, the failing share likewise.
+constexpr double kHalfLifeSeconds = 2;
+constexpr int kOverdueFactor = 3;
+constexpr micros kOverdueLeast = std::chrono::milliseconds(15);
+// A server process that ended needs some seconds to start; each refusal doubles the pause.
+constexpr micros kBlockFirst = std::chrono::milliseconds(200);
+constexpr micros kBlockMost = std::chrono::seconds(1);
+constexpr std::uint32_t kMostDoublings = 4;
+// The entry of a replica whose address another process has got is removed within seconds.
+constexpr micros kMisplacedBlock = std::chrono::seconds(3);
+
+double Fade(instant aSince, instant aNow)
+{
+  const double seconds = std::chrono::duration<double>(aNow - aSince).count();
+  return std::exp2(-std::max(0.0, seconds) / kHalfLifeSeconds);
+}
+
+replica_load WithFailing(replica_load aLoad, double aSample, instant aNow)
+{
+  aLoad.mFailing = FailingAt(aLoad, aNow) * (1 - kNewest) + aSample * kNewest;
+  aLoad.mFailingAt = aNow;
+  return aLoad;
+}
+
+replica_load WithLatency(replica_load aLoad, const open_attempt& aAttempt, instant aNow)
+{
+  if (aAttempt.mExpected.count() <= 0) {
+    return aLoad;
+  }
+  const double sample = static_cast<double>((aNow - aAttempt.mSentAt).count()) /
+                        static_cast<double>(aAttempt.mExpected.count());
+  aLoad.mSlowness =
+    SlownessAt(aLoad, aNow) * (1 - kNewest) + std::min(sample, kMostSlowness) * kNewest;
+  aLoad.mSlownessAt = aNow;
+  return aLoad;
+}
+
+replica_load WithoutOpen(const replica_load& aLoad,
+                         const attempt_key& aKey,
+                         std::optional<open_attempt>& aTaken)
+{
+  replica_load next = aLoad;
+  const auto found =
+    std::find_if(next.mOpen.begin(), next.mOpen.end(), [&aKey](const open_attempt& aOpen) {
+      return aOpen.mKey == aKey;
+    });
+  if (found != next.mOpen.end()) {
+    aTaken = *found;
+    next.mOpen.erase(found);
+  }
+  return next;
+}
+
+} // namespace
+
+replica_load LoadOf(const replica_load* aKnown, const replica_entry& aReplica)
+{
+  if (aKnown != nullptr && aKnown->mBornMs == aReplica.mBornMs) {
+    return *aKnown;
+  }
+  replica_load load;
+  load.mBornMs = aReplica.mBornMs;
+  return load;
+}
+
+replica_load WithSend(const replica_load& aLoad,
+                      const attempt_key& aKey,
+                      instant aNow,
+                      micros aExpected)
+{
+  replica_load next = aLoad;
+  next.mOpen.push_back({ aKey, aNow, aExpected });
+  const std::int64_t second =
+    std::chrono::duration_cast<std::chrono::seconds>(aNow.time_since_epoch()).count();
+  next.mSent = next.mSecond == second ? next.mSent + 1 : 1;
+  next.mSecond = second;
+  return next;
+}
+
+replica_load WithEnd(const replica_load& aLoad,
+                     const attempt_key& aKey,
+                     attempt_end aEnd,
+                     instant aNow)
+{
+  std::optional<open_attempt> attempt;
+  replica_load next = WithoutOpen(aLoad, aKey, attempt);
+  if (!attempt) {
+    return next;
+  }
+  switch (aEnd) {
+    case attempt_end::Answered:
+      next.mRefusals = 0;
+      return WithFailing(WithLatency(std::move(next), *attempt, aNow), 0, aNow);
+    case attempt_end::Rejected:
+    case attempt_end::Lost:
+      return WithFailing(std::move(next), 1, aNow);
+    case attempt_end::Misplaced:
+      next.mBlockedUntil = aNow + kMisplacedBlock;
+      return next;
+    case attempt_end::NotSent:
+      next.mBlockedUntil =
+        aNow + std::min(kBlockMost,
+                        kBlockFirst * (std::int64_t{ 1 } << std::min(next.mRefusals,
+                                                                     kMostDoublings)));
+      ++next.mRefusals;
+      return next;
+  }
+  return next;
+}
+
+replica_load WithCancel(const replica_load& aLoad, const attempt_key& aKey, instant aNow)
+{
+  std::optional<open_attempt> attempt;
+  replica_load next = WithoutOpen(aLoad, aKey, attempt);
+  return attempt ? WithLatency(std::move(next), *attempt, aNow) : next;
+}
+
+double SlownessAt(const replica_load& aLoad, instant aNow)
+{
+  return 1 + (aLoad.mSlowness - 1) * Fade(aLoad.mSlownessAt, aNow);
+}
+
+double FailingAt(const replica_load& aLoad, instant aNow)
+{
+  return aLoad.mFailing * Fade(aLoad.mFailingAt, aNow);
+}
+
+bool IsOverdue(const replica_load& aLoad, instant aNow)
+{
+  return std::any_of(aLoad.mOpen.begin(), aLoad.mOpen.end(), [aNow](const open_attempt& aOpen) {
+    return aNow - aOpen.mSentAt > std::max(kOverdueLeast, aOpen.mExpected * kOverdueFactor);
+  });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/timing.cc
@@ -0,0 +1,45 @@
+#include "forward/timing.h"
+
+#include <algorithm>
+
+namespace redwingdock {
+
+namespace {
+
+// Of the target, while no latency is known.
+constexpr int kTargetToLatency = 6;
+// For the way back to the client and the wait for the processor.
+constexpr micros kLeastMargin = std::chrono::milliseconds(6);
+constexpr int kTargetToMargin = 12;
+// Most attempts are answered within this many medians; later ones met a pause or a slow replica.
+constexpr double kUsualSpread = 2.5;
+constexpr double kLeastSpread = 1.2;
+// A hedge must be able to finish before the partial answer.
+constexpr double kHedgeTime = 1.8;
+
+micros Times(micros aTime, double aFactor)
+{
+  return micros(static_cast<std::int64_t>(static_cast<double>(aTime.count()) * aFactor));
+}
+
+} // namespace
+
+micros ExpectedLatency(const route_rule& aRoute, const latency_record& aRecent)
+{
+  const std::optional<micros> median = Quantile(aRecent, 0.5);
+  return median ? *median : aRoute.mTarget / kTargetToLatency;
+}
+
+micros PartialAnswerAfter(const route_rule& aRoute)
+{
+  return aRoute.mTarget - std::max(kLeastMargin, aRoute.mTarget / kTargetToMargin);
+}
+
+micros HedgeAfter(const route_rule& aRoute, const latency_record& aRecent)
+{
+  const micros median = ExpectedLatency(aRoute, aRecent);
+  const micros latest = PartialAnswerAfter(aRoute) - Times(median, kHedgeTime);
+  return std::max(Times(median, kLeastSpread), std::min(Times(median, kUsualSpread), latest));
+}
+
+} // namespace redwingdock
--- a/src/membership/test_fleet.h
+++ b/src/membership/test_fleet.h
@@ -3,7 +3,7 @@
 
 #include "core/context.h"
 #include "core/facts.h"
-#include "core/hooks.h"
+#include "assembly/hooks.h"
 
 #include <functional>
 #include <map>
--- /dev/null
+++ b/src/platform/edge_daemon.cc
@@ -0,0 +1,323 @@
+#include "platform/edge_daemon.h"
+
+#include "codec/heartbeat_json.h"
+#include "daemon/logging.h"
+#include "platform/names.h"
+#include "platform/request_codec.h"
+
+#include <chrono>
+#include <random>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace redwingdock::platform {
+
+namespace {
+
+// After the last request is answered, answers that are still on their way to clients get this long.
+constexpr micros kLastAnswers = std::chrono::milliseconds(300);
+constexpr micros kLastAnswersCheck = std::chrono::milliseconds(5);
+// A replica in another zone is reached in milliseconds.
+constexpr micros kConnectTime = std::chrono::milliseconds(400);
+// A request body takes longer than this only from a client that has stopped.
+constexpr micros kBodyTime = std::chrono::seconds(20);
+// The controllers answer each request by its deadline; this ends a connection that they missed.
+constexpr micros kAnswerTime = std::chrono::seconds(60);
+constexpr std::uint32_t kPartBits = 12;
+constexpr std::uint32_t kAttemptBitsOfPool = 4;
+
+std::uint64_t PoolId(const attempt_key& aKey)
+{
+  return (aKey.mRequest << (kPartBits + kAttemptBitsOfPool)) |
+         (std::uint64_t{ aKey.mPart } << kAttemptBitsOfPool) | aKey.mAttempt;
+}
+
+edge_settings Complete(edge_settings aSettings)
+{
+  // Later starts of a VM have higher numbers as long as its time of day moves on.
+  aSettings.mCore.mIncarnation = std::to_string(
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::chrono::system_clock::now().time_since_epoch())
+      .count());
+  std::random_device source;
+  aSettings.mCore.mSeed = (static_cast<std::uint64_t>(source()) << 32U) | source();
+  return aSettings;
+}
+
+http_limits LimitsFor(const client_limits& aLimits)
+{
+  http_limits limits;
+  limits.mRead = { aLimits.mBodyBytes, aLimits.mHeaderBytes };
+  limits.mHeaderTime = aLimits.mHeaderTime;
+  limits.mRequestTime = kBodyTime;
+  limits.mIdleTime = aLimits.mIdleTime;
+  limits.mAnswerTime = kAnswerTime;
+  return limits;
+}
+
+} // namespace
+
+edge_daemon::edge_daemon(edge_settings aSettings, const forward_hooks& aHooks)
+  : mSettings(Complete(std::move(aSettings)))
+  , mLoop(mSettings.mWorkers)
+  , mDriver(mLoop,
+            mSettings.mCore,
+            Forwarding(aHooks),
+            mSettings.mBoardShards,
+            [this](command& aCommand) { Execute(aCommand); })
+  , mReplicas(mLoop)
+  , mStore(mLoop, mSettings.mStore, [this](fact aFact) { mDriver.Post(std::move(aFact)); })
+  , mPeers(mLoop, [this](std::string_view aBytes) { OnDatagram(aBytes); })
+  , mCallerServer(mLoop,
+                  mNumbers,
+                  { [this](std::uint64_t aNumber, const http_message& aMessage) {
+                     OnRequest(aNumber, aMessage);
+                   },
+                    [this](std::uint64_t aNumber) { OnGone(aNumber); },
+                    nullptr },
+                  LimitsFor(client_limits{}))
+  , mReadinessServer(mLoop,
+                     mNumbers,
+                     { [this](std::uint64_t aNumber, const http_message& aMessage) {
+                        OnControlRequest(aNumber, aMessage);
+                      },
+                       nullptr,
+                       nullptr })
+  , mAddressServer(mLoop,
+                   mNumbers,
+                   { [this](std::uint64_t aNumber, const http_message& aMessage) {
+                      OnControlRequest(aNumber, aMessage);
+                    },
+                     nullptr,
+                     nullptr })
+  , mMetricsServer(mLoop,
+                   mNumbers,
+                   { [this](std::uint64_t aNumber, const http_message& aMessage) {
+                      OnMetricsRequest(aNumber, aMessage);
+                    },
+                     nullptr,
+                     nullptr })
+{
+}
+
+edge_daemon::~edge_daemon()
+{
+  mLoop.Stop();
+}
+
+void edge_daemon::OnSignals(std::function<void()> aReload)
+{
+  mLoop.OnStopSignals([this] { AskStop(); });
+  mLoop.OnReloadSignals(std::move(aReload));
+}
+
+result<edge_addresses> edge_daemon::Start()
+{
+  edge_addresses bound;
+  std::optional<reason> failed;
+  const auto listen = [&failed](auto aOpen, const std::string& aAddress, std::string& aBound) {
+    if (failed) {
+      return;
+    }
+    const result<std::string> address = aOpen(aAddress);
+    if (!address) {
+      failed = address.mReason;
+      return;
+    }
+    aBound = *address;
+  };
+  const auto on = [](http_server& aServer) {
+    return [&aServer](const std::string& aAddress) { return aServer.ListenOn(aAddress); };
+  };
+  listen(on(mCallerServer), mSettings.mListenCallers, bound.mCallers);
+  listen(on(mReadinessServer), mSettings.mListenReadiness, bound.mReadiness);
+  listen(on(mAddressServer), mSettings.mListenAddresses, bound.mAddresses);
+  listen(on(mMetricsServer), mSettings.mListenMetrics, bound.mMetrics);
+  listen([this](const std::string& aAddress) { return mPeers.Open(aAddress); },
+         mSettings.mListenPeers,
+         bound.mPeers);
+  if (failed) {
+    return { std::nullopt, *failed };
+  }
+  mLoop.Start();
+  mDriver.Start();
+  Log({ log_level::Info,
+        "entry",
+        "event=start vm=" + mSettings.mCore.mVm + " incarnation=" + mSettings.mCore.mIncarnation +
+          " zone=" + mSettings.mCore.mZone + " callers=" + bound.mCallers +
+          " peers=" + bound.mPeers + " store=" + mSettings.mStore });
+  return Success(std::move(bound));
+}
+
+void edge_daemon::AskStop()
+{
+  mCallerServer.AnnounceClose();
+  mDriver.Post(stop_asked{});
+}
+
+void edge_daemon::WaitForEnd()
+{
+  std::unique_lock lock(mEndLock);
+  mEnded.wait(lock, [this] { return mEnd; });
+}
+
+void edge_daemon::EndWhenSent(instant aLatest)
+{
+  if (SteadyNow() < aLatest && mCallerServer.UnsentBytes() > 0) {
+    mLoop.After(kLastAnswersCheck, [this, aLatest] { EndWhenSent(aLatest); });
+    return;
+  }
+  {
+    const std::lock_guard lock(mEndLock);
+    mEnd = true;
+  }
+  mEnded.notify_all();
+}
+
+bool edge_daemon::IsReady() const
+{
+  const auto view = Core().Board().Read<fleet_view>(kFleetKey);
+  return view && view->mSelf.mServing;
+}
+
+void edge_daemon::OnRequest(std::uint64_t aNumber, const http_message& aMessage)
+{
+  forward_request content = DecodeRequest(aMessage);
+  mRequests.Insert(aNumber, std::make_shared<const http_message>(aMessage));
+  mDriver.Post(request_arrived{ aNumber, std::move(content) });
+}
+
+void edge_daemon::OnGone(std::uint64_t aNumber)
+{
+  mRequests.Take(aNumber);
+  mDriver.Post(request_abandoned{ aNumber });
+}
+
+void edge_daemon::OnControlRequest(std::uint64_t aNumber, const http_message& aMessage)
+{
+  const std::string_view path = PathOf(aMessage.mTarget);
+  if (path == kReadinessPath) {
+    mReadinessServer.Reply(aNumber, { IsReady() ? 200U : 503U, "", "", {} });
+  } else if (path == kAddressesPath) {
+    mDriver.Post(entry_asked{
+      aNumber, QueryParameter(aMessage.mTarget, "name"), QueryParameter(aMessage.mTarget, "zone") });
+  } else {
+    mReadinessServer.Reply(aNumber, { 404, "", "", {} });
+    mAddressServer.Reply(aNumber, { 404, "", "", {} });
+  }
+}
+
+void edge_daemon::OnMetricsRequest(std::uint64_t aNumber, const http_message& aMessage)
+{
+  const bool known = PathOf(aMessage.mTarget) == "/metrics";
+  mMetricsServer.Reply(aNumber,
+                       { known ? 200U : 404U, "text/plain", known ? MetricsText() : "", {} });
+}
+
+void edge_daemon::OnDatagram(std::string_view aBytes)
+{
+  result<heartbeat> parsed = ParseHeartbeat(aBytes);
+  if (!parsed) {
+    Log({ log_level::Warning,
+          "members",
+          "event=heartbeat_refused reason=\"" + Describe(parsed.mReason) + "\"" });
+    return;
+  }
+  mDriver.Post(heartbeat_received{ std::move(*parsed) });
+}
+
+void edge_daemon::Execute(command& aCommand)
+{
+  std::visit(
+    [this](auto& aEach) {
+      using type = std::decay_t<decltype(aEach)>;
+      if constexpr (std::is_same_v<type, send_attempt> || std::is_same_v<type, answer_request> ||
+                    std::is_same_v<type, apply_client_limits>) {
+        Execute(aEach);
+      } else if constexpr (std::is_same_v<type, cancel_attempt>) {
+        mReplicas.Cancel(PoolId(aEach.mKey), aEach.mSilent);
+      } else if constexpr (std::is_same_v<type, read_store_page>) {
+        mStore.Read(aEach);
+      } else if constexpr (std::is_same_v<type, watch_store>) {
+        mStore.Watch(aEach);
+      } else if constexpr (std::is_same_v<type, send_heartbeat>) {
+        // A lost heartbeat is made up for by the next one.
+        mPeers.Send(aEach.mAddress, FormatHeartbeat(aEach.mHeartbeat));
+      } else if constexpr (std::is_same_v<type, answer_entry>) {
+        mAddressServer.Reply(aEach.mAsk, EncodeAddresses(aEach.mAnswer));
+      } else if constexpr (std::is_same_v<type, close_callers>) {
+        mCallerServer.CloseIdle();
+      } else if constexpr (std::is_same_v<type, log_line>) {
+        Log(aEach);
+      } else if constexpr (std::is_same_v<type, stop_now>) {
+        EndWhenSent(SteadyNow() + kLastAnswers);
+      }
+    },
+    aCommand);
+}
+
+void edge_daemon::Execute(const send_attempt& aCommand)
+{
+  const auto report = [this, key = aCommand.mKey, replica = aCommand.mReplica](
+                        attempt_end aEnd, reply_pointer aReply, reason aReason) {
+    mDriver.Post(attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason) });
+  };
+  std::shared_ptr<const http_message> message;
+  mRequests.With(aCommand.mKey.mRequest,
+                 [&message](const std::shared_ptr<const http_message>& aMessage) {
+                   message = aMessage;
+                 });
+  const micros left = aCommand.mDeadline - SteadyNow();
+  if (!message || left <= micros(0)) {
+    report(attempt_end::NotSent,
+           nullptr,
+           { "send", aCommand.mReplica->mId, message ? "the deadline has passed" : "answered" });
+    return;
+  }
+  pool_request request;
+  request.mId = PoolId(aCommand.mKey);
+  request.mAddress = aCommand.mReplica->mAddress;
+  request.mText = EncodeAttempt(*message, *aCommand.mReplica, left);
+  request.mConnections = aCommand.mConnections;
+  request.mConnectTime = kConnectTime;
+  request.mReplyTime = left;
+  const std::string* id = message->Find(kRequestId);
+  request.mOwns = [wanted = id != nullptr ? *id : std::string()](const http_message& aReply) {
+    return BelongsTo(aReply, wanted);
+  };
+  mReplicas.Start(std::move(request), [report, replica = aCommand.mReplica](
+                                        const pool_result& aResult) {
+    if (aResult.mEnd != pool_end::Answered) {
+      report(aResult.mEnd == pool_end::NotSent ? attempt_end::NotSent : attempt_end::Lost,
+             nullptr,
+             aResult.mReason);
+      return;
+    }
+    decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
+    report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
+  });
+}
+
+void edge_daemon::Execute(const answer_request& aCommand)
+{
+  mRequests.Take(aCommand.mRequest);
+  mCallerServer.Reply(aCommand.mRequest, EncodeAnswer(aCommand.mAnswer));
+}
+
+void edge_daemon::Execute(const apply_client_limits& aCommand)
+{
+  mCallerServer.SetLimits(LimitsFor(aCommand.mLimits));
+}
+
+std::string edge_daemon::MetricsText() const
+{
+  return mMetrics.Text(
+    Core().Board(),
+    { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
+      { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.Waiting()) },
+      { "redwingdock_replica_connections", static_cast<double>(mReplicas.Connections()) },
+      { "redwingdock_replica_connections_opened", static_cast<double>(mReplicas.Opened()) } });
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/edge_daemon.h
@@ -0,0 +1,95 @@
+#ifndef REDWINGDOCK_PLATFORM_EDGE_DAEMON_H
+#define REDWINGDOCK_PLATFORM_EDGE_DAEMON_H
+
+#include "assembly/forwarding.h"
+#include "daemon/core_driver.h"
+#include "daemon/datagrams.h"
+#include "daemon/http_pool.h"
+#include "daemon/http_server.h"
+#include "daemon/metrics.h"
+#include "platform/edge_settings.h"
+#include "platform/store_calls.h"
+
+#include <condition_variable>
+#include <mutex>
+#include <string>
+
+// A daemon on the users' platform: forwarding on Asio, with the platform's formats at its edges.
+//
+//   edge_daemon daemon(settings, forward_hooks{});
+//   result<edge_addresses> bound = daemon.Start();
+//   daemon.WaitForEnd();
+
+namespace redwingdock::platform {
+
+// Bound addresses; they differ from the settings where those have port 0.
+struct edge_addresses
+{
+  std::string mCallers;
+  std::string mReadiness;
+  std::string mAddresses;
+  std::string mPeers;
+  std::string mMetrics;
+};
+
+class edge_daemon
+{
+public:
+  edge_daemon(edge_settings aSettings, const forward_hooks& aHooks);
+  // Ends the daemon at once.
+  ~edge_daemon();
+  edge_daemon(const edge_daemon&) = delete;
+  edge_daemon& operator=(const edge_daemon&) = delete;
+
+  // SIGINT and SIGTERM ask for a planned stop, SIGHUP calls the hook. Before Start().
+  void OnSignals(std::function<void()> aReload);
+
+  // Binds the addresses and starts the threads.
+  result<edge_addresses> Start();
+
+  // Asks for a planned stop, from any thread.
+  void AskStop();
+  // Blocks until the planned stop is done.
+  void WaitForEnd();
+
+  const core& Core() const { return mDriver.Core(); }
+
+private:
+  // A client's request until its answer.
+  using request_map = keyed_shards<std::uint64_t, std::shared_ptr<const http_message>>;
+
+  void OnRequest(std::uint64_t aNumber, const http_message& aMessage);
+  void OnGone(std::uint64_t aNumber);
+  void OnControlRequest(std::uint64_t aNumber, const http_message& aMessage);
+  void OnMetricsRequest(std::uint64_t aNumber, const http_message& aMessage);
+  void OnDatagram(std::string_view aBytes);
+  void Execute(command& aCommand);
+  void Execute(const send_attempt& aCommand);
+  void Execute(const answer_request& aCommand);
+  void Execute(const apply_client_limits& aCommand);
+  void EndWhenSent(instant aLatest);
+  bool IsReady() const;
+  std::string MetricsText() const;
+
+  const edge_settings mSettings;
+  io_loop mLoop;
+  metrics mMetrics;
+  number_source mNumbers{ 0 };
+  core_driver mDriver;
+  request_map mRequests;
+  http_pool mReplicas;
+  store_calls mStore;
+  datagrams mPeers;
+  http_server mCallerServer;
+  http_server mReadinessServer;
+  http_server mAddressServer;
+  http_server mMetricsServer;
+
+  std::mutex mEndLock;
+  std::condition_variable mEnded;
+  bool mEnd = false;
+};
+
+} // namespace redwingdock::platform
+
+#endif
--- /dev/null
+++ b/src/platform/edge_settings.cc
@@ -0,0 +1,94 @@
+#include "platform/edge_settings.h"
+
+#include "base/yaml_reader.h"
+
+#include <algorithm>
+
+namespace redwingdock::platform {
+
+namespace {
+
+constexpr std::uint64_t kMinuteMs = 60'000;
+
+void ReadMs(yaml_mapping& aMapping, const char* aKey, std::uint64_t aMost, micros& aValue)
+{
+  aValue = std::chrono::milliseconds(
+    aMapping.Integer(aKey, 1, aMost, static_cast<std::uint64_t>(ToMs(aValue))));
+}
+
+// Seeds name the address of another service of the same machines; peers use one port on all.
+std::vector<std::string> ReadPeers(yaml_mapping& aRoot, const std::string& aOwn)
+{
+  std::vector<std::string> peers;
+  const std::string port = aOwn.substr(aOwn.rfind(':'));
+  for (const std::string& seed : aRoot.Addresses("seeds")) {
+    peers.push_back(seed.substr(0, seed.rfind(':')) + port);
+  }
+  return peers;
+}
+
+void ReadForwarding(yaml_mapping& aMapping, forward_config& aForward)
+{
+  aForward.mRepeatRatio = aMapping.Number("repeat_ratio", 0, 10, aForward.mRepeatRatio);
+  aForward.mRepeatSlack = aMapping.Number("repeat_slack", 0, 1e6, aForward.mRepeatSlack);
+  ReadMs(aMapping, "repeat_window_ms", 10 * kMinuteMs, aForward.mRepeatWindow);
+  aForward.mMostDaemons = static_cast<std::uint32_t>(
+    aMapping.Integer("most_daemons", 1, 100'000, aForward.mMostDaemons));
+  aForward.mColdOverage = aMapping.Number("cold_overage", 0, 1000, aForward.mColdOverage);
+  aForward.mColdSlack = aMapping.Number("cold_slack", 0, 1e6, aForward.mColdSlack);
+}
+
+void ReadStop(yaml_mapping& aMapping, forward_config& aForward)
+{
+  ReadMs(aMapping, "linger_ms", kMinuteMs, aForward.mLingerTime);
+  ReadMs(aMapping, "limit_ms", kMinuteMs, aForward.mStopLimit);
+}
+
+} // namespace
+
+result<edge_settings> ParseEdgeSettings(const std::string& aText, const std::string& aFile)
+{
+  yaml_errors errors{ "parse settings", aFile, {} };
+  yaml_mapping root = LoadYaml(aText, errors);
+  edge_settings settings;
+  core_config& core = settings.mCore;
+  core.mVm = root.Name("vm");
+  core.mZone = root.Name("zone");
+  yaml_mapping listen = root.Mapping("listen", true);
+  settings.mListenCallers = listen.Address("callers");
+  settings.mListenReadiness = listen.Address("readiness");
+  settings.mListenAddresses = listen.Address("addresses");
+  settings.mListenPeers = listen.Address("peers");
+  settings.mListenMetrics = listen.Address("metrics");
+  listen.Finish();
+  core.mAddress = settings.mListenPeers;
+  core.mCallAddress = settings.mListenCallers;
+  settings.mStore = root.Address("store");
+  if (!errors.mFirst) {
+    core.mForward.mPeers = ReadPeers(root, settings.mListenPeers);
+  }
+  settings.mWorkers =
+    static_cast<std::uint32_t>(root.Integer("workers", 1, 64, settings.mWorkers));
+  yaml_mapping forwarding = root.Mapping("forwarding", false);
+  ReadForwarding(forwarding, core.mForward);
+  forwarding.Finish();
+  yaml_mapping stop = root.Mapping("stop", false);
+  ReadStop(stop, core.mForward);
+  stop.Finish();
+  yaml_mapping log = root.Mapping("log", false);
+  constexpr log_threshold kThresholds[] = { log_threshold::Debug,
+                                            log_threshold::Info,
+                                            log_threshold::Warning,
+                                            log_threshold::Error };
+  settings.mLogThreshold =
+    kThresholds[log.OneOf("level", { "debug", "info", "warning", "error" }, 1)];
+  core.mLogDecisions = log.Flag("decisions", core.mLogDecisions);
+  log.Finish();
+  root.Finish();
+  if (errors.mFirst) {
+    return { std::nullopt, std::move(*errors.mFirst) };
+  }
+  return Success(std::move(settings));
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/edge_settings.h
@@ -0,0 +1,34 @@
+#ifndef REDWINGDOCK_PLATFORM_EDGE_SETTINGS_H
+#define REDWINGDOCK_PLATFORM_EDGE_SETTINGS_H
+
+#include "core/config.h"
+#include "settings/settings.h"
+
+// Settings of a daemon on the users' platform, from YAML. deploy/settings.yaml is the template that
+// the platform fills in.
+//
+//   result<edge_settings> settings = ParseEdgeSettings(text, "boot.yaml");
+
+namespace redwingdock::platform {
+
+struct edge_settings
+{
+  core_config mCore; // mIncarnation is empty: the daemon chooses it at each start
+  std::string mListenCallers;   // "ip:port", as the next four
+  std::string mListenReadiness;
+  std::string mListenAddresses; // for callers that ask which address to use
+  std::string mListenPeers;     // UDP
+  std::string mListenMetrics;
+  std::string mStore;
+  std::uint32_t mWorkers = 2; // threads
+  std::uint32_t mBoardShards = 64;
+  log_threshold mLogThreshold = log_threshold::Info;
+
+  bool operator==(const edge_settings&) const = default;
+};
+
+result<edge_settings> ParseEdgeSettings(const std::string& aText, const std::string& aFile);
+
+} // namespace redwingdock::platform
+
+#endif
--- /dev/null
+++ b/src/platform/published_codec.cc
@@ -0,0 +1,385 @@
+#include "platform/published_codec.h"
+
+#include "base/yaml_reader.h"
+#include "platform/names.h"
+
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/parse.hpp>
+#include <cmath>
+#include <optional>
+#include <utility>
+
+namespace redwingdock::platform {
+
+namespace {
+
+namespace json = boost::json;
+
+// Reads fields of one object; the first error is kept.
+class object_reader
+{
+public:
+  explicit object_reader(const json::object& aObject)
+    : mObject(aObject)
+  {
+  }
+
+  std::string Text(const char* aName, bool aRequired = true)
+  {
+    const json::value* value = Find(aName, aRequired);
+    if (value == nullptr) {
+      return {};
+    }
+    if (!value->is_string() || (aRequired && value->get_string().empty())) {
+      Fail(aName, "is not a text");
+      return {};
+    }
+    return std::string(value->get_string());
+  }
+
+  double Number(const char* aName, double aDefault, bool aRequired = false)
+  {
+    const json::value* value = Find(aName, aRequired);
+    if (value == nullptr) {
+      return aDefault;
+    }
+    const double number = value->is_number() ? value->to_number<double>() : -1;
+    if (!value->is_number() || number < 0) {
+      Fail(aName, "is not a number of at least 0");
+      return aDefault;
+    }
+    return number;
+  }
+
+  std::uint64_t Whole(const char* aName, std::uint64_t aDefault, bool aRequired = false)
+  {
+    const double number = Number(aName, static_cast<double>(aDefault), aRequired);
+    constexpr double kMost = 9e15; // whole numbers beyond are not exact
+    if (number != std::floor(number) || number > kMost) {
+      Fail(aName, "is not a whole number");
+      return aDefault;
+    }
+    return static_cast<std::uint64_t>(number);
+  }
+
+  micros Ms(const char* aName, micros aDefault, bool aRequired = false)
+  {
+    return micros(static_cast<std::int64_t>(
+      Number(aName, static_cast<double>(aDefault.count()) / 1000, aRequired) * 1000));
+  }
+
+  const json::array* Array(const char* aName, bool aRequired)
+  {
+    const json::value* value = Find(aName, aRequired);
+    if (value != nullptr && !value->is_array()) {
+      Fail(aName, "is not a list");
+      return nullptr;
+    }
+    return value != nullptr ? &value->get_array() : nullptr;
+  }
+
+  const json::value* Find(const char* aName, bool aRequired)
+  {
+    const json::value* value = mObject.if_contains(aName);
+    if (value != nullptr && value->is_null()) {
+      value = nullptr;
+    }
+    if (value == nullptr && aRequired) {
+      Fail(aName, "is missing");
+    }
+    return value;
+  }
+
+  void Fail(const char* aName, const char* aText)
+  {
+    if (!mError) {
+      mError = std::string("field \"") + aName + "\" " + aText;
+    }
+  }
+
+  const std::optional<std::string>& Error() const { return mError; }
+
+private:
+  const json::object& mObject;
+  std::optional<std::string> mError;
+};
+
+std::optional<json::value> ParseObject(std::string_view aBytes)
+{
+  boost::system::error_code error;
+  json::value value = json::parse(json::string_view(aBytes.data(), aBytes.size()), error);
+  if (error || !value.is_object()) {
+    return std::nullopt;
+  }
+  return value;
+}
+
+std::string FromBase64(std::string_view aText)
+{
+  namespace base64 = boost::beast::detail::base64;
+  std::string bytes(base64::decoded_size(aText.size()), '\0');
+  bytes.resize(base64::decode(bytes.data(), aText.data(), aText.size()).first);
+  return bytes;
+}
+
+unreadable_value Unreadable(const char* aStep, std::string aText)
+{
+  return { { aStep, "", std::move(aText) } };
+}
+
+// "gather" names services whose parts make up one answer, "trafficSplit" services that share the
+// requests by weight, "service" the only one.
+void ReadServices(object_reader& aReader, route_rule& aRoute)
+{
+  if (const json::array* shards = aReader.Array("gather", false)) {
+    for (const json::value& each : *shards) {
+      if (!each.is_string()) {
+        aReader.Fail("gather", "holds a value that is not a text");
+        return;
+      }
+      aRoute.mServices.push_back({ std::string(each.get_string()), 1 });
+    }
+    aRoute.mGather = gather_rule{ static_cast<std::uint32_t>(aReader.Whole("topK", 0, true)),
+                                  aReader.Number("minimumSuccessShare", 1) };
+    return;
+  }
+  if (const json::array* split = aReader.Array("trafficSplit", false)) {
+    for (const json::value& each : *split) {
+      if (!each.is_object()) {
+        aReader.Fail("trafficSplit", "holds a value that is not an object");
+        return;
+      }
+      object_reader part(each.get_object());
+      weighted_service service{ part.Text("service"), part.Number("weight", 0, true) };
+      if (part.Error()) {
+        aReader.Fail("trafficSplit", "holds a part without service or weight");
+        return;
+      }
+      aRoute.mServices.push_back(std::move(service));
+    }
+    return;
+  }
+  aRoute.mServices.push_back({ aReader.Text("service"), 1 });
+}
+
+std::optional<std::string> ReadRoute(const json::value& aValue, configuration& aConfiguration)
+{
+  if (!aValue.is_object()) {
+    return "a route is not an object";
+  }
+  object_reader reader(aValue.get_object());
+  route_rule route;
+  route.mName = reader.Text("name");
+  route.mHost = reader.Text("host");
+  route.mPrefix = reader.Text("prefix");
+  ReadServices(reader, route);
+  const std::string kind = reader.Text("kind");
+  route.mIdempotent = kind == "safe";
+  if (kind != "safe" && kind != "unsafe") {
+    reader.Fail("kind", "is neither \"safe\" nor \"unsafe\"");
+  }
+  route.mTimeout = reader.Ms("timeoutMs", micros(0), true);
+  route.mTarget = reader.Ms("targetLatencyMs", route.mTimeout);
+  route.mAttempts = static_cast<std::uint32_t>(reader.Whole("maxAttempts", 1));
+  route.mRank = static_cast<std::uint32_t>(reader.Whole("priority", 0));
+  if (reader.Error()) {
+    return "route \"" + route.mName + "\": " + *reader.Error();
+  }
+  aConfiguration.mRoutes.push_back(std::move(route));
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadService(const json::value& aValue, configuration& aConfiguration)
+{
+  if (!aValue.is_object()) {
+    return "a service is not an object";
+  }
+  object_reader reader(aValue.get_object());
+  service_limits service;
+  service.mName = reader.Text("name");
+  service.mConnections = static_cast<std::uint32_t>(reader.Whole("connectionLimit", 0));
+  service.mColdRate = reader.Number("warmupPerS", 0);
+  if (reader.Error()) {
+    return "service \"" + service.mName + "\": " + *reader.Error();
+  }
+  aConfiguration.mServices.push_back(std::move(service));
+  return std::nullopt;
+}
+
+std::optional<std::string> ReadLimits(object_reader& aReader, client_limits& aLimits)
+{
+  const json::value* value = aReader.Find("limits", false);
+  if (value == nullptr) {
+    return std::nullopt;
+  }
+  if (!value->is_object()) {
+    return "field \"limits\" is not an object";
+  }
+  object_reader reader(value->get_object());
+  aLimits.mHeaderBytes = reader.Whole("maxHeaderBytes", aLimits.mHeaderBytes);
+  aLimits.mBodyBytes = reader.Whole("maxBodyBytes", aLimits.mBodyBytes);
+  aLimits.mHeaderTime = reader.Ms("headerTimeoutMs", aLimits.mHeaderTime);
+  aLimits.mIdleTime = reader.Ms("idleTimeoutMs", aLimits.mIdleTime);
+  return reader.Error();
+}
+
+published_value DecodeConfiguration(std::string_view aBytes)
+{
+  constexpr char kStep[] = "parse configuration";
+  const std::optional<json::value> root = ParseObject(aBytes);
+  if (!root) {
+    return Unreadable(kStep, "is not a JSON object");
+  }
+  object_reader reader(root->get_object());
+  configuration parsed;
+  parsed.mVersion = reader.Whole("version", 0, true);
+  std::optional<std::string> error = ReadLimits(reader, parsed.mLimits);
+  if (const json::array* routes = reader.Array("routes", true)) {
+    for (const json::value& each : *routes) {
+      error = error ? error : ReadRoute(each, parsed);
+    }
+  }
+  if (const json::array* services = reader.Array("services", true)) {
+    for (const json::value& each : *services) {
+      error = error ? error : ReadService(each, parsed);
+    }
+  }
+  error = error ? error : reader.Error();
+  if (error) {
+    return Unreadable(kStep, *error);
+  }
+  return parsed;
+}
+
+published_value DecodeReplica(const std::string& aId, std::string_view aBytes)
+{
+  constexpr char kStep[] = "parse replica";
+  const std::optional<json::value> root = ParseObject(aBytes);
+  if (!root) {
+    return Unreadable(kStep, "is not a JSON object");
+  }
+  object_reader reader(root->get_object());
+  replica_entry entry;
+  entry.mId = aId;
+  entry.mService = reader.Text("service");
+  entry.mAddress = reader.Text("address");
+  entry.mZone = reader.Text("zone");
+  entry.mSlots = static_cast<std::uint32_t>(reader.Whole("slots", 1, true));
+  entry.mColdFor = reader.Ms("warmupRemainingMs", micros(0));
+  entry.mSequence = reader.Whole("sequence", 0, true);
+  entry.mBornMs = static_cast<std::int64_t>(reader.Whole("born", 0));
+  const std::string state = reader.Text("state");
+  entry.mDraining = state == "draining";
+  if (state != "ready" && state != "draining") {
+    reader.Fail("state", "is neither \"ready\" nor \"draining\"");
+  }
+  if (!IsAddress(entry.mAddress)) {
+    reader.Fail("address", "is not of the form ip:port");
+  }
+  if (reader.Error()) {
+    return Unreadable(kStep, *reader.Error());
+  }
+  return entry;
+}
+
+// An item as it was written, or a deletion.
+result<store_item_pointer> ReadItem(const json::value& aValue)
+{
+  constexpr char kStep[] = "parse item";
+  if (!aValue.is_object()) {
+    return Failure<store_item_pointer>(kStep, "", "an item is not an object");
+  }
+  object_reader reader(aValue.get_object());
+  store_item item;
+  item.mKey = reader.Text("key");
+  item.mRevision = reader.Whole("revision", 0, true);
+  const json::value* deleted = reader.Find("deleted", false);
+  const bool gone = deleted != nullptr && deleted->is_bool() && deleted->get_bool();
+  const std::string value = gone ? std::string() : reader.Text("value", false);
+  if (reader.Error()) {
+    return Failure<store_item_pointer>(kStep, item.mKey, *reader.Error());
+  }
+  if (!gone) {
+    item.mValue = DecodeValue(item.mKey, FromBase64(value));
+  }
+  return Success(store_item_pointer(std::make_shared<const store_item>(std::move(item))));
+}
+
+struct item_list
+{
+  std::vector<store_item_pointer> mItems;
+  bool mMore = false;
+  std::uint64_t mAsOf = 0;
+};
+
+result<item_list> ReadList(std::string_view aBody, const char* aName)
+{
+  constexpr char kStep[] = "parse reply of the store";
+  const std::optional<json::value> root = ParseObject(aBody);
+  if (!root) {
+    return Failure<item_list>(kStep, "", "is not a JSON object");
+  }
+  object_reader reader(root->get_object());
+  item_list list;
+  list.mAsOf = reader.Whole("asOf", 0, true);
+  const json::value* more = reader.Find("hasMore", false);
+  list.mMore = more != nullptr && more->is_bool() && more->get_bool();
+  if (const json::array* items = reader.Array(aName, true)) {
+    for (const json::value& each : *items) {
+      result<store_item_pointer> item = ReadItem(each);
+      if (!item) {
+        return { std::nullopt, std::move(item.mReason) };
+      }
+      list.mItems.push_back(std::move(*item));
+    }
+  }
+  if (reader.Error()) {
+    return Failure<item_list>(kStep, "", *reader.Error());
+  }
+  return Success(std::move(list));
+}
+
+} // namespace
+
+published_value DecodeValue(const std::string& aKey, std::string_view aBytes)
+{
+  if (aKey == kConfigurationKey) {
+    return DecodeConfiguration(aBytes);
+  }
+  if (aKey.starts_with(kClosedZonePrefix)) {
+    return closed_zone{ aKey.substr(sizeof(kClosedZonePrefix) - 1) };
+  }
+  if (aKey.starts_with(kReplicaPrefix)) {
+    return DecodeReplica(aKey.substr(sizeof(kReplicaPrefix) - 1), aBytes);
+  }
+  return Unreadable("parse item", "the key is of no known kind");
+}
+
+result<store_page_read> DecodePage(std::string_view aBody)
+{
+  result<item_list> list = ReadList(aBody, "items");
+  if (!list) {
+    return { std::nullopt, std::move(list.mReason) };
+  }
+  store_page_read page;
+  page.mItems = std::move(list->mItems);
+  page.mMore = list->mMore;
+  page.mAsOf = list->mAsOf;
+  return Success(std::move(page));
+}
+
+result<store_changes_read> DecodeChanges(std::string_view aBody)
+{
+  result<item_list> list = ReadList(aBody, "events");
+  if (!list) {
+    return { std::nullopt, std::move(list.mReason) };
+  }
+  store_changes_read changes;
+  changes.mItems = std::move(list->mItems);
+  changes.mAsOf = list->mAsOf;
+  return Success(std::move(changes));
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/request_codec.cc
@@ -0,0 +1,214 @@
+#include "platform/request_codec.h"
+
+#include "base/hash.h"
+#include "platform/names.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace redwingdock::platform {
+
+namespace {
+
+// Fields that concern one connection (RFC 9110, section 7.6.1), and the length, which is written
+// anew with the body.
+constexpr std::array kHopFields = { "Connection",        "Keep-Alive", "Proxy-Connection",
+                                    "Transfer-Encoding", "TE",         "Trailer",
+                                    "Upgrade",           "Content-Length" };
+// Fields of a request that this daemon sets.
+constexpr std::array kOwnFields = { kTimeLeft, kExpectedReplica };
+
+template<typename Names>
+bool IsOneOf(const std::string& aName, const Names& aNames)
+{
+  return std::any_of(
+    aNames.begin(), aNames.end(), [&aName](const char* aEach) { return SameName(aName, aEach); });
+}
+
+// Whether the Connection field of the message lists the name.
+bool IsListed(const http_message& aMessage, const std::string& aName)
+{
+  const std::string* list = aMessage.Find("Connection");
+  std::size_t at = 0;
+  while (list != nullptr && at < list->size()) {
+    const std::size_t comma = std::min(list->find(',', at), list->size());
+    std::string_view each = std::string_view(*list).substr(at, comma - at);
+    each.remove_prefix(std::min(each.find_first_not_of(" \t"), each.size()));
+    each = each.substr(0, each.find_last_not_of(" \t") + 1);
+    if (SameName(each, aName)) {
+      return true;
+    }
+    at = comma + 1;
+  }
+  return false;
+}
+
+std::string ValueOf(const http_message& aMessage, const char* aName)
+{
+  const std::string* value = aMessage.Find(aName);
+  return value != nullptr ? *value : std::string();
+}
+
+// Milliseconds, with a fraction perhaps; zero when missing or malformed.
+micros ToTime(const std::string& aText)
+{
+  double ms = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, ms);
+  constexpr double kMostMs = 24.0 * 3600 * 1000;
+  if (error != std::errc() || rest != end || ms <= 0 || ms > kMostMs) {
+    return micros(0);
+  }
+  return micros(static_cast<std::int64_t>(ms * 1000));
+}
+
+std::string Seconds(micros aTime)
+{
+  char text[32];
+  std::snprintf(text, sizeof(text), "%.3f", std::chrono::duration<double>(aTime).count());
+  return text;
+}
+
+} // namespace
+
+forward_request DecodeRequest(const http_message& aMessage)
+{
+  forward_request request;
+  request.mId = ValueOf(aMessage, kRequestId);
+  request.mHost = ValueOf(aMessage, "Host");
+  request.mPath = std::string(PathOf(aMessage.mTarget));
+  request.mPatience = ToTime(ValueOf(aMessage, kTimeLeft));
+  request.mFingerprint =
+    Hash(aMessage.mMethod + ' ' + request.mHost + aMessage.mTarget + '\n' + aMessage.mBody);
+  return request;
+}
+
+std::string EncodeAttempt(const http_message& aMessage,
+                          const replica_entry& aReplica,
+                          micros aTimeLeft)
+{
+  http_message sent;
+  sent.mMethod = aMessage.mMethod;
+  sent.mTarget = aMessage.mTarget;
+  sent.mBody = aMessage.mBody;
+  for (const http_field& field : aMessage.mFields) {
+    if (!IsOneOf(field.mName, kHopFields) && !IsOneOf(field.mName, kOwnFields) &&
+        !IsListed(aMessage, field.mName)) {
+      sent.mFields.push_back(field);
+    }
+  }
+  sent.mFields.push_back({ kTimeLeft, std::to_string(std::max<std::int64_t>(ToMs(aTimeLeft), 1)) });
+  sent.mFields.push_back({ kExpectedReplica, aReplica.mId });
+  return FormatRequest(sent);
+}
+
+bool BelongsTo(const http_message& aReply, const std::string& aRequestId)
+{
+  const std::string* id = aReply.Find(kRequestId);
+  return id == nullptr || *id == aRequestId;
+}
+
+decoded_reply DecodeReply(http_message aMessage, const std::string& aReplica)
+{
+  constexpr unsigned kMisdirected = 421;
+  if (aMessage.mStatus == kMisdirected) {
+    return { attempt_end::Misplaced, nullptr, { "send", aReplica, "another process answers" } };
+  }
+  if (aMessage.Find(kNotRun) != nullptr) {
+    return { attempt_end::Rejected,
+             nullptr,
+             { "send", aReplica, "refused with status " + std::to_string(aMessage.mStatus) } };
+  }
+  if (aMessage.Find("Content-Encoding") != nullptr) {
+    return { attempt_end::Lost, nullptr, { "read reply", aReplica, "the body is encoded" } };
+  }
+  forward_reply reply;
+  reply.mStatus = aMessage.mStatus;
+  reply.mSignature = ValueOf(aMessage, kSignature);
+  if (aMessage.mStatus < 300 && reply.mSignature.empty()) {
+    return { attempt_end::Lost, nullptr, { "read reply", aReplica, "the reply is not signed" } };
+  }
+  for (http_field& field : aMessage.mFields) {
+    if (!IsOneOf(field.mName, kHopFields) && !IsListed(aMessage, field.mName)) {
+      reply.mFields.push_back({ field.mName, field.mValue });
+    }
+  }
+  reply.mBody = std::move(aMessage.mBody);
+  return { attempt_end::Answered, std::make_shared<const forward_reply>(std::move(reply)), {} };
+}
+
+http_response EncodeAnswer(const forward_answer& aAnswer)
+{
+  constexpr unsigned kOk = 200;
+  constexpr unsigned kNotFound = 404;
+  constexpr unsigned kBadGateway = 502;
+  constexpr unsigned kUnavailable = 503;
+  constexpr unsigned kGatewayTimeout = 504;
+  http_response response;
+  response.mContentType.clear();
+  switch (aAnswer.mKind) {
+    case answer_kind::Relayed:
+      response.mStatus = aAnswer.mReply->mStatus;
+      for (const reply_field& field : aAnswer.mReply->mFields) {
+        response.mFields.push_back({ field.mName, field.mValue });
+      }
+      response.mBody = aAnswer.mReply->mBody;
+      return response;
+    case answer_kind::Gathered: {
+      response.mStatus = kOk;
+      std::string signatures;
+      for (const std::string& each : aAnswer.mSignatures) {
+        signatures += (signatures.empty() ? "" : ", ") + each;
+      }
+      response.mFields.push_back({ kPartSignatures, std::move(signatures) });
+      if (aAnswer.mMissing > 0) {
+        response.mFields.push_back({ kMissingParts, std::to_string(aAnswer.mMissing) });
+      }
+      response.mBody = aAnswer.mBody;
+      return response;
+    }
+    case answer_kind::NotRun:
+      response.mStatus = kUnavailable;
+      response.mFields.push_back({ kRetryAfter, Seconds(aAnswer.mRetryAfter) });
+      return response;
+    case answer_kind::NoRoute:
+      response.mStatus = kNotFound;
+      return response;
+    case answer_kind::Failed:
+      response.mStatus = kBadGateway;
+      return response;
+    case answer_kind::TimedOut:
+      response.mStatus = kGatewayTimeout;
+      return response;
+  }
+  return response;
+}
+
+http_response EncodeAddresses(const result<entry_answer>& aAnswer)
+{
+  http_response response;
+  if (!aAnswer) {
+    response.mStatus = 503;
+    response.mContentType.clear();
+    return response;
+  }
+  constexpr std::size_t kMostAddresses = 64;
+  boost::json::array addresses;
+  for (const std::string& each : aAnswer->mAddresses) {
+    if (addresses.size() < kMostAddresses) {
+      addresses.emplace_back(each);
+    }
+  }
+  response.mBody = boost::json::serialize(boost::json::object{
+    { "addrs", std::move(addresses) },
+    { "ttl_s", std::chrono::duration<double>(aAnswer->mLifetime).count() } });
+  return response;
+}
+
+} // namespace redwingdock::platform
--- a/src/testing/fake_fleet.cc
+++ b/src/testing/fake_fleet.cc
@@ -195,7 +195,7 @@
   if (mOptions.mConfigure) {
     mOptions.mConfigure(config);
   }
-  target.mCore = std::make_unique<core>(config, mOptions.mHooks, 8);
+  target.mCore = std::make_unique<core>(config, RecordSearch(mOptions.mHooks), 8);
   target.mPaused = false;
   target.mStopped = false;
   target.mBacklog.clear();
