Read what had arrived before a stopping daemon ends

Cause: the stop check closed callers and ended in the same step when no request was open. A request that was read within the next milliseconds was passed on, and the process ended before its reply.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -12,6 +12,8 @@
 namespace {
 
 constexpr micros kStopCheck = std::chrono::milliseconds(50);
+// Requests that had arrived when the callers were closed may not have been read yet.
+constexpr micros kLastReads = std::chrono::milliseconds(400);
 
 struct heartbeat_due
 {
@@ -170,7 +172,8 @@
     aContext.Emit(close_callers{});
   }
   const std::size_t open = OpenRequests(aContext.mBoard);
-  if ((aFact.mClosed && open == 0) || elapsed >= config.mStopLimit) {
+  const bool settled = aFact.mClosed && elapsed >= config.mLingerTime + kLastReads;
+  if ((settled && open == 0) || elapsed >= config.mStopLimit) {
     aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(open));
     aContext.Emit(stop_now{});
     return;
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -164,7 +164,8 @@
 
 void edge_daemon::EndWhenSent(instant aLatest)
 {
-  if (SteadyNow() < aLatest && mCallerServer.UnsentBytes() > 0) {
+  if (SteadyNow() < aLatest &&
+      (mCallerServer.UnsentBytes() > 0 || mCallerServer.Waiting() > 0)) {
     mLoop.After(kLastAnswersCheck, [this, aLatest] { EndWhenSent(aLatest); });
     return;
   }
