Send nothing to an address that another service has got

Cause: a refused connection blocked a replica for 0.2 to 1 s and a misplaced reply for 3 s, while the entry of a crashed replica stays for seconds. Requests that reach the next service at the address count there as repeats: 204 misplaced attempts in 10 s. A misplaced reply now ends the use of that start of the replica, and refusals block for 0.5 to 8 s.

--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -154,10 +154,12 @@
           HasTried(aPart, *replica)) {
         continue;
       }
-      const auto load = mContext.mBoard.Read<replica_load>(replica->mId);
-      candidates.push_back({ replica,
-                             LoadOf(load.get(), *replica),
-                             static_cast<double>(mContext.Random(1000)) / 1000.0 });
+      const auto known = mContext.mBoard.Read<replica_load>(replica->mId);
+      replica_load load = LoadOf(known.get(), *replica);
+      if (!load.mGone) {
+        candidates.push_back(
+          { replica, std::move(load), static_cast<double>(mContext.Random(1000)) / 1000.0 });
+      }
     }
     return candidates;
   }
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -15,12 +15,11 @@
 constexpr double kHalfLifeSeconds = 2;
 constexpr int kOverdueFactor = 3;
 constexpr micros kOverdueLeast = std::chrono::milliseconds(15);
-// A server process that ended needs some seconds to start; each refusal doubles the pause.
-constexpr micros kBlockFirst = std::chrono::milliseconds(200);
-constexpr micros kBlockMost = std::chrono::seconds(1);
+// A process that refuses connections has mostly ended, and its address may soon belong to another
+// service. Each refusal doubles the pause.
+constexpr micros kBlockFirst = std::chrono::milliseconds(500);
+constexpr micros kBlockMost = std::chrono::seconds(8);
 constexpr std::uint32_t kMostDoublings = 4;
-// The entry of a replica whose address another process has got is removed within seconds.
-constexpr micros kMisplacedBlock = std::chrono::seconds(3);
 
 double Fade(instant aSince, instant aNow)
 {
@@ -108,7 +107,7 @@
     case attempt_end::Lost:
       return WithFailing(std::move(next), 1, aNow);
     case attempt_end::Misplaced:
-      next.mBlockedUntil = aNow + kMisplacedBlock;
+      next.mGone = true;
       return next;
     case attempt_end::NotSent:
       next.mBlockedUntil =
