--- a/src/catalog/catalog_controller.cc
+++ b/src/catalog/catalog_controller.cc
@@ -2,7 +2,7 @@
 
 #include "catalog/routes.h"
 #include "core/core_facts.h"
-#include "follow/feed_state.h"
+#include "follow/follow_state.h"
 
 #include <algorithm>
 #include <utility>
@@ -11,20 +11,6 @@
 
 namespace {
 
-// Both feeds change one entry, so their changes are processed in the shard of that entry.
-struct items_changed
-{
-  store_feed mFeed = store_feed::Operator;
-
-  auto operator<=>(const items_changed&) const = default;
-};
-
-item_map ItemsOf(core_context& aContext, store_feed aFeed)
-{
-  const auto items = aContext.mBoard.Read<published_items>(FeedKey(aFeed));
-  return items ? items->mItems : item_map{};
-}
-
 void LogUnreadable(core_context& aContext, const store_item& aItem)
 {
   if (const auto* unreadable = std::get_if<unreadable_value>(&aItem.mValue)) {
@@ -36,7 +22,7 @@
   }
 }
 
-// The last revision of each key whose unreadable value was logged. Entry key: FeedKey.
+// The last revision of each key whose unreadable value was logged. Entry key: kStoreKey.
 struct logged_revisions
 {
   std::map<std::string, std::uint64_t> mRevisions;
@@ -44,9 +30,9 @@
   auto operator<=>(const logged_revisions&) const = default;
 };
 
-void LogUnreadableOnce(core_context& aContext, store_feed aFeed, const item_map& aItems)
+void LogUnreadableOnce(core_context& aContext, const item_map& aItems)
 {
-  const auto before = aContext.mBoard.Read<logged_revisions>(FeedKey(aFeed));
+  const auto before = aContext.mBoard.Read<logged_revisions>(kStoreKey);
   logged_revisions next;
   for (const auto& [key, item] : aItems) {
     if (!std::holds_alternative<unreadable_value>(item->mValue)) {
@@ -58,17 +44,16 @@
       LogUnreadable(aContext, *item);
     }
   }
-  aContext.mBoard.Write(FeedKey(aFeed), std::move(next));
+  aContext.mBoard.Write(kStoreKey, std::move(next));
 }
 
-void OnOperatorItems(core_context& aContext)
+catalog WithOperatorItems(core_context& aContext,
+                          const std::shared_ptr<const catalog>& aBefore,
+                          const item_map& aItems)
 {
-  const item_map items = ItemsOf(aContext, store_feed::Operator);
-  LogUnreadableOnce(aContext, store_feed::Operator, items);
-  const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
-  catalog next = before ? *before : catalog{};
+  catalog next = aBefore ? *aBefore : catalog{};
   next.mClosedZones.clear();
-  for (const auto& [key, item] : items) {
+  for (const auto& [key, item] : aItems) {
     if (const auto* zone = std::get_if<closed_zone>(&item->mValue)) {
       next.mClosedZones.insert(zone->mZone);
     }
@@ -85,21 +70,21 @@
     next.mLimits = published->mLimits;
     aContext.Log("catalog",
                  "event=version_in_force version=" + std::to_string(next.mVersion) +
-                   " before=" + std::to_string(before ? before->mVersion : 0) +
+                   " before=" + std::to_string(aBefore ? aBefore->mVersion : 0) +
                    " routes=" + std::to_string(published->mRoutes.size()) +
                    " revision=" + std::to_string(item->mRevision));
-    if (!before || before->mLimits != next.mLimits) {
+    if (!aBefore || aBefore->mLimits != next.mLimits) {
       aContext.Emit(apply_client_limits{ next.mLimits });
     }
   }
-  if (!before || before->mClosedZones != next.mClosedZones) {
+  if (!aBefore || aBefore->mClosedZones != next.mClosedZones) {
     std::string zones;
     for (const std::string& zone : next.mClosedZones) {
       zones += (zones.empty() ? "" : ",") + zone;
     }
     aContext.Log("catalog", "event=closed_zones zones=\"" + zones + "\"");
   }
-  aContext.mBoard.Write(kCatalogKey, std::move(next));
+  return next;
 }
 
 // Entries that another process wrote late, from an earlier start or an earlier state of the same
@@ -137,16 +122,13 @@
                  " cold_ms=" + std::to_string(ToMs(aReplica.mColdFor)));
 }
 
-void OnReplicaItems(core_context& aContext)
+catalog WithReplicaItems(core_context& aContext, catalog aCatalog, const item_map& aItems)
 {
-  const item_map items = ItemsOf(aContext, store_feed::Replicas);
-  LogUnreadableOnce(aContext, store_feed::Replicas, items);
-  const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
-  const auto known = before ? ReplicasById(*before) : std::map<std::string, replica_pointer>{};
-  catalog next = before ? *before : catalog{};
+  const std::map<std::string, replica_pointer> known = ReplicasById(aCatalog);
+  catalog next = std::move(aCatalog);
   next.mReplicas.clear();
   std::set<std::string> present;
-  for (const auto& [key, item] : items) {
+  for (const auto& [key, item] : aItems) {
     const auto* entry = std::get_if<replica_entry>(&item->mValue);
     if (entry == nullptr) {
       continue;
@@ -169,27 +151,30 @@
       LogReplica(aContext, "replica_gone", *replica);
     }
   }
-  aContext.mBoard.Write(kCatalogKey, std::move(next));
+  return next;
+}
+
+void OnItems(core_context& aContext)
+{
+  const auto items = aContext.mBoard.Read<published_items>(kStoreKey);
+  if (!items) {
+    return;
+  }
+  LogUnreadableOnce(aContext, items->mItems);
+  const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
+  aContext.mBoard.Write(
+    kCatalogKey,
+    WithReplicaItems(
+      aContext, WithOperatorItems(aContext, before, items->mItems), items->mItems));
 }
 
 } // namespace
 
 void AddCatalogController(core_context& aContext)
 {
-  aContext.mBoard.OnChange<published_items>([&aContext](const std::string& aKey) {
-    aContext.mBoard.Post(kCatalogKey,
-                         items_changed{ aKey == FeedKey(store_feed::Operator)
-                                          ? store_feed::Operator
-                                          : store_feed::Replicas });
-  });
-  aContext.mBoard.OnFact<items_changed>(
-    [&aContext](const std::string&, const items_changed& aFact) {
-      if (aFact.mFeed == store_feed::Operator) {
-        OnOperatorItems(aContext);
-      } else {
-        OnReplicaItems(aContext);
-      }
-    });
+  // Only hooks of this key write the catalog, so that they never run at the same time.
+  aContext.mBoard.OnChange<published_items>(
+    [&aContext](const std::string&) { OnItems(aContext); });
 }
 
 } // namespace redwingdock
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -29,9 +29,9 @@
   {
     return RequestKey(aFact.mKey.mRequest);
   }
-  std::string operator()(const store_page_read& aFact) const { return FeedKey(aFact.mFeed); }
-  std::string operator()(const store_changes_read& aFact) const { return FeedKey(aFact.mFeed); }
-  std::string operator()(const store_read_failed& aFact) const { return FeedKey(aFact.mFeed); }
+  std::string operator()(const store_page_read&) const { return kStoreKey; }
+  std::string operator()(const store_changes_read&) const { return kStoreKey; }
+  std::string operator()(const store_read_failed&) const { return kStoreKey; }
   std::string operator()(const heartbeat_received&) const { return kFleetKey; }
 
   std::string operator()(const view_message&) const { return kMembersKey; }
--- a/src/core/core_facts.h
+++ b/src/core/core_facts.h
@@ -96,10 +96,7 @@
   return "request/" + std::to_string(aRequest);
 }
 
-inline std::string FeedKey(store_feed aFeed)
-{
-  return aFeed == store_feed::Operator ? "feed/operator" : "feed/replicas";
-}
+inline constexpr char kStoreKey[] = "store";
 
 // Key of the suspect entry of a request fingerprint.
 inline std::string SuspectKey(std::uint64_t aFingerprint)
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -15,7 +15,8 @@
 struct forward_config
 {
   // Following the store.
-  micros mWatchWait = std::chrono::seconds(4);
+  micros mWatchWait = std::chrono::seconds(5);
+  micros mWatchPause = std::chrono::milliseconds(250); // after changes
   micros mRetryFirst = std::chrono::milliseconds(100); // doubles with each failure
   micros mRetryMost = std::chrono::seconds(1);
   // Entries that expired while the store was away are written again within this time.
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -10,13 +10,6 @@
 
 namespace redwingdock {
 
-// Each feed is a set of keys that is listed and then watched.
-enum class store_feed
-{
-  Operator, // configuration and closed zones
-  Replicas,
-};
-
 // A zone that must get no new work.
 struct closed_zone
 {
@@ -56,7 +49,6 @@
 // One page of a listing. mRound is that of the command.
 struct store_page_read
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
   std::vector<store_item_pointer> mItems;
   bool mMore = false;
@@ -68,7 +60,6 @@
 // A watch returned; without items when nothing changed.
 struct store_changes_read
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
   std::vector<store_item_pointer> mItems;
   std::uint64_t mAsOf = 0;
@@ -84,7 +75,6 @@
 
 struct store_read_failed
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
   store_failure mFailure = store_failure::Unavailable;
   reason mReason;
@@ -92,10 +82,9 @@
   auto operator<=>(const store_read_failed&) const = default;
 };
 
-// Command: read the page of a feed that begins after mAfter; empty for the first one.
+// Command: read the page of all items that begins after the key mAfter; empty for the first one.
 struct read_store_page
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
   std::string mAfter;
 
@@ -105,7 +94,6 @@
 // Command: wait up to mWait for changes after a revision.
 struct watch_store
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
   std::uint64_t mAfter = 0;
   micros mWait{ 0 };
--- a/src/daemon/backend_client.h
+++ b/src/daemon/backend_client.h
@@ -67,7 +67,7 @@
   {
     std::uint64_t mId = 0;
     std::shared_ptr<tcp_connection> mConnection;
-    http_reader mReader{ http_side::Client, kCancelReplyLimit };
+    http_reader mReader{ http_side::Client, { kCancelReplyLimit } };
     std::deque<attempt_id> mWaiting; // the first one is sent
   };
 
--- a/src/daemon/backend_client_test.cc
+++ b/src/daemon/backend_client_test.cc
@@ -43,7 +43,7 @@
 
 std::string Replied(unsigned aStatus, const std::string& aBody, bool aKeepAlive = true)
 {
-  return FormatReply({ aStatus, "application/json", aBody, "" }, aKeepAlive);
+  return FormatReply({ aStatus, "application/json", aBody, {} }, aKeepAlive);
 }
 
 struct client
@@ -223,7 +223,7 @@
   const send_row& row = GetParam();
   io_loop loop(2);
   answering_server server(loop, [](const http_message&) {
-    return http_response{ 200, "", "", "" };
+    return http_response{ 200, "", "", {} };
   });
   client tested(loop);
   loop.Start();
@@ -341,8 +341,8 @@
   rows,
   check_test,
   testing::Values(
-    check_row{ "the usual case", http_response{ 200, "", "{}", "" }, true },
-    check_row{ "a port that another program uses", http_response{ 404, "", "", "" }, false },
+    check_row{ "the usual case", http_response{ 200, "", "{}", {} }, true },
+    check_row{ "a port that another program uses", http_response{ 404, "", "", {} }, false },
     check_row{ "a server that accepts and does not answer", std::nullopt, false }));
 
 // Guards against one connection per cancel, each of which costs the server about 6 ms.
@@ -352,7 +352,7 @@
   std::atomic<int> cancels{ 0 };
   answering_server server(loop, [&cancels](const http_message& aRequest) {
     cancels += aRequest.mTarget == "/v1/cancel" && ParseCancel(aRequest.mBody) ? 1 : 0;
-    return http_response{ 200, "application/json", "{}", "" };
+    return http_response{ 200, "application/json", "{}", {} };
   });
   client tested(loop);
   loop.Start();
--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -11,12 +11,12 @@
 
 http_response ReasonReply(unsigned aStatus, const reason& aReason)
 {
-  return { aStatus, "application/json", FormatReason(aReason), "" };
+  return { aStatus, "application/json", FormatReason(aReason), {} };
 }
 
 http_response AnswerReply(const query_answer& aAnswer)
 {
-  return { StatusOf(aAnswer.mOutcome), "application/json", FormatAnswer(aAnswer), "" };
+  return { StatusOf(aAnswer.mOutcome), "application/json", FormatAnswer(aAnswer), {} };
 }
 
 query_answer WithoutResult(outcome aOutcome, reason aReason)
@@ -115,21 +115,21 @@
 {
   const std::string_view path = PathOf(aRequest.mTarget);
   if (path == "/v1/view") {
-    return { 200, "application/json", mHooks.mView(), "" };
+    return { 200, "application/json", mHooks.mView(), {} };
   }
   if (path == "/metrics") {
-    return { 200, "text/plain; version=0.0.4", mHooks.mMetrics(), "" };
+    return { 200, "text/plain; version=0.0.4", mHooks.mMetrics(), {} };
   }
   if (path == "/v1/stop") {
     mHooks.mPost(stop_asked{});
-    return { 202, "application/json", R"({"stopping": true})", "" };
+    return { 202, "application/json", R"({"stopping": true})", {} };
   }
   const result<std::string> explained = mHooks.mExplain(QueryParameter(aRequest.mTarget, "route"),
                                                         QueryParameter(aRequest.mTarget, "id"));
   if (!explained) {
     return ReasonReply(404, explained.mReason);
   }
-  return { 200, "application/json", *explained, "" };
+  return { 200, "application/json", *explained, {} };
 }
 
 void caller_api::Answer(const answer_query& aCommand)
@@ -151,7 +151,7 @@
   }
   asked->mReply(aCommand.mAsk,
                 aCommand.mAnswer
-                  ? http_response{ 200, "application/json", FormatEntry(*aCommand.mAnswer), "" }
+                  ? http_response{ 200, "application/json", FormatEntry(*aCommand.mAnswer), {} }
                   : ReasonReply(503, aCommand.mAnswer.mReason));
 }
 
--- a/src/daemon/daemon_cost.cc
+++ b/src/daemon/daemon_cost.cc
@@ -65,7 +65,7 @@
   reply.mMap = 3;
   reply.mRecords = { { aRecord, { { "office", "Solola" } } } };
   reply.mEvidence = server_evidence{ "i-1", server_mode::Warm, { { 40, 3 } } };
-  return http_response{ 200, "application/json", FormatPartReply(reply), "" };
+  return http_response{ 200, "application/json", FormatPartReply(reply), {} };
 }
 
 std::string PoolsText(const std::vector<std::unique_ptr<answering_server>>& aServers)
@@ -108,7 +108,7 @@
       : target.starts_with("/v1/tables/routes")
         ? "revision: 1\nroutes:\n  - {name: search, pools: [desk], hedge: false}\n"
         : pools;
-    return std::optional(http_response{ 200, "text/yaml", text, "1" });
+    return std::optional(http_response{ 200, "text/yaml", text, { { "Table-Revision", "1" } } });
   });
   std::ofstream settings(aDirectory + "/vm.yaml");
   settings << "vm: vm-1\nzone: xela\nlisten:\n  callers: \"127.0.61.1:7001\"\n"
--- a/src/daemon/platform_client_test.cc
+++ b/src/daemon/platform_client_test.cc
@@ -26,7 +26,11 @@
 
 std::string Replied(unsigned aStatus, const std::string& aBody, const std::string& aRevision)
 {
-  return FormatReply({ aStatus, "text/yaml", aBody, aRevision }, true);
+  http_response reply{ aStatus, "text/yaml", aBody, {} };
+  if (!aRevision.empty()) {
+    reply.mFields.push_back({ "Table-Revision", aRevision });
+  }
+  return FormatReply(reply, true);
 }
 
 TEST_P(read_test, EndsInOneFact)
@@ -110,7 +114,7 @@
 {
   io_loop loop(2);
   answering_server service(loop, [](const http_message&) {
-    return http_response{ 200, "text/yaml", "x", "7" };
+    return http_response{ 200, "text/yaml", "x", { { "Table-Revision", "7" } } };
   });
   fact_log facts;
   platform_client tested(loop, { "127.0.0.1:1", service.Address() }, [&facts](fact aFact) {
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -223,8 +223,7 @@
         mPlatform.Read(aEach);
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
-      } else {
-        static_assert(std::is_same_v<type, stop_now>);
+      } else if constexpr (std::is_same_v<type, stop_now>) {
         Log({ log_level::Info, "entry", "planned stop done" });
         EndWhenAnswered(SteadyNow() + kLastAnswers);
       }
--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -27,7 +27,7 @@
 std::optional<http_response> AnswerPart(const http_message& aRequest, behaviour aBehaviour)
 {
   if (aRequest.mTarget != "/v1/part") {
-    return http_response{ 200, "application/json", "{}", "" };
+    return http_response{ 200, "application/json", "{}", {} };
   }
   const result<part_call> call = ParsePartRequest(aRequest.mBody);
   if (!call || aBehaviour == behaviour::Silent) {
@@ -44,7 +44,7 @@
   return http_response{ 200,
                         "application/json",
                         aBehaviour == behaviour::NotJson ? "<html>" : FormatPartReply(reply),
-                        "" };
+                        {} };
 }
 
 // One daemon between two backend servers and a configuration service.
@@ -123,7 +123,7 @@
   static http_response Reply(int aRevision, const std::string& aText)
   {
     const std::string revision = std::to_string(aRevision);
-    return { 200, "text/yaml", "revision: " + revision + "\n" + aText, revision };
+    return { 200, "text/yaml", "revision: " + revision + "\n" + aText, { { "Table-Revision", revision } } };
   }
 
   std::string Query() const
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -1,7 +1,7 @@
 #include "follow/follow_controller.h"
 
 #include "core/core_facts.h"
-#include "follow/feed_state.h"
+#include "follow/follow_state.h"
 
 #include <algorithm>
 #include <utility>
@@ -12,59 +12,50 @@
 
 constexpr std::uint32_t kMostDoublings = 8;
 
-// Starts the read of a feed that is due, unless another round has begun.
+// Starts the next read, unless another round has begun.
 struct read_due
 {
-  store_feed mFeed = store_feed::Operator;
   std::uint64_t mRound = 0;
 
   auto operator<=>(const read_due&) const = default;
 };
 
-// Held deletions of a feed may be over.
+// Held deletions may be over.
 struct hold_due
 {
-  store_feed mFeed = store_feed::Operator;
-
   auto operator<=>(const hold_due&) const = default;
 };
 
-const char* NameOf(store_feed aFeed)
-{
-  return aFeed == store_feed::Operator ? "operator" : "replicas";
-}
-
-feed_state StateOf(core_context& aContext, store_feed aFeed)
+follow_state StateOf(core_context& aContext)
 {
-  const auto state = aContext.mBoard.Read<feed_state>(FeedKey(aFeed));
-  return state ? *state : feed_state{};
+  const auto state = aContext.mBoard.Read<follow_state>(kStoreKey);
+  return state ? *state : follow_state{};
 }
 
-item_map ItemsOf(core_context& aContext, store_feed aFeed)
+item_map ItemsOf(core_context& aContext)
 {
-  const auto items = aContext.mBoard.Read<published_items>(FeedKey(aFeed));
+  const auto items = aContext.mBoard.Read<published_items>(kStoreKey);
   return items ? items->mItems : item_map{};
 }
 
 // Begins the next read and keeps the state.
-void Continue(core_context& aContext, store_feed aFeed, feed_state aState)
+void Continue(core_context& aContext, follow_state aState)
 {
   ++aState.mRound;
-  if (aState.mPhase == feed_phase::Listing) {
-    aContext.Emit(read_store_page{ aFeed, aState.mRound, aState.mAfter });
+  if (aState.mPhase == follow_phase::Listing) {
+    aContext.Emit(read_store_page{ aState.mRound, aState.mAfter });
   } else {
     aContext.Emit(
-      watch_store{ aFeed, aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
+      watch_store{ aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
   }
-  aContext.mBoard.Write(FeedKey(aFeed), std::move(aState));
+  aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
 
-feed_state Heard(core_context& aContext, store_feed aFeed, feed_state aState)
+follow_state Heard(core_context& aContext, follow_state aState)
 {
   if (aState.mFailures > 0) {
     aContext.Log("follow",
-                 std::string("event=store_regained feed=") + NameOf(aFeed) +
-                   " failures=" + std::to_string(aState.mFailures));
+                 "event=store_regained failures=" + std::to_string(aState.mFailures));
     aState.mFailures = 0;
   }
   return aState;
@@ -72,10 +63,9 @@
 
 // Takes a key out, or holds it when the store was away a moment ago.
 void Remove(core_context& aContext,
-            store_feed aFeed,
             const std::string& aKey,
             item_map& aItems,
-            feed_state& aState)
+            follow_state& aState)
 {
   if (!aItems.contains(aKey) || aState.mHeld.contains(aKey)) {
     return;
@@ -86,10 +76,10 @@
   }
   const micros wait = aContext.mConfig.mForward.mReturnTime;
   aState.mHeld.emplace(aKey, aContext.Now() + wait);
-  aContext.After(wait, FeedKey(aFeed), hold_due{ aFeed });
+  aContext.After(wait, kStoreKey, hold_due{});
 }
 
-void Put(const store_item_pointer& aItem, item_map& aItems, feed_state& aState)
+void Put(const store_item_pointer& aItem, item_map& aItems, follow_state& aState)
 {
   const auto found = aItems.find(aItem->mKey);
   if (found != aItems.end() && found->second->mRevision > aItem->mRevision) {
@@ -101,11 +91,11 @@
 
 void OnPage(core_context& aContext, const store_page_read& aFact)
 {
-  feed_state state = StateOf(aContext, aFact.mFeed);
-  if (state.mRound != aFact.mRound || state.mPhase != feed_phase::Listing) {
+  follow_state state = StateOf(aContext);
+  if (state.mRound != aFact.mRound || state.mPhase != follow_phase::Listing) {
     return;
   }
-  state = Heard(aContext, aFact.mFeed, std::move(state));
+  state = Heard(aContext, std::move(state));
   // Pages are read at different revisions. A watch from that of the first one repeats what
   // happened between them.
   if (state.mAfter.empty()) {
@@ -117,10 +107,10 @@
   }
   if (aFact.mMore && !aFact.mItems.empty()) {
     state.mAfter = aFact.mItems.back()->mKey;
-    Continue(aContext, aFact.mFeed, std::move(state));
+    Continue(aContext, std::move(state));
     return;
   }
-  item_map items = ItemsOf(aContext, aFact.mFeed);
+  item_map items = ItemsOf(aContext);
   std::vector<std::string> gone;
   for (const auto& [key, item] : items) {
     if (!state.mListed.contains(key)) {
@@ -128,31 +118,31 @@
     }
   }
   for (const std::string& key : gone) {
-    Remove(aContext, aFact.mFeed, key, items, state);
+    Remove(aContext, key, items, state);
   }
   for (const auto& [key, item] : state.mListed) {
     Put(item, items, state);
   }
   aContext.Log("follow",
-               std::string("event=listed feed=") + NameOf(aFact.mFeed) + " items=" +
+               "event=listed items=" +
                  std::to_string(items.size()) + " gone=" + std::to_string(gone.size()) +
                  " as_of=" + std::to_string(state.mAsOf));
   state.mListed.clear();
   state.mAfter.clear();
-  state.mPhase = feed_phase::Watching;
-  aContext.mBoard.Write(FeedKey(aFact.mFeed), published_items{ std::move(items) });
-  Continue(aContext, aFact.mFeed, std::move(state));
+  state.mPhase = follow_phase::Watching;
+  aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
+  Continue(aContext, std::move(state));
 }
 
 void OnChanges(core_context& aContext, const store_changes_read& aFact)
 {
-  feed_state state = StateOf(aContext, aFact.mFeed);
-  if (state.mRound != aFact.mRound || state.mPhase != feed_phase::Watching) {
+  follow_state state = StateOf(aContext);
+  if (state.mRound != aFact.mRound || state.mPhase != follow_phase::Watching) {
     return;
   }
-  state = Heard(aContext, aFact.mFeed, std::move(state));
+  state = Heard(aContext, std::move(state));
   if (!aFact.mItems.empty()) {
-    item_map items = ItemsOf(aContext, aFact.mFeed);
+    item_map items = ItemsOf(aContext);
     for (const store_item_pointer& item : aFact.mItems) {
       if (!std::holds_alternative<deleted_value>(item->mValue)) {
         Put(item, items, state);
@@ -160,25 +150,32 @@
       }
       const auto found = items.find(item->mKey);
       if (found != items.end() && found->second->mRevision < item->mRevision) {
-        Remove(aContext, aFact.mFeed, item->mKey, items, state);
+        Remove(aContext, item->mKey, items, state);
       }
     }
-    aContext.mBoard.Write(FeedKey(aFact.mFeed), published_items{ std::move(items) });
+    aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
   }
   state.mAsOf = std::max(state.mAsOf, aFact.mAsOf);
-  Continue(aContext, aFact.mFeed, std::move(state));
+  if (aFact.mItems.empty()) {
+    Continue(aContext, std::move(state));
+    return;
+  }
+  // Changes come in series. The pause reads several of them with one call.
+  aContext.After(
+    aContext.mConfig.mForward.mWatchPause, kStoreKey, read_due{ state.mRound });
+  aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
 void OnFailed(core_context& aContext, const store_read_failed& aFact)
 {
-  feed_state state = StateOf(aContext, aFact.mFeed);
+  follow_state state = StateOf(aContext);
   if (state.mRound != aFact.mRound) {
     return;
   }
   const forward_config& config = aContext.mConfig.mForward;
   if (state.mFailures == 0) {
     aContext.Log("follow",
-                 std::string("event=store_lost feed=") + NameOf(aFact.mFeed) + " as_of=" +
+                 "event=store_lost as_of=" +
                    std::to_string(state.mAsOf) + " reason=\"" + Describe(aFact.mReason) + "\"",
                  log_level::Warning);
   }
@@ -186,9 +183,9 @@
   ++state.mFailures;
   state.mDistrustUntil = aContext.Now() + config.mDistrustTime;
   if (aFact.mFailure == store_failure::HistoryGone) {
-    state.mPhase = feed_phase::Listing;
+    state.mPhase = follow_phase::Listing;
     state.mAfter.clear();
-    Continue(aContext, aFact.mFeed, std::move(state));
+    Continue(aContext, std::move(state));
     return;
   }
   const auto doublings = std::min(state.mFailures - 1, kMostDoublings);
@@ -197,22 +194,22 @@
   // Daemons that lost the store together do not come back in step.
   const micros spread(static_cast<std::int64_t>(
     aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
-  aContext.After(wait / 2 + spread, FeedKey(aFact.mFeed), read_due{ aFact.mFeed, state.mRound });
-  aContext.mBoard.Write(FeedKey(aFact.mFeed), std::move(state));
+  aContext.After(wait / 2 + spread, kStoreKey, read_due{ state.mRound });
+  aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
 void OnReadDue(core_context& aContext, const read_due& aFact)
 {
-  feed_state state = StateOf(aContext, aFact.mFeed);
+  follow_state state = StateOf(aContext);
   if (state.mRound == aFact.mRound) {
-    Continue(aContext, aFact.mFeed, std::move(state));
+    Continue(aContext, std::move(state));
   }
 }
 
-void OnHoldDue(core_context& aContext, store_feed aFeed)
+void OnHoldDue(core_context& aContext)
 {
-  feed_state state = StateOf(aContext, aFeed);
-  item_map items = ItemsOf(aContext, aFeed);
+  follow_state state = StateOf(aContext);
+  item_map items = ItemsOf(aContext);
   std::size_t over = 0;
   for (auto it = state.mHeld.begin(); it != state.mHeld.end();) {
     if (it->second > aContext.Now()) {
@@ -227,10 +224,9 @@
     return;
   }
   aContext.Log("follow",
-               std::string("event=held_entries_gone feed=") + NameOf(aFeed) +
-                 " count=" + std::to_string(over));
-  aContext.mBoard.Write(FeedKey(aFeed), std::move(state));
-  aContext.mBoard.Write(FeedKey(aFeed), published_items{ std::move(items) });
+               "event=held_entries_gone count=" + std::to_string(over));
+  aContext.mBoard.Write(kStoreKey, std::move(state));
+  aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
 }
 
 } // namespace
@@ -250,10 +246,8 @@
   board.OnFact<read_due>(
     [&aContext](const std::string&, const read_due& aFact) { OnReadDue(aContext, aFact); });
   board.OnFact<hold_due>(
-    [&aContext](const std::string&, const hold_due& aFact) { OnHoldDue(aContext, aFact.mFeed); });
-  for (const store_feed feed : { store_feed::Operator, store_feed::Replicas }) {
-    aContext.After(micros(0), FeedKey(feed), read_due{ feed, 0 });
-  }
+    [&aContext](const std::string&, const hold_due&) { OnHoldDue(aContext); });
+  aContext.After(micros(0), kStoreKey, read_due{ 0 });
 }
 
 } // namespace redwingdock
--- a/src/follow/feed_state.h
+++ b/src/follow/follow_state.h
@@ -1,19 +1,19 @@
-#ifndef REDWINGDOCK_FOLLOW_FEED_STATE_H
-#define REDWINGDOCK_FOLLOW_FEED_STATE_H
+#ifndef REDWINGDOCK_FOLLOW_FOLLOW_STATE_H
+#define REDWINGDOCK_FOLLOW_FOLLOW_STATE_H
 
 #include "core/store.h"
 
 #include <map>
 
-// What is known of one feed of the store.
+// What is known of the store.
 //
-//   auto items = board.Read<published_items>(FeedKey(store_feed::Replicas));
+//   auto items = board.Read<published_items>(kStoreKey);
 
 namespace redwingdock {
 
 using item_map = std::map<std::string, store_item_pointer>; // by key
 
-// Items in force. Entry key: FeedKey.
+// Items in force. Entry key: kStoreKey.
 struct published_items
 {
   item_map mItems;
@@ -21,16 +21,16 @@
   auto operator<=>(const published_items&) const = default;
 };
 
-enum class feed_phase
+enum class follow_phase
 {
   Listing,
   Watching,
 };
 
-// Progress of the reads. Entry key: FeedKey.
-struct feed_state
+// Progress of the reads. Entry key: kStoreKey.
+struct follow_state
 {
-  feed_phase mPhase = feed_phase::Listing;
+  follow_phase mPhase = follow_phase::Listing;
   std::uint64_t mRound = 0; // of the read that is running; replies of others are ignored
   item_map mListed;         // pages read so far
   std::string mAfter;       // last key of those pages
@@ -39,7 +39,7 @@
   instant mDistrustUntil{};    // deletions are held until then
   std::map<std::string, instant> mHeld; // keys that are gone, and when they count as gone
 
-  auto operator<=>(const feed_state&) const = default;
+  auto operator<=>(const follow_state&) const = default;
 };
 
 } // namespace redwingdock
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -23,7 +23,7 @@
 // The store.
 inline constexpr char kRangePath[] = "/kv-range";
 inline constexpr char kWatchPath[] = "/kv-watch";
-inline constexpr char kOperatorPrefix[] = "op/";
+inline constexpr char kAllKeys[] = ""; // a prefix of every key
 inline constexpr char kConfigurationKey[] = "op/config";
 inline constexpr char kClosedZonePrefix[] = "op/evacuate/"; // then the zone
 inline constexpr char kReplicaPrefix[] = "servers/";        // then the id of the replica
--- a/src/platform/published_codec.h
+++ b/src/platform/published_codec.h
@@ -14,7 +14,7 @@
 
 namespace redwingdock::platform {
 
-// One page of a range call. Feed and round of the result are left to the caller.
+// One page of a range call. The round of the result is left to the caller.
 result<store_page_read> DecodePage(std::string_view aBody);
 
 // The events of a watch call.
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -16,17 +16,12 @@
 constexpr std::uint32_t kConnections = 4;
 constexpr std::size_t kReplyLimit = std::size_t{ 8 } * 1024 * 1024; // a page holds 1 MB of values
 
-const char* PrefixOf(store_feed aFeed)
-{
-  return aFeed == store_feed::Operator ? kOperatorPrefix : kReplicaPrefix;
-}
-
 template<typename Command>
 fact Decode(const Command& aCommand, const pool_result& aResult)
 {
   constexpr unsigned kOk = 200;
   constexpr unsigned kGone = 410;
-  store_read_failed failed{ aCommand.mFeed, aCommand.mRound };
+  store_read_failed failed{ aCommand.mRound };
   if (aResult.mEnd != pool_end::Answered) {
     failed.mReason = aResult.mReason;
     return failed;
@@ -48,7 +43,6 @@
     failed.mReason = decoded.mReason;
     return failed;
   }
-  (*decoded).mFeed = aCommand.mFeed;
   (*decoded).mRound = aCommand.mRound;
   return std::move(*decoded);
 }
@@ -64,7 +58,7 @@
 
 void store_calls::Read(const read_store_page& aCommand)
 {
-  std::string target = std::string(kRangePath) + "?prefix=" + PrefixOf(aCommand.mFeed);
+  std::string target = std::string(kRangePath) + "?prefix=" + kAllKeys;
   if (!aCommand.mAfter.empty()) {
     target += "&after=" + aCommand.mAfter;
   }
@@ -74,7 +68,7 @@
 void store_calls::Watch(const watch_store& aCommand)
 {
   Call(aCommand,
-       std::string(kWatchPath) + "?prefix=" + PrefixOf(aCommand.mFeed) +
+       std::string(kWatchPath) + "?prefix=" + kAllKeys +
          "&after=" + std::to_string(aCommand.mAfter) +
          "&waitMs=" + std::to_string(ToMs(aCommand.mWait)),
        aCommand.mWait + kReplyTime);
--- a/src/platform/store_calls.h
+++ b/src/platform/store_calls.h
@@ -11,7 +11,7 @@
 // The read calls of the platform's store. Each command is answered by one fact.
 //
 //   store_calls store(loop, "10.0.0.7:8102", [&](fact aFact) { driver.Post(std::move(aFact)); });
-//   store.Read(read_store_page{ store_feed::Replicas, 1, "" });
+//   store.Read(read_store_page{ 1, "" });
 
 namespace redwingdock::platform {
 
--- a/src/testing/fake_fleet.h
+++ b/src/testing/fake_fleet.h
@@ -1,7 +1,7 @@
 #ifndef REDWINGDOCK_TESTING_FAKE_FLEET_H
 #define REDWINGDOCK_TESTING_FAKE_FLEET_H
 
-#include "core/core.h"
+#include "assembly/record_search.h"
 #include "testing/fake_server.h"
 
 #include <memory>
