Prefer replicas of the own zone more

The cost of another zone rises from 0.35 to 0.8 of a usual latency.

Tried and dropped: naming callers one daemon in each zone that has most of the replicas.

--- a/src/forward/choice.cc
+++ b/src/forward/choice.cc
@@ -7,7 +7,7 @@
 namespace {
 
 // Costs in multiples of the usual latency of a part.
-constexpr double kOtherZone = 0.35; // bytes between zones are paid for
+constexpr double kOtherZone = 0.8; // bytes between zones are paid for
 constexpr double kCold = 0.8;       // a cold replica takes about that much longer
 constexpr double kOverdue = 4;      // a pause lasts several times the usual latency
 constexpr double kFailing = 6;      // a failed attempt costs a repeat, which is scarce
