--- a/src/assembly/record_search_benchmark.cc
+++ b/src/assembly/record_search_benchmark.cc
@@ -1,5 +1,5 @@
-#include "codec/peer_codec.h"
 #include "assembly/record_search.h"
+#include "codec/peer_codec.h"
 #include "core/core_facts.h"
 #include "membership/view_exchange.h"
 #include "permits/permits.h"
--- a/src/catalog/catalog_controller.cc
+++ b/src/catalog/catalog_controller.cc
@@ -116,9 +116,9 @@
 void LogReplica(core_context& aContext, const char* aEvent, const replica_entry& aReplica)
 {
   aContext.Log("catalog",
-               std::string("event=") + aEvent + " replica=" + aReplica.mId + " service=" +
-                 aReplica.mService + " address=" + aReplica.mAddress + " zone=" + aReplica.mZone +
-                 " draining=" + (aReplica.mDraining ? "yes" : "no") +
+               std::string("event=") + aEvent + " replica=" + aReplica.mId +
+                 " service=" + aReplica.mService + " address=" + aReplica.mAddress +
+                 " zone=" + aReplica.mZone + " draining=" + (aReplica.mDraining ? "yes" : "no") +
                  " cold_ms=" + std::to_string(ToMs(aReplica.mColdFor)));
 }
 
@@ -135,8 +135,7 @@
     }
     present.insert(entry->mId);
     const auto old = known.find(entry->mId);
-    if (old != known.end() &&
-        (IsSame(*entry, *old->second) || IsOlder(*entry, *old->second))) {
+    if (old != known.end() && (IsSame(*entry, *old->second) || IsOlder(*entry, *old->second))) {
       next.mReplicas[old->second->mService].push_back(old->second);
       continue;
     }
@@ -164,8 +163,7 @@
   const auto before = aContext.mBoard.Read<catalog>(kCatalogKey);
   aContext.mBoard.Write(
     kCatalogKey,
-    WithReplicaItems(
-      aContext, WithOperatorItems(aContext, before, items->mItems), items->mItems));
+    WithReplicaItems(aContext, WithOperatorItems(aContext, before, items->mItems), items->mItems));
 }
 
 } // namespace
@@ -173,8 +171,7 @@
 void AddCatalogController(core_context& aContext)
 {
   // Only hooks of this key write the catalog, so that they never run at the same time.
-  aContext.mBoard.OnChange<published_items>(
-    [&aContext](const std::string&) { OnItems(aContext); });
+  aContext.mBoard.OnChange<published_items>([&aContext](const std::string&) { OnItems(aContext); });
 }
 
 } // namespace redwingdock
--- a/src/catalog/routes.cc
+++ b/src/catalog/routes.cc
@@ -26,8 +26,8 @@
   if (found == aCatalog.mRoutes.end()) {
     return nullptr;
   }
-  const auto route = std::find_if(
-    found->second.begin(), found->second.end(), [aPath](const route_pointer& aRoute) {
+  const auto route =
+    std::find_if(found->second.begin(), found->second.end(), [aPath](const route_pointer& aRoute) {
       return aPath.starts_with(aRoute->mPrefix);
     });
   return route == found->second.end() ? nullptr : *route;
--- a/src/core/catalog.h
+++ b/src/core/catalog.h
@@ -109,8 +109,8 @@
 struct catalog
 {
   std::uint64_t mVersion = 0;
-  std::map<std::string, std::vector<route_pointer>> mRoutes; // by host, longest prefix first
-  std::map<std::string, service_limits> mServices;           // by name
+  std::map<std::string, std::vector<route_pointer>> mRoutes;     // by host, longest prefix first
+  std::map<std::string, service_limits> mServices;               // by name
   std::map<std::string, std::vector<replica_pointer>> mReplicas; // by service, then by id
   std::set<std::string> mClosedZones;
   client_limits mLimits;
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -29,7 +29,7 @@
   micros mHeartbeatInterval = std::chrono::milliseconds(400);
   micros mMemberTtl = std::chrono::milliseconds(1600); // four heartbeats
   micros mAddressTtl = std::chrono::seconds(60); // addresses that do not answer are called so long
-  micros mEntryLifetime = std::chrono::seconds(2); // of an answer that names addresses
+  micros mEntryLifetime = std::chrono::seconds(2);      // of an answer that names addresses
   micros mLingerTime = std::chrono::milliseconds(2300); // a stopping daemon accepts callers so long
   micros mStopLimit = std::chrono::milliseconds(5600);  // after this a stopping daemon ends
 
--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -58,8 +58,8 @@
 struct forward_reply
 {
   unsigned mStatus = 0;
-  std::string mSignature;            // of the replica; empty when missing
-  std::vector<reply_field> mFields;  // end-to-end fields
+  std::string mSignature;           // of the replica; empty when missing
+  std::vector<reply_field> mFields; // end-to-end fields
   std::string mBody;
 
   bool IsSuccess() const { return mStatus >= 200 && mStatus < 300 && !mSignature.empty(); }
--- a/src/daemon/datagrams.cc
+++ b/src/daemon/datagrams.cc
@@ -62,7 +62,8 @@
 } // namespace detail
 
 datagrams::datagrams(io_loop& aLoop, receive_hook aOnReceive)
-  : mState(std::make_shared<detail::datagram_state>(detail::ContextOf(aLoop), std::move(aOnReceive)))
+  : mState(
+      std::make_shared<detail::datagram_state>(detail::ContextOf(aLoop), std::move(aOnReceive)))
 {
 }
 
--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -151,7 +151,8 @@
         aState.mLeftover = aState.mLeftover || aState.mReader.Buffered() > 0;
         return;
       }
-      // A second reply to an earlier request. The own one follows; the connection is not used again.
+      // A second reply to an earlier request. The own one follows; the connection is not used
+      // again.
       aState.mLeftover = true;
       if (!reply.mKeepAlive) {
         aState.mTcp->Close("reply to another request");
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -30,7 +30,7 @@
   std::string mText;
   std::uint32_t mConnections = 8; // to the address at most
   micros mConnectTime = std::chrono::seconds(1);
-  micros mReplyTime = std::chrono::seconds(30); // from the send on
+  micros mReplyTime = std::chrono::seconds(30);             // from the send on
   std::size_t mReplyLimit = std::size_t{ 4 } * 1024 * 1024; // bytes of the body
   // Whether a reply belongs to this request; others are passed over. Every reply when not set.
   std::function<bool(const http_message&)> mOwns;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -76,8 +76,8 @@
     aConnection->Close("too many connections");
     return;
   }
-  mSessions.Insert(
-    id, session{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true });
+  mSessions.Insert(id,
+                   session{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true });
   aConnection->ExpireAfter(limits.mIdleTime);
   tcp_hooks hooks;
   hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -41,9 +41,10 @@
 
 const std::string* http_message::Find(std::string_view aName) const
 {
-  const auto found = std::find_if(mFields.begin(), mFields.end(), [aName](const http_field& aField) {
-    return SameName(aField.mName, aName);
-  });
+  const auto found =
+    std::find_if(mFields.begin(), mFields.end(), [aName](const http_field& aField) {
+      return SameName(aField.mName, aName);
+    });
   return found == mFields.end() ? nullptr : &found->mValue;
 }
 
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -41,7 +41,8 @@
 std::optional<tcp::endpoint> TcpEndpoint(const std::string& aAddress)
 {
   const std::optional<detail::endpoint> endpoint = detail::ParseEndpoint(aAddress);
-  return endpoint ? std::optional(tcp::endpoint(endpoint->mAddress, endpoint->mPort)) : std::nullopt;
+  return endpoint ? std::optional(tcp::endpoint(endpoint->mAddress, endpoint->mPort))
+                  : std::nullopt;
 }
 
 constexpr std::size_t kReadSize = std::size_t{ 64 } * 1024;
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -79,17 +79,18 @@
 struct tcp_end
 {
   std::string mWhy;
-  bool mOrderly = false; // the other side closed it after its last byte; otherwise reset or closed here
+  bool mOrderly =
+    false; // the other side closed it after its last byte; otherwise reset or closed here
 
   auto operator<=>(const tcp_end&) const = default;
 };
 
 struct tcp_hooks
 {
-  std::function<void()> mOnOpen;                     // connected (outgoing connections)
-  std::function<void(std::string_view)> mOnBytes;    // one call at a time per connection
-  std::function<void()> mOnExpired;                  // ExpireAfter is over; closes when not set
-  std::function<void(const tcp_end&)> mOnClosed;     // once
+  std::function<void()> mOnOpen;                  // connected (outgoing connections)
+  std::function<void(std::string_view)> mOnBytes; // one call at a time per connection
+  std::function<void()> mOnExpired;               // ExpireAfter is over; closes when not set
+  std::function<void(const tcp_end&)> mOnClosed;  // once
 };
 
 // A TCP connection. Its socket and buffers are guarded by a lock of its own.
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -74,10 +74,10 @@
   const core_config& config = aContext.mConfig;
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
   const bool serving = known && known->mVersion > 0 && !known->mReplicas.empty();
-  aView.mSelf = { config.mVm,          std::stoull(config.mIncarnation), config.mAddress,
-                  config.mCallAddress, config.mZone,                     serving && !aView.mLeaving };
-  const auto live =
-    static_cast<std::uint32_t>(LivePeers(aView, LiveSince(aContext)).size()) + 1;
+  aView.mSelf = { config.mVm,      std::stoull(config.mIncarnation),
+                  config.mAddress, config.mCallAddress,
+                  config.mZone,    serving && !aView.mLeaving };
+  const auto live = static_cast<std::uint32_t>(LivePeers(aView, LiveSince(aContext)).size()) + 1;
   aView.mMostSeen = std::max(aView.mMostSeen, live);
   return aView;
 }
@@ -108,14 +108,12 @@
 void OnHeartbeat(core_context& aContext, const heartbeat& aHeartbeat)
 {
   const fleet_view before = ViewOf(aContext);
-  fleet_view next =
-    WithPresentSelf(aContext, WithHeartbeat(before, aHeartbeat, aContext.Now()));
+  fleet_view next = WithPresentSelf(aContext, WithHeartbeat(before, aHeartbeat, aContext.Now()));
   LogLiveChange(aContext, before, next);
   // A daemon that has just started is answered at once, so that it need not wait for a heartbeat.
   if (next.mMembers.size() > before.mMembers.size()) {
-    aContext.Emit(
-      send_heartbeat{ aHeartbeat.mSender.mPeerAddress,
-                      { next.mSelf, LivePeers(next, LiveSince(aContext)) } });
+    aContext.Emit(send_heartbeat{ aHeartbeat.mSender.mPeerAddress,
+                                  { next.mSelf, LivePeers(next, LiveSince(aContext)) } });
   }
   aContext.mBoard.Write(kFleetKey, std::move(next));
 }
@@ -188,10 +186,10 @@
   blackboard& board = aContext.mBoard;
   board.OnFact<heartbeat_due>(
     [&aContext](const std::string&, const heartbeat_due&) { OnHeartbeatDue(aContext); });
-  board.OnFact<heartbeat_received>([&aContext](const std::string&,
-                                               const heartbeat_received& aFact) {
-    OnHeartbeat(aContext, aFact.mHeartbeat);
-  });
+  board.OnFact<heartbeat_received>(
+    [&aContext](const std::string&, const heartbeat_received& aFact) {
+      OnHeartbeat(aContext, aFact.mHeartbeat);
+    });
   board.OnFact<entry_asked>(
     [&aContext](const std::string&, const entry_asked& aFact) { OnAsked(aContext, aFact); });
   // These two are posted by others to keys of their own and are processed with the fleet.
--- /dev/null
+++ b/src/fleet/fleet_controller_test.cc
@@ -0,0 +1,145 @@
+#include "testing/forwarding_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+heartbeat From(const std::string& aVm, std::uint64_t aIncarnation, bool aServing)
+{
+  return { { aVm, aIncarnation, "127.0.0.9:7380", "call-" + aVm, "zone-2", aServing }, {} };
+}
+
+std::vector<std::string> Named(forwarding_rig& aRig)
+{
+  aRig.mEntries.clear();
+  aRig.Post(entry_asked{ 1, "search.example", "zone-1" });
+  return aRig.mEntries.empty() || !aRig.mEntries.front().mAnswer
+           ? std::vector<std::string>{}
+           : aRig.mEntries.front().mAnswer->mAddresses;
+}
+
+constexpr char kOwn[] = "127.0.0.1:8100";
+
+struct entry_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(forwarding_rig&)> mHappens;
+  std::vector<std::string> mNamed;
+};
+
+class entry_test : public ::testing::TestWithParam<entry_row>
+{};
+
+TEST_P(entry_test, NamesDaemonsThatServe)
+{
+  forwarding_rig rig({});
+  rig.Publish(Replica("a-1", "a", "zone-1"));
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.RunFor(seconds(1));
+  GetParam().mHappens(rig);
+  EXPECT_EQ(Named(rig), GetParam().mNamed) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  entry_test,
+  ::testing::Values(
+    entry_row{ "a daemon does not name itself", [](forwarding_rig&) {}, { kOwn } },
+    entry_row{ "a daemon that was heard is not named",
+               [](forwarding_rig& aRig) { aRig.Post(heartbeat_received{ From("vm-2", 5, true) }); },
+               { kOwn, "call-vm-2" } },
+    entry_row{
+      "a daemon without configuration is named",
+      [](forwarding_rig& aRig) { aRig.Post(heartbeat_received{ From("vm-2", 5, false) }); },
+      { kOwn } },
+    entry_row{ "a daemon that fell silent is named",
+               [](forwarding_rig& aRig) {
+                 aRig.Post(heartbeat_received{ From("vm-2", 5, true) });
+                 aRig.RunFor(seconds(3));
+               },
+               { kOwn } },
+    entry_row{ "a delayed heartbeat of an earlier start brings a leaving daemon back",
+               [](forwarding_rig& aRig) {
+                 aRig.Post(heartbeat_received{ From("vm-2", 5, false) });
+                 aRig.Post(heartbeat_received{ From("vm-2", 4, true) });
+               },
+               { kOwn } },
+    entry_row{ "a daemon whose clock went back is never named again",
+               [](forwarding_rig& aRig) {
+                 aRig.Post(heartbeat_received{ From("vm-2", 5, true) });
+                 aRig.RunFor(seconds(3));
+                 aRig.Post(heartbeat_received{ From("vm-2", 4, true) });
+               },
+               { kOwn, "call-vm-2" } },
+    entry_row{ "a stopping daemon names itself",
+               [](forwarding_rig& aRig) {
+                 aRig.Post(heartbeat_received{ From("vm-2", 5, true) });
+                 aRig.Post(stop_asked{});
+               },
+               { "call-vm-2" } }));
+
+struct stop_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(forwarding_rig&)> mHappens; // after the stop signal
+  milliseconds mLeast;                           // until the end
+  milliseconds mMost;
+};
+
+class stop_test : public ::testing::TestWithParam<stop_row>
+{};
+
+TEST_P(stop_test, EndsWhenTheWorkIsDone)
+{
+  forwarding_rig rig({});
+  rig.Publish(Replica("a-1", "a", "zone-1"));
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.Script("a-1", [](int aCount) {
+    return replica_action{ attempt_end::Answered, milliseconds(aCount == 0 ? 900 : 30) };
+  });
+  rig.RunFor(seconds(1));
+  const instant began = rig.Now();
+  rig.Post(stop_asked{});
+  GetParam().mHappens(rig);
+  rig.RunFor(seconds(8));
+  ASSERT_TRUE(rig.mClosedAt && rig.mStoppedAt);
+  EXPECT_LT(*rig.mClosedAt, *rig.mStoppedAt);
+  EXPECT_GE(*rig.mStoppedAt - began, GetParam().mLeast) << GetParam().mGuardsAgainst;
+  EXPECT_LE(*rig.mStoppedAt - began, GetParam().mMost) << GetParam().mGuardsAgainst;
+  for (const auto& [request, answers] : rig.mAnswers) {
+    EXPECT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers.front().mAnswer.mKind, answer_kind::Relayed) << GetParam().mGuardsAgainst;
+    EXPECT_LT(answers.front().mAt, *rig.mStoppedAt) << GetParam().mGuardsAgainst;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  stop_test,
+  ::testing::Values(stop_row{ "an idle daemon keeps its VM waiting",
+                              [](forwarding_rig&) {},
+                              milliseconds(2300),
+                              milliseconds(3000) },
+                    stop_row{ "a request that runs is cut",
+                              [](forwarding_rig& aRig) {
+                                aRig.RunFor(milliseconds(2250));
+                                aRig.Ask(1, "/q/x");
+                              },
+                              milliseconds(3150),
+                              milliseconds(3300) },
+                    // hunt-b194-23: the process ended between the read of a request and its answer.
+                    stop_row{ "a request that is read right after the callers were closed is cut",
+                              [](forwarding_rig& aRig) {
+                                aRig.RunFor(milliseconds(2360));
+                                aRig.Ask(1, "/q/x");
+                                aRig.RunFor(milliseconds(1));
+                              },
+                              milliseconds(3260),
+                              milliseconds(3400) }));
+
+} // namespace
+} // namespace redwingdock::testing
--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -4,6 +4,12 @@
 
 namespace redwingdock {
 
+namespace {
+
+constexpr micros kReorderTime = std::chrono::seconds(1);
+
+} // namespace
+
 fleet_view WithHeartbeat(const fleet_view& aView, const heartbeat& aHeartbeat, instant aNow)
 {
   const daemon_state& sender = aHeartbeat.mSender;
@@ -11,8 +17,10 @@
     return aView;
   }
   const auto known = aView.mMembers.find(sender.mVm);
-  if (known != aView.mMembers.end() &&
-      known->second.mState.mIncarnation > sender.mIncarnation) {
+  // Datagrams overtake each other by less than kReorderTime. After that a lower incarnation is a
+  // start whose time of day was behind.
+  if (known != aView.mMembers.end() && known->second.mState.mIncarnation > sender.mIncarnation &&
+      aNow - known->second.mHeardAt < kReorderTime) {
     return aView;
   }
   fleet_view next = aView;
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -45,8 +45,7 @@
   if (aState.mPhase == follow_phase::Listing) {
     aContext.Emit(read_store_page{ aState.mRound, aState.mAfter });
   } else {
-    aContext.Emit(
-      watch_store{ aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
+    aContext.Emit(watch_store{ aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
   }
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
@@ -54,18 +53,14 @@
 follow_state Heard(core_context& aContext, follow_state aState)
 {
   if (aState.mFailures > 0) {
-    aContext.Log("follow",
-                 "event=store_regained failures=" + std::to_string(aState.mFailures));
+    aContext.Log("follow", "event=store_regained failures=" + std::to_string(aState.mFailures));
     aState.mFailures = 0;
   }
   return aState;
 }
 
 // Takes a key out, or holds it when the store was away a moment ago.
-void Remove(core_context& aContext,
-            const std::string& aKey,
-            item_map& aItems,
-            follow_state& aState)
+void Remove(core_context& aContext, const std::string& aKey, item_map& aItems, follow_state& aState)
 {
   if (!aItems.contains(aKey) || aState.mHeld.contains(aKey)) {
     return;
@@ -124,9 +119,8 @@
     Put(item, items, state);
   }
   aContext.Log("follow",
-               "event=listed items=" +
-                 std::to_string(items.size()) + " gone=" + std::to_string(gone.size()) +
-                 " as_of=" + std::to_string(state.mAsOf));
+               "event=listed items=" + std::to_string(items.size()) +
+                 " gone=" + std::to_string(gone.size()) + " as_of=" + std::to_string(state.mAsOf));
   state.mListed.clear();
   state.mAfter.clear();
   state.mPhase = follow_phase::Watching;
@@ -161,8 +155,7 @@
     return;
   }
   // Changes come in series. The pause reads several of them with one call.
-  aContext.After(
-    aContext.mConfig.mForward.mWatchPause, kStoreKey, read_due{ state.mRound });
+  aContext.After(aContext.mConfig.mForward.mWatchPause, kStoreKey, read_due{ state.mRound });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
@@ -175,8 +168,8 @@
   const forward_config& config = aContext.mConfig.mForward;
   if (state.mFailures == 0) {
     aContext.Log("follow",
-                 "event=store_lost as_of=" +
-                   std::to_string(state.mAsOf) + " reason=\"" + Describe(aFact.mReason) + "\"",
+                 "event=store_lost as_of=" + std::to_string(state.mAsOf) + " reason=\"" +
+                   Describe(aFact.mReason) + "\"",
                  log_level::Warning);
   }
   aContext.Count("follow.failures");
@@ -192,8 +185,8 @@
   const micros wait =
     std::min(config.mRetryMost, config.mRetryFirst * (std::int64_t{ 1 } << doublings));
   // Daemons that lost the store together do not come back in step.
-  const micros spread(static_cast<std::int64_t>(
-    aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
+  const micros spread(
+    static_cast<std::int64_t>(aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
   aContext.After(wait / 2 + spread, kStoreKey, read_due{ state.mRound });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
@@ -223,8 +216,7 @@
   if (over == 0) {
     return;
   }
-  aContext.Log("follow",
-               "event=held_entries_gone count=" + std::to_string(over));
+  aContext.Log("follow", "event=held_entries_gone count=" + std::to_string(over));
   aContext.mBoard.Write(kStoreKey, std::move(state));
   aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
 }
@@ -236,17 +228,15 @@
   blackboard& board = aContext.mBoard;
   board.OnFact<store_page_read>(
     [&aContext](const std::string&, const store_page_read& aFact) { OnPage(aContext, aFact); });
-  board.OnFact<store_changes_read>([&aContext](const std::string&,
-                                               const store_changes_read& aFact) {
-    OnChanges(aContext, aFact);
-  });
-  board.OnFact<store_read_failed>([&aContext](const std::string&, const store_read_failed& aFact) {
-    OnFailed(aContext, aFact);
-  });
+  board.OnFact<store_changes_read>(
+    [&aContext](const std::string&, const store_changes_read& aFact) {
+      OnChanges(aContext, aFact);
+    });
+  board.OnFact<store_read_failed>(
+    [&aContext](const std::string&, const store_read_failed& aFact) { OnFailed(aContext, aFact); });
   board.OnFact<read_due>(
     [&aContext](const std::string&, const read_due& aFact) { OnReadDue(aContext, aFact); });
-  board.OnFact<hold_due>(
-    [&aContext](const std::string&, const hold_due&) { OnHoldDue(aContext); });
+  board.OnFact<hold_due>([&aContext](const std::string&, const hold_due&) { OnHoldDue(aContext); });
   aContext.After(micros(0), kStoreKey, read_due{ 0 });
 }
 
--- /dev/null
+++ b/src/follow/follow_controller_test.cc
@@ -0,0 +1,216 @@
+#include "testing/forwarding_rig.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+std::size_t Replicas(const forwarding_rig& aRig)
+{
+  std::size_t count = 0;
+  if (const auto known = aRig.Board().Read<catalog>(kCatalogKey)) {
+    for (const auto& [service, replicas] : known->mReplicas) {
+      count += replicas.size();
+    }
+  }
+  return count;
+}
+
+std::uint64_t VersionOf(const forwarding_rig& aRig)
+{
+  const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+  return known ? known->mVersion : 0;
+}
+
+store_item Restarted(std::int64_t aBornMs, std::uint64_t aSequence, bool aDraining)
+{
+  store_item item = Replica("a-1", "a", "zone-1");
+  auto& entry = std::get<replica_entry>(item.mValue);
+  entry.mBornMs = aBornMs;
+  entry.mSequence = aSequence;
+  entry.mDraining = aDraining;
+  return item;
+}
+
+bool Draining(const forwarding_rig& aRig)
+{
+  const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+  return known && known->mReplicas.contains("a") && known->mReplicas.at("a").front()->mDraining;
+}
+
+struct follow_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(forwarding_rig&)> mHappens;
+  std::uint64_t mVersion;
+  std::size_t mReplicas;
+};
+
+class follow_test : public ::testing::TestWithParam<follow_row>
+{};
+
+// Version 7 and two replicas are known before.
+TEST_P(follow_test, KeepsACopyOfWhatIsPublished)
+{
+  forwarding_rig rig({});
+  rig.Publish(Replica("a-1", "a", "zone-1"));
+  rig.Publish(Replica("a-2", "a", "zone-2"));
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(VersionOf(rig), 7U);
+  GetParam().mHappens(rig);
+  EXPECT_EQ(VersionOf(rig), GetParam().mVersion) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(Replicas(rig), GetParam().mReplicas) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  follow_test,
+  ::testing::Values(follow_row{ "a change is not seen",
+                                [](forwarding_rig& aRig) {
+                                  aRig.Publish(Version(9, { Plain("a", true) }));
+                                  aRig.RunFor(milliseconds(600));
+                                },
+                                9,
+                                2 },
+                    follow_row{ "an older version replaces a newer one",
+                                [](forwarding_rig& aRig) {
+                                  aRig.Publish(Version(3, { Plain("a", true) }));
+                                  aRig.RunFor(seconds(1));
+                                },
+                                7,
+                                2 },
+                    follow_row{ "an unreadable configuration replaces a good one",
+                                [](forwarding_rig& aRig) {
+                                  aRig.Publish({ "configuration", 0, unreadable_value{} });
+                                  aRig.RunFor(seconds(1));
+                                },
+                                7,
+                                2 },
+                    follow_row{ "an outage of the store takes replicas away",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.Publish(Version(8, { Plain("a", true) }));
+                                  aRig.RunFor(seconds(20));
+                                },
+                                7,
+                                2 },
+                    follow_row{ "changes during an outage are missed",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.Publish(Version(8, { Plain("a", true) }));
+                                  aRig.RunFor(seconds(20));
+                                  aRig.FailStore(false);
+                                  aRig.RunFor(seconds(2));
+                                },
+                                8,
+                                2 },
+                    follow_row{
+                      "entries that lapsed with the store are dropped before they are back",
+                      [](forwarding_rig& aRig) {
+                        aRig.FailStore(true);
+                        aRig.Delete("replicas/a-1");
+                        aRig.RunFor(seconds(5));
+                        aRig.FailStore(false);
+                        aRig.RunFor(seconds(2));
+                      },
+                      7,
+                      2 },
+                    follow_row{ "entries that lapsed with the store are kept for good",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.Delete("replicas/a-1");
+                                  aRig.RunFor(seconds(5));
+                                  aRig.FailStore(false);
+                                  aRig.RunFor(seconds(4));
+                                },
+                                7,
+                                1 },
+                    follow_row{ "an entry that is back is dropped all the same",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.Delete("replicas/a-1");
+                                  aRig.RunFor(seconds(5));
+                                  aRig.FailStore(false);
+                                  aRig.RunFor(seconds(1));
+                                  aRig.Publish(Replica("a-1", "a", "zone-1"));
+                                  aRig.RunFor(seconds(10));
+                                },
+                                7,
+                                2 },
+                    follow_row{ "a deletion waits although the store was not away",
+                                [](forwarding_rig& aRig) {
+                                  aRig.Delete("replicas/a-1");
+                                  aRig.RunFor(seconds(1));
+                                },
+                                7,
+                                1 },
+                    follow_row{ "a gap in the history hides a new replica",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.Publish(Replica("a-3", "a", "zone-1"));
+                                  aRig.DropHistory();
+                                  aRig.RunFor(seconds(2));
+                                  aRig.FailStore(false);
+                                  aRig.RunFor(seconds(3));
+                                },
+                                7,
+                                3 }));
+
+struct restart_row
+{
+  const char* mGuardsAgainst;
+  store_item mFirst;
+  store_item mThen;
+  bool mDraining;
+};
+
+class restart_test : public ::testing::TestWithParam<restart_row>
+{};
+
+TEST_P(restart_test, TheNewestStartCounts)
+{
+  forwarding_rig rig({});
+  rig.Publish(GetParam().mFirst);
+  rig.RunFor(seconds(1));
+  rig.Publish(GetParam().mThen);
+  rig.RunFor(seconds(1));
+  EXPECT_EQ(Draining(rig), GetParam().mDraining) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         restart_test,
+                         ::testing::Values(restart_row{ "a late write of an earlier start",
+                                                        Restarted(200, 1, true),
+                                                        Restarted(100, 9, false),
+                                                        true },
+                                           restart_row{ "a late write of the same start",
+                                                        Restarted(200, 5, true),
+                                                        Restarted(200, 4, false),
+                                                        true },
+                                           restart_row{ "a restart under the same id",
+                                                        Restarted(100, 9, true),
+                                                        Restarted(200, 1, false),
+                                                        false }));
+
+TEST(follow, OneCallReadsASeriesOfChanges)
+{
+  // Guards against one call of the store for each of many changes in a row.
+  forwarding_rig rig({});
+  rig.RunFor(seconds(1));
+  const std::size_t before = rig.mWatches.size();
+  for (int i = 0; i < 40; ++i) {
+    rig.Publish(Replica("a-" + std::to_string(i), "a", "zone-1"));
+    rig.RunFor(milliseconds(20));
+  }
+  rig.RunFor(seconds(1));
+  EXPECT_EQ(Replicas(rig), 40U);
+  // 0.8 s of changes and a pause of 0.25 s after each call.
+  EXPECT_LE(rig.mWatches.size() - before, 6U);
+}
+
+} // namespace
+} // namespace redwingdock::testing
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -31,10 +31,10 @@
 struct follow_state
 {
   follow_phase mPhase = follow_phase::Listing;
-  std::uint64_t mRound = 0; // of the read that is running; replies of others are ignored
-  item_map mListed;         // pages read so far
-  std::string mAfter;       // last key of those pages
-  std::uint64_t mAsOf = 0;  // the watch continues from this revision
+  std::uint64_t mRound = 0;    // of the read that is running; replies of others are ignored
+  item_map mListed;            // pages read so far
+  std::string mAfter;          // last key of those pages
+  std::uint64_t mAsOf = 0;     // the watch continues from this revision
   std::uint32_t mFailures = 0; // in a row
   instant mDistrustUntil{};    // deletions are held until then
   std::map<std::string, instant> mHeld; // keys that are gone, and when they count as gone
--- a/src/forward/choice.cc
+++ b/src/forward/choice.cc
@@ -8,10 +8,10 @@
 
 // Costs in multiples of the usual latency of a part.
 constexpr double kOtherZone = 0.8; // bytes between zones are paid for
-constexpr double kCold = 0.8;       // a cold replica takes about that much longer
-constexpr double kOverdue = 4;      // a pause lasts several times the usual latency
-constexpr double kFailing = 6;      // a failed attempt costs a repeat, which is scarce
-constexpr double kBlocked = 50;     // only when there is no other
+constexpr double kCold = 0.8;      // a cold replica takes about that much longer
+constexpr double kOverdue = 4;     // a pause lasts several times the usual latency
+constexpr double kFailing = 6;     // a failed attempt costs a repeat, which is scarce
+constexpr double kBlocked = 50;    // only when there is no other
 constexpr double kNoise = 0.1;
 
 bool IsCold(const choice_candidate& aCandidate, const choice_input& aInput)
@@ -40,7 +40,8 @@
   const replica_load& load = aCandidate.mLoad;
   const replica_entry& replica = *aCandidate.mReplica;
   const double slots = std::max<std::uint32_t>(replica.mSlots, 1);
-  double cost = SlownessAt(load, aInput.mNow) * (1 + static_cast<double>(load.mOpen.size()) / slots);
+  double cost =
+    SlownessAt(load, aInput.mNow) * (1 + static_cast<double>(load.mOpen.size()) / slots);
   cost += FailingAt(load, aInput.mNow) * kFailing;
   cost += replica.mZone == aInput.mZone ? 0 : kOtherZone;
   cost += IsCold(aCandidate, aInput) ? kCold : 0;
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -105,8 +105,8 @@
   {
     mContext.Count("forward.abandoned");
     mContext.Log("forward",
-                 "event=abandoned request=" + Quoted(mState.mContent.mId) + " after_ms=" +
-                   MsText(mContext.Now() - mState.mArrivedAt));
+                 "event=abandoned request=" + Quoted(mState.mContent.mId) +
+                   " after_ms=" + MsText(mContext.Now() - mState.mArrivedAt));
     CancelAll(false);
     mContext.mBoard.Erase<forward_state>(RequestKey(mState.mRequest));
   }
@@ -167,12 +167,11 @@
   // A replica that refused a part for want of room may have room later.
   static bool HasTried(const forward_part& aPart, const replica_entry& aReplica)
   {
-    return std::any_of(aPart.mAttempts.begin(),
-                       aPart.mAttempts.end(),
-                       [&aReplica](const forward_attempt& aAttempt) {
-                         return aAttempt.mReplica->mId == aReplica.mId &&
-                                (aAttempt.mOpen || aAttempt.mEnd != attempt_end::Rejected);
-                       });
+    return std::any_of(
+      aPart.mAttempts.begin(), aPart.mAttempts.end(), [&aReplica](const forward_attempt& aAttempt) {
+        return aAttempt.mReplica->mId == aReplica.mId &&
+               (aAttempt.mOpen || aAttempt.mEnd != attempt_end::Rejected);
+      });
   }
 
   bool MayRepeat(const forward_part& aPart) const
@@ -231,20 +230,18 @@
       mContext.Count(std::string("forward.") + aWhy);
       mContext.Log("forward",
                    std::string("event=") + aWhy + " request=" + Quoted(mState.mContent.mId) +
-                     " part=" + std::to_string(aIndex) + " service=" + part.mService +
-                     " replica=" + target.mReplica->mId + " before=" +
-                     part.mAttempts.back().mReplica->mId + " after_ms=" +
-                     MsText(mContext.Now() - mState.mArrivedAt) +
+                     " part=" + std::to_string(aIndex) + " service=" + part.mService + " replica=" +
+                     target.mReplica->mId + " before=" + part.mAttempts.back().mReplica->mId +
+                     " after_ms=" + MsText(mContext.Now() - mState.mArrivedAt) +
                      " open_there=" + std::to_string(target.mLoad.mOpen.size()));
     }
     part.mAttempts.push_back({ target.mReplica, mContext.Now() });
     part.mNextAt = mContext.Now() + mHooks.mHedgeAfter(*mState.mRoute, Latencies());
     const micros expected = Expected();
-    mContext.mBoard.Update<replica_load>(
-      target.mReplica->mId, [&](const replica_load* aKnown) {
-        return std::optional<replica_load>(
-          WithSend(LoadOf(aKnown, *target.mReplica), key, mContext.Now(), expected));
-      });
+    mContext.mBoard.Update<replica_load>(target.mReplica->mId, [&](const replica_load* aKnown) {
+      return std::optional<replica_load>(
+        WithSend(LoadOf(aKnown, *target.mReplica), key, mContext.Now(), expected));
+    });
     mContext.Emit(send_attempt{ key, target.mReplica, mState.mDeadline, input.mConnections });
   }
 
@@ -388,15 +385,15 @@
         mContext.mBoard.Update<replica_load>(
           attempts[j].mReplica->mId, [&](const replica_load* aKnown) {
             const replica_load load = LoadOf(aKnown, *attempts[j].mReplica);
-            return std::optional<replica_load>(
-              aForSilence ? WithCancel(load, key, now)
-                          : WithEnd(load, key, attempt_end::Answered, now));
+            return std::optional<replica_load>(aForSilence
+                                                 ? WithCancel(load, key, now)
+                                                 : WithEnd(load, key, attempt_end::Answered, now));
           });
         if (aForSilence) {
           mContext.Count("forward.cancelled");
           mContext.Log("forward",
-                       "event=cancelled request=" + Quoted(mState.mContent.mId) + " part=" +
-                         std::to_string(i) + " replica=" + attempts[j].mReplica->mId +
+                       "event=cancelled request=" + Quoted(mState.mContent.mId) +
+                         " part=" + std::to_string(i) + " replica=" + attempts[j].mReplica->mId +
                          " open_ms=" + MsText(now - attempts[j].mSentAt) +
                          " silent=" + (silent ? "yes" : "no"));
         }
@@ -489,9 +486,8 @@
   aContext.Count(std::string("forward.answer.") + ToString(aKind));
   aContext.Log("forward",
                "event=answer request=" + Quoted(aFact.mContent.mId) +
-                 " host=" + Quoted(aFact.mContent.mHost) + " path=" +
-                 Quoted(aFact.mContent.mPath) + " outcome=" + ToString(aKind) + " reason=" +
-                 Quoted(Describe(answer.mReason)));
+                 " host=" + Quoted(aFact.mContent.mHost) + " path=" + Quoted(aFact.mContent.mPath) +
+                 " outcome=" + ToString(aKind) + " reason=" + Quoted(Describe(answer.mReason)));
   aContext.Emit(answer_request{ aFact.mRequest, std::move(answer) });
 }
 
@@ -580,10 +576,9 @@
     part.mFailure = aFact.mReply;
   }
   // Replicas that refused have room again after a moment; any other end is retried at once.
-  part.mNextAt =
-    aFact.mEnd == attempt_end::Rejected && part.mAttempts.size() > 1
-      ? aContext.Now() + kRetryPause
-      : aContext.Now();
+  part.mNextAt = aFact.mEnd == attempt_end::Rejected && part.mAttempts.size() > 1
+                   ? aContext.Now() + kRetryPause
+                   : aContext.Now();
   return next;
 }
 
@@ -603,8 +598,8 @@
     aContext.Count(std::string("forward.attempt.") + ToString(aFact.mEnd));
     aContext.Log("forward",
                  "event=attempt_failed request=" + Quoted(state ? state->mContent.mId : "") +
-                   " part=" + std::to_string(aFact.mKey.mPart) + " replica=" +
-                   aFact.mReplica->mId + " end=" + ToString(aFact.mEnd) +
+                   " part=" + std::to_string(aFact.mKey.mPart) + " replica=" + aFact.mReplica->mId +
+                   " end=" + ToString(aFact.mEnd) +
                    (aFact.mReply ? " status=" + std::to_string(aFact.mReply->mStatus) : "") +
                    " reason=" + Quoted(Describe(aFact.mReason)));
   }
--- /dev/null
+++ b/src/forward/forward_controller_test.cc
@@ -0,0 +1,370 @@
+#include "forward/forward_state.h"
+#include "testing/forwarding_rig.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+using replica_script = std::function<replica_action(int)>;
+
+replica_script Always(replica_action aAction)
+{
+  return [aAction](int) { return aAction; };
+}
+
+replica_script AfterMs(int aMs)
+{
+  return Always({ attempt_end::Answered, milliseconds(aMs) });
+}
+
+replica_script Ends(attempt_end aEnd)
+{
+  return Always({ aEnd, milliseconds(2) });
+}
+
+replica_script Status(unsigned aStatus)
+{
+  return Always({ attempt_end::Answered, milliseconds(2), aStatus });
+}
+
+const replica_script kSilent = Always({ attempt_end::Answered, milliseconds(0), 200, "", true });
+
+// Two replicas for each of the services a, b, c and d; "-1" stands in the daemon's zone.
+void PublishReplicas(forwarding_rig& aRig, const std::vector<std::string>& aServices)
+{
+  for (const std::string& service : aServices) {
+    aRig.Publish(Replica(service + "-1", service, "zone-1"));
+    aRig.Publish(Replica(service + "-2", service, "zone-2"));
+  }
+}
+
+struct request_row
+{
+  const char* mGuardsAgainst;
+  route_rule mRoute;
+  std::map<std::string, replica_script> mScripts;
+  answer_kind mKind;
+  std::uint32_t mMissing; // parts
+  milliseconds mLatest;   // of the answer
+  std::size_t mMostSends; // over all parts
+};
+
+class request_test : public ::testing::TestWithParam<request_row>
+{};
+
+TEST_P(request_test, EndsInOneAnswer)
+{
+  const request_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b", "c", "d" });
+  rig.Publish(Version(7, { row.mRoute }));
+  for (const auto& [replica, script] : row.mScripts) {
+    rig.Script(replica, script);
+  }
+  rig.RunFor(seconds(1));
+  const instant asked = rig.Now();
+  rig.Ask(1, "/q/x");
+  rig.RunFor(seconds(3));
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U) << row.mGuardsAgainst;
+  const given_answer& given = rig.mAnswers[1].front();
+  EXPECT_EQ(ToString(given.mAnswer.mKind), std::string(ToString(row.mKind))) << row.mGuardsAgainst;
+  EXPECT_EQ(given.mAnswer.mMissing, row.mMissing) << row.mGuardsAgainst;
+  EXPECT_LE(given.mAt - asked, row.mLatest) << row.mGuardsAgainst;
+  EXPECT_LE(rig.mSent.size(), row.mMostSends) << row.mGuardsAgainst;
+  EXPECT_EQ(rig.Board().List<forward_state>().size(), 0U) << "state that is never removed";
+}
+
+const std::vector<std::string> kFour = { "a", "b", "c", "d" };
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  request_test,
+  ::testing::Values(
+    request_row{ "the usual case",
+                 Gather(kFour, 0.75),
+                 {},
+                 answer_kind::Gathered,
+                 0,
+                 milliseconds(12),
+                 4 },
+    request_row{ "a paused replica makes the answer late",
+                 Gather(kFour, 1.0),
+                 { { "b-1", AfterMs(300) } },
+                 answer_kind::Gathered,
+                 0,
+                 milliseconds(200),
+                 5 },
+    request_row{ "a shard that is silent holds the answer back beyond the target",
+                 Gather(kFour, 0.75),
+                 { { "b-1", kSilent }, { "b-2", kSilent } },
+                 answer_kind::Gathered,
+                 1,
+                 milliseconds(200),
+                 5 },
+    request_row{ "an answer with less than the least share counts as a success",
+                 Gather(kFour, 1.0),
+                 { { "b-1", kSilent }, { "b-2", kSilent } },
+                 answer_kind::TimedOut,
+                 0,
+                 milliseconds(1200),
+                 5 },
+    request_row{ "a failed shard that leaves too few keeps the client waiting",
+                 Gather(kFour, 1.0),
+                 { { "b-1", Ends(attempt_end::Lost) }, { "b-2", Ends(attempt_end::Lost) } },
+                 answer_kind::Failed,
+                 0,
+                 milliseconds(20),
+                 5 },
+    request_row{ "a failure reply counts as a part",
+                 Gather(kFour, 0.75),
+                 { { "b-1", Status(500) }, { "b-2", Status(500) } },
+                 answer_kind::Gathered,
+                 1,
+                 milliseconds(20),
+                 5 },
+    request_row{ "an idempotent request fails with its first replica",
+                 Plain("a", true),
+                 { { "a-1", Ends(attempt_end::Lost) } },
+                 answer_kind::Relayed,
+                 0,
+                 milliseconds(20),
+                 2 },
+    request_row{ "a request that may have run is sent again",
+                 Plain("a", false),
+                 { { "a-1", Ends(attempt_end::Lost) } },
+                 answer_kind::Failed,
+                 0,
+                 milliseconds(20),
+                 1 },
+    request_row{ "a request that did not run is given up",
+                 Plain("a", false),
+                 { { "a-1", Ends(attempt_end::Rejected) } },
+                 answer_kind::Relayed,
+                 0,
+                 milliseconds(20),
+                 2 },
+    request_row{ "a request that is not idempotent is hedged",
+                 Plain("a", false),
+                 { { "a-1", AfterMs(600) } },
+                 answer_kind::Relayed,
+                 0,
+                 milliseconds(605),
+                 1 },
+    request_row{ "a request that ran is refused as not run",
+                 Plain("a", false),
+                 { { "a-1", kSilent } },
+                 answer_kind::TimedOut,
+                 0,
+                 milliseconds(1200),
+                 1 },
+    request_row{ "a request that no replica ran is not refused as such",
+                 Plain("a", false),
+                 { { "a-1", Ends(attempt_end::NotSent) }, { "a-2", Ends(attempt_end::NotSent) } },
+                 answer_kind::NotRun,
+                 0,
+                 milliseconds(20),
+                 2 },
+    request_row{ "more replicas run a request than the route allows",
+                 Plain("a", true),
+                 { { "a-1", Status(500) }, { "a-2", Status(500) } },
+                 answer_kind::Relayed,
+                 0,
+                 milliseconds(20),
+                 2 }));
+
+struct address_row
+{
+  const char* mGuardsAgainst;
+  attempt_end mEnd;
+};
+
+class address_test : public ::testing::TestWithParam<address_row>
+{};
+
+// hunt-98fa-35: requests to an address that another service had got counted there as repeats.
+TEST_P(address_test, IsNotUsedAgainAfterAReplicaLeftIt)
+{
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.Script("a-1", Ends(GetParam().mEnd));
+  rig.RunFor(seconds(1));
+  for (std::uint64_t i = 1; i <= 60; ++i) {
+    rig.Ask(i, "/q/x");
+    rig.RunFor(milliseconds(100));
+    EXPECT_EQ(rig.mAnswers[i].size(), 1U);
+  }
+  const auto wrong = std::count_if(rig.mSent.begin(), rig.mSent.end(), [](const auto& aSent) {
+    return aSent.mCommand.mReplica->mId == "a-1";
+  });
+  EXPECT_LE(wrong, GetParam().mEnd == attempt_end::Misplaced ? 1 : 5) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  ends,
+  address_test,
+  ::testing::Values(address_row{ "another process has the address", attempt_end::Misplaced },
+                    address_row{ "the process ended a moment ago", attempt_end::NotSent }));
+
+struct avoid_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(forwarding_rig&)> mChange;
+  micros mAllowed; // time until no more is sent there
+};
+
+class avoid_test : public ::testing::TestWithParam<avoid_row>
+{};
+
+TEST_P(avoid_test, SendsNothingThere)
+{
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.RunFor(seconds(1));
+  GetParam().mChange(rig);
+  rig.RunFor(GetParam().mAllowed);
+  rig.mSent.clear();
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    rig.Ask(i, "/q/x");
+    rig.RunFor(milliseconds(30));
+  }
+  EXPECT_EQ(rig.mSent.size(), 20U);
+  for (const sent_attempt& each : rig.mSent) {
+    EXPECT_EQ(each.mCommand.mReplica->mId, "a-2") << GetParam().mGuardsAgainst;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  changes,
+  avoid_test,
+  ::testing::Values(avoid_row{ "work for a replica that drains",
+                               [](forwarding_rig& aRig) {
+                                 store_item item = Replica("a-1", "a", "zone-1");
+                                 std::get<replica_entry>(item.mValue).mDraining = true;
+                                 std::get<replica_entry>(item.mValue).mSequence = 1;
+                                 aRig.Publish(std::move(item));
+                               },
+                               seconds(1) },
+                    avoid_row{ "work for a replica that is gone",
+                               [](forwarding_rig& aRig) { aRig.Delete("replicas/a-1"); },
+                               seconds(1) },
+                    avoid_row{ "work for a closed zone",
+                               [](forwarding_rig& aRig) {
+                                 aRig.Publish({ "closed", 0, closed_zone{ "zone-1" } });
+                               },
+                               seconds(1) },
+                    avoid_row{ "a replica that became unreadable is used",
+                               [](forwarding_rig& aRig) {
+                                 aRig.Publish({ "replicas/a-1", 0, unreadable_value{} });
+                               },
+                               seconds(1) },
+                    avoid_row{ "a replica that fell silent gets the next request",
+                               [](forwarding_rig& aRig) {
+                                 aRig.Script("a-1", kSilent);
+                                 aRig.Ask(100, "/q/x");
+                               },
+                               milliseconds(100) }));
+
+TEST(forwarding, RepeatsStayWithinTheShareOfTheBudget)
+{
+  // Guards against daemons that together repeat more than the ratio and the slack allow.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.Script("a-1", Ends(attempt_end::Rejected));
+  rig.Script("a-2", Ends(attempt_end::Rejected));
+  rig.RunFor(seconds(1));
+  constexpr std::uint64_t kRequests = 500;
+  for (std::uint64_t i = 1; i <= kRequests; ++i) {
+    rig.Ask(i, "/q/x");
+    rig.RunFor(milliseconds(10));
+  }
+  rig.RunFor(seconds(2));
+  const forward_config config;
+  const double allowed =
+    config.mRepeatRatio * kRequests + config.mRepeatSlack / config.mMostDaemons;
+  EXPECT_LE(static_cast<double>(rig.mSent.size() - kRequests), allowed);
+  EXPECT_GE(static_cast<double>(rig.mSent.size() - kRequests), 0.5 * allowed);
+}
+
+TEST(forwarding, AClientThatLeftEndsTheWork)
+{
+  // Guards against replicas that work on for a client that has closed its connection.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b" });
+  rig.Publish(Version(7, { Gather({ "a", "b" }, 1.0) }));
+  rig.Script("a-1", kSilent);
+  rig.RunFor(seconds(1));
+  rig.Ask(1, "/q/x");
+  rig.RunFor(milliseconds(20));
+  rig.Post(request_abandoned{ 1 });
+  EXPECT_EQ(rig.mCancelled.size(), 1U);
+  rig.RunFor(seconds(2));
+  EXPECT_TRUE(rig.mAnswers.empty());
+  EXPECT_EQ(rig.mSent.size(), 2U);
+}
+
+TEST(forwarding, WeightsShareTheRequests)
+{
+  // Guards against a part of a split that gets more or less than its weight.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b" });
+  route_rule route = Plain("a", true);
+  route.mServices = { { "a", 3 }, { "b", 1 } };
+  rig.Publish(Version(7, { route }));
+  rig.RunFor(seconds(1));
+  for (std::uint64_t i = 1; i <= 200; ++i) {
+    rig.Ask(i, "/q/x");
+    rig.RunFor(milliseconds(20));
+  }
+  const auto toA = std::count_if(rig.mSent.begin(), rig.mSent.end(), [](const auto& aSent) {
+    return aSent.mCommand.mReplica->mService == "a";
+  });
+  EXPECT_NEAR(static_cast<double>(toA) / 200, 0.75, 0.03);
+}
+
+struct unrouted_row
+{
+  const char* mGuardsAgainst;
+  bool mConfigured;
+  std::string mPath;
+  answer_kind mKind;
+};
+
+class unrouted_test : public ::testing::TestWithParam<unrouted_row>
+{};
+
+TEST_P(unrouted_test, IsAnsweredAtOnce)
+{
+  forwarding_rig rig({});
+  if (GetParam().mConfigured) {
+    rig.Publish(Version(7, { Plain("a", true) }));
+  }
+  rig.RunFor(seconds(1));
+  rig.Ask(1, GetParam().mPath);
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(rig.mAnswers[1].front().mAnswer.mKind, GetParam().mKind) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  unrouted_test,
+  ::testing::Values(
+    unrouted_row{ "a daemon without a configuration denies a route",
+                  false,
+                  "/q/x",
+                  answer_kind::NotRun },
+    unrouted_row{ "a path without a route is retried", true, "/other/", answer_kind::NoRoute },
+    unrouted_row{ "a service without replicas is said to have run",
+                  true,
+                  "/q/x",
+                  answer_kind::NotRun }));
+
+} // namespace
+} // namespace redwingdock::testing
--- a/src/forward/forward_state.cc
+++ b/src/forward/forward_state.cc
@@ -19,10 +19,10 @@
 
 std::size_t OpenAttempts(const forward_part& aPart)
 {
-  return static_cast<std::size_t>(
-    std::count_if(aPart.mAttempts.begin(),
-                  aPart.mAttempts.end(),
-                  [](const forward_attempt& aAttempt) { return aAttempt.mOpen; }));
+  return static_cast<std::size_t>(std::count_if(
+    aPart.mAttempts.begin(), aPart.mAttempts.end(), [](const forward_attempt& aAttempt) {
+      return aAttempt.mOpen;
+    }));
 }
 
 std::size_t RunAttempts(const forward_part& aPart)
--- a/src/forward/repeat_budget.cc
+++ b/src/forward/repeat_budget.cc
@@ -22,8 +22,8 @@
 {
   repeat_budget next = aBudget;
   const std::int64_t slice = SliceOf(aNow);
-  const std::int64_t first = std::max(
-    aBudget.mSlice + 1, slice - static_cast<std::int64_t>(kBudgetSlices) + 1);
+  const std::int64_t first =
+    std::max(aBudget.mSlice + 1, slice - static_cast<std::int64_t>(kBudgetSlices) + 1);
   for (std::int64_t each = first; each <= slice; ++each) {
     next.mRequests[IndexOf(each)] = 0;
     next.mRepeats[IndexOf(each)] = 0;
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -111,9 +111,9 @@
       return next;
     case attempt_end::NotSent:
       next.mBlockedUntil =
-        aNow + std::min(kBlockMost,
-                        kBlockFirst * (std::int64_t{ 1 } << std::min(next.mRefusals,
-                                                                     kMostDoublings)));
+        aNow +
+        std::min(kBlockMost,
+                 kBlockFirst * (std::int64_t{ 1 } << std::min(next.mRefusals, kMostDoublings)));
       ++next.mRefusals;
       return next;
   }
--- a/src/forward/replica_load.h
+++ b/src/forward/replica_load.h
@@ -26,12 +26,12 @@
 {
   std::int64_t mBornMs = 0; // start of the replica that the rest belongs to
   std::vector<open_attempt> mOpen;
-  double mSlowness = 1;     // mean of latency / expected latency, recent attempts weigh most
-  double mFailing = 0;      // mean share of attempts without a usable reply
-  instant mSlownessAt{};    // when these were last updated
+  double mSlowness = 1;  // mean of latency / expected latency, recent attempts weigh most
+  double mFailing = 0;   // mean share of attempts without a usable reply
+  instant mSlownessAt{}; // when these were last updated
   instant mFailingAt{};
-  instant mBlockedUntil{}; // no attempt before, as far as another replica is there
-  bool mGone = false;      // another process has the address; this start never comes back there
+  instant mBlockedUntil{};     // no attempt before, as far as another replica is there
+  bool mGone = false;          // another process has the address; this start never comes back there
   std::uint32_t mRefusals = 0; // connections refused in a row
   std::int64_t mSecond = 0;    // second of mSent
   std::uint32_t mSent = 0;     // attempts in that second
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -36,10 +36,10 @@
 edge_settings Complete(edge_settings aSettings)
 {
   // Later starts of a VM have higher numbers as long as its time of day moves on.
-  aSettings.mCore.mIncarnation = std::to_string(
-    std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::chrono::system_clock::now().time_since_epoch())
-      .count());
+  aSettings.mCore.mIncarnation =
+    std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(
+                     std::chrono::system_clock::now().time_since_epoch())
+                     .count());
   std::random_device source;
   aSettings.mCore.mSeed = (static_cast<std::uint64_t>(source()) << 32U) | source();
   return aSettings;
@@ -164,8 +164,7 @@
 
 void edge_daemon::EndWhenSent(instant aLatest)
 {
-  if (SteadyNow() < aLatest &&
-      (mCallerServer.UnsentBytes() > 0 || mCallerServer.Waiting() > 0)) {
+  if (SteadyNow() < aLatest && (mCallerServer.UnsentBytes() > 0 || mCallerServer.Waiting() > 0)) {
     mLoop.After(kLastAnswersCheck, [this, aLatest] { EndWhenSent(aLatest); });
     return;
   }
@@ -201,8 +200,9 @@
   if (path == kReadinessPath) {
     mReadinessServer.Reply(aNumber, { IsReady() ? 200U : 503U, "", "", {} });
   } else if (path == kAddressesPath) {
-    mDriver.Post(entry_asked{
-      aNumber, QueryParameter(aMessage.mTarget, "name"), QueryParameter(aMessage.mTarget, "zone") });
+    mDriver.Post(entry_asked{ aNumber,
+                              QueryParameter(aMessage.mTarget, "name"),
+                              QueryParameter(aMessage.mTarget, "zone") });
   } else {
     mReadinessServer.Reply(aNumber, { 404, "", "", {} });
     mAddressServer.Reply(aNumber, { 404, "", "", {} });
@@ -265,10 +265,9 @@
     mDriver.Post(attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason) });
   };
   std::shared_ptr<const http_message> message;
-  mRequests.With(aCommand.mKey.mRequest,
-                 [&message](const std::shared_ptr<const http_message>& aMessage) {
-                   message = aMessage;
-                 });
+  mRequests.With(
+    aCommand.mKey.mRequest,
+    [&message](const std::shared_ptr<const http_message>& aMessage) { message = aMessage; });
   const micros left = aCommand.mDeadline - SteadyNow();
   if (!message || left <= micros(0)) {
     report(attempt_end::NotSent,
@@ -287,17 +286,17 @@
   request.mOwns = [wanted = id != nullptr ? *id : std::string()](const http_message& aReply) {
     return BelongsTo(aReply, wanted);
   };
-  mReplicas.Start(std::move(request), [report, replica = aCommand.mReplica](
-                                        const pool_result& aResult) {
-    if (aResult.mEnd != pool_end::Answered) {
-      report(aResult.mEnd == pool_end::NotSent ? attempt_end::NotSent : attempt_end::Lost,
-             nullptr,
-             aResult.mReason);
-      return;
-    }
-    decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
-    report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
-  });
+  mReplicas.Start(
+    std::move(request), [report, replica = aCommand.mReplica](const pool_result& aResult) {
+      if (aResult.mEnd != pool_end::Answered) {
+        report(aResult.mEnd == pool_end::NotSent ? attempt_end::NotSent : attempt_end::Lost,
+               nullptr,
+               aResult.mReason);
+        return;
+      }
+      decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
+      report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
+    });
 }
 
 void edge_daemon::Execute(const answer_request& aCommand)
--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -32,8 +32,8 @@
   aForward.mRepeatRatio = aMapping.Number("repeat_ratio", 0, 10, aForward.mRepeatRatio);
   aForward.mRepeatSlack = aMapping.Number("repeat_slack", 0, 1e6, aForward.mRepeatSlack);
   ReadMs(aMapping, "repeat_window_ms", 10 * kMinuteMs, aForward.mRepeatWindow);
-  aForward.mMostDaemons = static_cast<std::uint32_t>(
-    aMapping.Integer("most_daemons", 1, 100'000, aForward.mMostDaemons));
+  aForward.mMostDaemons =
+    static_cast<std::uint32_t>(aMapping.Integer("most_daemons", 1, 100'000, aForward.mMostDaemons));
   aForward.mColdOverage = aMapping.Number("cold_overage", 0, 1000, aForward.mColdOverage);
   aForward.mColdSlack = aMapping.Number("cold_slack", 0, 1e6, aForward.mColdSlack);
 }
@@ -67,8 +67,7 @@
   if (!errors.mFirst) {
     core.mForward.mPeers = ReadPeers(root, settings.mListenPeers);
   }
-  settings.mWorkers =
-    static_cast<std::uint32_t>(root.Integer("workers", 1, 64, settings.mWorkers));
+  settings.mWorkers = static_cast<std::uint32_t>(root.Integer("workers", 1, 64, settings.mWorkers));
   yaml_mapping forwarding = root.Mapping("forwarding", false);
   ReadForwarding(forwarding, core.mForward);
   forwarding.Finish();
@@ -76,10 +75,9 @@
   ReadStop(stop, core.mForward);
   stop.Finish();
   yaml_mapping log = root.Mapping("log", false);
-  constexpr log_threshold kThresholds[] = { log_threshold::Debug,
-                                            log_threshold::Info,
-                                            log_threshold::Warning,
-                                            log_threshold::Error };
+  constexpr log_threshold kThresholds[] = {
+    log_threshold::Debug, log_threshold::Info, log_threshold::Warning, log_threshold::Error
+  };
   settings.mLogThreshold =
     kThresholds[log.OneOf("level", { "debug", "info", "warning", "error" }, 1)];
   core.mLogDecisions = log.Flag("decisions", core.mLogDecisions);
--- a/src/platform/edge_settings.h
+++ b/src/platform/edge_settings.h
@@ -13,8 +13,8 @@
 
 struct edge_settings
 {
-  core_config mCore; // mIncarnation is empty: the daemon chooses it at each start
-  std::string mListenCallers;   // "ip:port", as the next four
+  core_config mCore;          // mIncarnation is empty: the daemon chooses it at each start
+  std::string mListenCallers; // "ip:port", as the next four
   std::string mListenReadiness;
   std::string mListenAddresses; // for callers that ask which address to use
   std::string mListenPeers;     // UDP
--- a/src/platform/names.h
+++ b/src/platform/names.h
@@ -7,14 +7,14 @@
 namespace redwingdock::platform {
 
 // Header fields.
-inline constexpr char kRequestId[] = "X-Attempt-Id";           // of one attempt of a client
-inline constexpr char kTimeLeft[] = "X-Deadline-Remaining";    // milliseconds
-inline constexpr char kSignature[] = "X-Response-Stamp";       // of a replica for its reply
+inline constexpr char kRequestId[] = "X-Attempt-Id";        // of one attempt of a client
+inline constexpr char kTimeLeft[] = "X-Deadline-Remaining"; // milliseconds
+inline constexpr char kSignature[] = "X-Response-Stamp";    // of a replica for its reply
 inline constexpr char kExpectedReplica[] = "X-Expected-Instance";
-inline constexpr char kNotRun[] = "X-Not-Executed";            // present: the replica did not run it
+inline constexpr char kNotRun[] = "X-Not-Executed"; // present: the replica did not run it
 inline constexpr char kPartSignatures[] = "X-Shard-Stamps";
 inline constexpr char kMissingParts[] = "X-Missing-Shards";
-inline constexpr char kRetryAfter[] = "Retry-After";           // seconds, may have a fraction
+inline constexpr char kRetryAfter[] = "Retry-After"; // seconds, may have a fraction
 
 // Calls to this daemon.
 inline constexpr char kReadinessPath[] = "/readiness";
--- a/src/platform/request_codec.cc
+++ b/src/platform/request_codec.cc
@@ -18,9 +18,10 @@
 
 // Fields that concern one connection (RFC 9110, section 7.6.1), and the length, which is written
 // anew with the body.
-constexpr std::array kHopFields = { "Connection",        "Keep-Alive", "Proxy-Connection",
-                                    "Transfer-Encoding", "TE",         "Trailer",
-                                    "Upgrade",           "Content-Length" };
+constexpr std::array kHopFields = {
+  "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
+  "TE",         "Trailer",    "Upgrade",          "Content-Length"
+};
 // Fields of a request that this daemon sets.
 constexpr std::array kOwnFields = { kTimeLeft, kExpectedReplica };
 
@@ -205,9 +206,9 @@
       addresses.emplace_back(each);
     }
   }
-  response.mBody = boost::json::serialize(boost::json::object{
-    { "addrs", std::move(addresses) },
-    { "ttl_s", std::chrono::duration<double>(aAnswer->mLifetime).count() } });
+  response.mBody = boost::json::serialize(
+    boost::json::object{ { "addrs", std::move(addresses) },
+                         { "ttl_s", std::chrono::duration<double>(aAnswer->mLifetime).count() } });
   return response;
 }
 
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -27,8 +27,8 @@
     return failed;
   }
   if (aResult.mReply.mStatus != kOk) {
-    failed.mFailure = aResult.mReply.mStatus == kGone ? store_failure::HistoryGone
-                                                      : store_failure::Unavailable;
+    failed.mFailure =
+      aResult.mReply.mStatus == kGone ? store_failure::HistoryGone : store_failure::Unavailable;
     failed.mReason = { "read store", "", "status " + std::to_string(aResult.mReply.mStatus) };
     return failed;
   }
@@ -68,9 +68,8 @@
 void store_calls::Watch(const watch_store& aCommand)
 {
   Call(aCommand,
-       std::string(kWatchPath) + "?prefix=" + kAllKeys +
-         "&after=" + std::to_string(aCommand.mAfter) +
-         "&waitMs=" + std::to_string(ToMs(aCommand.mWait)),
+       std::string(kWatchPath) + "?prefix=" + kAllKeys + "&after=" +
+         std::to_string(aCommand.mAfter) + "&waitMs=" + std::to_string(ToMs(aCommand.mWait)),
        aCommand.mWait + kReplyTime);
 }
 
@@ -85,9 +84,8 @@
   request.mConnectTime = kConnectTime;
   request.mReplyTime = aReplyTime;
   request.mReplyLimit = kReplyLimit;
-  mPool.Start(std::move(request), [this, aCommand](const pool_result& aResult) {
-    mPost(Decode(aCommand, aResult));
-  });
+  mPool.Start(std::move(request),
+              [this, aCommand](const pool_result& aResult) { mPost(Decode(aCommand, aResult)); });
 }
 
 } // namespace redwingdock::platform
--- /dev/null
+++ b/src/testing/forwarding_rig.cc
@@ -0,0 +1,246 @@
+#include "testing/forwarding_rig.h"
+
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace redwingdock::testing {
+
+namespace {
+
+constexpr micros kStoreTime = std::chrono::milliseconds(4);
+
+core_config ConfigOf(const rig_options& aOptions)
+{
+  core_config config;
+  config.mVm = "vm-1";
+  config.mIncarnation = "1000";
+  config.mZone = aOptions.mZone;
+  config.mAddress = "127.0.0.1:7380";
+  config.mCallAddress = "127.0.0.1:8100";
+  config.mForward = aOptions.mForward;
+  return config;
+}
+
+route_rule Rule(std::vector<weighted_service> aServices)
+{
+  route_rule rule;
+  rule.mName = "r";
+  rule.mHost = "search.example";
+  rule.mPrefix = "/q/";
+  rule.mServices = std::move(aServices);
+  rule.mTimeout = std::chrono::milliseconds(1200);
+  rule.mTarget = std::chrono::milliseconds(200);
+  rule.mAttempts = 2;
+  return rule;
+}
+
+} // namespace
+
+store_item Replica(const std::string& aId, const std::string& aService, const std::string& aZone)
+{
+  replica_entry entry;
+  entry.mId = aId;
+  entry.mService = aService;
+  entry.mZone = aZone;
+  entry.mAddress = "127.0.0.2:9000";
+  entry.mSlots = 3;
+  return { "replicas/" + aId, 0, std::move(entry) };
+}
+
+store_item Version(std::uint64_t aVersion, std::vector<route_rule> aRoutes)
+{
+  configuration published;
+  published.mVersion = aVersion;
+  published.mRoutes = std::move(aRoutes);
+  return { "configuration", 0, std::move(published) };
+}
+
+route_rule Plain(const std::string& aService, bool aIdempotent)
+{
+  route_rule rule = Rule({ { aService, 1 } });
+  rule.mIdempotent = aIdempotent;
+  return rule;
+}
+
+route_rule Gather(const std::vector<std::string>& aServices, double aLeastShare)
+{
+  std::vector<weighted_service> services;
+  for (const std::string& each : aServices) {
+    services.push_back({ each, 1 });
+  }
+  route_rule rule = Rule(std::move(services));
+  rule.mIdempotent = true;
+  rule.mGather = gather_rule{ 2, aLeastShare };
+  return rule;
+}
+
+forwarding_rig::forwarding_rig(rig_options aOptions)
+  : mCore(ConfigOf(aOptions), Forwarding(aOptions.mHooks), 8)
+{
+  Step();
+}
+
+void forwarding_rig::Publish(store_item aItem)
+{
+  aItem.mRevision = ++mRevision;
+  const std::string key = aItem.mKey;
+  mItems[key] = std::make_shared<const store_item>(std::move(aItem));
+  if (mWaiting) {
+    Watch(*std::exchange(mWaiting, std::nullopt));
+  }
+}
+
+void forwarding_rig::Delete(const std::string& aKey)
+{
+  Publish({ aKey, 0, deleted_value{} });
+}
+
+void forwarding_rig::Ask(std::uint64_t aRequest, const std::string& aPath, micros aPatience)
+{
+  Post(request_arrived{
+    aRequest, { "id-" + std::to_string(aRequest), "search.example", aPath, aPatience, 0 } });
+}
+
+void forwarding_rig::Post(fact aFact)
+{
+  mCore.Advance(Now());
+  mCore.Post(std::move(aFact));
+  Step();
+}
+
+void forwarding_rig::RunFor(micros aDuration)
+{
+  mEvents.RunFor(aDuration);
+}
+
+std::vector<std::string> forwarding_rig::SentTo(std::uint64_t aRequest) const
+{
+  std::vector<std::string> replicas;
+  for (const sent_attempt& each : mSent) {
+    if (each.mCommand.mKey.mRequest == aRequest) {
+      replicas.push_back(each.mCommand.mReplica->mId);
+    }
+  }
+  return replicas;
+}
+
+void forwarding_rig::Step()
+{
+  mCore.Advance(Now());
+  mCore.RunUntilIdle();
+  for (const command& each : mCore.TakeCommands()) {
+    Execute(each);
+  }
+  const instant due = mCore.NextDue();
+  if (due < mNextStep) {
+    mNextStep = due;
+    mEvents.After(std::max(due - Now(), micros(0)), [this, due] {
+      if (mNextStep == due) {
+        mNextStep = kNever;
+      }
+      Step();
+    });
+  }
+}
+
+void forwarding_rig::Execute(const command& aCommand)
+{
+  std::visit(
+    [this](const auto& aEach) {
+      using type = std::decay_t<decltype(aEach)>;
+      if constexpr (std::is_same_v<type, send_attempt>) {
+        Send(aEach);
+      } else if constexpr (std::is_same_v<type, cancel_attempt>) {
+        mCancelled.push_back(aEach);
+      } else if constexpr (std::is_same_v<type, answer_request>) {
+        mAnswers[aEach.mRequest].push_back({ aEach.mAnswer, Now() });
+      } else if constexpr (std::is_same_v<type, read_store_page>) {
+        Read(aEach);
+      } else if constexpr (std::is_same_v<type, watch_store>) {
+        mWatches.push_back(aEach);
+        Watch(aEach);
+      } else if constexpr (std::is_same_v<type, send_heartbeat>) {
+        mHeartbeats.push_back(aEach.mHeartbeat);
+      } else if constexpr (std::is_same_v<type, answer_entry>) {
+        mEntries.push_back(aEach);
+      } else if constexpr (std::is_same_v<type, close_callers>) {
+        mClosedAt = Now();
+      } else if constexpr (std::is_same_v<type, stop_now>) {
+        mStoppedAt = Now();
+      }
+    },
+    aCommand);
+}
+
+void forwarding_rig::Send(const send_attempt& aCommand)
+{
+  mSent.push_back({ aCommand, Now() });
+  const std::string& id = aCommand.mReplica->mId;
+  const int count = mCounts[id]++;
+  const auto script = mScripts.find(id);
+  const replica_action action = script != mScripts.end() ? script->second(count) : replica_action{};
+  if (action.mSilent) {
+    return;
+  }
+  attempt_ended ended{ aCommand.mKey, aCommand.mReplica, action.mEnd };
+  if (action.mEnd == attempt_end::Answered) {
+    forward_reply reply;
+    reply.mStatus = action.mStatus;
+    reply.mSignature = "s-" + id;
+    reply.mBody = action.mBody;
+    ended.mReply = std::make_shared<const forward_reply>(std::move(reply));
+  }
+  mEvents.After(action.mAfter, [this, ended] { Post(ended); });
+}
+
+void forwarding_rig::Read(const read_store_page& aCommand)
+{
+  if (mStoreFails) {
+    mEvents.After(kStoreTime, [this, aCommand] {
+      Post(store_read_failed{ aCommand.mRound, store_failure::Unavailable, {} });
+    });
+    return;
+  }
+  ++mListings;
+  store_page_read page;
+  page.mRound = aCommand.mRound;
+  page.mAsOf = mRevision;
+  for (const auto& [key, item] : mItems) {
+    if (!std::holds_alternative<deleted_value>(item->mValue)) {
+      page.mItems.push_back(item);
+    }
+  }
+  mEvents.After(kStoreTime, [this, page] { Post(page); });
+}
+
+void forwarding_rig::Watch(const watch_store& aCommand)
+{
+  if (mStoreFails || aCommand.mAfter < mHistoryFrom) {
+    const store_failure failure =
+      mStoreFails ? store_failure::Unavailable : store_failure::HistoryGone;
+    mEvents.After(kStoreTime, [this, aCommand, failure] {
+      Post(store_read_failed{ aCommand.mRound, failure, {} });
+    });
+    return;
+  }
+  store_changes_read changes{ aCommand.mRound, ChangesAfter(aCommand.mAfter), mRevision };
+  if (changes.mItems.empty()) {
+    mWaiting = aCommand;
+    return;
+  }
+  mEvents.After(kStoreTime, [this, changes] { Post(changes); });
+}
+
+std::vector<store_item_pointer> forwarding_rig::ChangesAfter(std::uint64_t aRevision) const
+{
+  std::vector<store_item_pointer> changes;
+  for (const auto& [key, item] : mItems) {
+    if (item->mRevision > aRevision) {
+      changes.push_back(item);
+    }
+  }
+  return changes;
+}
+
+} // namespace redwingdock::testing
--- /dev/null
+++ b/src/testing/forwarding_rig.h
@@ -0,0 +1,117 @@
+#ifndef REDWINGDOCK_TESTING_FORWARDING_RIG_H
+#define REDWINGDOCK_TESTING_FORWARDING_RIG_H
+
+#include "assembly/forwarding.h"
+#include "testing/event_queue.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+// One daemon that forwards, on a manual clock, between scripted replicas and a small store.
+//
+//   forwarding_rig rig({});
+//   rig.Publish(Replica("a-1", "a", "zone-1"));
+//   rig.Publish(Gather("r", { "a", "b" }, 0.5));
+//   rig.RunFor(std::chrono::milliseconds(100));
+//   rig.Ask(1, "/q/x");
+
+namespace redwingdock::testing {
+
+// What a replica does with one attempt.
+struct replica_action
+{
+  attempt_end mEnd = attempt_end::Answered;
+  micros mAfter = std::chrono::milliseconds(10);
+  unsigned mStatus = 200;
+  std::string mBody;
+  bool mSilent = false; // never ends by itself
+
+  auto operator<=>(const replica_action&) const = default;
+};
+
+struct sent_attempt
+{
+  send_attempt mCommand;
+  instant mAt{};
+};
+
+struct given_answer
+{
+  forward_answer mAnswer;
+  instant mAt{};
+};
+
+struct rig_options
+{
+  forward_hooks mHooks;
+  forward_config mForward;
+  std::string mZone = "zone-1";
+};
+
+// Entries as the platform publishes them.
+store_item Replica(const std::string& aId, const std::string& aService, const std::string& aZone);
+store_item Version(std::uint64_t aVersion, std::vector<route_rule> aRoutes);
+route_rule Plain(const std::string& aService, bool aIdempotent);
+route_rule Gather(const std::vector<std::string>& aServices, double aLeastShare);
+
+class forwarding_rig
+{
+public:
+  explicit forwarding_rig(rig_options aOptions);
+
+  // The store.
+  void Publish(store_item aItem);
+  void Delete(const std::string& aKey);
+  void FailStore(bool aFails) { mStoreFails = aFails; }
+  void DropHistory() { mHistoryFrom = mRevision + 1; }
+
+  // Behaviour of a replica; without one it answers after 10 ms.
+  void Script(const std::string& aReplica, std::function<replica_action(int)> aAction)
+  {
+    mScripts[aReplica] = std::move(aAction);
+  }
+
+  void Ask(std::uint64_t aRequest, const std::string& aPath, micros aPatience = micros(0));
+  void Post(fact aFact);
+  void RunFor(micros aDuration);
+  instant Now() const { return mEvents.Now(); }
+
+  const blackboard& Board() const { return mCore.Board(); }
+  std::vector<std::string> SentTo(std::uint64_t aRequest) const; // replicas, in order
+
+  std::vector<sent_attempt> mSent;
+  std::vector<cancel_attempt> mCancelled;
+  std::map<std::uint64_t, std::vector<given_answer>> mAnswers; // by request
+  std::vector<heartbeat> mHeartbeats;
+  std::vector<answer_entry> mEntries;
+  std::vector<watch_store> mWatches;
+  int mListings = 0;
+  std::optional<instant> mClosedAt;
+  std::optional<instant> mStoppedAt;
+
+private:
+  void Step();
+  void Execute(const command& aCommand);
+  void Send(const send_attempt& aCommand);
+  void Read(const read_store_page& aCommand);
+  void Watch(const watch_store& aCommand);
+  std::vector<store_item_pointer> ChangesAfter(std::uint64_t aRevision) const;
+
+  event_queue mEvents;
+  core mCore;
+  instant mNextStep = kNever;
+  std::uint64_t mRevision = 1;
+  std::uint64_t mHistoryFrom = 0;
+  bool mStoreFails = false;
+  std::map<std::string, store_item_pointer> mItems; // with deletions
+  std::optional<watch_store> mWaiting;
+  std::map<std::string, std::function<replica_action(int)>> mScripts;
+  std::map<std::string, int> mCounts; // attempts by replica
+};
+
+} // namespace redwingdock::testing
+
+#endif
