--- /dev/null
+++ b/src/daemon/http_pool_test.cc
@@ -0,0 +1,162 @@
+#include "daemon/http_pool.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A server that answers the nth request over all connections with the nth bytes, and closes the
+// connection after an empty text.
+class scripted_server
+{
+public:
+  scripted_server(io_loop& aLoop, std::vector<std::string> aReplies)
+    : mReplies(std::move(aReplies))
+  {
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        Accepted(aConnection);
+      });
+    mListener = *listener;
+  }
+
+  std::string Address() const { return mListener->Address(); }
+  std::size_t Connections() const { return mCount; }
+
+private:
+  void Accepted(const std::shared_ptr<tcp_connection>& aConnection)
+  {
+    ++mCount;
+    auto reader = std::make_shared<http_reader>(http_side::Server, http_read_limits{ 1000 });
+    tcp_hooks hooks;
+    hooks.mOnBytes = [this, aConnection, reader](std::string_view aBytes) {
+      if (reader->Feed(aBytes) != http_status::Complete) {
+        return;
+      }
+      reader->Take();
+      const std::string reply = mNext < mReplies.size() ? mReplies[mNext++] : "";
+      if (reply.empty()) {
+        aConnection->Close("script");
+      } else if (reply.back() == '$') {
+        aConnection->Send(reply.substr(0, reply.size() - 1));
+        aConnection->CloseAfterSend("script");
+      } else {
+        aConnection->Send(reply);
+      }
+    };
+    aConnection->Start(std::move(hooks));
+  }
+
+  const std::vector<std::string> mReplies;
+  std::atomic<std::size_t> mNext{ 0 };
+  std::atomic<std::size_t> mCount{ 0 };
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+pool_result Ask(http_pool& aPool, std::uint64_t aId, const std::string& aAddress)
+{
+  auto done = std::make_shared<std::promise<pool_result>>();
+  pool_request request;
+  request.mId = aId;
+  request.mAddress = aAddress;
+  request.mText = FormatRequest("GET", "/", "h", "");
+  request.mReplyTime = milliseconds(300);
+  request.mOwns = [aId](const http_message& aReply) {
+    const std::string* field = aReply.Find("Id");
+    return field == nullptr || *field == std::to_string(aId);
+  };
+  aPool.Start(std::move(request), [done](const pool_result& aResult) { done->set_value(aResult); });
+  return done->get_future().get();
+}
+
+std::string Reply(int aId, const std::string& aRest = "Content-Length: 2\r\n\r\nok")
+{
+  return "HTTP/1.1 200 OK\r\nId: " + std::to_string(aId) + "\r\n" + aRest;
+}
+
+struct pool_row
+{
+  const char* mGuardsAgainst;
+  std::vector<std::string> mReplies;
+  std::vector<pool_end> mEnds; // of consecutive requests with ids from 1
+  std::size_t mConnections;
+};
+
+class pool_test : public testing::TestWithParam<pool_row>
+{};
+
+TEST_P(pool_test, EndsAndConnections)
+{
+  io_loop loop(2);
+  scripted_server server(loop, GetParam().mReplies);
+  http_pool pool(loop);
+  loop.Start();
+  for (std::size_t i = 0; i < GetParam().mEnds.size(); ++i) {
+    const pool_result result = Ask(pool, i + 1, server.Address());
+    EXPECT_EQ(result.mEnd, GetParam().mEnds[i])
+      << GetParam().mGuardsAgainst << ", request " << i + 1;
+    if (result.mEnd == pool_end::Answered) {
+      EXPECT_EQ(result.mReply.mBody, "ok") << GetParam().mGuardsAgainst;
+    }
+  }
+  EXPECT_EQ(server.Connections(), GetParam().mConnections) << GetParam().mGuardsAgainst;
+  loop.Stop();
+}
+
+constexpr pool_end kOk = pool_end::Answered;
+constexpr pool_end kBroken = pool_end::Broken;
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  pool_test,
+  testing::Values(
+    pool_row{ "a new connection for each request", { Reply(1), Reply(2) }, { kOk, kOk }, 1 },
+    pool_row{ "a connection is used after the server announced its end",
+              { Reply(1, "Connection: close\r\nContent-Length: 2\r\n\r\nok"), Reply(2) },
+              { kOk, kOk },
+              2 },
+    pool_row{ "a second reply answers the next request",
+              { Reply(1) + Reply(1), Reply(2) },
+              { kOk, kOk },
+              2 },
+    pool_row{ "a late second reply answers the next request",
+              { Reply(1), Reply(1) + Reply(2), Reply(3) },
+              { kOk, kOk, kOk },
+              2 },
+    pool_row{ "a cut body counts as whole",
+              { Reply(1, "Content-Length: 5\r\n\r\nok") + "$", Reply(2) },
+              { kBroken, kOk },
+              2 },
+    pool_row{ "a body that ends with its connection is lost",
+              { Reply(1, "\r\nok") + "$", Reply(2) },
+              { kOk, kOk },
+              2 },
+    pool_row{ "bytes that are no reply", { "nonsense\r\n\r\n", Reply(2) }, { kBroken, kOk }, 2 },
+    pool_row{ "a closed connection hangs the request", { "", Reply(2) }, { kBroken, kOk }, 2 }));
+
+TEST(http_pool, ASilentServerEndsTheRequest)
+{
+  // Guards against a request that waits for ever on a silent connection.
+  io_loop loop(2);
+  scripted_server server(loop, { "HTTP/1.1 200 OK\r\n" });
+  http_pool pool(loop);
+  loop.Start();
+  EXPECT_EQ(Ask(pool, 1, server.Address()).mEnd, pool_end::Broken);
+  loop.Stop();
+}
+
+TEST(http_pool, ARefusedConnectionIsNotSent)
+{
+  // Guards against a request that counts as sent although nothing was written.
+  io_loop loop(2);
+  http_pool pool(loop);
+  loop.Start();
+  EXPECT_EQ(Ask(pool, 1, "127.0.0.1:1").mEnd, pool_end::NotSent);
+  loop.Stop();
+}
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/choice_test.cc
@@ -0,0 +1,124 @@
+#include "forward/choice.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const instant kNow{ seconds(100) };
+constexpr micros kUsual = milliseconds(20);
+
+choice_candidate In(const std::string& aZone)
+{
+  auto replica = std::make_shared<replica_entry>();
+  replica->mId = "i-" + aZone;
+  replica->mZone = aZone;
+  replica->mSlots = 2;
+  return { replica, {}, 0 };
+}
+
+choice_candidate Cold(choice_candidate aCandidate, std::uint32_t aSentThisSecond = 0)
+{
+  auto replica = std::make_shared<replica_entry>(*aCandidate.mReplica);
+  replica->mColdUntil = kNow + seconds(2);
+  aCandidate.mReplica = replica;
+  aCandidate.mLoad.mSecond = 100;
+  aCandidate.mLoad.mSent = aSentThisSecond;
+  return aCandidate;
+}
+
+choice_candidate Open(choice_candidate aCandidate, std::uint32_t aCount, micros aSince)
+{
+  for (std::uint32_t i = 0; i < aCount; ++i) {
+    aCandidate.mLoad.mOpen.push_back({ { i, 0, 0 }, kNow - aSince, kUsual });
+  }
+  return aCandidate;
+}
+
+// After three attempts that ended like this, the last one aAgo before now.
+choice_candidate After(choice_candidate aCandidate, attempt_end aEnd, micros aTook, micros aAgo)
+{
+  for (std::uint32_t i = 0; i < 3; ++i) {
+    const attempt_key key{ i, 0, 0 };
+    aCandidate.mLoad = WithSend(aCandidate.mLoad, key, kNow - aAgo - aTook, kUsual);
+    aCandidate.mLoad = WithEnd(aCandidate.mLoad, key, aEnd, kNow - aAgo);
+  }
+  return aCandidate;
+}
+
+struct choice_row
+{
+  const char* mGuardsAgainst;
+  std::vector<choice_candidate> mCandidates;
+  std::optional<std::size_t> mChosen;
+};
+
+class choice_test : public testing::TestWithParam<choice_row>
+{};
+
+TEST_P(choice_test, Chosen)
+{
+  const choice_input input{ kNow, "a", 4, 3 };
+  EXPECT_EQ(ChooseReplica(GetParam().mCandidates, input), GetParam().mChosen)
+    << GetParam().mGuardsAgainst;
+}
+
+constexpr micros kJustNow = milliseconds(10);
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  choice_test,
+  testing::Values(
+    choice_row{ "a choice from nothing", {}, std::nullopt },
+    choice_row{ "bytes between zones without need", { In("b"), In("a") }, 1 },
+    choice_row{ "a paused replica of the own zone",
+                { Open(In("a"), 1, milliseconds(80)), In("b") },
+                1 },
+    choice_row{ "a replica that is at work counts as paused",
+                { Open(In("a"), 1, milliseconds(10)), In("b") },
+                0 },
+    choice_row{ "a slow replica of the own zone",
+                { After(In("a"), attempt_end::Answered, milliseconds(200), kJustNow), In("b") },
+                1 },
+    choice_row{ "a replica that was slow long ago is never tried again",
+                { After(In("a"), attempt_end::Answered, milliseconds(200), seconds(10)), In("b") },
+                0 },
+    choice_row{ "a replica that fails",
+                { After(In("a"), attempt_end::Lost, kUsual, kJustNow), In("b") },
+                1 },
+    choice_row{ "a replica that sheds",
+                { After(In("a"), attempt_end::Rejected, kUsual, kJustNow), In("b") },
+                1 },
+    choice_row{ "a replica that refuses connections",
+                { After(In("a"), attempt_end::NotSent, kUsual, kJustNow), In("b") },
+                1 },
+    choice_row{ "the only replica is passed over because it failed",
+                { After(In("a"), attempt_end::NotSent, kUsual, kJustNow) },
+                0 },
+    choice_row{ "a cold replica of the own zone", { Cold(In("a")), Cold(In("b"), 3), In("a") }, 2 },
+    choice_row{ "a cold replica gets more than its share", { Cold(In("a"), 3) }, std::nullopt },
+    choice_row{ "more connections than the share",
+                { Open(In("a"), 4, milliseconds(1)), Open(In("b"), 4, milliseconds(1)) },
+                std::nullopt },
+    choice_row{ "all requests of a moment go to one replica",
+                { Open(In("a"), 3, milliseconds(1)), In("b") },
+                1 }));
+
+TEST(replica_load, ARestartForgets)
+{
+  // Guards against a new process that is judged by the failures of the one before.
+  replica_entry replica;
+  replica.mBornMs = 2;
+  replica_load load;
+  load.mBornMs = 1;
+  load.mGone = true;
+  EXPECT_FALSE(LoadOf(&load, replica).mGone);
+  replica.mBornMs = 1;
+  EXPECT_TRUE(LoadOf(&load, replica).mGone);
+}
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/repeat_budget_test.cc
@@ -0,0 +1,83 @@
+#include "forward/repeat_budget.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const instant kStart{ seconds(1000) };
+const repeat_limits kLimits{ 0.2, 5, seconds(10) };
+
+struct budget_row
+{
+  const char* mGuardsAgainst;
+  micros mInterval; // between requests
+  micros mLength;   // of the load
+  double mAsked;    // repeats asked for each request
+};
+
+class budget_test : public testing::TestWithParam<budget_row>
+{};
+
+// In every window of any phase the repeats stay within ratio * requests + slack, with the requests
+// of the window itself.
+TEST_P(budget_test, EveryWindowKeepsTheLimit)
+{
+  repeat_budget budget;
+  std::vector<instant> requests;
+  std::vector<instant> repeats;
+  double asked = 0;
+  for (instant now = kStart; now < kStart + GetParam().mLength; now += GetParam().mInterval) {
+    budget = WithRequest(budget, now);
+    requests.push_back(now);
+    for (asked += GetParam().mAsked; asked >= 1; asked -= 1) {
+      if (MayRepeat(budget, kLimits, now)) {
+        budget = WithRepeat(budget, now);
+        repeats.push_back(now);
+      }
+    }
+  }
+  EXPECT_GT(repeats.size(), 0U);
+  for (const instant first : repeats) {
+    const auto in = [first](const std::vector<instant>& aTimes) {
+      return std::count_if(aTimes.begin(), aTimes.end(), [first](instant aTime) {
+        return aTime >= first && aTime < first + kLimits.mWindow;
+      });
+    };
+    const auto before = std::count_if(requests.begin(), requests.end(), [first](instant aTime) {
+      return aTime >= first - kLimits.mWindow && aTime < first;
+    });
+    // The rule counts the requests of the window or of the one before, whichever is more.
+    const double most = static_cast<double>(std::max<std::int64_t>(in(requests), before));
+    EXPECT_LE(static_cast<double>(in(repeats)), kLimits.mRatio * most + kLimits.mSlack)
+      << GetParam().mGuardsAgainst;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  loads,
+  budget_test,
+  testing::Values(budget_row{ "a steady load that repeats all", milliseconds(50), seconds(60), 1 },
+                  budget_row{ "several repeats a request", milliseconds(50), seconds(60), 3 },
+                  budget_row{ "a load with few requests", seconds(2), seconds(60), 1 },
+                  budget_row{ "a short burst", milliseconds(5), seconds(3), 1 }));
+
+TEST(repeat_budget, OldCountsLapse)
+{
+  // Guards against a budget that stays used up, or that counts requests of long ago.
+  repeat_budget budget;
+  for (int i = 0; i < 5; ++i) {
+    budget = WithRepeat(budget, kStart);
+  }
+  EXPECT_FALSE(MayRepeat(budget, kLimits, kStart + seconds(1)));
+  EXPECT_TRUE(MayRepeat(budget, kLimits, kStart + seconds(12)));
+  EXPECT_TRUE(MayRepeat(budget, kLimits, kStart + seconds(10'000)));
+}
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/timing_test.cc
@@ -0,0 +1,56 @@
+#include "forward/timing.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct timing_row
+{
+  const char* mGuardsAgainst;
+  milliseconds mTarget;
+  milliseconds mUsual; // latency of every attempt
+};
+
+class timing_test : public testing::TestWithParam<timing_row>
+{};
+
+TEST_P(timing_test, AHedgeCanFinishBeforeThePartialAnswer)
+{
+  route_rule route;
+  route.mTarget = GetParam().mTarget;
+  latency_record recent;
+  for (int i = 0; i < 100; ++i) {
+    recent = AddLatency(recent, GetParam().mUsual);
+  }
+  const micros hedge = HedgeAfter(route, recent);
+  const micros partial = PartialAnswerAfter(route);
+  EXPECT_LT(partial, route.mTarget) << GetParam().mGuardsAgainst;
+  EXPECT_GT(hedge, GetParam().mUsual) << "every attempt is hedged";
+  if (GetParam().mUsual * 4 <= GetParam().mTarget) {
+    EXPECT_LE(hedge + GetParam().mUsual, partial) << GetParam().mGuardsAgainst;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  sizes,
+  timing_test,
+  testing::Values(
+    timing_row{ "a search that takes long", milliseconds(200), milliseconds(28) },
+    timing_row{ "a check that is urgent", milliseconds(80), milliseconds(10) },
+    timing_row{ "a tight target", milliseconds(50), milliseconds(5) },
+    timing_row{ "a target that is hardly met", milliseconds(800), milliseconds(500) }));
+
+TEST(timing, WithoutLatenciesTheTargetCounts)
+{
+  // Guards against hedges at once, or never, right after a start.
+  route_rule route;
+  route.mTarget = milliseconds(200);
+  EXPECT_GT(HedgeAfter(route, {}), milliseconds(30));
+  EXPECT_LT(HedgeAfter(route, {}), milliseconds(140));
+}
+
+} // namespace
+} // namespace redwingdock
--- /dev/null
+++ b/src/platform/edge_daemon_test.cc
@@ -0,0 +1,314 @@
+#include "daemon/http_exchange.h"
+#include "platform/edge_daemon.h"
+#include "platform/names.h"
+#include "platform/standin.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+const std::string kConfiguration =
+  R"({"version":1,"routes":[)"
+  R"({"name":"g","host":"h.example","prefix":"/g/","kind":"safe","timeoutMs":900,)"
+  R"("targetLatencyMs":300,"gather":["a","b","c"],"maxAttempts":2,"topK":2,)"
+  R"("minimumSuccessShare":0.6},)"
+  R"({"name":"p","host":"h.example","prefix":"/p/","kind":"safe","timeoutMs":900,)"
+  R"("targetLatencyMs":300,"service":"a","maxAttempts":2},)"
+  R"({"name":"u","host":"h.example","prefix":"/u/","kind":"unsafe","timeoutMs":900,)"
+  R"("targetLatencyMs":300,"service":"b","maxAttempts":2}],)"
+  R"("services":[{"name":"a","connectionLimit":20},{"name":"b","connectionLimit":20},)"
+  R"({"name":"c","connectionLimit":20}],)"
+  R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":300,)"
+  R"("idleTimeoutMs":2000}})";
+
+// One daemon between a store and one replica for each of the services a, b and c.
+class edge_rig
+{
+public:
+  edge_rig()
+    : mLoop(2)
+    , mStore(mLoop)
+    , mExchanges(mLoop)
+  {
+    for (const char* service : { "a", "b", "c" }) {
+      auto replica =
+        std::make_unique<replica_standin>(mLoop, std::string("i-") + service, replica_behaviour{});
+      EXPECT_TRUE(replica->ListenOn("127.0.0.1:0"));
+      mReplicas.emplace(service, std::move(replica));
+    }
+    edge_settings settings;
+    settings.mCore.mVm = "vm-1";
+    settings.mCore.mZone = "zone-1";
+    settings.mListenCallers = "127.0.0.1:0";
+    settings.mListenReadiness = "127.0.0.1:0";
+    settings.mListenAddresses = "127.0.0.1:0";
+    settings.mListenPeers = "127.0.0.1:0";
+    settings.mListenMetrics = "127.0.0.1:0";
+    const result<std::string> store = mStore.ListenOn("127.0.0.1:0");
+    settings.mStore = store ? *store : "";
+    settings.mCore.mCallAddress = "127.0.0.1:1";
+    settings.mCore.mAddress = "127.0.0.1:2";
+    settings.mCore.mLogDecisions = false;
+    mLoop.Start();
+    mDaemon = std::make_unique<edge_daemon>(settings, forward_hooks{});
+    mBound = *mDaemon->Start();
+  }
+
+  ~edge_rig()
+  {
+    mDaemon.reset();
+    mLoop.Stop();
+  }
+
+  void Publish()
+  {
+    for (const auto& [service, replica] : mReplicas) {
+      mStore.Put("servers/i-" + service, replica->Entry(service, "zone-1", false));
+    }
+    mStore.Put("op/config", kConfiguration);
+  }
+
+  // Blocks until the daemon counts as ready.
+  bool WaitUntilReady()
+  {
+    for (int i = 0; i < 500; ++i) {
+      if (Get(mBound.mReadiness, "/readiness").mStatus == 200) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  http_message Get(const std::string& aAddress, const std::string& aTarget)
+  {
+    return Exchange(aAddress, "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n\r\n");
+  }
+
+  // Sends the bytes on a connection of their own; status 0 when it ends without a whole reply.
+  http_message Exchange(const std::string& aAddress, const std::string& aBytes)
+  {
+    auto done = std::make_shared<std::promise<http_message>>();
+    auto reader = std::make_shared<http_reader>(http_side::Client, http_read_limits{ 100'000 });
+    auto given = std::make_shared<std::atomic<bool>>(false);
+    tcp_hooks hooks;
+    hooks.mOnBytes = [done, reader, given](std::string_view aReceived) {
+      if (reader->Feed(aReceived) == http_status::Complete && !given->exchange(true)) {
+        done->set_value(reader->Take());
+      }
+    };
+    hooks.mOnClosed = [done, given](const tcp_end&) {
+      if (!given->exchange(true)) {
+        done->set_value({});
+      }
+    };
+    auto connection = Connect(mLoop, aAddress, seconds(1), std::move(hooks));
+    connection->Send(aBytes);
+    http_message reply = done->get_future().get();
+    connection->Close("test done");
+    return reply;
+  }
+
+  io_loop mLoop;
+  store_standin mStore;
+  std::map<std::string, std::unique_ptr<replica_standin>> mReplicas;
+  http_exchanges mExchanges;
+  std::unique_ptr<edge_daemon> mDaemon;
+  edge_addresses mBound;
+};
+
+struct call_row
+{
+  const char* mGuardsAgainst;
+  std::string mBytes;
+  std::map<std::string, replica_behaviour> mBehaviours;
+  unsigned mStatus;
+  std::string mBody;
+  std::string mField; // present in the reply
+  int mMostRuns;      // over all replicas
+};
+
+std::string Request(const std::string& aTarget, const std::string& aRest = "\r\n")
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n" + aRest;
+}
+
+class call_test : public testing::TestWithParam<call_row>
+{};
+
+TEST_P(call_test, EndsAsTheClientExpects)
+{
+  const call_row& row = GetParam();
+  edge_rig rig;
+  rig.Publish();
+  ASSERT_TRUE(rig.WaitUntilReady());
+  for (const auto& [service, behaviour] : row.mBehaviours) {
+    rig.mReplicas.at(service)->Behave(behaviour);
+  }
+  const http_message reply = rig.Exchange(rig.mBound.mCallers, row.mBytes);
+  EXPECT_EQ(reply.mStatus, row.mStatus) << row.mGuardsAgainst;
+  EXPECT_EQ(reply.mBody, row.mBody) << row.mGuardsAgainst;
+  if (!row.mField.empty()) {
+    EXPECT_NE(reply.Find(row.mField), nullptr) << row.mGuardsAgainst;
+  }
+  int runs = 0;
+  for (const auto& [service, replica] : rig.mReplicas) {
+    for (const auto& [id, count] : replica->Runs()) {
+      runs += count;
+    }
+  }
+  EXPECT_LE(runs, row.mMostRuns) << row.mGuardsAgainst;
+}
+
+const replica_behaviour kSilent{ micros(0), 200, "", true };
+const replica_behaviour kRefusing{ micros(0), 503, "", false, true };
+
+replica_behaviour Records(const std::string& aBody)
+{
+  return { milliseconds(1), 200, aBody };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  call_test,
+  testing::Values(
+    call_row{ "a plain request changes on its way",
+              Request("/p/x?y=1"),
+              {},
+              200,
+              "/p/x",
+              kSignature,
+              1 },
+    call_row{ "a body is lost",
+              "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\nContent-Length: 3"
+              "\r\n\r\nabc",
+              {},
+              200,
+              "/u/x",
+              kSignature,
+              1 },
+    call_row{ "records are merged in the wrong order",
+              Request("/g/x"),
+              { { "a", Records("aaaaaaaaaaaaaaaaccccccccccccccccxx") },
+                { "b", Records("dddddddddddddddd") },
+                { "c", Records("bbbbbbbbbbbbbbbb") } },
+              200,
+              "ddddddddddddddddcccccccccccccccc",
+              kPartSignatures,
+              3 },
+    call_row{ "a missing part is not told",
+              Request("/g/x"),
+              { { "a", Records("aaaaaaaaaaaaaaaa") },
+                { "b", kSilent },
+                { "c", Records("bbbbbbbbbbbbbbbb") } },
+              200,
+              "bbbbbbbbbbbbbbbbaaaaaaaaaaaaaaaa",
+              kMissingParts,
+              3 },
+    call_row{ "too few parts look like a success",
+              Request("/g/x"),
+              { { "a", kRefusing }, { "b", kRefusing } },
+              502,
+              "",
+              "",
+              1 },
+    call_row{ "a refusal that is true has no time to come back",
+              Request("/u/x"),
+              { { "b", kRefusing } },
+              503,
+              "",
+              kRetryAfter,
+              0 },
+    call_row{ "a request that ran is refused as not run",
+              Request("/u/x"),
+              { { "b", kSilent } },
+              504,
+              "",
+              "",
+              1 },
+    call_row{ "an unknown path reaches a replica", Request("/none/"), {}, 404, "", "", 0 },
+    call_row{
+      "a long header is read",
+      Request("/p/" + std::string(5000, 'x')),
+      {},
+      431,
+      R"({"reason": {"step": "read header", "peer": "", "text": "header is over 4096 bytes"}})",
+      "",
+      0 },
+    call_row{ "a long body is read",
+              "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\nContent-Length: 2000"
+              "\r\n\r\n" +
+                std::string(2000, 'x'),
+              {},
+              413,
+              R"({"reason": {"step": "read body", "peer": "", "text": "body is over 1000 bytes"}})",
+              "",
+              0 },
+    call_row{ "a header that never ends holds a connection",
+              "GET /p/x HTTP/1.1\r\nHost:",
+              {},
+              408,
+              "",
+              "",
+              0 },
+    call_row{
+      "a smuggled request reaches a replica",
+      Request("/p/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+      {},
+      400,
+      R"({"reason": {"step": "read message", "peer": "", "text": "bad Transfer-Encoding"}})",
+      "",
+      0 }));
+
+TEST(edge_daemon, WithoutConfigurationItIsNotReadyAndRefuses)
+{
+  // Guards against a fresh process that answers 404 or counts as ready.
+  edge_rig rig;
+  EXPECT_EQ(rig.Get(rig.mBound.mReadiness, "/readiness").mStatus, 503U);
+  EXPECT_EQ(rig.Get(rig.mBound.mAddresses, "/resolution?name=h&zone=z").mStatus, 503U);
+  const http_message reply = rig.Exchange(rig.mBound.mCallers, Request("/p/x"));
+  EXPECT_EQ(reply.mStatus, 503U);
+  EXPECT_NE(reply.Find(kRetryAfter), nullptr);
+}
+
+TEST(edge_daemon, NamesItsAddressAndShowsMetrics)
+{
+  // Guards against callers and operators that get no answer from a ready daemon.
+  edge_rig rig;
+  rig.Publish();
+  ASSERT_TRUE(rig.WaitUntilReady());
+  EXPECT_EQ(rig.Get(rig.mBound.mAddresses, "/resolution?name=h&zone=z").mBody,
+            R"({"addrs":["127.0.0.1:1"],"ttl_s":2E0})");
+  EXPECT_EQ(rig.Exchange(rig.mBound.mCallers, Request("/p/x")).mStatus, 200U);
+  const http_message metrics = rig.Get(rig.mBound.mMetrics, "/metrics");
+  EXPECT_NE(metrics.mBody.find(R"(name="forward.answer.relayed"} 1)"), std::string::npos)
+    << metrics.mBody;
+}
+
+TEST(edge_daemon, AStopAnswersWhatRuns)
+{
+  // Guards against a planned stop that cuts a request.
+  edge_rig rig;
+  rig.Publish();
+  ASSERT_TRUE(rig.WaitUntilReady());
+  rig.mReplicas.at("a")->Behave({ milliseconds(250), 200, "" });
+  auto reply = std::async(std::launch::async,
+                          [&rig] { return rig.Exchange(rig.mBound.mCallers, Request("/p/x")); });
+  while (rig.mReplicas.at("a")->Runs().empty()) {
+    std::promise<void> passed;
+    rig.mLoop.After(milliseconds(5), [&passed] { passed.set_value(); });
+    passed.get_future().wait();
+  }
+  rig.mDaemon->AskStop();
+  const http_message answered = reply.get();
+  EXPECT_EQ(answered.mStatus, 200U);
+  EXPECT_FALSE(answered.mKeepAlive);
+  rig.mDaemon->WaitForEnd();
+}
+
+} // namespace
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/edge_settings_test.cc
@@ -0,0 +1,74 @@
+#include "platform/edge_settings.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+const std::string kSettings = R"(vm: front-a-1
+zone: a
+listen:
+  callers: "10.1.0.9:8104"
+  readiness: "10.1.0.9:8108"
+  addresses: "10.1.0.9:8100"
+  peers: "10.1.0.9:7380"
+  metrics: "10.1.0.9:7381"
+store: "10.200.1.7:8102"
+seeds: ["10.1.0.9:8106","10.2.0.21:8106"]
+workers: 1
+forwarding:
+  repeat_ratio: 0.1
+  repeat_slack: 20
+)";
+
+TEST(edge_settings, AreRead)
+{
+  // Guards against peers at the port of another service, and values that are dropped.
+  const result<edge_settings> settings = ParseEdgeSettings(kSettings, "boot.yaml");
+  ASSERT_TRUE(settings) << Describe(settings.mReason);
+  EXPECT_EQ(settings->mCore.mVm, "front-a-1");
+  EXPECT_EQ(settings->mCore.mForward.mPeers,
+            (std::vector<std::string>{ "10.1.0.9:7380", "10.2.0.21:7380" }));
+  EXPECT_EQ(settings->mCore.mForward.mRepeatRatio, 0.1);
+  EXPECT_EQ(settings->mCore.mForward.mRepeatSlack, 20);
+  EXPECT_EQ(settings->mStore, "10.200.1.7:8102");
+  EXPECT_EQ(settings->mWorkers, 1U);
+}
+
+struct refused_row
+{
+  const char* mGuardsAgainst;
+  std::string mFrom;
+  std::string mTo;
+  std::string mNamed; // in the reason
+};
+
+class refused_test : public testing::TestWithParam<refused_row>
+{};
+
+TEST_P(refused_test, NamesFileLineAndKey)
+{
+  std::string text = kSettings;
+  const std::size_t at = text.find(GetParam().mFrom);
+  ASSERT_NE(at, std::string::npos);
+  text.replace(at, GetParam().mFrom.size(), GetParam().mTo);
+  const result<edge_settings> settings = ParseEdgeSettings(text, "boot.yaml");
+  ASSERT_FALSE(settings) << GetParam().mGuardsAgainst;
+  const std::string reason = Describe(settings.mReason);
+  EXPECT_NE(reason.find("boot.yaml"), std::string::npos) << reason;
+  EXPECT_NE(reason.find(GetParam().mNamed), std::string::npos) << reason;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  refused_test,
+  testing::Values(
+    refused_row{ "a missing name", "vm: front-a-1\n", "", "vm" },
+    refused_row{ "an address without port", "10.1.0.9:8104", "10.1.0.9", "listen.callers" },
+    refused_row{ "an unknown key", "workers: 1", "worker: 1", "worker" },
+    refused_row{ "a ratio out of bounds", "ratio: 0.1", "ratio: -1", "repeat_ratio" },
+    refused_row{ "no store", "store: \"10.200.1.7:8102\"\n", "", "store" },
+    refused_row{ "a seed that is no address", "10.2.0.21:8106", "x", "seeds" }));
+
+} // namespace
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/published_codec_test.cc
@@ -0,0 +1,204 @@
+#include "platform/published_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+const std::string kReplica =
+  R"({"service":"desk","address":"10.128.0.9:8080","zone":"z","version":"v1","slots":3,)"
+  R"("state":"draining","warmupRemainingMs":1500,"sequence":4,"born":1775133628009})";
+
+std::string With(std::string aText, const std::string& aFrom, const std::string& aTo)
+{
+  const std::size_t at = aText.find(aFrom);
+  EXPECT_NE(at, std::string::npos);
+  return aText.replace(at, aFrom.size(), aTo);
+}
+
+struct replica_row
+{
+  const char* mGuardsAgainst;
+  std::string mBytes;
+};
+
+class malformed_replica_test : public testing::TestWithParam<replica_row>
+{};
+
+TEST_P(malformed_replica_test, NamesNoReplica)
+{
+  const published_value value = DecodeValue("servers/i-1", GetParam().mBytes);
+  EXPECT_TRUE(std::holds_alternative<unreadable_value>(value)) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  malformed_replica_test,
+  testing::Values(
+    replica_row{ "no bytes", "" },
+    replica_row{ "bytes that are not JSON", "\xff\x00{" },
+    replica_row{ "a list", "[]" },
+    replica_row{ "a missing service", With(kReplica, R"("service":"desk",)", "") },
+    replica_row{ "a service of another type", With(kReplica, R"("desk")", "7") },
+    replica_row{ "an address without port", With(kReplica, ":8080", "") },
+    replica_row{ "an address of another type", With(kReplica, R"("10.128.0.9:8080")", "[1]") },
+    replica_row{ "an unknown state", With(kReplica, "draining", "asleep") },
+    replica_row{ "a missing state", With(kReplica, R"("state":"draining",)", "") },
+    replica_row{ "slots as a text", With(kReplica, R"("slots":3)", R"("slots":"3")") },
+    replica_row{ "a negative warm-up", With(kReplica, "1500", "-1") },
+    replica_row{ "a sequence with a fraction",
+                 With(kReplica, R"("sequence":4)", R"("sequence":4.5)") },
+    replica_row{ "a start time as a text", With(kReplica, "1775133628009", R"("now")") },
+    replica_row{ "a missing zone", With(kReplica, R"("zone":"z",)", "") }));
+
+TEST(published, ReplicaIsRead)
+{
+  // Guards against fields that are mixed up or dropped.
+  replica_entry expected;
+  expected.mId = "i-1";
+  expected.mService = "desk";
+  expected.mAddress = "10.128.0.9:8080";
+  expected.mZone = "z";
+  expected.mSlots = 3;
+  expected.mDraining = true;
+  expected.mColdFor = std::chrono::milliseconds(1500);
+  expected.mBornMs = 1775133628009;
+  expected.mSequence = 4;
+  EXPECT_EQ(DecodeValue("servers/i-1", kReplica), published_value(expected));
+}
+
+const std::string kConfiguration =
+  R"({"version":7,"routes":[{"name":"r","host":"h","prefix":"/a/","kind":"safe","timeoutMs":500,)"
+  R"("targetLatencyMs":80,"priority":2,"gather":["x","y"],"maxAttempts":2,"topK":5,)"
+  R"("minimumSuccessShare":0.75},{"name":"w","host":"h","prefix":"/b/","kind":"unsafe",)"
+  R"("timeoutMs":900,"trafficSplit":[{"service":"x","weight":3},{"service":"y","weight":1}]},)"
+  R"({"name":"p","host":"h","prefix":"/c/","kind":"safe","timeoutMs":900,"service":"x"}],)"
+  R"("services":[{"name":"x","healthPath":"/health","connectionLimit":31,"warmupPerS":2.5}],)"
+  R"("limits":{"maxHeaderBytes":1000,"maxBodyBytes":2000,"headerTimeoutMs":300,)"
+  R"("idleTimeoutMs":4000}})";
+
+TEST(published, ConfigurationIsRead)
+{
+  // Guards against fields that are mixed up or dropped.
+  using std::chrono::milliseconds;
+  configuration expected;
+  expected.mVersion = 7;
+  expected.mRoutes = { { "r",
+                         "h",
+                         "/a/",
+                         { { "x", 1 }, { "y", 1 } },
+                         gather_rule{ 5, 0.75 },
+                         true,
+                         milliseconds(500),
+                         milliseconds(80),
+                         2,
+                         2 },
+                       { "w",
+                         "h",
+                         "/b/",
+                         { { "x", 3 }, { "y", 1 } },
+                         std::nullopt,
+                         false,
+                         milliseconds(900),
+                         milliseconds(900),
+                         1,
+                         0 },
+                       { "p",
+                         "h",
+                         "/c/",
+                         { { "x", 1 } },
+                         std::nullopt,
+                         true,
+                         milliseconds(900),
+                         milliseconds(900),
+                         1,
+                         0 } };
+  expected.mServices = { { "x", 31, 2.5 } };
+  expected.mLimits = { 1000, 2000, milliseconds(300), milliseconds(4000) };
+  EXPECT_EQ(DecodeValue("op/config", kConfiguration), published_value(expected));
+}
+
+class malformed_configuration_test : public testing::TestWithParam<replica_row>
+{};
+
+TEST_P(malformed_configuration_test, IsUnreadable)
+{
+  const published_value value = DecodeValue("op/config", GetParam().mBytes);
+  EXPECT_TRUE(std::holds_alternative<unreadable_value>(value)) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  malformed_configuration_test,
+  testing::Values(
+    replica_row{ "a cut configuration", kConfiguration.substr(0, 200) },
+    replica_row{ "a missing version", With(kConfiguration, R"("version":7,)", "") },
+    replica_row{ "a version as a text",
+                 With(kConfiguration, R"("version":7)", R"("version":"7")") },
+    replica_row{ "an unknown kind", With(kConfiguration, "unsafe", "maybe") },
+    replica_row{ "a route without services", With(kConfiguration, R"(,"service":"x")", "") },
+    replica_row{ "a gather without topK", With(kConfiguration, R"("topK":5,)", "") },
+    replica_row{ "a weight of another type",
+                 With(kConfiguration, R"("weight":3)", R"("weight":{})") },
+    replica_row{ "a timeout of another type", With(kConfiguration, ":500", R"(:"500")") },
+    replica_row{ "services that are no list",
+                 With(kConfiguration, R"("services":[)", R"("services":5,"o":[)") }));
+
+struct page_row
+{
+  const char* mGuardsAgainst;
+  std::string mBody;
+  bool mRead;
+  std::size_t mItems;
+  bool mMore;
+};
+
+class page_test : public testing::TestWithParam<page_row>
+{};
+
+TEST_P(page_test, Decoded)
+{
+  const result<store_page_read> page = DecodePage(GetParam().mBody);
+  ASSERT_EQ(bool(page), GetParam().mRead) << GetParam().mGuardsAgainst;
+  if (page) {
+    EXPECT_EQ(page->mItems.size(), GetParam().mItems) << GetParam().mGuardsAgainst;
+    EXPECT_EQ(page->mMore, GetParam().mMore) << GetParam().mGuardsAgainst;
+    EXPECT_EQ(page->mAsOf, 530U);
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  page_test,
+  testing::Values(
+    page_row{ "an empty page", R"({"items":[],"hasMore":false,"asOf":530})", true, 0, false },
+    page_row{ "the last page of several",
+              R"({"items":[{"key":"servers/i","value":"e30=","revision":9,"created":9,"lease":0}],)"
+              R"("hasMore":true,"asOf":530})",
+              true,
+              1,
+              true },
+    page_row{ "a value that cannot be read harms the others",
+              R"({"items":[{"key":"servers/i","value":"!!","revision":9},)"
+              R"({"key":"op/evacuate/z","value":"e30=","revision":8}],"asOf":530})",
+              true,
+              2,
+              false },
+    page_row{ "a cut body", R"({"items":[)", false, 0, false },
+    page_row{ "a body without revision", R"({"items":[]})", false, 0, false },
+    page_row{ "items that are no list", R"({"items":7,"asOf":530})", false, 0, false }));
+
+TEST(published, ChangesAreRead)
+{
+  // Guards against deletions that are taken for writes.
+  const result<store_changes_read> changes =
+    DecodeChanges(R"({"events":[{"key":"op/evacuate/z","value":"e30=","revision":412},)"
+                  R"({"key":"servers/i","revision":413,"deleted":true}],"asOf":413})");
+  ASSERT_TRUE(changes);
+  ASSERT_EQ(changes->mItems.size(), 2U);
+  EXPECT_EQ(*changes->mItems[0], (store_item{ "op/evacuate/z", 412, closed_zone{ "z" } }));
+  EXPECT_EQ(*changes->mItems[1], (store_item{ "servers/i", 413, deleted_value{} }));
+}
+
+} // namespace
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/request_codec_test.cc
@@ -0,0 +1,242 @@
+#include "platform/request_codec.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+http_message Parse(http_side aSide, const std::string& aBytes)
+{
+  http_reader reader(aSide, { 64 * 1024 });
+  EXPECT_EQ(reader.Feed(aBytes), http_status::Complete);
+  return reader.Take();
+}
+
+struct request_row
+{
+  const char* mGuardsAgainst;
+  const char* mBytes;
+  forward_request mContent; // without the fingerprint
+  const char* mSent;        // to the replica
+};
+
+class request_test : public testing::TestWithParam<request_row>
+{};
+
+TEST_P(request_test, IsForwardedUnchanged)
+{
+  const request_row& row = GetParam();
+  const http_message message = Parse(http_side::Server, row.mBytes);
+  forward_request content = DecodeRequest(message);
+  content.mFingerprint = 0;
+  EXPECT_EQ(content, row.mContent) << row.mGuardsAgainst;
+  replica_entry replica;
+  replica.mId = "i-1";
+  EXPECT_EQ(EncodeAttempt(message, replica, std::chrono::microseconds(790'900)), row.mSent)
+    << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  request_test,
+  testing::Values(
+    request_row{ "the usual case",
+                 "GET /a/2f?x=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c\r\n"
+                 "X-Deadline-Remaining: 800\r\n\r\n",
+                 { "9c", "h.example", "/a/2f", std::chrono::milliseconds(800), 0 },
+                 "GET /a/2f?x=1 HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: 9c\r\n"
+                 "X-Deadline-Remaining: 790\r\nX-Expected-Instance: i-1\r\n\r\n" },
+    request_row{
+      "fields of the connection reach the replica",
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\nConnection: keep-alive, X-Hop\r\n"
+      "X-Hop: 1\r\nKeep-Alive: timeout=5\r\nX-Other: 2\r\n\r\n",
+      { "9c", "h", "/a/", micros(0), 0 },
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\nX-Other: 2\r\n"
+      "X-Deadline-Remaining: 790\r\nX-Expected-Instance: i-1\r\n\r\n" },
+    request_row{
+      "a client chooses the replica",
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\nX-Expected-Instance: i-7\r\n\r\n",
+      { "9c", "h", "/a/", micros(0), 0 },
+      "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\n"
+      "X-Deadline-Remaining: 790\r\nX-Expected-Instance: i-1\r\n\r\n" },
+    request_row{
+      "a body in chunks loses its framing or bytes",
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\nTransfer-Encoding: chunked\r\n"
+      "X-Deadline-Remaining: 1.5\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n",
+      { "9c", "h", "/a/", micros(1500), 0 },
+      "POST /a/ HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: 9c\r\nX-Deadline-Remaining: 790\r\n"
+      "X-Expected-Instance: i-1\r\nContent-Length: 5\r\n\r\nabcde" },
+    request_row{ "a malformed deadline ends the request",
+                 "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: soon\r\n\r\n",
+                 { "", "h", "/a/", micros(0), 0 },
+                 "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: 790\r\n"
+                 "X-Expected-Instance: i-1\r\n\r\n" }));
+
+struct reply_row
+{
+  const char* mGuardsAgainst;
+  const char* mBytes;
+  bool mBelongs;
+  attempt_end mEnd;
+  forward_reply mReply;
+};
+
+class reply_test : public testing::TestWithParam<reply_row>
+{};
+
+TEST_P(reply_test, Decoded)
+{
+  const reply_row& row = GetParam();
+  const http_message message = Parse(http_side::Client, row.mBytes);
+  EXPECT_EQ(BelongsTo(message, "9c"), row.mBelongs) << row.mGuardsAgainst;
+  const decoded_reply reply = DecodeReply(message, "i-1");
+  EXPECT_EQ(reply.mEnd, row.mEnd) << row.mGuardsAgainst;
+  ASSERT_EQ(reply.mReply != nullptr, row.mEnd == attempt_end::Answered) << row.mGuardsAgainst;
+  if (reply.mReply) {
+    EXPECT_EQ(*reply.mReply, row.mReply) << row.mGuardsAgainst;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  reply_test,
+  testing::Values(
+    reply_row{ "the usual case",
+               "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nX-Response-Stamp: s.1\r\n"
+               "Keep-Alive: timeout=4\r\nContent-Length: 2\r\n\r\nok",
+               true,
+               attempt_end::Answered,
+               { 200, "s.1", { { "X-Attempt-Id", "9c" }, { "X-Response-Stamp", "s.1" } }, "ok" } },
+    reply_row{ "a late reply to another request is taken",
+               "HTTP/1.1 200 OK\r\nX-Attempt-Id: 77\r\nX-Response-Stamp: s.1\r\n"
+               "Content-Length: 0\r\n\r\n",
+               false,
+               attempt_end::Answered,
+               { 200, "s.1", { { "X-Attempt-Id", "77" }, { "X-Response-Stamp", "s.1" } }, "" } },
+    reply_row{ "a success without signature is passed on",
+               "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nContent-Length: 2\r\n\r\nok",
+               true,
+               attempt_end::Lost,
+               {} },
+    reply_row{ "an encoded body is taken for the replica's",
+               "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nX-Response-Stamp: s.1\r\n"
+               "Content-Encoding: gzip\r\nContent-Length: 2\r\n\r\nok",
+               true,
+               attempt_end::Lost,
+               {} },
+    reply_row{ "a refusal counts as run",
+               "HTTP/1.1 503 Service Unavailable\r\nX-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+               true,
+               attempt_end::Rejected,
+               {} },
+    reply_row{ "a failure that says nothing counts as not run",
+               "HTTP/1.1 503 Service Unavailable\r\nX-Response-Stamp: s.2\r\n"
+               "Content-Length: 0\r\n\r\n",
+               true,
+               attempt_end::Answered,
+               { 503, "s.2", { { "X-Response-Stamp", "s.2" } }, "" } },
+    reply_row{ "another process at the address is taken for the replica",
+               "HTTP/1.1 421 Misdirected Request\r\nX-Instance: i-2\r\nContent-Length: 0\r\n\r\n",
+               true,
+               attempt_end::Misplaced,
+               {} }));
+
+struct answer_row
+{
+  const char* mGuardsAgainst;
+  forward_answer mAnswer;
+  const char* mBytes;
+};
+
+class answer_test : public testing::TestWithParam<answer_row>
+{};
+
+TEST_P(answer_test, Encoded)
+{
+  EXPECT_EQ(FormatReply(EncodeAnswer(GetParam().mAnswer), true), GetParam().mBytes)
+    << GetParam().mGuardsAgainst;
+}
+
+forward_answer Relayed()
+{
+  forward_answer answer;
+  answer.mKind = answer_kind::Relayed;
+  answer.mReply = std::make_shared<const forward_reply>(
+    forward_reply{ 500, "s", { { "X-Response-Stamp", "s" } }, "bad" });
+  return answer;
+}
+
+forward_answer Of(answer_kind aKind)
+{
+  forward_answer answer;
+  answer.mKind = aKind;
+  answer.mRetryAfter = std::chrono::milliseconds(60);
+  return answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  answer_test,
+  testing::Values(
+    answer_row{ "a reply changes on its way",
+                Relayed(),
+                "HTTP/1.1 500 Internal Server Error\r\nX-Response-Stamp: s\r\nContent-Length: 3"
+                "\r\n\r\nbad" },
+    answer_row{ "missing parts are not told",
+                { answer_kind::Gathered, nullptr, { "s.1", "s.2" }, 1, "0123456789abcdef" },
+                "HTTP/1.1 200 OK\r\nX-Shard-Stamps: s.1, s.2\r\nX-Missing-Shards: 1\r\n"
+                "Content-Length: 16\r\n\r\n0123456789abcdef" },
+    answer_row{ "a refusal does not say when to come back",
+                Of(answer_kind::NotRun),
+                "HTTP/1.1 503 Service Unavailable\r\nRetry-After: 0.060\r\nContent-Length: 0"
+                "\r\n\r\n" },
+    answer_row{ "a failure that may have run promises not run",
+                Of(answer_kind::Failed),
+                "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n" },
+    answer_row{ "a late request promises not run",
+                Of(answer_kind::TimedOut),
+                "HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n" },
+    answer_row{ "an unknown path is retried",
+                Of(answer_kind::NoRoute),
+                "HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n" }));
+
+struct addresses_row
+{
+  const char* mGuardsAgainst;
+  result<entry_answer> mAnswer;
+  unsigned mStatus;
+  const char* mBody;
+};
+
+class addresses_test : public testing::TestWithParam<addresses_row>
+{};
+
+TEST_P(addresses_test, Encoded)
+{
+  const http_response response = EncodeAddresses(GetParam().mAnswer);
+  EXPECT_EQ(response.mStatus, GetParam().mStatus) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(response.mBody, GetParam().mBody) << GetParam().mGuardsAgainst;
+}
+
+entry_answer Naming(std::vector<std::string> aAddresses)
+{
+  entry_answer answer;
+  answer.mLifetime = std::chrono::milliseconds(1500);
+  answer.mAddresses = std::move(aAddresses);
+  return answer;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  addresses_test,
+  testing::Values(addresses_row{ "an address or the lifetime is lost",
+                                 Success(Naming({ "10.0.0.1:80", "10.0.0.2:80" })),
+                                 200,
+                                 R"({"addrs":["10.0.0.1:80","10.0.0.2:80"],"ttl_s":1.5E0})" },
+                  addresses_row{ "a failure looks like an answer",
+                                 Failure<entry_answer>("choose", "", "none"),
+                                 503,
+                                 "" }));
+
+} // namespace
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/standin.cc
@@ -0,0 +1,241 @@
+#include "platform/standin.h"
+
+#include "platform/names.h"
+
+#include <algorithm>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <utility>
+
+namespace redwingdock::platform {
+
+namespace {
+
+namespace json = boost::json;
+
+constexpr std::size_t kPage = 50; // items
+
+std::string ToBase64(const std::string& aBytes)
+{
+  namespace base64 = boost::beast::detail::base64;
+  std::string text(base64::encoded_size(aBytes.size()), '\0');
+  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
+  return text;
+}
+
+std::uint64_t NumberOf(const http_message& aMessage, const char* aName)
+{
+  const std::string text = QueryParameter(aMessage.mTarget, aName);
+  return text.empty() || text.find_first_not_of("0123456789") != std::string::npos
+           ? 0
+           : std::stoull(text);
+}
+
+} // namespace
+
+store_standin::store_standin(io_loop& aLoop)
+  : mLoop(aLoop)
+  , mServer(aLoop,
+            mNumbers,
+            { [this](std::uint64_t aNumber, const http_message& aMessage) {
+               OnRequest(aNumber, aMessage);
+             },
+              nullptr,
+              nullptr })
+{
+}
+
+void store_standin::Put(const std::string& aKey, const std::string& aValue)
+{
+  Change(aKey, { aValue });
+}
+
+void store_standin::Delete(const std::string& aKey)
+{
+  Change(aKey, { "", 0, true });
+}
+
+void store_standin::SetDown(bool aDown)
+{
+  const std::lock_guard lock(mLock);
+  mDown = aDown;
+}
+
+void store_standin::Change(const std::string& aKey, item aItem)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> replies;
+  {
+    const std::lock_guard lock(mLock);
+    aItem.mRevision = ++mRevision;
+    mItems[aKey] = std::move(aItem);
+    for (const watch& each : mWatches) {
+      replies.emplace_back(each.mNumber, EventsBody(each.mAfter));
+    }
+    mWatches.clear();
+  }
+  for (const auto& [number, body] : replies) {
+    mServer.Reply(number, { 200, "application/json", body, {} });
+  }
+}
+
+void store_standin::OnRequest(std::uint64_t aNumber, const http_message& aMessage)
+{
+  const std::string_view path = PathOf(aMessage.mTarget);
+  http_response response{ 404, "", "", {} };
+  {
+    const std::lock_guard lock(mLock);
+    const std::uint64_t after = NumberOf(aMessage, "after");
+    if (mDown) {
+      response.mStatus = 503;
+    } else if (path == kRangePath) {
+      response = {
+        200, "application/json", RangeBody(QueryParameter(aMessage.mTarget, "after")), {}
+      };
+    } else if (path == kWatchPath && HasNews(after)) {
+      response = { 200, "application/json", EventsBody(after), {} };
+    } else if (path == kWatchPath) {
+      mWatches.push_back({ aNumber, after });
+      mLoop.After(std::chrono::milliseconds(NumberOf(aMessage, "waitMs")), [this, aNumber, after] {
+        std::string body;
+        {
+          const std::lock_guard relock(mLock);
+          std::erase_if(mWatches,
+                        [aNumber](const watch& aWatch) { return aWatch.mNumber == aNumber; });
+          body = EventsBody(after);
+        }
+        mServer.Reply(aNumber, { 200, "application/json", body, {} });
+      });
+      return;
+    }
+  }
+  mServer.Reply(aNumber, response);
+}
+
+std::string store_standin::RangeBody(const std::string& aAfter) const
+{
+  json::array items;
+  bool more = false;
+  for (auto it = mItems.upper_bound(aAfter); it != mItems.end(); ++it) {
+    if (it->second.mDeleted) {
+      continue;
+    }
+    if (items.size() == kPage) {
+      more = true;
+      break;
+    }
+    items.push_back(json::object{ { "key", it->first },
+                                  { "value", ToBase64(it->second.mValue) },
+                                  { "revision", it->second.mRevision } });
+  }
+  return json::serialize(
+    json::object{ { "items", std::move(items) }, { "hasMore", more }, { "asOf", mRevision } });
+}
+
+bool store_standin::HasNews(std::uint64_t aAfter) const
+{
+  return std::any_of(mItems.begin(), mItems.end(), [aAfter](const auto& aEach) {
+    return aEach.second.mRevision > aAfter;
+  });
+}
+
+std::string store_standin::EventsBody(std::uint64_t aAfter) const
+{
+  json::array events;
+  for (const auto& [key, each] : mItems) {
+    if (each.mRevision <= aAfter) {
+      continue;
+    }
+    json::object event{ { "key", key }, { "revision", each.mRevision } };
+    if (each.mDeleted) {
+      event["deleted"] = true;
+    } else {
+      event["value"] = ToBase64(each.mValue);
+    }
+    events.push_back(std::move(event));
+  }
+  return json::serialize(json::object{ { "events", std::move(events) }, { "asOf", mRevision } });
+}
+
+replica_standin::replica_standin(io_loop& aLoop, std::string aId, replica_behaviour aBehaviour)
+  : mLoop(aLoop)
+  , mId(std::move(aId))
+  , mBehaviour(std::move(aBehaviour))
+  , mServer(aLoop,
+            mNumbers,
+            { [this](std::uint64_t aNumber, const http_message& aMessage) {
+               OnRequest(aNumber, aMessage);
+             },
+              nullptr,
+              nullptr })
+{
+}
+
+result<std::string> replica_standin::ListenOn(const std::string& aAddress)
+{
+  result<std::string> bound = mServer.ListenOn(aAddress);
+  mAddress = bound ? *bound : "";
+  return bound;
+}
+
+std::string replica_standin::Entry(const std::string& aService,
+                                   const std::string& aZone,
+                                   bool aDraining) const
+{
+  return json::serialize(json::object{ { "service", aService },
+                                       { "address", mAddress },
+                                       { "zone", aZone },
+                                       { "version", "v1" },
+                                       { "slots", 3 },
+                                       { "state", aDraining ? "draining" : "ready" },
+                                       { "warmupRemainingMs", 0 },
+                                       { "sequence", aDraining ? 2 : 1 },
+                                       { "born", 1 } });
+}
+
+void replica_standin::Behave(const replica_behaviour& aBehaviour)
+{
+  const std::lock_guard lock(mLock);
+  mBehaviour = aBehaviour;
+}
+
+std::map<std::string, int> replica_standin::Runs() const
+{
+  const std::lock_guard lock(mLock);
+  return mRuns;
+}
+
+void replica_standin::OnRequest(std::uint64_t aNumber, const http_message& aMessage)
+{
+  const std::string* expected = aMessage.Find(kExpectedReplica);
+  const std::string* id = aMessage.Find(kRequestId);
+  replica_behaviour behaviour;
+  http_response response{ 200, "", "", {} };
+  {
+    const std::lock_guard lock(mLock);
+    behaviour = mBehaviour;
+    if (id == nullptr || (expected != nullptr && *expected != mId)) {
+      behaviour = { micros(0), id == nullptr ? 400U : 421U, "", false, true };
+    } else if (!behaviour.mNotRun) {
+      ++mRuns[*id];
+    }
+  }
+  if (behaviour.mSilent) {
+    return;
+  }
+  response.mStatus = behaviour.mStatus;
+  response.mBody =
+    behaviour.mBody.empty() ? std::string(PathOf(aMessage.mTarget)) : behaviour.mBody;
+  if (id != nullptr) {
+    response.mFields.push_back({ kRequestId, *id });
+  }
+  if (behaviour.mNotRun) {
+    response.mFields.push_back({ kNotRun, "1" });
+  } else {
+    response.mFields.push_back({ kSignature, mId + "." + (id != nullptr ? *id : "") });
+  }
+  mLoop.After(behaviour.mDelay, [this, aNumber, response] { mServer.Reply(aNumber, response); });
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/standin.h
@@ -0,0 +1,104 @@
+#ifndef REDWINGDOCK_PLATFORM_STANDIN_H
+#define REDWINGDOCK_PLATFORM_STANDIN_H
+
+#include "core/catalog.h"
+#include "daemon/http_server.h"
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+// The platform's store and replicas on loopback, for tests and demos.
+//
+//   store_standin store(loop);
+//   replica_standin replica(loop, "i-1", { .mDelay = std::chrono::milliseconds(5) });
+//   store.Put("servers/i-1", replica.Entry("desk", "zone-1"));
+
+namespace redwingdock::platform {
+
+// Range and watch calls on items with revisions.
+class store_standin
+{
+public:
+  explicit store_standin(io_loop& aLoop);
+
+  result<std::string> ListenOn(const std::string& aAddress) { return mServer.ListenOn(aAddress); }
+  void Put(const std::string& aKey, const std::string& aValue);
+  void Delete(const std::string& aKey);
+  // While it is down, all calls get status 503.
+  void SetDown(bool aDown);
+
+private:
+  struct item
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+    bool mDeleted = false;
+  };
+
+  struct watch
+  {
+    std::uint64_t mNumber = 0;
+    std::uint64_t mAfter = 0;
+  };
+
+  void OnRequest(std::uint64_t aNumber, const http_message& aMessage);
+  std::string RangeBody(const std::string& aAfter) const;
+  std::string EventsBody(std::uint64_t aAfter) const;
+  bool HasNews(std::uint64_t aAfter) const;
+  void Change(const std::string& aKey, item aItem);
+
+  io_loop& mLoop;
+  number_source mNumbers{ 0 };
+  mutable std::mutex mLock;
+  std::map<std::string, item> mItems;
+  std::uint64_t mRevision = 1;
+  bool mDown = false;
+  std::vector<watch> mWatches;
+  http_server mServer;
+};
+
+struct replica_behaviour
+{
+  micros mDelay = std::chrono::milliseconds(2);
+  unsigned mStatus = 200;
+  std::string mBody; // the request's path when empty
+  bool mSilent = false;
+  bool mNotRun = false;
+
+  auto operator<=>(const replica_behaviour&) const = default;
+};
+
+// One replica. It refuses requests for another one.
+class replica_standin
+{
+public:
+  replica_standin(io_loop& aLoop, std::string aId, replica_behaviour aBehaviour);
+
+  result<std::string> ListenOn(const std::string& aAddress);
+  // Its published entry.
+  std::string Entry(const std::string& aService, const std::string& aZone, bool aDraining) const;
+  void Behave(const replica_behaviour& aBehaviour);
+  // Requests that it ran, by request id.
+  std::map<std::string, int> Runs() const;
+
+private:
+  void OnRequest(std::uint64_t aNumber, const http_message& aMessage);
+
+  io_loop& mLoop;
+  const std::string mId;
+  std::string mAddress;
+  number_source mNumbers{ 0 };
+  mutable std::mutex mLock;
+  replica_behaviour mBehaviour;
+  std::map<std::string, int> mRuns;
+  http_server mServer;
+};
+
+} // namespace redwingdock::platform
+
+#endif
