Write logs from a thread of their own, bounded, and count latencies

Lines beyond 1,000 a second are counted and left out, and a log file that takes no more costs the oldest lines instead of a request. A line tells the route, version and deadline of each request. Histograms of requests by outcome and of attempts by end stand on the metrics address.

--- /dev/null
+++ b/src/daemon/line_limiter.h
@@ -0,0 +1,55 @@
+#ifndef REDWINGDOCK_DAEMON_LINE_LIMITER_H
+#define REDWINGDOCK_DAEMON_LINE_LIMITER_H
+
+#include <chrono>
+#include <cstdint>
+#include <utility>
+
+// Bounds the lines of a log in each second and counts those that were left out.
+//
+//   line_limiter limiter{ 1000 };
+//   if (limiter.Admit(now).mAdmitted) { ... }
+
+namespace redwingdock {
+
+class line_limiter
+{
+public:
+  struct verdict
+  {
+    bool mAdmitted = false;
+    std::uint64_t mOmitted = 0; // in earlier seconds; told once
+
+    auto operator<=>(const verdict&) const = default;
+  };
+
+  explicit line_limiter(std::uint32_t aLinesPerSecond)
+    : mLimit(aLinesPerSecond)
+  {
+  }
+
+  verdict Admit(std::chrono::nanoseconds aNow)
+  {
+    const auto second = std::chrono::duration_cast<std::chrono::seconds>(aNow);
+    verdict given;
+    if (second != mSecond) {
+      mSecond = second;
+      mLines = 0;
+      given.mOmitted = std::exchange(mOmitted, 0);
+    }
+    given.mAdmitted = mLines < mLimit;
+    mLines += given.mAdmitted ? 1 : 0;
+    mOmitted += given.mAdmitted ? 0 : 1;
+    return given;
+  }
+
+private:
+  std::uint32_t mLimit;
+  std::chrono::seconds mSecond{ -1 };
+  std::uint32_t mLines = 0;
+  std::uint64_t mOmitted = 0;
+};
+
+} // namespace redwingdock
+
+#endif
--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -1,7 +1,13 @@
 #include "daemon/logging.h"
 
+#include "daemon/line_limiter.h"
+
 #include <algorithm>
+#include <chrono>
 #include <memory>
+#include <mutex>
+#include <spdlog/async_logger.h>
+#include <spdlog/details/thread_pool.h>
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/basic_file_sink.h>
 #include <spdlog/sinks/stdout_sinks.h>
@@ -12,9 +18,15 @@
 
 namespace {
 
+// Lines that wait for the log file. A reader that stalls costs the oldest of them, no request.
+constexpr std::size_t kWaitingLines = 8192;
+constexpr std::uint32_t kLinesPerSecond = 1000;
+
 std::shared_ptr<spdlog::logger> MakeLogger(spdlog::sink_ptr aSink)
 {
-  auto made = std::make_shared<spdlog::logger>("redwingdockd", std::move(aSink));
+  static const auto kWriter = std::make_shared<spdlog::details::thread_pool>(kWaitingLines, 1);
+  auto made = std::make_shared<spdlog::async_logger>(
+    "redwingdock", std::move(aSink), kWriter, spdlog::async_overflow_policy::overrun_oldest);
   made->set_formatter(std::make_unique<spdlog::pattern_formatter>("%Y-%m-%dT%H:%M:%S.%eZ %l %v",
                                                                   spdlog::pattern_time_type::utc));
   return made;
@@ -78,7 +90,20 @@
 
 void Log(const log_line& aLine)
 {
-  Logger()->log(LevelOf(aLine.mLevel), LineText(aLine));
+  static std::mutex lock;
+  static line_limiter limiter{ kLinesPerSecond };
+  line_limiter::verdict verdict;
+  {
+    const std::lock_guard guard(lock);
+    verdict = limiter.Admit(std::chrono::steady_clock::now().time_since_epoch());
+  }
+  if (verdict.mOmitted > 0) {
+    Logger()->log(spdlog::level::warn,
+                  "log: event=lines_omitted count=" + std::to_string(verdict.mOmitted));
+  }
+  if (verdict.mAdmitted) {
+    Logger()->log(LevelOf(aLine.mLevel), LineText(aLine));
+  }
 }
 
 } // namespace redwingdock
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -6,7 +6,9 @@
 
 #include <string>
 
-// The log of the process: lines "2026-01-31T12:00:00.000Z info prefix: text".
+// The log of the process: lines "2026-01-31T12:00:00.000Z info prefix: text". Logging never blocks:
+// a thread of its own writes, lines beyond a number a second are counted and left out, and a file
+// that takes no more costs the oldest lines.
 //
 //   StartLogging(log_threshold::Info, "-");
 //   Log({ log_level::Warning, "peer", "refused an envelope" });
--- a/src/daemon/metrics.cc
+++ b/src/daemon/metrics.cc
@@ -94,8 +94,10 @@
 
 struct metrics::state
 {
-  series_map mQueries; // by labels
-  series_map mParts;   // by labels
+  series_map mQueries;  // by labels
+  series_map mParts;    // by labels
+  series_map mForwards; // by labels
+  series_map mAttempts; // by labels
 };
 
 metrics::metrics()
@@ -134,20 +136,38 @@
   mState->mParts.WithNew(labels, [aLatency](series& aSeries) { aSeries.Add(aLatency); });
 }
 
+void metrics::CountForward(const std::string& aOutcome, micros aLatency)
+{
+  mState->mForwards.WithNew("outcome=\"" + aOutcome + "\"",
+                            [aLatency](series& aSeries) { aSeries.Add(aLatency); });
+}
+
+void metrics::CountAttempt(const std::string& aEnd, micros aLatency)
+{
+  mState->mAttempts.WithNew("end=\"" + aEnd + "\"",
+                            [aLatency](series& aSeries) { aSeries.Add(aLatency); });
+}
+
 std::string metrics::Text(const blackboard& aBoard,
                           const std::map<std::string, double>& aGauges) const
 {
   std::string text;
-  const std::string queries = "redwingdock_query_latency_ms";
-  AddHeader(text, queries, "Time from a request to its answer.", "histogram");
-  mState->mQueries.ForEach([&](const std::string& aLabels, const series& aSeries) {
-    AddSeries(text, queries, aLabels, aSeries);
-  });
-  const std::string parts = "redwingdock_part_latency_ms";
-  AddHeader(text, parts, "Time from sending a part to its reply or loss.", "histogram");
-  mState->mParts.ForEach([&](const std::string& aLabels, const series& aSeries) {
-    AddSeries(text, parts, aLabels, aSeries);
-  });
+  const auto add = [&text](const char* aName, const char* aHelp, const series_map& aMap) {
+    AddHeader(text, aName, aHelp, "histogram");
+    aMap.ForEach([&](const std::string& aLabels, const series& aSeries) {
+      AddSeries(text, aName, aLabels, aSeries);
+    });
+  };
+  add("redwingdock_query_latency_ms", "Time from a request to its answer.", mState->mQueries);
+  add("redwingdock_part_latency_ms",
+      "Time from sending a part to its reply or loss.",
+      mState->mParts);
+  add("redwingdock_forward_latency_ms",
+      "Time from a forwarded request to its answer.",
+      mState->mForwards);
+  add("redwingdock_attempt_latency_ms",
+      "Time from sending to a replica to the end of the attempt.",
+      mState->mAttempts);
   AddHeader(text, "redwingdock_decisions_total", "Decisions of the core by name.", "counter");
   for (const auto& [name, count] : aBoard.List<counter>()) {
     AddLine(text,
--- a/src/daemon/metrics.h
+++ b/src/daemon/metrics.h
@@ -31,6 +31,10 @@
                   micros aLatency);
   void CountPart(const part_reply& aReply, micros aLatency);
 
+  // A forwarded request by the outcome of its answer, and an attempt at a replica by its end.
+  void CountForward(const std::string& aOutcome, micros aLatency);
+  void CountAttempt(const std::string& aEnd, micros aLatency);
+
   // The histograms, the counter entries of the blackboard, and the given gauges by name.
   std::string Text(const blackboard& aBoard, const std::map<std::string, double>& aGauges) const;
 
--- a/src/daemon/platform_client.cc
+++ b/src/daemon/platform_client.cc
@@ -54,8 +54,7 @@
   const std::string header = field != nullptr ? *field : std::string();
   const std::optional<std::uint64_t> revision = ParseRevision(header);
   if (!revision) {
-    return failed("header Table-Revision is \"" + header +
-                  "\", expected a whole number");
+    return failed("header Table-Revision is \"" + header + "\", expected a whole number");
   }
   if (aReply->mStatus == 204) {
     return table_unchanged{ aCommand.mKind, *revision, aSince };
--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -123,7 +123,9 @@
   static http_response Reply(int aRevision, const std::string& aText)
   {
     const std::string revision = std::to_string(aRevision);
-    return { 200, "text/yaml", "revision: " + revision + "\n" + aText, { { "Table-Revision", revision } } };
+    return {
+      200, "text/yaml", "revision: " + revision + "\n" + aText, { { "Table-Revision", revision } }
+    };
   }
 
   std::string Query() const
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -348,6 +348,9 @@
                        " outcome=" + ToString(aAnswer.mKind) + " after_ms=" + MsText(elapsed) +
                        " parts=" + std::to_string(AnsweredParts(mState)) + "/" +
                        std::to_string(mState.mParts.size());
+    if (!mState.mRoute->mGather && !mState.mParts.front().mAttempts.empty()) {
+      line += " replica=" + mState.mParts.front().mAttempts.back().mReplica->mId;
+    }
     if (aAnswer.mReply) {
       line += " status=" + std::to_string(aAnswer.mReply->mStatus);
     }
@@ -539,6 +542,13 @@
         WithRequest(aOld != nullptr ? *aOld : repeat_budget{}, aContext.Now()));
     });
   }
+  aContext.Log("forward",
+               "event=routed request=" + Quoted(state.mContent.mId) + " route=" + route->mName +
+                 " version=" + std::to_string(state.mVersion) +
+                 " service=" + (route->mGather ? "gather" : state.mParts.front().mService) +
+                 " parts=" + std::to_string(state.mParts.size()) +
+                 " patience_ms=" + MsText(state.mContent.mPatience) +
+                 " deadline_ms=" + MsText(state.mDeadline - state.mArrivedAt));
   request_step(aContext, aHooks, std::move(state)).Run();
 }
 
--- a/src/membership/test_fleet.h
+++ b/src/membership/test_fleet.h
@@ -1,9 +1,9 @@
 #ifndef REDWINGDOCK_MEMBERSHIP_TEST_FLEET_H
 #define REDWINGDOCK_MEMBERSHIP_TEST_FLEET_H
 
+#include "assembly/hooks.h"
 #include "core/context.h"
 #include "core/facts.h"
-#include "assembly/hooks.h"
 
 #include <functional>
 #include <map>
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -184,7 +184,7 @@
 void edge_daemon::OnRequest(std::uint64_t aNumber, const http_message& aMessage)
 {
   forward_request content = DecodeRequest(aMessage);
-  mRequests.Insert(aNumber, std::make_shared<const http_message>(aMessage));
+  mRequests.Insert(aNumber, { std::make_shared<const http_message>(aMessage), SteadyNow() });
   mDriver.Post(request_arrived{ aNumber, std::move(content) });
 }
 
@@ -260,14 +260,15 @@
 
 void edge_daemon::Execute(const send_attempt& aCommand)
 {
-  const auto report = [this, key = aCommand.mKey, replica = aCommand.mReplica](
-                        attempt_end aEnd, reply_pointer aReply, reason aReason) {
-    mDriver.Post(attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason) });
-  };
+  const auto report =
+    [this, key = aCommand.mKey, replica = aCommand.mReplica, sentAt = SteadyNow()](
+      attempt_end aEnd, reply_pointer aReply, reason aReason) {
+      mMetrics.CountAttempt(ToString(aEnd), SteadyNow() - sentAt);
+      mDriver.Post(attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason) });
+    };
   std::shared_ptr<const http_message> message;
-  mRequests.With(
-    aCommand.mKey.mRequest,
-    [&message](const std::shared_ptr<const http_message>& aMessage) { message = aMessage; });
+  mRequests.With(aCommand.mKey.mRequest,
+                 [&message](const pending_request& aPending) { message = aPending.mMessage; });
   const micros left = aCommand.mDeadline - SteadyNow();
   if (!message || left <= micros(0)) {
     report(attempt_end::NotSent,
@@ -301,7 +302,9 @@
 
 void edge_daemon::Execute(const answer_request& aCommand)
 {
-  mRequests.Take(aCommand.mRequest);
+  if (const auto pending = mRequests.Take(aCommand.mRequest)) {
+    mMetrics.CountForward(ToString(aCommand.mAnswer.mKind), SteadyNow() - pending->mArrivedAt);
+  }
   mCallerServer.Reply(aCommand.mRequest, EncodeAnswer(aCommand.mAnswer));
 }
 
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -56,7 +56,13 @@
 
 private:
   // A client's request until its answer.
-  using request_map = keyed_shards<std::uint64_t, std::shared_ptr<const http_message>>;
+  struct pending_request
+  {
+    std::shared_ptr<const http_message> mMessage;
+    instant mArrivedAt{};
+  };
+
+  using request_map = keyed_shards<std::uint64_t, pending_request>;
 
   void OnRequest(std::uint64_t aNumber, const http_message& aMessage);
   void OnGone(std::uint64_t aNumber);
