--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -16,7 +16,8 @@
 esac
 scripts/install.sh
 cmake -S . -B build -G Ninja >/dev/null
-cmake --build build --target redwingdockd redwingdock_standin redwingdock_load redwingdockctl -j 4 | tail -1
+cmake --build build --target redwingdockd redwingdock_standin redwingdock_load redwingdockctl \
+  redwingdock_edge redwingdock_edge_standin -j 4 | tail -1
 source scripts/cluster.sh
 
 run=$(mktemp -d)
@@ -73,6 +74,9 @@
   done
 done
 
+echo "== the programs of the users' platform"
+scripts/edge_demo.sh || failed=1
+
 if [ -n "$keep" ]; then
   trap - EXIT
   echo "== left running; to stop: bash -c 'source scripts/cluster.sh; for d in ${deployments[*]}; do cluster_stop $run/\$d; done; rm -rf $run'"
--- a/scripts/first_hour.sh
+++ b/scripts/first_hour.sh
@@ -1,11 +1,11 @@
 #!/usr/bin/env bash
-# Runs the commands of the section "First hour" of docs/operators.md in order, in one shell, so that
+# Runs the commands of the section "First hour" of docs/OPERATIONS.md in order, in one shell, so that
 # the page cannot name a command that fails. Usage: first_hour.sh [--print]
 #
 # --print shows the commands without running them. Exits 0 when every command succeeded.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-page=docs/operators.md
+page=docs/OPERATIONS.md
 source scripts/cluster.sh
 # The second part of the address is above those of cluster.sh (20 to 219), so that this run meets no
 # other script. Another run of this one is passed over when its stand-in answers already.
--- a/src/core/forwarding.cc
+++ b/src/core/forwarding.cc
@@ -15,6 +15,8 @@
       return "not_sent";
     case attempt_end::Lost:
       return "lost";
+    case attempt_end::Expired:
+      return "expired";
   }
   return "unknown";
 }
--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -74,7 +74,8 @@
   Rejected,  // the replica says that it did not run the request
   Misplaced, // another process has the address; it did not run the request
   NotSent,   // no connection, or none was free
-  Lost,      // no usable reply; the request may have run
+  Lost,      // the connection ended without a usable reply; the request may have run
+  Expired,   // no reply by the deadline; the request may have run
 };
 
 const char* ToString(attempt_end aEnd);
--- a/src/ctl/answer_text.cc
+++ b/src/ctl/answer_text.cc
@@ -182,7 +182,7 @@
     --urgency) COMPREPLY=($(compgen -W 'urgent normal background' -- "$word")); return ;;
   esac
   if [ "$COMP_CWORD" -eq 1 ]; then
-    COMPREPLY=($(compgen -W 'check entry query coverage view limits explain watch drain stop completion --help --version' -- "$word"))
+    COMPREPLY=($(compgen -W 'check entry query coverage view limits explain trace watch drain stop completion --help --version' -- "$word"))
     return
   fi
   case ${COMP_WORDS[1]} in
@@ -191,6 +191,7 @@
     query) words='--daemon --caller --zone --filter --urgency --deadline --submit --json' ;;
     coverage) words='--daemon --caller --zone --deadline --json' ;;
     view | limits | explain) words='--operator --json' ;;
+    trace) words='--log' ;;
     watch) words='--operator --count --json' ;;
     drain | stop) words='--operator --wait --json' ;;
     *) words= ;;
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,12 +1,15 @@
 #include "client/command_line.h"
 #include "ctl/answer_text.h"
 #include "ctl/daemon_view.h"
+#include "ctl/log_trace.h"
 #include "ctl/table_check.h"
 #include "ctl/terminal.h"
 #include "settings/settings.h"
 #include "tables/parse.h"
 
+#include <algorithm>
 #include <charconv>
+#include <fstream>
 #include <future>
 #include <iostream>
 
@@ -23,6 +26,7 @@
   redwingdockctl view --operator ADDRESS... [--json]
   redwingdockctl limits --operator ADDRESS... [--json]
   redwingdockctl explain ROUTE ID --operator ADDRESS... [--json]
+  redwingdockctl trace ID --log FILE...
   redwingdockctl watch --operator ADDRESS... [--count N] [--json]
   redwingdockctl drain --operator ADDRESS... [--json]
   redwingdockctl stop --operator ADDRESS... [--wait SECONDS] [--json]
@@ -37,6 +41,7 @@
   view        Shows the views of all daemons side by side; differences are marked with "!".
   limits      Shows who holds the slots of each server.
   explain     Shows why each daemon can or cannot reach the servers that own a record.
+  trace       Puts the log lines of one forwarded request in order and names the cause of its outcome.
   watch       Shows view each second until q, Ctrl-C or N times.
   drain       Asks daemons to stop as planned, and returns at once.
   stop        As drain, and waits until they have ended.
@@ -49,6 +54,7 @@
   --vms FILE            VM list.
   --daemon ADDRESS      Caller address, ip:port; any of them is enough.
   --operator ADDRESS    Operator address, ip:port; give those of all daemons.
+  --log FILE            Log of a daemon; "-" for standard input.
   --caller ID           Name of the caller [default: redwingdockctl].
   --zone ZONE           Zone of the caller.
   --filter FIELD=VALUE  A field that the records have.
@@ -320,6 +326,31 @@
   }
 }
 
+int Trace(const parsed_arguments& aArguments)
+{
+  const std::string id = aArguments.Text("ID");
+  std::vector<trace_line> lines;
+  for (const std::string& file : aArguments.List("--log")) {
+    std::ifstream opened;
+    if (file != "-") {
+      opened.open(file);
+      if (!opened) {
+        return Fail(aArguments, { "read log", file, "cannot be opened" }, kExitBadData);
+      }
+    }
+    std::vector<trace_line> found = LinesOf(file == "-" ? std::cin : opened, file, id);
+    lines.insert(lines.end(), found.begin(), found.end());
+  }
+  std::stable_sort(lines.begin(), lines.end(), [](const auto& aOne, const auto& aOther) {
+    return aOne.mTime < aOther.mTime;
+  });
+  for (const trace_line& line : lines) {
+    std::cout << line.mTime << ' ' << line.mSource << ' ' << line.mText << '\n';
+  }
+  std::cout << "cause: " << CauseOf(lines) << '\n';
+  return lines.empty() ? kExitDifference : kExitOk;
+}
+
 int Explain(const parsed_arguments& aArguments)
 {
   http_client http(1);
@@ -409,6 +440,7 @@
                                        { "query", Query }, { "coverage", Coverage },
                                        { "view", View },   { "limits", View },
                                        { "watch", Watch }, { "explain", Explain },
+                                       { "trace", Trace },
                                        { "drain", Stop },  { "stop", Stop } };
 
 } // namespace
--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -214,7 +214,9 @@
       return;
     }
   }
-  open->mDone({ pool_end::Broken, {}, { "read reply", closed->mAddress, aEnd.mWhy } });
+  open->mDone({ aEnd.mExpired ? pool_end::Expired : pool_end::Broken,
+                {},
+                { "read reply", closed->mAddress, aEnd.mWhy } });
 }
 
 void http_pool::Cancel(std::uint64_t aId, bool aDropIdle)
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -40,7 +40,8 @@
 {
   Answered,
   NotSent, // no connection; nothing of the request was written
-  Broken,  // sent, without a whole reply
+  Broken,  // the connection ended without a whole reply
+  Expired, // no whole reply within mReplyTime
 };
 
 struct pool_result
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -315,7 +315,7 @@
     WriteLocked();
   }
 
-  void CloseLocked(std::string aWhy, bool aOrderly = false)
+  void CloseLocked(std::string aWhy, bool aOrderly = false, bool aExpired = false)
   {
     if (mClosed) {
       return;
@@ -327,7 +327,7 @@
     mTimer.cancel();
     mUnsent = std::string();
     mSent = 0;
-    asio::post(mContext, [self = shared_from_this(), end = tcp_end{ std::move(aWhy), aOrderly }] {
+    asio::post(mContext, [self = shared_from_this(), end = tcp_end{ std::move(aWhy), aOrderly, aExpired }] {
       if (self->mHooks.mOnClosed) {
         self->mHooks.mOnClosed(end);
       }
@@ -374,7 +374,11 @@
       }
       mExpiry = kNever;
       if (mClosing || !mOpen || !mHooks.mOnExpired) {
-        CloseLocked(mClosing ? mClosingWhy : mOpen ? "timed out" : "connect: timed out");
+        CloseLocked(mClosing ? mClosingWhy
+                    : mOpen  ? "timed out"
+                             : "connect: timed out",
+                    false,
+                    true);
         return;
       }
     }
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -79,8 +79,8 @@
 struct tcp_end
 {
   std::string mWhy;
-  bool mOrderly =
-    false; // the other side closed it after its last byte; otherwise reset or closed here
+  bool mOrderly = false; // the other side closed it after its last byte
+  bool mExpired = false; // ExpireAfter was over
 
   auto operator<=>(const tcp_end&) const = default;
 };
--- a/src/forward/forward_state.cc
+++ b/src/forward/forward_state.cc
@@ -12,7 +12,7 @@
 bool MayRun(const forward_attempt& aAttempt)
 {
   return aAttempt.mOpen || aAttempt.mEnd == attempt_end::Answered ||
-         aAttempt.mEnd == attempt_end::Lost;
+         aAttempt.mEnd == attempt_end::Lost || aAttempt.mEnd == attempt_end::Expired;
 }
 
 } // namespace
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -105,6 +105,7 @@
       return WithFailing(WithLatency(std::move(next), *attempt, aNow), 0, aNow);
     case attempt_end::Rejected:
     case attempt_end::Lost:
+    case attempt_end::Expired:
       return WithFailing(std::move(next), 1, aNow);
     case attempt_end::Misplaced:
       next.mGone = true;
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -45,6 +45,21 @@
   return aSettings;
 }
 
+attempt_end EndOf(pool_end aEnd)
+{
+  switch (aEnd) {
+    case pool_end::Answered:
+      return attempt_end::Answered;
+    case pool_end::NotSent:
+      return attempt_end::NotSent;
+    case pool_end::Broken:
+      return attempt_end::Lost;
+    case pool_end::Expired:
+      return attempt_end::Expired;
+  }
+  return attempt_end::Lost;
+}
+
 http_limits LimitsFor(const client_limits& aLimits)
 {
   http_limits limits;
@@ -290,9 +305,7 @@
   mReplicas.Start(
     std::move(request), [report, replica = aCommand.mReplica](const pool_result& aResult) {
       if (aResult.mEnd != pool_end::Answered) {
-        report(aResult.mEnd == pool_end::NotSent ? attempt_end::NotSent : attempt_end::Lost,
-               nullptr,
-               aResult.mReason);
+        report(EndOf(aResult.mEnd), nullptr, aResult.mReason);
         return;
       }
       decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
--- /dev/null
+++ b/src/platform/standin_main.cc
@@ -0,0 +1,135 @@
+#include "platform/standin.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <condition_variable>
+#include <cstdio>
+#include <docopt/docopt.h>
+#include <exception>
+
+// redwingdock_edge_standin: the platform's store and replicas on loopback, for demos.
+
+namespace {
+
+constexpr char kUsage[] = R"(redwingdock_edge_standin: the platform's store and replicas on loopback.
+
+Usage:
+  redwingdock_edge_standin --store ADDRESS [--services N]
+  redwingdock_edge_standin --help
+  redwingdock_edge_standin --version
+
+Options:
+  --store ADDRESS  Address of the store, ip:port.
+  --services N     Services, each with two replicas, 1 to 50 [default: 20].
+  --help           Show this text.
+  --version        Show the version.
+
+Routes on host demo.example: /search/ gathers from all services, /one/ and /write/ go to the first.
+Ends with SIGINT or SIGTERM. Exit codes: 0 ok, 64 usage, 69 an address cannot be opened.
+)";
+
+constexpr int kBadUsage = 64;
+constexpr int kUnavailable = 69;
+constexpr long kMostServices = 50;
+constexpr int kReplicas = 2; // of a service
+
+using namespace redwingdock;
+
+boost::json::object Route(const char* aName, const char* aPrefix, const char* aKind)
+{
+  return { { "name", aName },      { "host", "demo.example" },   { "prefix", aPrefix },
+           { "kind", aKind },      { "timeoutMs", 1200 },        { "targetLatencyMs", 200 },
+           { "maxAttempts", 2 },   { "priority", 1 } };
+}
+
+std::string Configuration(const std::vector<std::string>& aServices)
+{
+  boost::json::array names;
+  boost::json::array services;
+  for (const std::string& each : aServices) {
+    names.emplace_back(each);
+    services.push_back(boost::json::object{ { "name", each }, { "connectionLimit", 30 } });
+  }
+  boost::json::object search = Route("search", "/search/", "safe");
+  search["gather"] = std::move(names);
+  search["topK"] = 3;
+  search["minimumSuccessShare"] = 0.9;
+  boost::json::object one = Route("one", "/one/", "safe");
+  one["service"] = aServices.front();
+  boost::json::object write = Route("write", "/write/", "unsafe");
+  write["service"] = aServices.front();
+  return boost::json::serialize(boost::json::object{
+    { "version", 1 },
+    { "routes", boost::json::array{ std::move(search), std::move(one), std::move(write) } },
+    { "services", std::move(services) } });
+}
+
+int Run(const std::string& aStore, long aServices)
+{
+  io_loop loop(2);
+  platform::store_standin store(loop);
+  if (const result<std::string> bound = store.ListenOn(aStore); !bound) {
+    std::fprintf(stderr, "redwingdock_edge_standin: %s\n", Describe(bound.mReason).c_str());
+    return kUnavailable;
+  }
+  std::vector<std::unique_ptr<platform::replica_standin>> replicas;
+  std::vector<std::string> services;
+  for (long i = 0; i < aServices; ++i) {
+    services.push_back("service-" + std::to_string(i));
+    for (int j = 0; j < kReplicas; ++j) {
+      const std::string id = "i-" + std::to_string(i) + "-" + std::to_string(j);
+      // One record a replica; all replicas of a service hold the same.
+      const std::string number = std::to_string(i);
+      const std::string record = "record-" + std::string(9 - number.size(), '0') + number;
+      replicas.push_back(std::make_unique<platform::replica_standin>(
+        loop, id, platform::replica_behaviour{ std::chrono::milliseconds(5), 200, record }));
+      if (const result<std::string> bound = replicas.back()->ListenOn("127.0.0.1:0"); !bound) {
+        std::fprintf(stderr, "redwingdock_edge_standin: %s\n", Describe(bound.mReason).c_str());
+        return kUnavailable;
+      }
+      store.Put("servers/" + id,
+                replicas.back()->Entry(services.back(), j == 0 ? "zone-a" : "zone-b", false));
+    }
+  }
+  store.Put("op/config", Configuration(services));
+  std::mutex lock;
+  std::condition_variable ended;
+  bool end = false;
+  loop.OnStopSignals([&] {
+    const std::lock_guard guard(lock);
+    end = true;
+    ended.notify_all();
+  });
+  loop.Start();
+  std::unique_lock waiting(lock);
+  ended.wait(waiting, [&end] { return end; });
+  waiting.unlock();
+  loop.Stop();
+  return 0;
+}
+
+} // namespace
+
+int main(int aCount, char** aArguments)
+{
+  try {
+    const auto arguments =
+      docopt::docopt_parse(kUsage, { aArguments + 1, aArguments + aCount }, true, true);
+    const long services = arguments.at("--services").asLong();
+    if (services < 1 || services > kMostServices) {
+      std::fputs(kUsage, stderr);
+      return kBadUsage;
+    }
+    return Run(arguments.at("--store").asString(), services);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::fputs(kUsage, stdout);
+    return 0;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::puts("redwingdock_edge_standin " REDWINGDOCK_VERSION);
+    return 0;
+  } catch (const std::exception& error) {
+    std::fprintf(stderr, "%s\n%s", error.what(), kUsage);
+    return kBadUsage;
+  }
+}
