Refuse requests that end the replicas that run them, at all daemons

A request is recorded by fingerprint when a connection ends while a replica runs it. It is refused once two of those replicas have verifiably ended (their address refuses connections or they started anew), so that lost answers alone refuse nothing. Heartbeats carry the refused fingerprints for a minute.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -21,13 +21,18 @@
   for (const std::string& peer : aHeartbeat.mPeers) {
     peers.emplace_back(peer);
   }
+  boost::json::array refused;
+  for (const std::uint64_t fingerprint : aHeartbeat.mRefused) {
+    refused.emplace_back(fingerprint);
+  }
   return boost::json::serialize(boost::json::object{ { "vm", sender.mVm },
                                                      { "incarnation", sender.mIncarnation },
                                                      { "peer", sender.mPeerAddress },
                                                      { "calls", sender.mCallAddress },
                                                      { "zone", sender.mZone },
                                                      { "serving", sender.mServing },
-                                                     { "peers", std::move(peers) } });
+                                                     { "peers", std::move(peers) },
+                                                     { "refused", std::move(refused) } });
 }
 
 result<heartbeat> ParseHeartbeat(std::string_view aBytes)
@@ -49,6 +54,15 @@
     }
     parsed.mPeers.emplace_back(peer.get_string());
   }
+  for (const boost::json::value& fingerprint : reader.Array(root, "refused")) {
+    boost::system::error_code error;
+    const auto number = fingerprint.to_number<std::uint64_t>(error);
+    if (error) {
+      reader.Fail("\"refused\" holds a value that is not a whole number");
+      break;
+    }
+    parsed.mRefused.push_back(number);
+  }
   if (reader.Error()) {
     return Failure<heartbeat>("parse heartbeat", parsed.mSender.mVm, *reader.Error());
   }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -29,7 +29,8 @@
 struct heartbeat
 {
   daemon_state mSender;
-  std::vector<std::string> mPeers; // peer addresses that the sender heard recently
+  std::vector<std::string> mPeers;     // peer addresses that the sender heard recently
+  std::vector<std::uint64_t> mRefused; // fingerprints of requests that end their replicas
 
   auto operator<=>(const heartbeat&) const = default;
 };
--- a/src/ctl/log_trace.cc
+++ b/src/ctl/log_trace.cc
@@ -67,8 +67,8 @@
 
 const trace_line* LastOf(const std::vector<trace_line>& aLines, const char* aEvent)
 {
-  const auto found = std::find_if(
-    aLines.rbegin(), aLines.rend(), [aEvent](const trace_line& aLine) {
+  const auto found =
+    std::find_if(aLines.rbegin(), aLines.rend(), [aEvent](const trace_line& aLine) {
       return aLine.Field("event") == aEvent;
     });
   return found == aLines.rend() ? nullptr : &*found;
@@ -82,15 +82,14 @@
     if (line.Field("event") == "attempt_failed") {
       auto& [count, reason] = byEnd[line.Field("end")];
       ++count;
-      reason = line.Field("reason") + (line.Field("status").empty()
-                                         ? ""
-                                         : " status " + line.Field("status"));
+      reason = line.Field("reason") +
+               (line.Field("status").empty() ? "" : " status " + line.Field("status"));
     }
   }
   std::string text;
   for (const auto& [end, counted] : byEnd) {
-    text += (text.empty() ? "" : ", ") + std::to_string(counted.first) + " " + end + " (last: " +
-            counted.second + ")";
+    text += (text.empty() ? "" : ", ") + std::to_string(counted.first) + " " + end +
+            " (last: " + counted.second + ")";
   }
   return text.empty() ? "no attempt failed" : "failed attempts: " + text;
 }
@@ -104,17 +103,18 @@
     return "refused: " + aAnswer.Field("reason");
   }
   if (outcome == "not_run") {
-    return "refused as not run: " +
-           (aAnswer.Field("reason").empty() ? missing + "; " + FailedAttempts(aLines)
-                                            : aAnswer.Field("reason"));
+    return "refused as not run: " + (aAnswer.Field("reason").empty()
+                                       ? missing + "; " + FailedAttempts(aLines)
+                                       : aAnswer.Field("reason"));
   }
   if (outcome == "timed_out") {
     return "the deadline passed after " + after + "; without reply: " + missing + "; " +
            FailedAttempts(aLines);
   }
   if (outcome == "failed") {
-    return "failed after " + after + ", too little was left to answer with; without reply: " +
-           missing + "; " + FailedAttempts(aLines);
+    return "failed after " + after +
+           ", too little was left to answer with; without reply: " + missing + "; " +
+           FailedAttempts(aLines);
   }
   if (outcome == "gathered" && !missing.empty()) {
     return "answered after " + after + " with " + aAnswer.Field("parts") +
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -436,12 +436,11 @@
   int (*mRun)(const parsed_arguments&);
 };
 
-constexpr command_name kCommands[] = { { "check", Check }, { "entry", Entry },
-                                       { "query", Query }, { "coverage", Coverage },
-                                       { "view", View },   { "limits", View },
-                                       { "watch", Watch }, { "explain", Explain },
-                                       { "trace", Trace },
-                                       { "drain", Stop },  { "stop", Stop } };
+constexpr command_name kCommands[] = {
+  { "check", Check }, { "entry", Entry }, { "query", Query }, { "coverage", Coverage },
+  { "view", View },   { "limits", View }, { "watch", Watch }, { "explain", Explain },
+  { "trace", Trace }, { "drain", Stop },  { "stop", Stop }
+};
 
 } // namespace
 
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -327,11 +327,12 @@
     mTimer.cancel();
     mUnsent = std::string();
     mSent = 0;
-    asio::post(mContext, [self = shared_from_this(), end = tcp_end{ std::move(aWhy), aOrderly, aExpired }] {
-      if (self->mHooks.mOnClosed) {
-        self->mHooks.mOnClosed(end);
-      }
-    });
+    asio::post(mContext,
+               [self = shared_from_this(), end = tcp_end{ std::move(aWhy), aOrderly, aExpired }] {
+                 if (self->mHooks.mOnClosed) {
+                   self->mHooks.mOnClosed(end);
+                 }
+               });
   }
 
   void ExpireLocked(micros aDelay)
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -2,6 +2,7 @@
 
 #include "core/core_facts.h"
 #include "fleet/members.h"
+#include "forward/crashes.h"
 #include "forward/forward_state.h"
 
 #include <algorithm>
@@ -61,9 +62,23 @@
   }
 }
 
+// Few enough for one datagram; the latest refusals matter most, and repeats renew them.
+constexpr std::size_t kMostRefused = 32;
+
+heartbeat HeartbeatOf(core_context& aContext, const fleet_view& aView)
+{
+  heartbeat sent{ aView.mSelf, LivePeers(aView, LiveSince(aContext)), {} };
+  for (const auto& [key, record] : aContext.mBoard.List<crash_record>()) {
+    if (record->mRefused && sent.mRefused.size() < kMostRefused) {
+      sent.mRefused.push_back(record->mFingerprint);
+    }
+  }
+  return sent;
+}
+
 void SendHeartbeats(core_context& aContext, const fleet_view& aView)
 {
-  const heartbeat sent{ aView.mSelf, LivePeers(aView, LiveSince(aContext)) };
+  const heartbeat sent = HeartbeatOf(aContext, aView);
   for (const auto& [address, since] : aView.mAddresses) {
     aContext.Emit(send_heartbeat{ address, sent });
   }
@@ -112,8 +127,7 @@
   LogLiveChange(aContext, before, next);
   // A daemon that has just started is answered at once, so that it need not wait for a heartbeat.
   if (next.mMembers.size() > before.mMembers.size()) {
-    aContext.Emit(send_heartbeat{ aHeartbeat.mSender.mPeerAddress,
-                                  { next.mSelf, LivePeers(next, LiveSince(aContext)) } });
+    aContext.Emit(send_heartbeat{ aHeartbeat.mSender.mPeerAddress, HeartbeatOf(aContext, next) });
   }
   aContext.mBoard.Write(kFleetKey, std::move(next));
 }
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -148,19 +148,19 @@
                                 },
                                 7,
                                 1 },
-                    // scale-1 --seed 775651856022: a watch that begins while the store drops its history hears
-    // nothing until its wait is over.
-    follow_row{ "a change is missed behind a watch that was cut",
-                [](forwarding_rig& aRig) {
-                  aRig.DeafenWatches(true);
-                  aRig.Publish(Version(9, { Plain("a", true) }));
-                  aRig.RunFor(seconds(1));
-                  aRig.CutWatch();
-                  aRig.RunFor(seconds(1));
-                },
-                9,
-                2 },
-    follow_row{ "a gap in the history hides a new replica",
+                    // scale-1 --seed 775651856022: a watch that begins while the store drops its
+                    // history hears nothing until its wait is over.
+                    follow_row{ "a change is missed behind a watch that was cut",
+                                [](forwarding_rig& aRig) {
+                                  aRig.DeafenWatches(true);
+                                  aRig.Publish(Version(9, { Plain("a", true) }));
+                                  aRig.RunFor(seconds(1));
+                                  aRig.CutWatch();
+                                  aRig.RunFor(seconds(1));
+                                },
+                                9,
+                                2 },
+                    follow_row{ "a gap in the history hides a new replica",
                                 [](forwarding_rig& aRig) {
                                   aRig.FailStore(true);
                                   aRig.Publish(Replica("a-3", "a", "zone-1"));
--- /dev/null
+++ b/src/forward/crashes.cc
@@ -0,0 +1,21 @@
+#include "forward/crashes.h"
+
+namespace redwingdock {
+
+std::string CrashKey(std::uint64_t aFingerprint)
+{
+  return "crash/" + std::to_string(aFingerprint);
+}
+
+crash_record WithLost(const crash_record& aRecord,
+                      const std::string& aReplica,
+                      std::int64_t aBornMs,
+                      instant aNow)
+{
+  crash_record next = aRecord;
+  next.mLost[aReplica] = aBornMs;
+  next.mUntil = aNow + kCrashTime;
+  return next;
+}
+
+} // namespace redwingdock
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -2,6 +2,7 @@
 
 #include "catalog/routes.h"
 #include "core/core_facts.h"
+#include "forward/crashes.h"
 #include "forward/forward_state.h"
 #include "forward/gather.h"
 
@@ -27,6 +28,8 @@
 // A client that is refused comes back when another daemon or replica has had time to recover.
 constexpr micros kRetryAfter = std::chrono::milliseconds(60);
 constexpr micros kRetryAfterStart = std::chrono::milliseconds(250);
+// A request that ends its replicas is refused for longer than its client waits.
+constexpr micros kRetryAfterCrash = std::chrono::seconds(2);
 // Of the connections that a replica accepts, the share that all daemons use together; the rest is
 // for connections that went silent.
 constexpr double kConnectionShare = 0.8;
@@ -42,6 +45,14 @@
   auto operator<=>(const step_due&) const = default;
 };
 
+// A crash_record may have expired.
+struct crash_expiry
+{
+  std::uint64_t mFingerprint = 0;
+
+  auto operator<=>(const crash_expiry&) const = default;
+};
+
 // Requests so far on a route with weights. Entry key: "split/" and the route.
 struct split_position
 {
@@ -477,15 +488,17 @@
   return aRoute.mServices.back().mService;
 }
 
-void AnswerUnrouted(core_context& aContext, const request_arrived& aFact, answer_kind aKind)
+// Answers a request before any replica is asked.
+void AnswerAtOnce(core_context& aContext,
+                  const request_arrived& aFact,
+                  answer_kind aKind,
+                  const char* aReason,
+                  micros aRetryAfter)
 {
   forward_answer answer;
   answer.mKind = aKind;
-  answer.mRetryAfter = kRetryAfterStart;
-  answer.mReason = { "route",
-                     aFact.mContent.mHost,
-                     aKind == answer_kind::NoRoute ? "no route for this path"
-                                                   : "no configuration is known yet" };
+  answer.mRetryAfter = aRetryAfter;
+  answer.mReason = { "route", aFact.mContent.mHost, aReason };
   aContext.Count(std::string("forward.answer.") + ToString(aKind));
   aContext.Log("forward",
                "event=answer request=" + Quoted(aFact.mContent.mId) +
@@ -494,6 +507,74 @@
   aContext.Emit(answer_request{ aFact.mRequest, std::move(answer) });
 }
 
+void KeepCrashRecord(core_context& aContext, crash_record aRecord)
+{
+  const std::uint64_t fingerprint = aRecord.mFingerprint;
+  aContext.After(kCrashTime, CrashKey(fingerprint), crash_expiry{ fingerprint });
+  aContext.mBoard.Write(CrashKey(fingerprint), std::move(aRecord));
+}
+
+// Whether that start of the replica has ended: its address refuses connections or belongs to
+// another process, or the replica has started anew.
+bool HasEnded(core_context& aContext, const std::string& aReplica, std::int64_t aBornMs)
+{
+  const auto load = aContext.mBoard.Read<replica_load>(aReplica);
+  return load && (load->mBornMs != aBornMs || load->mGone || load->mRefusals > 0);
+}
+
+// Whether the request has ended replicas before, here or at another daemon.
+bool EndsReplicas(core_context& aContext, const forward_request& aRequest)
+{
+  const auto record = aContext.mBoard.Read<crash_record>(CrashKey(aRequest.mFingerprint));
+  if (aRequest.mFingerprint == 0 || !record) {
+    return false;
+  }
+  const std::size_t ended =
+    EndedReplicas(*record, [&aContext](const std::string& aReplica, std::int64_t aBornMs) {
+      return HasEnded(aContext, aReplica, aBornMs);
+    });
+  if (!record->mRefused && ended < kCrashLosses) {
+    return false;
+  }
+  crash_record next = *record;
+  next.mRefused = true;
+  next.mUntil = aContext.Now() + kCrashTime;
+  aContext.Count("forward.crashing_refused");
+  aContext.Log("forward",
+               "event=crashing_request request=" + Quoted(aRequest.mId) +
+                 " fingerprint=" + std::to_string(aRequest.mFingerprint) + " lost=" +
+                 std::to_string(record->mLost.size()) + " ended=" + std::to_string(ended),
+               log_level::Warning);
+  KeepCrashRecord(aContext, std::move(next));
+  return true;
+}
+
+void OnCrashExpiry(core_context& aContext, std::uint64_t aFingerprint)
+{
+  const auto record = aContext.mBoard.Read<crash_record>(CrashKey(aFingerprint));
+  if (record && record->mUntil <= aContext.Now()) {
+    aContext.mBoard.Erase<crash_record>(CrashKey(aFingerprint));
+  }
+}
+
+// Requests that other daemons refuse are refused here too.
+void OnRefusedElsewhere(core_context& aContext, const heartbeat& aHeartbeat)
+{
+  for (const std::uint64_t fingerprint : aHeartbeat.mRefused) {
+    const auto known = aContext.mBoard.Read<crash_record>(CrashKey(fingerprint));
+    if (known && known->mRefused) {
+      continue;
+    }
+    crash_record record = known ? *known : crash_record{ fingerprint };
+    record.mRefused = true;
+    record.mUntil = aContext.Now() + kCrashTime;
+    aContext.Log("forward",
+                 "event=crashing_request_learnt fingerprint=" + std::to_string(fingerprint) +
+                   " from=" + aHeartbeat.mSender.mVm);
+    KeepCrashRecord(aContext, std::move(record));
+  }
+}
+
 forward_state NewState(core_context& aContext,
                        const forward_hooks& aHooks,
                        const request_arrived& aFact,
@@ -527,12 +608,21 @@
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
   aContext.Count("forward.requests");
   if (!known || known->mVersion == 0) {
-    AnswerUnrouted(aContext, aFact, answer_kind::NotRun);
+    AnswerAtOnce(
+      aContext, aFact, answer_kind::NotRun, "no configuration is known yet", kRetryAfterStart);
     return;
   }
   const route_pointer route = FindRoute(*known, aFact.mContent.mHost, aFact.mContent.mPath);
   if (!route || route->mServices.empty()) {
-    AnswerUnrouted(aContext, aFact, answer_kind::NoRoute);
+    AnswerAtOnce(aContext, aFact, answer_kind::NoRoute, "no route for this path", micros(0));
+    return;
+  }
+  if (EndsReplicas(aContext, aFact.mContent)) {
+    AnswerAtOnce(aContext,
+                 aFact,
+                 answer_kind::NotRun,
+                 "the request has ended the replicas that ran it",
+                 kRetryAfterCrash);
     return;
   }
   forward_state state = NewState(aContext, aHooks, aFact, *known, route);
@@ -616,6 +706,15 @@
   if (!state) {
     return;
   }
+  if (aFact.mEnd == attempt_end::Lost && state->mContent.mFingerprint != 0) {
+    const std::uint64_t fingerprint = state->mContent.mFingerprint;
+    const auto known = aContext.mBoard.Read<crash_record>(CrashKey(fingerprint));
+    KeepCrashRecord(aContext,
+                    WithLost(known ? *known : crash_record{ fingerprint },
+                             aFact.mReplica->mId,
+                             aFact.mReplica->mBornMs,
+                             aContext.Now()));
+  }
   std::optional<forward_state> next = WithEnded(aContext, *state, aFact);
   if (next) {
     request_step(aContext, aHooks, std::move(*next)).Run();
@@ -640,6 +739,13 @@
   board.OnFact<attempt_ended>([&aContext, aHooks](const std::string&, const attempt_ended& aFact) {
     OnEnded(aContext, aHooks, aFact);
   });
+  board.OnFact<crash_expiry>([&aContext](const std::string&, const crash_expiry& aFact) {
+    OnCrashExpiry(aContext, aFact.mFingerprint);
+  });
+  board.OnFact<heartbeat_received>(
+    [&aContext](const std::string&, const heartbeat_received& aFact) {
+      OnRefusedElsewhere(aContext, aFact.mHeartbeat);
+    });
   board.OnFact<step_due>([&aContext, aHooks](const std::string& aKey, const step_due&) {
     if (const auto state = aContext.mBoard.Read<forward_state>(aKey)) {
       request_step(aContext, aHooks, *state).Run();
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -329,6 +329,81 @@
   EXPECT_NEAR(static_cast<double>(toA) / 200, 0.75, 0.03);
 }
 
+struct crash_row
+{
+  const char* mGuardsAgainst;
+  bool mEnds;             // the replicas end, and refuse connections for a while
+  std::uint64_t mRepeats; // of the request with the fingerprint
+  std::size_t mMostRuns;  // of it, over all repeats
+  std::size_t mLeastRuns;
+};
+
+class crash_test : public ::testing::TestWithParam<crash_row>
+{};
+
+// A client repeats one request each two seconds, among others.
+TEST_P(crash_test, IsStoppedOnlyWhenReplicasEnd)
+{
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.RunFor(seconds(1));
+  std::map<std::string, instant> downUntil;
+  std::uint64_t asked = 0; // the request that is being sent
+  for (const char* replica : { "a-1", "a-2" }) {
+    rig.Script(replica, [&, replica](int) {
+      if (rig.Now() < downUntil[replica]) {
+        return replica_action{ attempt_end::NotSent, milliseconds(1) };
+      }
+      if (asked % 10 != 0) {
+        return replica_action{};
+      }
+      if (GetParam().mEnds) {
+        downUntil[replica] = rig.Now() + seconds(3);
+      }
+      return replica_action{ attempt_end::Lost, milliseconds(2) };
+    });
+  }
+  std::size_t runs = 0;
+  for (asked = 1; asked <= GetParam().mRepeats * 10; ++asked) {
+    const std::size_t before = rig.mSent.size();
+    const bool crashing = asked % 10 == 0;
+    rig.Post(request_arrived{
+      asked, { "id", "search.example", "/q/x", micros(0), crashing ? 77U : 1000 + asked } });
+    rig.RunFor(milliseconds(200));
+    if (crashing) {
+      runs += rig.mSent.size() - before;
+    }
+  }
+  EXPECT_LE(runs, GetParam().mMostRuns) << GetParam().mGuardsAgainst;
+  EXPECT_GE(runs, GetParam().mLeastRuns) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  crash_test,
+  ::testing::Values(
+    crash_row{ "a request that ends every replica is passed on for ever", true, 8, 4, 2 },
+    crash_row{ "a request whose answers were lost is refused", false, 8, 16, 8 }));
+
+TEST(forwarding, ARequestRefusedElsewhereIsRefusedHere)
+{
+  // Guards against a crashing request that goes from daemon to daemon.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  rig.RunFor(seconds(1));
+  rig.Post(
+    heartbeat_received{ { { "vm-2", 5, "127.0.0.9:7380", "call", "zone-2", true }, {}, { 77 } } });
+  rig.Post(request_arrived{ 1, { "id", "search.example", "/q/x", micros(0), 77 } });
+  EXPECT_TRUE(rig.mSent.empty());
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U);
+  EXPECT_EQ(rig.mAnswers[1].front().mAnswer.mKind, answer_kind::NotRun);
+  rig.RunFor(seconds(70));
+  rig.Post(request_arrived{ 2, { "id", "search.example", "/q/x", micros(0), 77 } });
+  EXPECT_EQ(rig.mSent.size(), 1U) << "a refusal that never ends";
+}
+
 struct unrouted_row
 {
   const char* mGuardsAgainst;
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -302,15 +302,15 @@
   request.mOwns = [wanted = id != nullptr ? *id : std::string()](const http_message& aReply) {
     return BelongsTo(aReply, wanted);
   };
-  mReplicas.Start(
-    std::move(request), [report, replica = aCommand.mReplica](const pool_result& aResult) {
-      if (aResult.mEnd != pool_end::Answered) {
-        report(EndOf(aResult.mEnd), nullptr, aResult.mReason);
-        return;
-      }
-      decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
-      report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
-    });
+  mReplicas.Start(std::move(request),
+                  [report, replica = aCommand.mReplica](const pool_result& aResult) {
+                    if (aResult.mEnd != pool_end::Answered) {
+                      report(EndOf(aResult.mEnd), nullptr, aResult.mReason);
+                      return;
+                    }
+                    decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
+                    report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
+                  });
 }
 
 void edge_daemon::Execute(const answer_request& aCommand)
--- a/src/platform/standin_main.cc
+++ b/src/platform/standin_main.cc
@@ -12,7 +12,8 @@
 
 namespace {
 
-constexpr char kUsage[] = R"(redwingdock_edge_standin: the platform's store and replicas on loopback.
+constexpr char kUsage[] =
+  R"(redwingdock_edge_standin: the platform's store and replicas on loopback.
 
 Usage:
   redwingdock_edge_standin --store ADDRESS [--services N]
@@ -38,9 +39,9 @@
 
 boost::json::object Route(const char* aName, const char* aPrefix, const char* aKind)
 {
-  return { { "name", aName },      { "host", "demo.example" },   { "prefix", aPrefix },
-           { "kind", aKind },      { "timeoutMs", 1200 },        { "targetLatencyMs", 200 },
-           { "maxAttempts", 2 },   { "priority", 1 } };
+  return { { "name", aName },    { "host", "demo.example" }, { "prefix", aPrefix },
+           { "kind", aKind },    { "timeoutMs", 1200 },      { "targetLatencyMs", 200 },
+           { "maxAttempts", 2 }, { "priority", 1 } };
 }
 
 std::string Configuration(const std::vector<std::string>& aServices)
