--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -34,6 +34,9 @@
 // for connections that went silent.
 constexpr double kConnectionShare = 0.8;
 constexpr std::uint32_t kLeastConnections = 2;
+// Of the budget of repeats. The rest is for attempts that ended without a reply, which are certain
+// to need one.
+constexpr double kHedgeShare = 0.6;
 // While the service does not say.
 constexpr std::uint32_t kDefaultConnections = 8;
 
@@ -229,7 +232,7 @@
     }
     const choice_input input = ChoiceInput(part.mService);
     const std::optional<std::size_t> chosen = mHooks.mChoose(candidates, input);
-    if (!chosen || (HasArrived(part) && !TakeRepeat(part.mService))) {
+    if (!chosen || (HasArrived(part) && !TakeRepeat(part.mService, open ? kHedgeShare : 1))) {
       part.mNextAt = mContext.Now() + kRetryPause;
       return;
     }
@@ -256,13 +259,14 @@
     mContext.Emit(send_attempt{ key, target.mReplica, mState.mDeadline, input.mConnections });
   }
 
-  bool TakeRepeat(const std::string& aService)
+  // Takes a repeat while no more than the share of the budget is used.
+  bool TakeRepeat(const std::string& aService, double aShare)
   {
     const forward_config& config = mContext.mConfig.mForward;
     const auto view = mContext.mBoard.Read<fleet_view>(kFleetKey);
     const std::uint32_t daemons = std::max(config.mMostDaemons, view ? view->mMostSeen : 1);
-    const repeat_limits limits{ config.mRepeatRatio,
-                                config.mRepeatSlack / daemons,
+    const repeat_limits limits{ config.mRepeatRatio * aShare,
+                                config.mRepeatSlack * aShare / daemons,
                                 config.mRepeatWindow };
     const bool taken = mContext.mBoard.Update<repeat_budget>(
       BudgetKey(aService), [&](const repeat_budget* aKnown) -> std::optional<repeat_budget> {
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -293,6 +293,42 @@
   EXPECT_GE(static_cast<double>(rig.mSent.size() - kRequests), 0.5 * allowed);
 }
 
+TEST(forwarding, HedgesLeaveBudgetForLostAttempts)
+{
+  // inc-3497: while replicas lost answers, half of the repeats were hedges, and searches failed for
+  // want of repeats of the lost parts.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", true) }));
+  bool losing = false;
+  for (const char* replica : { "a-1", "a-2" }) {
+    rig.Script(replica, [&losing](int aCount) {
+      if (losing && aCount % 2 == 0) {
+        return replica_action{ attempt_end::Lost, milliseconds(2) };
+      }
+      return replica_action{ attempt_end::Answered, milliseconds(aCount % 3 == 0 ? 190 : 10) };
+    });
+  }
+  rig.RunFor(seconds(1));
+  std::uint64_t request = 0;
+  for (int i = 0; i < 400; ++i) {
+    rig.Ask(++request, "/q/x");
+    rig.RunFor(milliseconds(20));
+  }
+  losing = true;
+  const std::uint64_t first = request + 1;
+  for (int i = 0; i < 30; ++i) {
+    rig.Ask(++request, "/q/x");
+    rig.RunFor(milliseconds(20));
+  }
+  rig.RunFor(milliseconds(300));
+  int unanswered = 0;
+  for (std::uint64_t i = first; i <= request; ++i) {
+    unanswered += rig.mAnswers[i].empty() ? 1 : 0;
+  }
+  EXPECT_EQ(unanswered, 0);
+}
+
 TEST(forwarding, AClientThatLeftEndsTheWork)
 {
   // Guards against replicas that work on for a client that has closed its connection.
