--- a/src/assembly/record_search_benchmark.cc
+++ b/src/assembly/record_search_benchmark.cc
@@ -19,9 +19,9 @@
 // time, heap and reads of the configuration service. One real core runs on a manual clock; its
 // peers and the service are answered by this program.
 //
-//   core_benchmark                                   (a table over several sizes)
-//   core_benchmark DAEMONS SECONDS LIST_CHANGES [reader]   (one size, for callgrind)
-//   core_benchmark keys                              (heap per remembered request key)
+//   record_search_benchmark                                   (a table over several sizes)
+//   record_search_benchmark DAEMONS SECONDS LIST_CHANGES [reader]   (one size, for callgrind)
+//   record_search_benchmark keys                              (heap per remembered request key)
 
 namespace redwingdock {
 namespace {
--- a/src/platform/published_codec.cc
+++ b/src/platform/published_codec.cc
@@ -1,9 +1,9 @@
 #include "platform/published_codec.h"
 
+#include "base/base64.h"
 #include "base/yaml_reader.h"
 #include "platform/names.h"
 
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
@@ -116,14 +116,6 @@
   return value;
 }
 
-std::string FromBase64(std::string_view aText)
-{
-  namespace base64 = boost::beast::detail::base64;
-  std::string bytes(base64::decoded_size(aText.size()), '\0');
-  bytes.resize(base64::decode(bytes.data(), aText.data(), aText.size()).first);
-  return bytes;
-}
-
 unreadable_value Unreadable(const char* aStep, std::string aText)
 {
   return { { aStep, "", std::move(aText) } };
@@ -302,7 +294,9 @@
     return Failure<store_item_pointer>(kStep, item.mKey, *reader.Error());
   }
   if (!gone) {
-    item.mValue = DecodeValue(item.mKey, FromBase64(value));
+    const std::optional<std::string> bytes = FromBase64(value);
+    item.mValue =
+      bytes ? DecodeValue(item.mKey, *bytes) : Unreadable(kStep, "the value is not base64");
   }
   return Success(store_item_pointer(std::make_shared<const store_item>(std::move(item))));
 }
--- a/src/platform/standin.cc
+++ b/src/platform/standin.cc
@@ -1,9 +1,9 @@
 #include "platform/standin.h"
 
+#include "base/base64.h"
 #include "platform/names.h"
 
 #include <algorithm>
-#include <boost/beast/core/detail/base64.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -17,14 +17,6 @@
 
 constexpr std::size_t kPage = 50; // items
 
-std::string ToBase64(const std::string& aBytes)
-{
-  namespace base64 = boost::beast::detail::base64;
-  std::string text(base64::encoded_size(aBytes.size()), '\0');
-  text.resize(base64::encode(text.data(), aBytes.data(), aBytes.size()));
-  return text;
-}
-
 std::uint64_t NumberOf(const http_message& aMessage, const char* aName)
 {
   const std::string text = QueryParameter(aMessage.mTarget, aName);
