--- a/src/assembly/forwarding.cc
+++ b/src/assembly/forwarding.cc
@@ -3,6 +3,7 @@
 #include "catalog/catalog_controller.h"
 #include "fleet/fleet_controller.h"
 #include "follow/follow_controller.h"
+#include "forward/crash_controller.h"
 #include "forward/forward_controller.h"
 
 #include <utility>
@@ -15,6 +16,8 @@
     AddFollowController(aContext);
     AddCatalogController(aContext);
     AddFleetController(aContext);
+    // Reads the state of a request before the next hook of the same fact removes it.
+    AddCrashController(aContext);
     AddForwardController(aContext, hooks);
   };
 }
--- a/src/base/base64.cc
+++ b/src/base/base64.cc
@@ -27,7 +27,8 @@
 
 std::optional<std::string> FromBase64(std::string_view aText)
 {
-  const std::size_t padding = aText.size() - std::min(aText.size(), aText.find_last_not_of('=') + 1);
+  const std::size_t padding =
+    aText.size() - std::min(aText.size(), aText.find_last_not_of('=') + 1);
   if (aText.size() % kGroup != 0 || padding > 2) {
     return std::nullopt;
   }
--- a/src/client/command_line_test.cc
+++ b/src/base/command_line_test.cc
@@ -1,4 +1,4 @@
-#include "client/command_line.h"
+#include "base/command_line.h"
 
 #include <gtest/gtest.h>
 
--- a/src/ctl/answer_text.cc
+++ b/src/ctl/answer_text.cc
@@ -1,6 +1,6 @@
 #include "ctl/answer_text.h"
 
-#include "client/command_line.h"
+#include "base/command_line.h"
 
 #include <boost/json.hpp>
 
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,4 +1,4 @@
-#include "client/command_line.h"
+#include "base/command_line.h"
 #include "ctl/answer_text.h"
 #include "ctl/daemon_view.h"
 #include "ctl/log_trace.h"
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,12 +1,9 @@
+#include "base/command_line.h"
 #include "daemon/logging.h"
 #include "daemon/query_daemon.h"
 
 #include <cstdio>
-#include <docopt/docopt.h>
 #include <exception>
-#include <fstream>
-#include <iterator>
-#include <sstream>
 
 // redwingdockd: one daemon of the query tier.
 
@@ -29,11 +26,7 @@
 70 internal error.
 )";
 
-// From sysexits.h.
-constexpr int kBadUsage = 64;
-constexpr int kBadSettings = 65;
-constexpr int kUnavailable = 69;
-constexpr int kInternal = 70;
+constexpr int kInternal = 70; // from sysexits.h, as those of command_line.h
 
 int Fail(int aCode, const redwingdock::reason& aReason)
 {
@@ -44,14 +37,13 @@
 int Run(const std::string& aFile, bool aCheckOnly)
 {
   using namespace redwingdock;
-  std::ifstream input(aFile);
-  if (!input) {
-    return Fail(kBadSettings, { "read settings", aFile, "cannot be opened" });
+  const result<std::string> text = ReadFile(aFile);
+  if (!text) {
+    return Fail(kExitBadData, text.mReason);
   }
-  const std::string text{ std::istreambuf_iterator<char>(input), {} };
-  const result<daemon_settings> settings = ParseSettings(text, aFile);
+  const result<daemon_settings> settings = ParseSettings(*text, aFile);
   if (!settings) {
-    return Fail(kBadSettings, settings.mReason);
+    return Fail(kExitBadData, settings.mReason);
   }
   if (aCheckOnly) {
     std::printf("%s: ok\n", aFile.c_str());
@@ -59,13 +51,13 @@
   }
   const result<bool> logging = StartLogging(settings->mLogThreshold, settings->mLogFile);
   if (!logging) {
-    return Fail(kUnavailable, logging.mReason);
+    return Fail(kExitUnreachable, logging.mReason);
   }
   query_daemon daemon(*settings, core_hooks{});
   daemon.StopOnSignals();
   const result<daemon_addresses> bound = daemon.Start();
   if (!bound) {
-    return Fail(kUnavailable, bound.mReason);
+    return Fail(kExitUnreachable, bound.mReason);
   }
   daemon.WaitForEnd();
   return 0;
@@ -75,21 +67,13 @@
 
 int main(int aCount, char** aArguments)
 {
+  const redwingdock::parsed_arguments arguments =
+    redwingdock::ParseArguments(kUsage, aCount, aArguments);
+  if (arguments.mExit) {
+    return *arguments.mExit;
+  }
   try {
-    std::map<std::string, docopt::value> arguments;
-    try {
-      arguments = docopt::docopt_parse(kUsage, { aArguments + 1, aArguments + aCount }, true, true);
-    } catch (const docopt::DocoptExitHelp&) {
-      std::fputs(kUsage, stdout);
-      return 0;
-    } catch (const docopt::DocoptExitVersion&) {
-      std::puts("redwingdockd " REDWINGDOCK_VERSION);
-      return 0;
-    } catch (const std::runtime_error&) {
-      std::fputs(kUsage, stderr);
-      return kBadUsage;
-    }
-    return Run(arguments["--settings"].asString(), arguments["--check"].asBool());
+    return Run(arguments.Text("--settings"), arguments.Has("--check"));
   } catch (const std::exception& error) {
     return Fail(kInternal, { "run", "", error.what() });
   }
--- /dev/null
+++ b/src/forward/crash_controller.cc
@@ -0,0 +1,122 @@
+#include "forward/crash_controller.h"
+
+#include "core/core_facts.h"
+#include "forward/crashes.h"
+#include "forward/forward_state.h"
+#include "forward/log_text.h"
+#include "forward/replica_load.h"
+
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// A crash_record may have expired.
+struct crash_expiry
+{
+  std::uint64_t mFingerprint = 0;
+
+  auto operator<=>(const crash_expiry&) const = default;
+};
+
+void KeepCrashRecord(core_context& aContext, crash_record aRecord)
+{
+  const std::uint64_t fingerprint = aRecord.mFingerprint;
+  aContext.After(kCrashTime, CrashKey(fingerprint), crash_expiry{ fingerprint });
+  aContext.mBoard.Write(CrashKey(fingerprint), std::move(aRecord));
+}
+
+// Whether that start of the replica has ended: its address refuses connections or belongs to
+// another process, or the replica has started anew.
+bool HasEnded(core_context& aContext, const std::string& aReplica, std::int64_t aBornMs)
+{
+  const auto load = aContext.mBoard.Read<replica_load>(aReplica);
+  return load && (load->mBornMs != aBornMs || load->mGone || load->mRefusals > 0);
+}
+
+void OnCrashExpiry(core_context& aContext, std::uint64_t aFingerprint)
+{
+  const auto record = aContext.mBoard.Read<crash_record>(CrashKey(aFingerprint));
+  if (record && record->mUntil <= aContext.Now()) {
+    aContext.mBoard.Erase<crash_record>(CrashKey(aFingerprint));
+  }
+}
+
+// Requests that other daemons refuse are refused here too.
+void OnRefusedElsewhere(core_context& aContext, const heartbeat& aHeartbeat)
+{
+  for (const std::uint64_t fingerprint : aHeartbeat.mRefused) {
+    const auto known = aContext.mBoard.Read<crash_record>(CrashKey(fingerprint));
+    if (known && known->mRefused) {
+      continue;
+    }
+    crash_record record = known ? *known : crash_record{ fingerprint };
+    record.mRefused = true;
+    record.mUntil = aContext.Now() + kCrashTime;
+    aContext.Log("forward",
+                 "event=crashing_request_learnt fingerprint=" + std::to_string(fingerprint) +
+                   " from=" + aHeartbeat.mSender.mVm);
+    KeepCrashRecord(aContext, std::move(record));
+  }
+}
+
+// An attempt whose connection ended may have ended its replica. The state may be gone already.
+void OnEnded(core_context& aContext, const attempt_ended& aFact)
+{
+  const auto state = aContext.mBoard.Read<forward_state>(RequestKey(aFact.mKey.mRequest));
+  if (aFact.mEnd != attempt_end::Lost || !state || state->mContent.mFingerprint == 0) {
+    return;
+  }
+  const std::uint64_t fingerprint = state->mContent.mFingerprint;
+  const auto known = aContext.mBoard.Read<crash_record>(CrashKey(fingerprint));
+  KeepCrashRecord(aContext,
+                  WithLost(known ? *known : crash_record{ fingerprint },
+                           aFact.mReplica->mId,
+                           aFact.mReplica->mBornMs,
+                           aContext.Now()));
+}
+
+} // namespace
+
+bool EndsReplicas(core_context& aContext, const forward_request& aRequest)
+{
+  const auto record = aContext.mBoard.Read<crash_record>(CrashKey(aRequest.mFingerprint));
+  if (aRequest.mFingerprint == 0 || !record) {
+    return false;
+  }
+  const std::size_t ended =
+    EndedReplicas(*record, [&aContext](const std::string& aReplica, std::int64_t aBornMs) {
+      return HasEnded(aContext, aReplica, aBornMs);
+    });
+  if (!record->mRefused && ended < kCrashLosses) {
+    return false;
+  }
+  crash_record next = *record;
+  next.mRefused = true;
+  next.mUntil = aContext.Now() + kCrashTime;
+  aContext.Count("forward.crashing_refused");
+  aContext.Log("forward",
+               "event=crashing_request request=" + Quoted(aRequest.mId) +
+                 " fingerprint=" + std::to_string(aRequest.mFingerprint) + " lost=" +
+                 std::to_string(record->mLost.size()) + " ended=" + std::to_string(ended),
+               log_level::Warning);
+  KeepCrashRecord(aContext, std::move(next));
+  return true;
+}
+
+void AddCrashController(core_context& aContext)
+{
+  blackboard& board = aContext.mBoard;
+  board.OnFact<attempt_ended>(
+    [&aContext](const std::string&, const attempt_ended& aFact) { OnEnded(aContext, aFact); });
+  board.OnFact<crash_expiry>([&aContext](const std::string&, const crash_expiry& aFact) {
+    OnCrashExpiry(aContext, aFact.mFingerprint);
+  });
+  board.OnFact<heartbeat_received>(
+    [&aContext](const std::string&, const heartbeat_received& aFact) {
+      OnRefusedElsewhere(aContext, aFact.mHeartbeat);
+    });
+}
+
+} // namespace redwingdock
--- /dev/null
+++ b/src/forward/request_step.cc
@@ -0,0 +1,410 @@
+#include "forward/request_step.h"
+
+#include "core/core_facts.h"
+#include "forward/gather.h"
+#include "forward/log_text.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+// Sends of one part, with those that were refused.
+constexpr std::size_t kMostSends = 4;
+// An attempt with less time than this left is not worth its arrival.
+constexpr micros kLeastTime = std::chrono::milliseconds(4);
+// Attempts that are open after the answer usually end within a pause of their replica.
+constexpr micros kCancelAfterAnswer = std::chrono::milliseconds(300);
+// An attempt that is open this long after an answer without it has met a silent connection.
+constexpr micros kSilentAfter = std::chrono::milliseconds(450);
+// A client that is refused comes back when another daemon or replica has had time to recover.
+constexpr micros kRetryAfter = std::chrono::milliseconds(60);
+// Of the connections that a replica accepts, the share that all daemons use together; the rest is
+// for connections that went silent.
+constexpr double kConnectionShare = 0.8;
+constexpr std::uint32_t kLeastConnections = 2;
+// Of the budget of repeats. The rest is for attempts that ended without a reply, which are certain
+// to need one.
+constexpr double kHedgeShare = 0.6;
+// While the service does not say.
+constexpr std::uint32_t kDefaultConnections = 8;
+
+} // namespace
+
+std::string LatencyKey(const route_rule& aRoute)
+{
+  return "latency/" + aRoute.mName;
+}
+
+std::string BudgetKey(const std::string& aService)
+{
+  return "budget/" + aService;
+}
+
+request_step::request_step(core_context& aContext,
+                           const forward_hooks& aHooks,
+                           forward_state aState)
+  : mContext(aContext)
+  , mHooks(aHooks)
+  , mState(std::move(aState))
+  , mCatalog(aContext.mBoard.Read<catalog>(kCatalogKey))
+{
+}
+
+void request_step::Run()
+{
+  if (!mState.mAnswered) {
+    for (std::uint32_t i = 0; i < mState.mParts.size(); ++i) {
+      Advance(i);
+    }
+    Conclude();
+  }
+  if (mState.mAnswered) {
+    CancelOverdue();
+  }
+  Keep();
+}
+
+void request_step::Abandon()
+{
+  mContext.Count("forward.abandoned");
+  mContext.Log("forward",
+               "event=abandoned request=" + Quoted(mState.mContent.mId) +
+                 " after_ms=" + MsText(mContext.Now() - mState.mArrivedAt));
+  CancelAll(false);
+  mContext.mBoard.Erase<forward_state>(RequestKey(mState.mRequest));
+}
+
+micros request_step::Expected() const
+{
+  return ExpectedLatency(*mState.mRoute, Latencies());
+}
+
+latency_record request_step::Latencies() const
+{
+  const auto record = mContext.mBoard.Read<latency_record>(LatencyKey(*mState.mRoute));
+  return record ? *record : latency_record{};
+}
+
+choice_input request_step::ChoiceInput(const std::string& aService) const
+{
+  const auto view = mContext.mBoard.Read<fleet_view>(kFleetKey);
+  const std::uint32_t daemons = std::max<std::uint32_t>(view ? view->mMostSeen : 1, 1);
+  const forward_config& config = mContext.mConfig.mForward;
+  choice_input input{ mContext.Now(), mContext.mConfig.mZone, kDefaultConnections, 0 };
+  const auto found = mCatalog->mServices.find(aService);
+  if (found == mCatalog->mServices.end()) {
+    return input;
+  }
+  if (found->second.mConnections > 0) {
+    input.mConnections =
+      std::max(kLeastConnections,
+               static_cast<std::uint32_t>(found->second.mConnections * kConnectionShare / daemons));
+  }
+  if (found->second.mColdRate > 0) {
+    input.mColdRate = (found->second.mColdRate * config.mColdOverage + config.mColdSlack) /
+                      std::max(daemons, config.mMostDaemons);
+  }
+  return input;
+}
+
+std::vector<choice_candidate> request_step::Candidates(const forward_part& aPart) const
+{
+  std::vector<choice_candidate> candidates;
+  const auto replicas = mCatalog->mReplicas.find(aPart.mService);
+  if (replicas == mCatalog->mReplicas.end()) {
+    return candidates;
+  }
+  for (const replica_pointer& replica : replicas->second) {
+    if (replica->mDraining || mCatalog->mClosedZones.contains(replica->mZone) ||
+        HasTried(aPart, *replica)) {
+      continue;
+    }
+    const auto known = mContext.mBoard.Read<replica_load>(replica->mId);
+    replica_load load = LoadOf(known.get(), *replica);
+    if (!load.mGone) {
+      candidates.push_back(
+        { replica, std::move(load), static_cast<double>(mContext.Random(1000)) / 1000.0 });
+    }
+  }
+  return candidates;
+}
+
+bool request_step::HasTried(const forward_part& aPart, const replica_entry& aReplica)
+{
+  return std::any_of(
+    aPart.mAttempts.begin(), aPart.mAttempts.end(), [&aReplica](const forward_attempt& aAttempt) {
+      return aAttempt.mReplica->mId == aReplica.mId &&
+             (aAttempt.mOpen || aAttempt.mEnd != attempt_end::Rejected);
+    });
+}
+
+bool request_step::MayRepeat(const forward_part& aPart) const
+{
+  const std::size_t run = RunAttempts(aPart);
+  return aPart.mAttempts.size() < kMostSends && run < mState.mRoute->mAttempts &&
+         (mState.mRoute->mIdempotent || run == 0) && mState.mDeadline - mContext.Now() > kLeastTime;
+}
+
+void request_step::Advance(std::uint32_t aIndex)
+{
+  forward_part& part = mState.mParts[aIndex];
+  if (part.mReply || part.mGivenUp || mContext.Now() < part.mNextAt) {
+    return;
+  }
+  const std::size_t open = OpenAttempts(part);
+  if (open == 0 && !MayRepeat(part)) {
+    part.mGivenUp = true;
+    return;
+  }
+  if (open == 0) {
+    Send(aIndex, part.mAttempts.empty() ? "first" : "retry");
+    return;
+  }
+  if (open > 1 || !mState.mRoute->mIdempotent || !MayRepeat(part)) {
+    part.mNextAt = kNever;
+    return;
+  }
+  Send(aIndex, "hedge");
+}
+
+void request_step::Send(std::uint32_t aIndex, const char* aWhy)
+{
+  forward_part& part = mState.mParts[aIndex];
+  const std::vector<choice_candidate> candidates = Candidates(part);
+  const bool open = OpenAttempts(part) > 0;
+  if (candidates.empty()) {
+    part.mGivenUp = !open;
+    part.mNextAt = kNever;
+    return;
+  }
+  const choice_input input = ChoiceInput(part.mService);
+  const std::optional<std::size_t> chosen = mHooks.mChoose(candidates, input);
+  if (!chosen || (HasArrived(part) && !TakeRepeat(part.mService, open ? kHedgeShare : 1))) {
+    part.mNextAt = mContext.Now() + kRetryPause;
+    return;
+  }
+  const choice_candidate& target = candidates[*chosen];
+  const attempt_key key{ mState.mRequest,
+                         aIndex,
+                         static_cast<std::uint32_t>(part.mAttempts.size()) };
+  if (!part.mAttempts.empty()) {
+    mContext.Count(std::string("forward.") + aWhy);
+    mContext.Log("forward",
+                 std::string("event=") + aWhy + " request=" + Quoted(mState.mContent.mId) +
+                   " part=" + std::to_string(aIndex) + " service=" + part.mService + " replica=" +
+                   target.mReplica->mId + " before=" + part.mAttempts.back().mReplica->mId +
+                   " after_ms=" + MsText(mContext.Now() - mState.mArrivedAt) +
+                   " open_there=" + std::to_string(target.mLoad.mOpen.size()));
+  }
+  part.mAttempts.push_back({ target.mReplica, mContext.Now() });
+  part.mNextAt = mContext.Now() + mHooks.mHedgeAfter(*mState.mRoute, Latencies());
+  const micros expected = Expected();
+  mContext.mBoard.Update<replica_load>(target.mReplica->mId, [&](const replica_load* aKnown) {
+    return std::optional<replica_load>(
+      WithSend(LoadOf(aKnown, *target.mReplica), key, mContext.Now(), expected));
+  });
+  mContext.Emit(send_attempt{ key, target.mReplica, mState.mDeadline, input.mConnections });
+}
+
+bool request_step::TakeRepeat(const std::string& aService, double aShare)
+{
+  const forward_config& config = mContext.mConfig.mForward;
+  const auto view = mContext.mBoard.Read<fleet_view>(kFleetKey);
+  const std::uint32_t daemons = std::max(config.mMostDaemons, view ? view->mMostSeen : 1);
+  const repeat_limits limits{ config.mRepeatRatio * aShare,
+                              config.mRepeatSlack * aShare / daemons,
+                              config.mRepeatWindow };
+  const bool taken = mContext.mBoard.Update<repeat_budget>(
+    BudgetKey(aService), [&](const repeat_budget* aKnown) -> std::optional<repeat_budget> {
+      const repeat_budget known = aKnown != nullptr ? *aKnown : repeat_budget{};
+      if (!mHooks.mMayRepeat(known, limits, mContext.Now())) {
+        return std::nullopt;
+      }
+      return WithRepeat(known, mContext.Now());
+    });
+  if (!taken) {
+    mContext.Count("forward.repeat_denied");
+  }
+  return taken;
+}
+
+void request_step::Conclude()
+{
+  const instant now = mContext.Now();
+  const std::size_t undecided = UndecidedParts(mState);
+  const bool enough = IsEnough(mState);
+  if (enough && (undecided == 0 || now >= mState.mPartialAt)) {
+    AnswerSuccess();
+  } else if (!IsEnough(mState, undecided)) {
+    AnswerFailure(MayHaveRun(mState) ? answer_kind::Failed : answer_kind::NotRun);
+  } else if (now >= mState.mDeadline) {
+    AnswerFailure(MayHaveRun(mState) ? answer_kind::TimedOut : answer_kind::NotRun);
+  }
+}
+
+void request_step::AnswerSuccess()
+{
+  forward_answer answer;
+  if (!mState.mRoute->mGather) {
+    answer.mKind = answer_kind::Relayed;
+    answer.mReply = mState.mParts.front().mReply;
+    Answer(std::move(answer));
+    return;
+  }
+  answer.mKind = answer_kind::Gathered;
+  std::vector<reply_pointer> parts;
+  for (const forward_part& part : mState.mParts) {
+    if (part.mReply) {
+      parts.push_back(part.mReply);
+      answer.mSignatures.push_back(part.mReply->mSignature);
+    }
+  }
+  answer.mMissing = static_cast<std::uint32_t>(mState.mParts.size() - parts.size());
+  answer.mBody = GreatestRecords(parts, mState.mRoute->mGather->mGreatest);
+  Answer(std::move(answer));
+}
+
+void request_step::AnswerFailure(answer_kind aKind)
+{
+  forward_answer answer;
+  const forward_part& first = mState.mParts.front();
+  if (!mState.mRoute->mGather && first.mFailure && aKind == answer_kind::Failed) {
+    answer.mKind = answer_kind::Relayed;
+    answer.mReply = first.mFailure;
+  } else {
+    answer.mKind = aKind;
+    answer.mRetryAfter = kRetryAfter;
+    answer.mReason = { "forward", first.mService, MissingText() };
+  }
+  Answer(std::move(answer));
+}
+
+std::string request_step::MissingText() const
+{
+  std::string text;
+  for (const forward_part& part : mState.mParts) {
+    if (part.mReply) {
+      continue;
+    }
+    text += (text.empty() ? "" : ",") + part.mService + ":";
+    if (part.mAttempts.empty()) {
+      text += "no_replica";
+    } else if (part.mAttempts.back().mOpen) {
+      text += "open";
+    } else {
+      text += ToString(part.mAttempts.back().mEnd);
+    }
+  }
+  return text;
+}
+
+void request_step::Answer(forward_answer aAnswer)
+{
+  const micros elapsed = mContext.Now() - mState.mArrivedAt;
+  mContext.Count(std::string("forward.answer.") + ToString(aAnswer.mKind));
+  std::string line =
+    std::string("event=answer request=") + Quoted(mState.mContent.mId) +
+    " route=" + mState.mRoute->mName + " version=" + std::to_string(mState.mVersion) +
+    " outcome=" + ToString(aAnswer.mKind) + " after_ms=" + MsText(elapsed) +
+    " parts=" + std::to_string(AnsweredParts(mState)) + "/" + std::to_string(mState.mParts.size());
+  if (!mState.mRoute->mGather && !mState.mParts.front().mAttempts.empty()) {
+    line += " replica=" + mState.mParts.front().mAttempts.back().mReplica->mId;
+  }
+  if (aAnswer.mReply) {
+    line += " status=" + std::to_string(aAnswer.mReply->mStatus);
+  }
+  const std::string missing = MissingText();
+  if (!missing.empty()) {
+    line += " missing=" + Quoted(missing);
+  }
+  mContext.Log("forward", std::move(line));
+  mContext.Emit(answer_request{ mState.mRequest, std::move(aAnswer) });
+  mState.mAnswered = true;
+  mState.mCancelAt = mContext.Now() + kCancelAfterAnswer;
+}
+
+void request_step::CancelOverdue()
+{
+  if (mContext.Now() >= mState.mCancelAt) {
+    CancelAll(true);
+  }
+}
+
+void request_step::CancelAll(bool aForSilence)
+{
+  const instant now = mContext.Now();
+  for (std::uint32_t i = 0; i < mState.mParts.size(); ++i) {
+    std::vector<forward_attempt>& attempts = mState.mParts[i].mAttempts;
+    for (std::uint32_t j = 0; j < attempts.size(); ++j) {
+      if (!attempts[j].mOpen) {
+        continue;
+      }
+      const attempt_key key{ mState.mRequest, i, j };
+      const bool silent = aForSilence && now - attempts[j].mSentAt >= kSilentAfter;
+      attempts[j].mOpen = false;
+      attempts[j].mEnd = attempt_end::Lost;
+      mContext.Emit(cancel_attempt{ key, silent });
+      mContext.mBoard.Update<replica_load>(
+        attempts[j].mReplica->mId, [&](const replica_load* aKnown) {
+          const replica_load load = LoadOf(aKnown, *attempts[j].mReplica);
+          return std::optional<replica_load>(aForSilence
+                                               ? WithCancel(load, key, now)
+                                               : WithEnd(load, key, attempt_end::Answered, now));
+        });
+      if (aForSilence) {
+        mContext.Count("forward.cancelled");
+        mContext.Log("forward",
+                     "event=cancelled request=" + Quoted(mState.mContent.mId) +
+                       " part=" + std::to_string(i) + " replica=" + attempts[j].mReplica->mId +
+                       " open_ms=" + MsText(now - attempts[j].mSentAt) +
+                       " silent=" + (silent ? "yes" : "no"));
+      }
+    }
+  }
+}
+
+bool request_step::IsFinished() const
+{
+  return mState.mAnswered &&
+         std::all_of(mState.mParts.begin(), mState.mParts.end(), [](const forward_part& aPart) {
+           return OpenAttempts(aPart) == 0;
+         });
+}
+
+instant request_step::NextStep() const
+{
+  if (mState.mAnswered) {
+    return mState.mCancelAt;
+  }
+  instant next = mState.mDeadline;
+  if (mState.mPartialAt > mContext.Now()) {
+    next = std::min(next, mState.mPartialAt);
+  }
+  for (const forward_part& part : mState.mParts) {
+    if (!part.mReply && !part.mGivenUp) {
+      next = std::min(next, part.mNextAt);
+    }
+  }
+  return next;
+}
+
+void request_step::Keep()
+{
+  const std::string key = RequestKey(mState.mRequest);
+  if (IsFinished()) {
+    mContext.mBoard.Erase<forward_state>(key);
+    return;
+  }
+  const instant now = mContext.Now();
+  const instant next = NextStep();
+  if (mState.mCheckAt <= now || next < mState.mCheckAt) {
+    mState.mCheckAt = std::max(next, now + micros(1));
+    mContext.After(mState.mCheckAt - now, key, step_due{ mState.mRequest });
+  }
+  mContext.mBoard.Write(key, std::move(mState));
+}
+
+} // namespace redwingdock
--- a/src/load/main.cc
+++ b/src/load/main.cc
@@ -1,4 +1,4 @@
-#include "client/command_line.h"
+#include "base/command_line.h"
 #include "load/plot.h"
 #include "load/report_json.h"
 #include "load/run.h"
--- a/src/load/run.cc
+++ b/src/load/run.cc
@@ -1,7 +1,7 @@
 #include "load/run.h"
 
+#include "base/command_line.h"
 #include "blackboard/blackboard.h"
-#include "client/command_line.h"
 #include "load/report_json.h"
 
 #include <algorithm>
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -1,11 +1,9 @@
+#include "base/command_line.h"
 #include "daemon/logging.h"
 #include "platform/edge_daemon.h"
 
 #include <cstdio>
-#include <docopt/docopt.h>
 #include <exception>
-#include <fstream>
-#include <iterator>
 
 // redwingdock_edge: a daemon of the query tier on the users' platform.
 
@@ -27,11 +25,7 @@
 Exit codes: 0 ok, 64 usage, 65 bad settings, 69 an address cannot be opened, 70 internal error.
 )";
 
-// From sysexits.h.
-constexpr int kBadUsage = 64;
-constexpr int kBadSettings = 65;
-constexpr int kUnavailable = 69;
-constexpr int kInternal = 70;
+constexpr int kInternal = 70; // from sysexits.h, as those of command_line.h
 
 using namespace redwingdock;
 
@@ -43,19 +37,18 @@
 
 result<platform::edge_settings> ReadSettings(const std::string& aFile)
 {
-  std::ifstream input(aFile);
-  if (!input) {
-    return Failure<platform::edge_settings>("read settings", aFile, "cannot be opened");
+  const result<std::string> text = ReadFile(aFile);
+  if (!text) {
+    return { std::nullopt, text.mReason };
   }
-  const std::string text{ std::istreambuf_iterator<char>(input), {} };
-  return platform::ParseEdgeSettings(text, aFile);
+  return platform::ParseEdgeSettings(*text, aFile);
 }
 
 int Run(const std::string& aFile, bool aCheckOnly)
 {
   const result<platform::edge_settings> settings = ReadSettings(aFile);
   if (!settings) {
-    return Fail(kBadSettings, settings.mReason);
+    return Fail(kExitBadData, settings.mReason);
   }
   if (aCheckOnly) {
     std::printf("%s: ok\n", aFile.c_str());
@@ -63,7 +56,7 @@
   }
   const result<bool> logging = StartLogging(settings->mLogThreshold, "-");
   if (!logging) {
-    return Fail(kUnavailable, logging.mReason);
+    return Fail(kExitUnreachable, logging.mReason);
   }
   platform::edge_daemon daemon(*settings, forward_hooks{});
   daemon.OnSignals([aFile] {
@@ -76,7 +69,7 @@
   });
   const result<platform::edge_addresses> bound = daemon.Start();
   if (!bound) {
-    return Fail(kUnavailable, bound.mReason);
+    return Fail(kExitUnreachable, bound.mReason);
   }
   daemon.WaitForEnd();
   return 0;
@@ -86,21 +79,12 @@
 
 int main(int aCount, char** aArguments)
 {
+  const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
+  if (arguments.mExit) {
+    return *arguments.mExit;
+  }
   try {
-    std::map<std::string, docopt::value> arguments;
-    try {
-      arguments = docopt::docopt_parse(kUsage, { aArguments + 1, aArguments + aCount }, true, true);
-    } catch (const docopt::DocoptExitHelp&) {
-      std::fputs(kUsage, stdout);
-      return 0;
-    } catch (const docopt::DocoptExitVersion&) {
-      std::puts("redwingdock_edge " REDWINGDOCK_VERSION);
-      return 0;
-    } catch (const std::runtime_error&) {
-      std::fputs(kUsage, stderr);
-      return kBadUsage;
-    }
-    return Run(arguments["--settings"].asString(), arguments["--check"].asBool());
+    return Run(arguments.Text("--settings"), arguments.Has("--check"));
   } catch (const std::exception& error) {
     return Fail(kInternal, { "run", "", error.what() });
   }
--- a/src/platform/standin_main.cc
+++ b/src/platform/standin_main.cc
@@ -1,3 +1,5 @@
+#include "base/command_line.h"
+#include "base/yaml_reader.h"
 #include "platform/standin.h"
 
 #include <boost/json/array.hpp>
@@ -5,8 +7,6 @@
 #include <boost/json/serialize.hpp>
 #include <condition_variable>
 #include <cstdio>
-#include <docopt/docopt.h>
-#include <exception>
 
 // redwingdock_edge_standin: the platform's store and replicas on loopback, for demos.
 
@@ -30,9 +30,7 @@
 Ends with SIGINT or SIGTERM. Exit codes: 0 ok, 64 usage, 69 an address cannot be opened.
 )";
 
-constexpr int kBadUsage = 64;
-constexpr int kUnavailable = 69;
-constexpr long kMostServices = 50;
+constexpr std::size_t kMostServices = 50;
 constexpr int kReplicas = 2; // of a service
 
 using namespace redwingdock;
@@ -66,17 +64,17 @@
     { "services", std::move(services) } });
 }
 
-int Run(const std::string& aStore, long aServices)
+int Run(const std::string& aStore, std::size_t aServices)
 {
   io_loop loop(2);
   platform::store_standin store(loop);
   if (const result<std::string> bound = store.ListenOn(aStore); !bound) {
     std::fprintf(stderr, "redwingdock_edge_standin: %s\n", Describe(bound.mReason).c_str());
-    return kUnavailable;
+    return kExitUnreachable;
   }
   std::vector<std::unique_ptr<platform::replica_standin>> replicas;
   std::vector<std::string> services;
-  for (long i = 0; i < aServices; ++i) {
+  for (std::size_t i = 0; i < aServices; ++i) {
     services.push_back("service-" + std::to_string(i));
     for (int j = 0; j < kReplicas; ++j) {
       const std::string id = "i-" + std::to_string(i) + "-" + std::to_string(j);
@@ -87,7 +85,7 @@
         loop, id, platform::replica_behaviour{ std::chrono::milliseconds(5), 200, record }));
       if (const result<std::string> bound = replicas.back()->ListenOn("127.0.0.1:0"); !bound) {
         std::fprintf(stderr, "redwingdock_edge_standin: %s\n", Describe(bound.mReason).c_str());
-        return kUnavailable;
+        return kExitUnreachable;
       }
       store.Put("servers/" + id,
                 replicas.back()->Entry(services.back(), j == 0 ? "zone-a" : "zone-b", false));
@@ -114,23 +112,14 @@
 
 int main(int aCount, char** aArguments)
 {
-  try {
-    const auto arguments =
-      docopt::docopt_parse(kUsage, { aArguments + 1, aArguments + aCount }, true, true);
-    const long services = arguments.at("--services").asLong();
-    if (services < 1 || services > kMostServices) {
-      std::fputs(kUsage, stderr);
-      return kBadUsage;
-    }
-    return Run(arguments.at("--store").asString(), services);
-  } catch (const docopt::DocoptExitHelp&) {
-    std::fputs(kUsage, stdout);
-    return 0;
-  } catch (const docopt::DocoptExitVersion&) {
-    std::puts("redwingdock_edge_standin " REDWINGDOCK_VERSION);
-    return 0;
-  } catch (const std::exception& error) {
-    std::fprintf(stderr, "%s\n%s", error.what(), kUsage);
-    return kBadUsage;
+  const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
+  if (arguments.mExit) {
+    return *arguments.mExit;
+  }
+  const auto services = ToInteger(arguments.Text("--services"), 1, kMostServices);
+  if (!services) {
+    std::fputs(kUsage, stderr);
+    return kExitUsage;
   }
+  return Run(arguments.Text("--store"), *services);
 }
