--- a/scripts/edge_demo.sh
+++ b/deploy/demo.sh
@@ -2,7 +2,7 @@
 # Runs the programs that the users' platform runs, against stand-ins of its store and replicas:
 # three daemons on loopback addresses. Callers ask for an address and connect to it while one daemon
 # is stopped and started again. Exits 0 when every request was answered whole. The programs are
-# those of a build folder (REDWINGDOCK_BIN, default build/bin). Usage: edge_demo.sh
+# those of a build folder (REDWINGDOCK_BIN, default build/bin). Usage: demo.sh
 set -euo pipefail
 cd "$(dirname "$0")/.."
 bin=${REDWINGDOCK_BIN:-build/bin}
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,7 +75,7 @@
 done
 
 echo "== the programs of the users' platform"
-scripts/edge_demo.sh || failed=1
+deploy/demo.sh || failed=1
 
 if [ -n "$keep" ]; then
   trap - EXIT
