--- a/src/platform/published_codec.cc
+++ b/src/platform/published_codec.cc
@@ -358,7 +358,7 @@
     return { std::nullopt, std::move(list.mReason) };
   }
   store_page_read page;
-  page.mItems = std::move(list->mItems);
+  page.mItems = std::move((*list).mItems);
   page.mMore = list->mMore;
   page.mAsOf = list->mAsOf;
   return Success(std::move(page));
@@ -371,7 +371,7 @@
     return { std::nullopt, std::move(list.mReason) };
   }
   store_changes_read changes;
-  changes.mItems = std::move(list->mItems);
+  changes.mItems = std::move((*list).mItems);
   changes.mAsOf = list->mAsOf;
   return Success(std::move(changes));
 }
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -66,6 +66,7 @@
 route_rule Gather(const std::vector<std::string>& aServices, double aLeastShare)
 {
   std::vector<weighted_service> services;
+  services.reserve(aServices.size());
   for (const std::string& each : aServices) {
     services.push_back({ each, 1 });
   }
@@ -75,7 +76,7 @@
   return rule;
 }
 
-forwarding_rig::forwarding_rig(rig_options aOptions)
+forwarding_rig::forwarding_rig(const rig_options& aOptions)
   : mCore(ConfigOf(aOptions), Forwarding(aOptions.mHooks), 8)
 {
   Step();
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -60,7 +60,7 @@
 class forwarding_rig
 {
 public:
-  explicit forwarding_rig(rig_options aOptions);
+  explicit forwarding_rig(const rig_options& aOptions);
 
   // The store.
   void Publish(store_item aItem);
