Send heartbeats by the size of the fleet

Change: the interval grows with the number of peers (40 heartbeats/s a daemon, at most 1.2 s) and is stated in the heartbeat; a daemon is silent after four of its own intervals. A heartbeat names three peers at random; only the answer to a daemon that has just started names all of them. A heartbeat is compared with the sender's entry, not with all entries.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -11,6 +11,7 @@
 
 constexpr std::size_t kMostBytes = std::size_t{ 16 } * 1024;
 constexpr std::size_t kMostText = 100;
+constexpr std::uint64_t kMostIntervalUs = 60'000'000;
 
 } // namespace
 
@@ -31,6 +32,7 @@
                                                      { "calls", sender.mCallAddress },
                                                      { "zone", sender.mZone },
                                                      { "serving", sender.mServing },
+                                                     { "interval_us", sender.mInterval.count() },
                                                      { "peers", std::move(peers) },
                                                      { "refused", std::move(refused) } });
 }
@@ -47,6 +49,8 @@
   parsed.mSender.mCallAddress = reader.Text(root, "calls", 1, kMostText);
   parsed.mSender.mZone = reader.Text(root, "zone", 1, kMostText);
   parsed.mSender.mServing = reader.Bool(root, "serving");
+  parsed.mSender.mInterval =
+    micros(static_cast<std::int64_t>(reader.Number(root, "interval_us", 0, kMostIntervalUs)));
   for (const boost::json::value& peer : reader.Array(root, "peers")) {
     if (!peer.is_string()) {
       reader.Fail("\"peers\" holds a value that is not a text");
--- a/src/codec/heartbeat_json_test.cc
+++ b/src/codec/heartbeat_json_test.cc
@@ -5,9 +5,11 @@
 namespace redwingdock {
 namespace {
 
-const heartbeat kSent{ { "vm-1", 1775133628009, "10.1.0.9:7380", "10.1.0.9:8104", "zone-a", true },
-                       { "10.2.0.9:7380" },
-                       { 18446744073709551615U, 7 } };
+const heartbeat kSent{
+  { "vm-1", 1775133628009, "10.1.0.9:7380", "10.1.0.9:8104", "zone-a", true, micros(400'000) },
+  { "10.2.0.9:7380" },
+  { 18446744073709551615U, 7 }
+};
 
 TEST(heartbeat_json, ReadsWhatItWrites)
 {
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -22,6 +22,7 @@
   std::string mCallAddress;       // for callers, "ip:port"
   std::string mZone;
   bool mServing = false; // has a configuration and is not leaving
+  micros mInterval{ 0 }; // until its next heartbeat
 
   auto operator<=>(const daemon_state&) const = default;
 };
@@ -29,7 +30,7 @@
 struct heartbeat
 {
   daemon_state mSender;
-  std::vector<std::string> mPeers;     // peer addresses that the sender heard recently
+  std::vector<std::string> mPeers;     // some of the peer addresses that the sender heard recently
   std::vector<std::uint64_t> mRefused; // fingerprints of requests that end their replicas
 
   auto operator<=>(const heartbeat&) const = default;
@@ -61,6 +62,7 @@
 {
   daemon_state mState;
   instant mHeardAt{};
+  instant mSilentAt{}; // when it counts as silent without a further heartbeat
 
   auto operator<=>(const fleet_member&) const = default;
 };
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -27,7 +27,10 @@
   // Other daemons.
   std::vector<std::string> mPeers; // peer addresses to start with, "ip:port"
   micros mHeartbeatInterval = std::chrono::milliseconds(400);
-  micros mMemberTtl = std::chrono::milliseconds(1600); // four heartbeats
+  // Heartbeats/s that a daemon sends; more peers make the interval longer, up to the longest one.
+  double mHeartbeatRate = 40;
+  micros mHeartbeatLongest = std::chrono::milliseconds(1200);
+  int mMissedHeartbeats = 4; // a daemon that missed as many is not named to callers
   micros mAddressTtl = std::chrono::seconds(60); // addresses that do not answer are called so long
   micros mEntryLifetime = std::chrono::seconds(2);      // of an answer that names addresses
   micros mLingerTime = std::chrono::milliseconds(2300); // a stopping daemon accepts callers so long
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -41,33 +41,42 @@
   return view ? *view : fleet_view{};
 }
 
-instant LiveSince(core_context& aContext)
-{
-  return aContext.Now() - aContext.mConfig.mForward.mMemberTtl;
-}
-
-void LogLiveChange(core_context& aContext, const fleet_view& aBefore, const fleet_view& aAfter)
-{
-  const instant since = LiveSince(aContext);
-  for (const auto& [vm, member] : aAfter.mMembers) {
-    const auto old = aBefore.mMembers.find(vm);
-    const bool wasLive = old != aBefore.mMembers.end() && old->second.mHeardAt >= since;
-    if (!wasLive || old->second.mState != member.mState) {
-      aContext.Log("members",
-                   "event=heard vm=" + vm +
-                     " incarnation=" + std::to_string(member.mState.mIncarnation) +
-                     " serving=" + (member.mState.mServing ? "yes" : "no") +
-                     " address=" + member.mState.mCallAddress);
-    }
+void LogIfNews(core_context& aContext,
+               const fleet_view& aBefore,
+               const fleet_view& aAfter,
+               const daemon_state& aSender)
+{
+  const auto present = aAfter.mMembers.find(aSender.mVm);
+  if (present == aAfter.mMembers.end() || present->second.mState != aSender) {
+    return; // this daemon's own heartbeat, or one of an earlier start
   }
+  const auto old = aBefore.mMembers.find(aSender.mVm);
+  const bool wasLive = old != aBefore.mMembers.end() && old->second.mSilentAt >= aContext.Now();
+  if (wasLive && old->second.mState.mIncarnation == aSender.mIncarnation &&
+      old->second.mState.mServing == aSender.mServing &&
+      old->second.mState.mCallAddress == aSender.mCallAddress) {
+    return;
+  }
+  aContext.Log(
+    "members",
+    "event=heard vm=" + aSender.mVm + " incarnation=" + std::to_string(aSender.mIncarnation) +
+      " serving=" + (aSender.mServing ? "yes" : "no") + " address=" + aSender.mCallAddress);
 }
 
 // Few enough for one datagram; the latest refusals matter most, and repeats renew them.
 constexpr std::size_t kMostRefused = 32;
-
-heartbeat HeartbeatOf(core_context& aContext, const fleet_view& aView)
-{
-  heartbeat sent{ aView.mSelf, LivePeers(aView, LiveSince(aContext)), {} };
+// Peers named to a daemon that has just started, which needs all of them, and to the others, which
+// learn of those that they have missed over several heartbeats.
+constexpr std::size_t kPeersForNew = 64;
+constexpr std::size_t kPeersNamed = 3;
+
+heartbeat HeartbeatOf(core_context& aContext, const fleet_view& aView, std::size_t aPeers)
+{
+  heartbeat sent{ aView.mSelf,
+                  Sample(LivePeers(aView, aContext.Now()),
+                         aPeers,
+                         [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); }),
+                  {} };
   for (const auto& [key, record] : aContext.mBoard.List<crash_record>()) {
     if (record->mRefused && sent.mRefused.size() < kMostRefused) {
       sent.mRefused.push_back(record->mFingerprint);
@@ -78,7 +87,7 @@
 
 void SendHeartbeats(core_context& aContext, const fleet_view& aView)
 {
-  const heartbeat sent = HeartbeatOf(aContext, aView);
+  const heartbeat sent = HeartbeatOf(aContext, aView, kPeersNamed);
   for (const auto& [address, since] : aView.mAddresses) {
     aContext.Emit(send_heartbeat{ address, sent });
   }
@@ -89,10 +98,14 @@
   const core_config& config = aContext.mConfig;
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
   const bool serving = known && known->mVersion > 0 && !known->mReplicas.empty();
-  aView.mSelf = { config.mVm,      std::stoull(config.mIncarnation),
-                  config.mAddress, config.mCallAddress,
-                  config.mZone,    serving && !aView.mLeaving };
-  const auto live = static_cast<std::uint32_t>(LivePeers(aView, LiveSince(aContext)).size()) + 1;
+  aView.mSelf = { config.mVm,
+                  std::stoull(config.mIncarnation),
+                  config.mAddress,
+                  config.mCallAddress,
+                  config.mZone,
+                  serving && !aView.mLeaving,
+                  HeartbeatInterval(aView.mAddresses.size(), config.mForward) };
+  const auto live = static_cast<std::uint32_t>(LivePeers(aView, aContext.Now()).size()) + 1;
   aView.mMostSeen = std::max(aView.mMostSeen, live);
   return aView;
 }
@@ -101,7 +114,6 @@
 {
   const forward_config& config = aContext.mConfig.mForward;
   fleet_view view = ViewOf(aContext);
-  const fleet_view before = view;
   for (const std::string& address : config.mPeers) {
     if (address != aContext.mConfig.mAddress) {
       view.mAddresses.emplace(address, aContext.Now());
@@ -110,24 +122,26 @@
   view = WithPresentSelf(aContext,
                          WithoutSilent(view, config.mPeers, aContext.Now() - config.mAddressTtl));
   for (const auto& [vm, member] : view.mMembers) {
-    const instant due = member.mHeardAt + config.mMemberTtl;
-    if (due < aContext.Now() && due + config.mHeartbeatInterval >= aContext.Now()) {
+    const instant due = member.mSilentAt;
+    if (due < aContext.Now() && due + view.mSelf.mInterval >= aContext.Now()) {
       aContext.Log("members", "event=silent vm=" + vm, log_level::Warning);
     }
   }
   SendHeartbeats(aContext, view);
+  aContext.After(view.mSelf.mInterval, kFleetKey, heartbeat_due{});
   aContext.mBoard.Write(kFleetKey, std::move(view));
-  aContext.After(config.mHeartbeatInterval, kFleetKey, heartbeat_due{});
 }
 
 void OnHeartbeat(core_context& aContext, const heartbeat& aHeartbeat)
 {
   const fleet_view before = ViewOf(aContext);
-  fleet_view next = WithPresentSelf(aContext, WithHeartbeat(before, aHeartbeat, aContext.Now()));
-  LogLiveChange(aContext, before, next);
+  fleet_view next = WithPresentSelf(
+    aContext, WithHeartbeat(before, aHeartbeat, aContext.mConfig.mForward, aContext.Now()));
+  LogIfNews(aContext, before, next, aHeartbeat.mSender);
   // A daemon that has just started is answered at once, so that it need not wait for a heartbeat.
   if (next.mMembers.size() > before.mMembers.size()) {
-    aContext.Emit(send_heartbeat{ aHeartbeat.mSender.mPeerAddress, HeartbeatOf(aContext, next) });
+    aContext.Emit(
+      send_heartbeat{ aHeartbeat.mSender.mPeerAddress, HeartbeatOf(aContext, next, kPeersForNew) });
   }
   aContext.mBoard.Write(kFleetKey, std::move(next));
 }
@@ -146,7 +160,7 @@
 void OnAsked(core_context& aContext, const entry_asked& aFact)
 {
   const fleet_view view = ViewOf(aContext);
-  std::vector<std::string> addresses = CallAddresses(view, LiveSince(aContext));
+  std::vector<std::string> addresses = CallAddresses(view, aContext.Now());
   aContext.Count("entry.answers");
   if (addresses.empty()) {
     aContext.Log("entry", "event=no_address caller_zone=" + aFact.mZone, log_level::Warning);
--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -1,6 +1,7 @@
 #include "fleet/members.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace redwingdock {
 
@@ -10,7 +11,18 @@
 
 } // namespace
 
-fleet_view WithHeartbeat(const fleet_view& aView, const heartbeat& aHeartbeat, instant aNow)
+micros HeartbeatInterval(std::size_t aPeers, const forward_config& aConfig)
+{
+  const std::chrono::duration<double> wanted(static_cast<double>(aPeers) / aConfig.mHeartbeatRate);
+  return std::clamp(std::chrono::duration_cast<micros>(wanted),
+                    aConfig.mHeartbeatInterval,
+                    aConfig.mHeartbeatLongest);
+}
+
+fleet_view WithHeartbeat(const fleet_view& aView,
+                         const heartbeat& aHeartbeat,
+                         const forward_config& aConfig,
+                         instant aNow)
 {
   const daemon_state& sender = aHeartbeat.mSender;
   if (sender.mVm == aView.mSelf.mVm) {
@@ -24,7 +36,10 @@
     return aView;
   }
   fleet_view next = aView;
-  next.mMembers[sender.mVm] = { sender, aNow };
+  // A wrong interval must not keep a dead daemon named.
+  const micros interval =
+    std::clamp(sender.mInterval, aConfig.mHeartbeatInterval, aConfig.mHeartbeatLongest);
+  next.mMembers[sender.mVm] = { sender, aNow, aNow + aConfig.mMissedHeartbeats * interval };
   next.mAddresses[sender.mPeerAddress] = aNow;
   for (const std::string& address : aHeartbeat.mPeers) {
     if (address != aView.mSelf.mPeerAddress) {
@@ -48,29 +63,41 @@
   return next;
 }
 
-std::vector<std::string> CallAddresses(const fleet_view& aView, instant aSince)
+std::vector<std::string> CallAddresses(const fleet_view& aView, instant aNow)
 {
   std::vector<std::string> addresses;
   if (aView.mSelf.mServing) {
     addresses.push_back(aView.mSelf.mCallAddress);
   }
   for (const auto& [vm, member] : aView.mMembers) {
-    if (member.mHeardAt >= aSince && member.mState.mServing) {
+    if (member.mSilentAt >= aNow && member.mState.mServing) {
       addresses.push_back(member.mState.mCallAddress);
     }
   }
   return addresses;
 }
 
-std::vector<std::string> LivePeers(const fleet_view& aView, instant aSince)
+std::vector<std::string> LivePeers(const fleet_view& aView, instant aNow)
 {
   std::vector<std::string> addresses;
   for (const auto& [vm, member] : aView.mMembers) {
-    if (member.mHeardAt >= aSince) {
+    if (member.mSilentAt >= aNow) {
       addresses.push_back(member.mState.mPeerAddress);
     }
   }
   return addresses;
 }
 
+std::vector<std::string> Sample(std::vector<std::string> aAddresses,
+                                std::size_t aMost,
+                                const std::function<std::uint64_t(std::uint64_t)>& aRandom)
+{
+  const std::size_t count = std::min(aMost, aAddresses.size());
+  for (std::size_t i = 0; i < count; ++i) {
+    std::swap(aAddresses[i], aAddresses[i + aRandom(aAddresses.size() - i)]);
+  }
+  aAddresses.resize(count);
+  return aAddresses;
+}
+
 } // namespace redwingdock
