Count the client's own time against the target

Cause: a target counts from the client's first attempt, but a partial answer left a twelfth of the target, at least 6 ms, before the target counted from the arrival.

Change: the round trip is the kernel's measurement of the client's connection. What a client spent before its request arrived follows from the patience that it states and the one that other clients of the route start with (patience_record). Both are taken off the time until the partial answer, and a hedge is sent early enough for it. A request whose target has passed waits for its parts as before.

Rows: patience_test, timing_test, client_test.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -16,6 +16,7 @@
   std::string mPath;
   micros mPatience{ 0 };          // how long the client waits; 0 when it does not say
   std::uint64_t mFingerprint = 0; // equal for repeats of a request by its client
+  micros mRoundTrip{ 0 };         // between client and daemon; 0 when not known
 
   auto operator<=>(const forward_request&) const = default;
 };
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -172,6 +172,16 @@
   }
 }
 
+micros http_server::RoundTrip(std::uint64_t aNumber)
+{
+  std::uint64_t id = 0;
+  mWaiting.With(aNumber, [&id](std::uint64_t aSession) { id = aSession; });
+  micros roundTrip{ 0 };
+  mSessions.With(
+    id, [&roundTrip](const session& aState) { roundTrip = aState.mConnection->RoundTrip(); });
+  return roundTrip;
+}
+
 void http_server::Expired(std::uint64_t aSession)
 {
   std::uint64_t late = 0;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -62,6 +62,9 @@
   // Answers a request; ignored when its connection ended or it was answered before.
   void Reply(std::uint64_t aNumber, const http_response& aReply);
 
+  // Between the client of a waiting request and this server; 0 when not known.
+  micros RoundTrip(std::uint64_t aNumber);
+
   // Replaces the limits; a message that has begun keeps those it began with.
   void SetLimits(const http_limits& aLimits);
 
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -14,7 +14,9 @@
 #include <csignal>
 #include <initializer_list>
 #include <mutex>
+#include <netinet/tcp.h>
 #include <optional>
+#include <sys/socket.h>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -628,6 +630,16 @@
   return mState->mUnsent.size() - mState->mSent;
 }
 
+micros tcp_connection::RoundTrip() const
+{
+  const std::lock_guard lock(mState->mLock);
+  tcp_info info{};
+  socklen_t size = sizeof(info);
+  const int failed =
+    getsockopt(mState->mSocket.native_handle(), IPPROTO_TCP, TCP_INFO, &info, &size);
+  return failed == 0 ? micros(info.tcpi_rtt) : micros(0);
+}
+
 std::shared_ptr<tcp_connection> Connect(io_loop& aLoop,
                                         const std::string& aAddress,
                                         micros aTimeout,
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -109,6 +109,8 @@
   // Replaces the time limit; kNoLimit removes it.
   void ExpireAfter(micros aDelay);
   std::size_t UnsentBytes() const;
+  // Smoothed round trip time as the kernel has measured it; 0 when it does not tell.
+  micros RoundTrip() const;
 
   static constexpr micros kNoLimit = micros::max();
 
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -4,6 +4,7 @@
 #include "core/core_facts.h"
 #include "forward/crash_controller.h"
 #include "forward/log_text.h"
+#include "forward/patience.h"
 #include "forward/request_step.h"
 
 #include <algorithm>
@@ -72,6 +73,22 @@
   aContext.Emit(answer_request{ aFact.mRequest, std::move(answer) });
 }
 
+// Time that the client had waited, from what other clients of the route state.
+micros CountPatience(core_context& aContext, const route_rule& aRoute, micros aPatience)
+{
+  micros spent{ 0 };
+  aContext.mBoard.Update<patience_record>(
+    "patience/" + aRoute.mName, [&](const patience_record* aOld) -> std::optional<patience_record> {
+      const patience_record known = aOld != nullptr ? *aOld : patience_record{};
+      spent = SpentTime(known, aPatience);
+      if (aPatience <= micros(0)) {
+        return std::nullopt;
+      }
+      return WithPatience(known, aPatience);
+    });
+  return spent;
+}
+
 forward_state NewState(core_context& aContext,
                        const forward_hooks& aHooks,
                        const request_arrived& aFact,
@@ -89,7 +106,9 @@
     patience = std::min(patience, aFact.mContent.mPatience);
   }
   state.mDeadline = aContext.Now() + patience - kDeadlineMargin;
-  state.mPartialAt = aContext.Now() + aHooks.mPartialAnswerAfter(*aRoute);
+  state.mSpent = CountPatience(aContext, *aRoute, aFact.mContent.mPatience);
+  state.mPartialAt = aContext.Now() + aHooks.mPartialAnswerAfter(
+                                        *aRoute, { state.mSpent, aFact.mContent.mRoundTrip });
   if (aRoute->mGather) {
     for (const weighted_service& each : aRoute->mServices) {
       state.mParts.push_back({ each.mService });
@@ -133,8 +152,10 @@
                "event=routed request=" + Quoted(state.mContent.mId) + " route=" + route->mName +
                  " version=" + std::to_string(state.mVersion) +
                  " service=" + (route->mGather ? "gather" : state.mParts.front().mService) +
-                 " parts=" + std::to_string(state.mParts.size()) +
-                 " patience_ms=" + MsText(state.mContent.mPatience) +
+                 " parts=" + std::to_string(state.mParts.size()) + " patience_ms=" +
+                 MsText(state.mContent.mPatience) + " spent_ms=" + MsText(state.mSpent) +
+                 " round_trip_ms=" + MsText(state.mContent.mRoundTrip) +
+                 " partial_ms=" + MsText(state.mPartialAt - state.mArrivedAt) +
                  " deadline_ms=" + MsText(state.mDeadline - state.mArrivedAt));
   request_step(aContext, aHooks, std::move(state)).Run();
 }
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -477,5 +477,54 @@
                   "/q/x",
                   answer_kind::NotRun }));
 
+struct client_row
+{
+  const char* mGuardsAgainst;
+  milliseconds mSpent;
+  milliseconds mRoundTrip;
+};
+
+class client_test : public ::testing::TestWithParam<client_row>
+{};
+
+TEST_P(client_test, ThePartialAnswerReachesTheClientWithinTheTarget)
+{
+  const client_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, kFour);
+  const route_rule route = Gather(kFour, 0.75);
+  rig.Publish(Version(7, { route }));
+  rig.Script("b-1", kSilent);
+  rig.Script("b-2", kSilent);
+  rig.RunFor(seconds(1));
+  constexpr milliseconds kPatience(800);
+  for (std::uint64_t request : { 1, 2 }) {
+    rig.Ask(request, "/q/x", kPatience);
+  }
+  rig.RunFor(seconds(1));
+  const instant asked = rig.Now();
+  rig.Post(request_arrived{
+    3, { "id-3", "search.example", "/q/x", kPatience - row.mSpent, 0, row.mRoundTrip } });
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mAnswers[3].size(), 1U);
+  EXPECT_EQ(rig.mAnswers[3].front().mAnswer.mMissing, 1U);
+  EXPECT_LT(row.mSpent + row.mRoundTrip + (rig.mAnswers[3].front().mAt - asked), route.mTarget)
+    << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  client_test,
+  ::testing::Values(client_row{ "the usual case", milliseconds(0), milliseconds(0) },
+                    client_row{ "a client that is far away gets its answer late",
+                                milliseconds(0),
+                                milliseconds(40) },
+                    client_row{ "a client that had to connect gets its answer late",
+                                milliseconds(60),
+                                milliseconds(10) },
+                    client_row{ "the second attempt of a client has the whole target again",
+                                milliseconds(120),
+                                milliseconds(2) }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/forward/forward_hooks.h
+++ b/src/forward/forward_hooks.h
@@ -17,8 +17,9 @@
                                            const choice_input&)>
     mChoose = ChooseReplica;
   std::function<bool(const repeat_budget&, const repeat_limits&, instant)> mMayRepeat = MayRepeat;
-  std::function<micros(const route_rule&, const latency_record&)> mHedgeAfter = HedgeAfter;
-  std::function<micros(const route_rule&)> mPartialAnswerAfter = PartialAnswerAfter;
+  std::function<micros(const route_rule&, const latency_record&, micros)> mHedgeAfter = HedgeAfter;
+  std::function<micros(const route_rule&, const client_time&)> mPartialAnswerAfter =
+    PartialAnswerAfter;
 };
 
 } // namespace redwingdock
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -39,6 +39,7 @@
   std::uint64_t mVersion = 0; // of the configuration
   std::vector<forward_part> mParts;
   instant mArrivedAt{};
+  micros mSpent{ 0 };   // by the client before the arrival
   instant mPartialAt{}; // a gather answers with what it has
   instant mDeadline{};
   instant mCheckAt{}; // the earliest timer that is running
--- /dev/null
+++ b/src/forward/patience_test.cc
@@ -0,0 +1,53 @@
+#include "forward/patience.h"
+
+#include <gtest/gtest.h>
+#include <vector>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+
+struct patience_row
+{
+  const char* mGuardsAgainst;
+  std::vector<int> mBefore; // stated by earlier requests, ms
+  int mStated;              // by this one, ms
+  int mSpent;               // ms
+};
+
+class patience_test : public testing::TestWithParam<patience_row>
+{};
+
+TEST_P(patience_test, TellsWhatTheClientHasSpent)
+{
+  patience_record record;
+  for (const int each : GetParam().mBefore) {
+    record = WithPatience(record, milliseconds(each));
+  }
+  EXPECT_EQ(SpentTime(record, milliseconds(GetParam().mStated)), milliseconds(GetParam().mSpent))
+    << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  patience_test,
+  testing::Values(
+    patience_row{ "the first request counts as late", {}, 785, 0 },
+    patience_row{ "one sample decides", { 800 }, 785, 0 },
+    patience_row{ "the time of a new connection is overlooked", { 800, 800 }, 785, 15 },
+    patience_row{ "a second attempt has the whole target", { 800, 785, 800, 784 }, 410, 390 },
+    patience_row{ "a request with all of its time counts as late", { 800, 785, 800 }, 800, 0 },
+    patience_row{ "one patient client makes all others late",
+                  { 800, 9000, 800, 785, 800, 800, 786, 800 },
+                  785,
+                  15 },
+    patience_row{ "a client that states nothing counts as late", { 800, 800 }, 0, 0 },
+    patience_row{ "a patience that no client has any more counts on",
+                  { 900, 900, 900, 900, 800, 800, 800, 800, 800, 800,
+                    800, 800, 800, 800, 800, 800, 800, 800, 800, 800 },
+                  785,
+                  15 }));
+
+} // namespace
+} // namespace redwingdock
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -200,7 +200,9 @@
                    " open_there=" + std::to_string(target.mLoad.mOpen.size()));
   }
   part.mAttempts.push_back({ target.mReplica, mContext.Now() });
-  part.mNextAt = mContext.Now() + mHooks.mHedgeAfter(*mState.mRoute, Latencies());
+  part.mNextAt =
+    mContext.Now() +
+    mHooks.mHedgeAfter(*mState.mRoute, Latencies(), mState.mPartialAt - mContext.Now());
   const micros expected = Expected();
   mContext.mBoard.Update<replica_load>(target.mReplica->mId, [&](const replica_load* aKnown) {
     return std::optional<replica_load>(
--- a/src/forward/timing.cc
+++ b/src/forward/timing.cc
@@ -8,9 +8,12 @@
 
 // Of the target, while no latency is known.
 constexpr int kTargetToLatency = 6;
-// For the way back to the client and the wait for the processor.
+// For the wait for the processor, which a daemon with a small share of a core has twice.
 constexpr micros kLeastMargin = std::chrono::milliseconds(6);
 constexpr int kTargetToMargin = 12;
+// With less than this part of the target left, the answer is late in any case and can wait for more
+// parts.
+constexpr int kTargetToLeast = 8;
 // Most attempts are answered within this many medians; later ones met a pause or a slow replica.
 constexpr double kUsualSpread = 2.5;
 constexpr double kLeastSpread = 1.2;
@@ -30,15 +33,18 @@
   return median ? *median : aRoute.mTarget / kTargetToLatency;
 }
 
-micros PartialAnswerAfter(const route_rule& aRoute)
+micros PartialAnswerAfter(const route_rule& aRoute, const client_time& aClient)
 {
-  return aRoute.mTarget - std::max(kLeastMargin, aRoute.mTarget / kTargetToMargin);
+  const micros whole =
+    aRoute.mTarget - aClient.mRoundTrip - std::max(kLeastMargin, aRoute.mTarget / kTargetToMargin);
+  const micros left = whole - aClient.mSpent;
+  return left >= aRoute.mTarget / kTargetToLeast ? left : whole;
 }
 
-micros HedgeAfter(const route_rule& aRoute, const latency_record& aRecent)
+micros HedgeAfter(const route_rule& aRoute, const latency_record& aRecent, micros aPartialAfter)
 {
   const micros median = ExpectedLatency(aRoute, aRecent);
-  const micros latest = PartialAnswerAfter(aRoute) - Times(median, kHedgeTime);
+  const micros latest = aPartialAfter - Times(median, kHedgeTime);
   return std::max(Times(median, kLeastSpread), std::min(Times(median, kUsualSpread), latest));
 }
 
--- a/src/forward/timing_test.cc
+++ b/src/forward/timing_test.cc
@@ -12,6 +12,7 @@
   const char* mGuardsAgainst;
   milliseconds mTarget;
   milliseconds mUsual; // latency of every attempt
+  client_time mClient{};
 };
 
 class timing_test : public testing::TestWithParam<timing_row>
@@ -25,9 +26,11 @@
   for (int i = 0; i < 100; ++i) {
     recent = AddLatency(recent, GetParam().mUsual);
   }
-  const micros hedge = HedgeAfter(route, recent);
-  const micros partial = PartialAnswerAfter(route);
-  EXPECT_LT(partial, route.mTarget) << GetParam().mGuardsAgainst;
+  const client_time& client = GetParam().mClient;
+  const micros partial = PartialAnswerAfter(route, client);
+  const micros hedge = HedgeAfter(route, recent, partial);
+  EXPECT_LT(client.mSpent + client.mRoundTrip + partial, route.mTarget)
+    << GetParam().mGuardsAgainst;
   EXPECT_GT(hedge, GetParam().mUsual) << "every attempt is hedged";
   if (GetParam().mUsual * 4 <= GetParam().mTarget) {
     EXPECT_LE(hedge + GetParam().mUsual, partial) << GetParam().mGuardsAgainst;
@@ -37,19 +40,35 @@
 INSTANTIATE_TEST_SUITE_P(
   sizes,
   timing_test,
-  testing::Values(
-    timing_row{ "a search that takes long", milliseconds(200), milliseconds(28) },
-    timing_row{ "a check that is urgent", milliseconds(80), milliseconds(10) },
-    timing_row{ "a tight target", milliseconds(50), milliseconds(5) },
-    timing_row{ "a target that is hardly met", milliseconds(800), milliseconds(500) }));
+  testing::Values(timing_row{ "a search that takes long", milliseconds(200), milliseconds(28) },
+                  timing_row{ "a check that is urgent", milliseconds(80), milliseconds(10) },
+                  timing_row{ "a tight target", milliseconds(50), milliseconds(5) },
+                  timing_row{ "a target that is hardly met", milliseconds(800), milliseconds(500) },
+                  timing_row{ "a client that is far away",
+                              milliseconds(50),
+                              milliseconds(5),
+                              { milliseconds(0), milliseconds(6) } },
+                  timing_row{ "a client that had to connect first",
+                              milliseconds(50),
+                              milliseconds(4),
+                              { milliseconds(15), milliseconds(6) } }));
+
+TEST(timing, ALateRequestWaitsForItsParts)
+{
+  // Guards against an answer with few parts to a client whose target has passed already.
+  route_rule route;
+  route.mTarget = milliseconds(50);
+  EXPECT_EQ(PartialAnswerAfter(route, { milliseconds(48), milliseconds(6) }),
+            PartialAnswerAfter(route, { milliseconds(0), milliseconds(6) }));
+}
 
 TEST(timing, WithoutLatenciesTheTargetCounts)
 {
   // Guards against hedges at once, or never, right after a start.
   route_rule route;
   route.mTarget = milliseconds(200);
-  EXPECT_GT(HedgeAfter(route, {}), milliseconds(30));
-  EXPECT_LT(HedgeAfter(route, {}), milliseconds(140));
+  EXPECT_GT(HedgeAfter(route, {}, PartialAnswerAfter(route, {})), milliseconds(30));
+  EXPECT_LT(HedgeAfter(route, {}, PartialAnswerAfter(route, {})), milliseconds(140));
 }
 
 } // namespace
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -199,6 +199,7 @@
 void edge_daemon::OnRequest(std::uint64_t aNumber, const http_message& aMessage)
 {
   forward_request content = DecodeRequest(aMessage);
+  content.mRoundTrip = mCallerServer.RoundTrip(aNumber);
   mRequests.Insert(aNumber, { std::make_shared<const http_message>(aMessage), SteadyNow() });
   mDriver.Post(request_arrived{ aNumber, std::move(content) });
 }
