Read a long series of changes with fewer calls of the store

Change: the pause after changes doubles while changes go on, up to 1 s, a third of the tightest bound on a change. The wait of 5 s of an idle watch stays: an answer that the store loses is noticed only after it.

Rows: series_test.

--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -16,7 +16,9 @@
 {
   // Following the store.
   micros mWatchWait = std::chrono::seconds(5);
-  micros mWatchPause = std::chrono::milliseconds(250); // after changes
+  // After changes; doubles while they go on, up to a third of the tightest bound on a change (3 s).
+  micros mWatchPause = std::chrono::milliseconds(250);
+  micros mWatchPauseMost = std::chrono::seconds(1);
   micros mRetryFirst = std::chrono::milliseconds(100); // doubles with each failure
   micros mRetryMost = std::chrono::seconds(1);
   // Entries that expired while the store was away are written again within this time.
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -42,6 +42,7 @@
 void Continue(core_context& aContext, follow_state aState)
 {
   ++aState.mRound;
+  aState.mReadAt = aContext.Now();
   if (aState.mPhase == follow_phase::Listing) {
     aContext.Emit(read_store_page{ aState.mRound, aState.mAfter });
   } else {
@@ -128,6 +129,15 @@
   Continue(aContext, std::move(state));
 }
 
+// Changes come in series. The pause reads several of them with one call, and a long series with
+// few.
+micros NextPause(const forward_config& aConfig, const follow_state& aState, instant aNow)
+{
+  const bool goesOn = aNow - aState.mReadAt < aConfig.mWatchPauseMost;
+  return goesOn ? std::clamp(2 * aState.mPause, aConfig.mWatchPause, aConfig.mWatchPauseMost)
+                : aConfig.mWatchPause;
+}
+
 void OnChanges(core_context& aContext, const store_changes_read& aFact)
 {
   follow_state state = StateOf(aContext);
@@ -154,8 +164,8 @@
     Continue(aContext, std::move(state));
     return;
   }
-  // Changes come in series. The pause reads several of them with one call.
-  aContext.After(aContext.mConfig.mForward.mWatchPause, kStoreKey, read_due{ state.mRound });
+  state.mPause = NextPause(aContext.mConfig.mForward, state, aContext.Now());
+  aContext.After(state.mPause, kStoreKey, read_due{ state.mRound });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -208,21 +208,41 @@
                                                         Restarted(200, 1, false),
                                                         false }));
 
-TEST(follow, OneCallReadsASeriesOfChanges)
+struct series_row
 {
-  // Guards against one call of the store for each of many changes in a row.
+  const char* mGuardsAgainst;
+  int mChanges;
+  milliseconds mGap;
+  std::size_t mMostCalls;
+};
+
+class series_test : public ::testing::TestWithParam<series_row>
+{};
+
+TEST_P(series_test, IsReadWithFewCallsAndInTime)
+{
+  const series_row& row = GetParam();
   forwarding_rig rig({});
   rig.RunFor(seconds(1));
   const std::size_t before = rig.mWatches.size();
-  for (int i = 0; i < 40; ++i) {
+  for (int i = 0; i < row.mChanges; ++i) {
     rig.Publish(Replica("a-" + std::to_string(i), "a", "zone-1"));
-    rig.RunFor(milliseconds(20));
+    rig.RunFor(row.mGap);
   }
-  rig.RunFor(seconds(1));
-  EXPECT_EQ(Replicas(rig), 40U);
-  // 0.8 s of changes and a pause of 0.25 s after each call.
-  EXPECT_LE(rig.mWatches.size() - before, 6U);
+  // A third of the tightest bound on a change, and the call itself.
+  rig.RunFor(milliseconds(1100));
+  EXPECT_EQ(Replicas(rig), static_cast<std::size_t>(row.mChanges)) << row.mGuardsAgainst;
+  EXPECT_LE(rig.mWatches.size() - before, row.mMostCalls) << row.mGuardsAgainst;
 }
 
+// Calls at most: one a pause of 0.25, 0.5 and then 1 s, the first one, and the one that waits.
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  series_test,
+  ::testing::Values(
+    series_row{ "one call for each of many changes in a row", 40, milliseconds(20), 5 },
+    series_row{ "three calls a second in a storm of changes", 30, milliseconds(330), 14 },
+    series_row{ "a pause of a series is kept for later changes", 3, milliseconds(1500), 7 }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -35,6 +35,8 @@
   item_map mListed;            // pages read so far
   std::string mAfter;          // last key of those pages
   std::uint64_t mAsOf = 0;     // the watch continues from this revision
+  instant mReadAt{};           // start of the read that is running
+  micros mPause{ 0 };          // after the last changes
   std::uint32_t mFailures = 0; // in a row
   instant mDistrustUntil{};    // deletions are held until then
   std::map<std::string, instant> mHeld; // keys that are gone, and when they count as gone
