Put changed settings in force without a restart

Cause: SIGHUP only checked the settings file; new seeds and bounds were in force with the next start, and a change without a signal was not seen.

The settings of forwarding are an entry of the blackboard that controllers read.

Rows: reload_test; settings.ChangedSeedsAreCalled.

--- a/src/core/context.cc
+++ b/src/core/context.cc
@@ -10,6 +10,12 @@
   , mBoard(aShards)
   , mRandomState(mConfig.mSeed)
 {
+  mBoard.Write(kSettingsKey, mConfig.mForward);
+}
+
+std::shared_ptr<const forward_config> core_context::Forward() const
+{
+  return mBoard.Read<forward_config>(kSettingsKey);
 }
 
 micros core_context::Advance(instant aNow)
--- a/src/core/context.h
+++ b/src/core/context.h
@@ -31,6 +31,9 @@
   const core_config mConfig;
   blackboard mBoard;
 
+  // The settings of forwarding that are in force.
+  std::shared_ptr<const forward_config> Forward() const;
+
   instant Now() const { return instant(micros(mNow.load(std::memory_order_relaxed))); }
 
   // Moves the time forward and posts the facts that are due. Returns the jump since the last call.
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -33,6 +33,7 @@
   std::string operator()(const store_changes_read&) const { return kStoreKey; }
   std::string operator()(const store_read_failed&) const { return kStoreKey; }
   std::string operator()(const heartbeat_received&) const { return kFleetKey; }
+  std::string operator()(const settings_changed&) const { return kSettingsKey; }
 
   std::string operator()(const view_message&) const { return kMembersKey; }
   std::string operator()(const probe_message&) const { return kMembersKey; }
@@ -63,6 +64,10 @@
 core::core(core_config aConfig, const assembly_hook& aAssemble, std::size_t aShards)
   : mContext(std::move(aConfig), aShards)
 {
+  mContext.mBoard.OnFact<settings_changed>(
+    [this](const std::string& aKey, const settings_changed& aFact) {
+      mContext.mBoard.Write(aKey, aFact.mForward);
+    });
   aAssemble(mContext);
 }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -39,7 +39,8 @@
                           store_page_read,
                           store_changes_read,
                           store_read_failed,
-                          heartbeat_received>;
+                          heartbeat_received,
+                          settings_changed>;
 
 // Adds the controllers that decide.
 using assembly_hook = std::function<void(core_context&)>;
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -8,7 +8,8 @@
 #include <vector>
 
 // Settings of forwarding, of following the store and of finding other daemons. docs/design.md,
-// section 10, gives the reason for each figure.
+// section 10, gives the reason for each figure. Entry key: kSettingsKey; controllers read it there,
+// because it can change while the daemon runs.
 
 namespace redwingdock {
 
@@ -51,6 +52,16 @@
   bool operator==(const forward_config&) const = default;
 };
 
+inline constexpr char kSettingsKey[] = "settings";
+
+// Fact: the settings were read again and differ.
+struct settings_changed
+{
+  forward_config mForward;
+
+  bool operator==(const settings_changed&) const = default;
+};
+
 } // namespace redwingdock
 
 #endif
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -104,7 +104,7 @@
                   config.mCallAddress,
                   config.mZone,
                   serving && !aView.mLeaving,
-                  HeartbeatInterval(aView.mAddresses.size(), config.mForward) };
+                  HeartbeatInterval(aView.mAddresses.size(), *aContext.Forward()) };
   const auto live = static_cast<std::uint32_t>(LivePeers(aView, aContext.Now()).size()) + 1;
   aView.mMostSeen = std::max(aView.mMostSeen, live);
   return aView;
@@ -112,15 +112,15 @@
 
 void OnHeartbeatDue(core_context& aContext)
 {
-  const forward_config& config = aContext.mConfig.mForward;
+  const auto config = aContext.Forward();
   fleet_view view = ViewOf(aContext);
-  for (const std::string& address : config.mPeers) {
+  for (const std::string& address : config->mPeers) {
     if (address != aContext.mConfig.mAddress) {
       view.mAddresses.emplace(address, aContext.Now());
     }
   }
   view = WithPresentSelf(aContext,
-                         WithoutSilent(view, config.mPeers, aContext.Now() - config.mAddressTtl));
+                         WithoutSilent(view, config->mPeers, aContext.Now() - config->mAddressTtl));
   for (const auto& [vm, member] : view.mMembers) {
     const instant due = member.mSilentAt;
     if (due < aContext.Now() && due + view.mSelf.mInterval >= aContext.Now()) {
@@ -136,7 +136,7 @@
 {
   const fleet_view before = ViewOf(aContext);
   fleet_view next = WithPresentSelf(
-    aContext, WithHeartbeat(before, aHeartbeat, aContext.mConfig.mForward, aContext.Now()));
+    aContext, WithHeartbeat(before, aHeartbeat, *aContext.Forward(), aContext.Now()));
   LogIfNews(aContext, before, next, aHeartbeat.mSender);
   // A daemon that has just started is answered at once, so that it need not wait for a heartbeat.
   if (next.mMembers.size() > before.mMembers.size()) {
@@ -169,7 +169,7 @@
     return;
   }
   entry_answer answer;
-  answer.mLifetime = aContext.mConfig.mForward.mEntryLifetime;
+  answer.mLifetime = aContext.Forward()->mEntryLifetime;
   answer.mAddresses = std::move(addresses);
   aContext.Emit(answer_entry{ aFact.mAsk, Success(std::move(answer)) });
 }
@@ -190,16 +190,16 @@
 
 void OnStopCheck(core_context& aContext, stop_check aFact)
 {
-  const forward_config& config = aContext.mConfig.mForward;
+  const auto config = aContext.Forward();
   const micros elapsed = aContext.Now() - aFact.mBegan;
-  if (elapsed >= config.mLingerTime && !aFact.mClosed) {
+  if (elapsed >= config->mLingerTime && !aFact.mClosed) {
     aFact.mClosed = true;
     aContext.Log("entry", "event=callers_closed");
     aContext.Emit(close_callers{});
   }
   const std::size_t open = OpenRequests(aContext.mBoard);
-  const bool settled = aFact.mClosed && elapsed >= config.mLingerTime + kLastReads;
-  if ((settled && open == 0) || elapsed >= config.mStopLimit) {
+  const bool settled = aFact.mClosed && elapsed >= config->mLingerTime + kLastReads;
+  if ((settled && open == 0) || elapsed >= config->mStopLimit) {
     aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(open));
     aContext.Emit(stop_now{});
     return;
--- a/src/fleet/fleet_controller_test.cc
+++ b/src/fleet/fleet_controller_test.cc
@@ -141,5 +141,18 @@
                               milliseconds(3260),
                               milliseconds(3400) }));
 
+TEST(settings, ChangedSeedsAreCalled)
+{
+  // Guards against a daemon that calls the seeds of its start for as long as it lives.
+  forwarding_rig rig({});
+  rig.RunFor(seconds(1));
+  forward_config changed;
+  changed.mPeers = { "127.0.0.8:7380" };
+  rig.Post(settings_changed{ changed });
+  rig.mHeartbeats.clear();
+  rig.RunFor(seconds(1));
+  EXPECT_GE(rig.mHeartbeats.size(), 2U);
+}
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -46,7 +46,7 @@
   if (aState.mPhase == follow_phase::Listing) {
     aContext.Emit(read_store_page{ aState.mRound, aState.mAfter });
   } else {
-    aContext.Emit(watch_store{ aState.mRound, aState.mAsOf, aContext.mConfig.mForward.mWatchWait });
+    aContext.Emit(watch_store{ aState.mRound, aState.mAsOf, aContext.Forward()->mWatchWait });
   }
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
@@ -70,7 +70,7 @@
     aItems.erase(aKey);
     return;
   }
-  const micros wait = aContext.mConfig.mForward.mReturnTime;
+  const micros wait = aContext.Forward()->mReturnTime;
   aState.mHeld.emplace(aKey, aContext.Now() + wait);
   aContext.After(wait, kStoreKey, hold_due{});
 }
@@ -164,7 +164,7 @@
     Continue(aContext, std::move(state));
     return;
   }
-  state.mPause = NextPause(aContext.mConfig.mForward, state, aContext.Now());
+  state.mPause = NextPause(*aContext.Forward(), state, aContext.Now());
   aContext.After(state.mPause, kStoreKey, read_due{ state.mRound });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
@@ -175,7 +175,7 @@
   if (state.mRound != aFact.mRound) {
     return;
   }
-  const forward_config& config = aContext.mConfig.mForward;
+  const auto config = aContext.Forward();
   if (state.mFailures == 0) {
     aContext.Log("follow",
                  "event=store_lost as_of=" + std::to_string(state.mAsOf) + " reason=\"" +
@@ -184,7 +184,7 @@
   }
   aContext.Count("follow.failures");
   ++state.mFailures;
-  state.mDistrustUntil = aContext.Now() + config.mDistrustTime;
+  state.mDistrustUntil = aContext.Now() + config->mDistrustTime;
   // A watch that is begun anew may hear nothing while the store drops its history; a listing shows
   // what is there.
   state.mPhase = follow_phase::Listing;
@@ -195,7 +195,7 @@
   }
   const auto doublings = std::min(state.mFailures - 1, kMostDoublings);
   const micros wait =
-    std::min(config.mRetryMost, config.mRetryFirst * (std::int64_t{ 1 } << doublings));
+    std::min(config->mRetryMost, config->mRetryFirst * (std::int64_t{ 1 } << doublings));
   // Daemons that lost the store together do not come back in step.
   const micros spread(
     static_cast<std::int64_t>(aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -48,6 +48,7 @@
                            forward_state aState)
   : mContext(aContext)
   , mHooks(aHooks)
+  , mSettings(aContext.Forward())
   , mState(std::move(aState))
   , mCatalog(aContext.mBoard.Read<catalog>(kCatalogKey))
   , mLatencies(aContext.mBoard.Read<latency_record>(LatencyKey(*mState.mRoute)))
@@ -87,7 +88,6 @@
 {
   const auto view = mContext.mBoard.Read<fleet_view>(kFleetKey);
   const std::uint32_t daemons = std::max<std::uint32_t>(view ? view->mMostSeen : 1, 1);
-  const forward_config& config = mContext.mConfig.mForward;
   choice_input input{ mContext.Now(), mContext.mConfig.mZone, kDefaultConnections, 0 };
   const auto found = mCatalog->mServices.find(aService);
   if (found == mCatalog->mServices.end()) {
@@ -99,8 +99,8 @@
                static_cast<std::uint32_t>(found->second.mConnections * kConnectionShare / daemons));
   }
   if (found->second.mColdRate > 0) {
-    input.mColdRate = (found->second.mColdRate * config.mColdOverage + config.mColdSlack) /
-                      std::max(daemons, config.mMostDaemons);
+    input.mColdRate = (found->second.mColdRate * mSettings->mColdOverage + mSettings->mColdSlack) /
+                      std::max(daemons, mSettings->mMostDaemons);
   }
   return input;
 }
@@ -213,12 +213,11 @@
 
 bool request_step::TakeRepeat(const std::string& aService, double aShare)
 {
-  const forward_config& config = mContext.mConfig.mForward;
   const auto view = mContext.mBoard.Read<fleet_view>(kFleetKey);
-  const std::uint32_t daemons = std::max(config.mMostDaemons, view ? view->mMostSeen : 1);
-  const repeat_limits limits{ config.mRepeatRatio * aShare,
-                              config.mRepeatSlack * aShare / daemons,
-                              config.mRepeatWindow };
+  const std::uint32_t daemons = std::max(mSettings->mMostDaemons, view ? view->mMostSeen : 1);
+  const repeat_limits limits{ mSettings->mRepeatRatio * aShare,
+                              mSettings->mRepeatSlack * aShare / daemons,
+                              mSettings->mRepeatWindow };
   const bool taken = mContext.mBoard.Update<repeat_budget>(
     BudgetKey(aService), [&](const repeat_budget* aKnown) -> std::optional<repeat_budget> {
       const repeat_budget known = aKnown != nullptr ? *aKnown : repeat_budget{};
--- a/src/forward/request_step.h
+++ b/src/forward/request_step.h
@@ -69,6 +69,7 @@
 
   core_context& mContext;
   const forward_hooks& mHooks;
+  const std::shared_ptr<const forward_config> mSettings;
   forward_state mState;
   std::shared_ptr<const catalog> mCatalog;
   std::shared_ptr<const latency_record> mLatencies; // null while none is known
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -121,10 +121,14 @@
   mLoop.Stop();
 }
 
-void edge_daemon::OnSignals(std::function<void()> aReload)
+void edge_daemon::Follow(const std::string& aSettingsFile)
 {
+  mSettingsFile = std::make_unique<settings_file>(
+    mLoop, aSettingsFile, mSettings, [this](const forward_config& aNew) {
+      mDriver.Post(settings_changed{ aNew });
+    });
   mLoop.OnStopSignals([this] { AskStop(); });
-  mLoop.OnReloadSignals(std::move(aReload));
+  mLoop.OnReloadSignals([this] { mSettingsFile->Reload(); });
 }
 
 result<edge_addresses> edge_daemon::Start()
@@ -157,6 +161,9 @@
   }
   mLoop.Start();
   mDriver.Start();
+  if (mSettingsFile) {
+    mSettingsFile->Start();
+  }
   Log({ log_level::Info,
         "entry",
         "event=start vm=" + mSettings.mCore.mVm + " incarnation=" + mSettings.mCore.mIncarnation +
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -8,6 +8,7 @@
 #include "daemon/http_server.h"
 #include "daemon/metrics.h"
 #include "platform/edge_settings.h"
+#include "platform/settings_file.h"
 #include "platform/store_calls.h"
 
 #include <condition_variable>
@@ -41,8 +42,9 @@
   edge_daemon(const edge_daemon&) = delete;
   edge_daemon& operator=(const edge_daemon&) = delete;
 
-  // SIGINT and SIGTERM ask for a planned stop, SIGHUP calls the hook. Before Start().
-  void OnSignals(std::function<void()> aReload);
+  // SIGINT and SIGTERM ask for a planned stop, SIGHUP reads the settings file again, as does a
+  // change of the file. Before Start().
+  void Follow(const std::string& aSettingsFile);
 
   // Binds the addresses and starts the threads.
   result<edge_addresses> Start();
@@ -90,6 +92,7 @@
   http_server mReadinessServer;
   http_server mAddressServer;
   http_server mMetricsServer;
+  std::unique_ptr<settings_file> mSettingsFile;
 
   std::mutex mEndLock;
   std::condition_variable mEnded;
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -59,14 +59,7 @@
     return Fail(kExitUnreachable, logging.mReason);
   }
   platform::edge_daemon daemon(*settings, forward_hooks{});
-  daemon.OnSignals([aFile] {
-    const result<platform::edge_settings> read = ReadSettings(aFile);
-    Log({ read ? log_level::Info : log_level::Warning,
-          "entry",
-          std::string("event=reload outcome=") +
-            (read ? "checked, in force with the next start"
-                  : "refused reason=\"" + Describe(read.mReason) + "\"") });
-  });
+  daemon.Follow(aFile);
   const result<platform::edge_addresses> bound = daemon.Start();
   if (!bound) {
     return Fail(kExitUnreachable, bound.mReason);
--- /dev/null
+++ b/src/platform/settings_file_test.cc
@@ -0,0 +1,105 @@
+#include "platform/settings_file.h"
+
+#include <cstdio>
+#include <fstream>
+#include <future>
+#include <gtest/gtest.h>
+#include <unistd.h>
+
+namespace redwingdock::platform {
+namespace {
+
+// How the daemon hears of the new text.
+enum class notice
+{
+  Signal,
+  None, // the file is looked at
+};
+
+std::string Settings(const std::string& aSeeds, const std::string& aRest = "")
+{
+  return "vm: vm-1\nzone: zone-1\nlisten:\n  callers: \"127.0.0.1:1\"\n"
+         "  readiness: \"127.0.0.1:2\"\n  addresses: \"127.0.0.1:3\"\n"
+         "  peers: \"127.0.0.1:4\"\n  metrics: \"127.0.0.1:5\"\nstore: \"127.0.0.1:6\"\nseeds: [" +
+         aSeeds + "]\n" + aRest;
+}
+
+struct reload_row
+{
+  const char* mGuardsAgainst;
+  notice mNotice;
+  std::string mText;
+  std::vector<std::string> mPeers; // in force afterwards
+};
+
+class reload_test : public testing::TestWithParam<reload_row>
+{
+public:
+  reload_test()
+    : mPath(testing::TempDir() + "settings_file_test." + std::to_string(getpid()) + ".yaml")
+  {
+  }
+
+  ~reload_test() override { std::remove(mPath.c_str()); }
+
+  void Write(const std::string& aText) const { std::ofstream(mPath) << aText; }
+
+protected:
+  const std::string mPath;
+};
+
+TEST_P(reload_test, PutsReadableSettingsInForce)
+{
+  const reload_row& row = GetParam();
+  const std::string first = Settings("\"127.0.0.9:8106\"");
+  Write(first);
+  const result<edge_settings> settings = ParseEdgeSettings(first, mPath);
+  ASSERT_TRUE(settings) << Describe(settings.mReason);
+  io_loop loop(1);
+  std::mutex lock;
+  forward_config inForce = settings->mCore.mForward;
+  std::promise<void> changed;
+  settings_file file(loop, mPath, *settings, [&](const forward_config& aNew) {
+    const std::lock_guard locked(lock);
+    inForce = aNew;
+    changed.set_value();
+  });
+  file.Start();
+  loop.Start();
+  Write(row.mText);
+  if (row.mNotice == notice::Signal) {
+    file.Reload();
+  } else {
+    EXPECT_EQ(changed.get_future().wait_for(std::chrono::seconds(10)), std::future_status::ready)
+      << row.mGuardsAgainst;
+  }
+  loop.Stop();
+  EXPECT_EQ(inForce.mPeers, row.mPeers) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  reload_test,
+  testing::Values(reload_row{ "new seeds wait for the next start",
+                              notice::Signal,
+                              Settings("\"127.0.0.8:8106\""),
+                              { "127.0.0.8:4" } },
+                  reload_row{ "a change without a signal is never seen",
+                              notice::None,
+                              Settings("\"127.0.0.8:8106\""),
+                              { "127.0.0.8:4" } },
+                  reload_row{ "a file that is written at the moment replaces good settings",
+                              notice::Signal,
+                              "vm: vm-1\nzone",
+                              { "127.0.0.9:4" } },
+                  reload_row{ "an unknown key is taken for a change",
+                              notice::Signal,
+                              Settings("\"127.0.0.8:8106\"", "colour: red\n"),
+                              { "127.0.0.9:4" } },
+                  reload_row{ "settings that need a restart keep the others from being read",
+                              notice::Signal,
+                              Settings("\"127.0.0.8:8106\"", "workers: 3\n"),
+                              { "127.0.0.8:4" } }));
+
+} // namespace
+} // namespace redwingdock::platform
