Open connections to a replica by what it accepts

After a loss of power they still counted the connections of the daemons before, and each daemon opened its whole share of four at once, again with each retry. A reset of a new connection also blocked the replica for half a second as if it had gone.

Change: a daemon begins with two connections to a replica, takes one more after four answers, and half as many after a new connection that ended unanswered. A replica that answered within the last second is not blocked.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -89,6 +89,7 @@
   attempt_end mEnd = attempt_end::NotSent;
   reply_pointer mReply;
   reason mReason;
+  bool mNewConnection = false; // with NotSent and Lost: the connection had answered nothing before
 
   auto operator<=>(const attempt_ended&) const = default;
 };
--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -100,7 +100,8 @@
 {
   const std::string address = aExchange->mRequest.mAddress;
   if (!Reserve(address, aExchange->mRequest.mConnections)) {
-    aExchange->mDone({ pool_end::NotSent, {}, { "connect", address, "connection limit reached" } });
+    aExchange->mDone(
+      { pool_end::NotSent, false, {}, { "connect", address, "connection limit reached" } });
     return;
   }
   const std::uint64_t id = ++mNextConnection;
@@ -182,13 +183,14 @@
       return;
     }
     aState.mTcp->ExpireAfter(IdleTime(aReply));
+    aState.mAnswered = true;
     idle = true;
   });
   if (idle) {
     mPeers.With(aExchange->mRequest.mAddress,
                 [aConnection](peer& aPeer) { aPeer.mIdle.push_back(aConnection); });
   }
-  aExchange->mDone({ pool_end::Answered, std::move(aReply), {} });
+  aExchange->mDone({ pool_end::Answered, false, std::move(aReply), {} });
 }
 
 void http_pool::Closed(std::uint64_t aConnection, const tcp_end& aEnd)
@@ -204,17 +206,18 @@
   const std::unique_ptr<exchange> open = std::move(closed->mExchange);
   mOpen.Take(open->mRequest.mId);
   if (!closed->mWritten) {
-    open->mDone({ pool_end::NotSent, {}, { "connect", closed->mAddress, aEnd.mWhy } });
+    open->mDone({ pool_end::NotSent, true, {}, { "connect", closed->mAddress, aEnd.mWhy } });
     return;
   }
   if (aEnd.mOrderly && closed->mReader.FeedEnd() == http_status::Complete) {
     http_message reply = closed->mReader.Take();
     if (!open->mRequest.mOwns || open->mRequest.mOwns(reply)) {
-      open->mDone({ pool_end::Answered, std::move(reply), {} });
+      open->mDone({ pool_end::Answered, false, std::move(reply), {} });
       return;
     }
   }
   open->mDone({ aEnd.mExpired ? pool_end::Expired : pool_end::Broken,
+                !closed->mAnswered,
                 {},
                 { "read reply", closed->mAddress, aEnd.mWhy } });
 }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -47,6 +47,7 @@
 struct pool_result
 {
   pool_end mEnd = pool_end::NotSent;
+  bool mNewConnection = false; // nothing had been answered on the connection before
   http_message mReply;
   reason mReason;
 };
@@ -85,6 +86,7 @@
     std::unique_ptr<exchange> mExchange; // null while idle
     bool mWritten = false;               // the request was given to an open connection
     bool mLeftover = false;              // bytes of another reply were seen
+    bool mAnswered = false;              // a request before the present one was
   };
 
   // Connections to one address.
--- a/src/forward/choice.cc
+++ b/src/forward/choice.cc
@@ -22,7 +22,7 @@
 bool HasRoom(const choice_candidate& aCandidate, const choice_input& aInput)
 {
   const replica_load& load = aCandidate.mLoad;
-  if (load.mOpen.size() >= aInput.mConnections) {
+  if (load.mOpen.size() >= std::min(aInput.mConnections, load.mConnections)) {
     return false;
   }
   if (aInput.mColdRate <= 0 || !IsCold(aCandidate, aInput)) {
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -209,8 +209,8 @@
     // A failure reply counts as a lost attempt for the choice of replicas.
     const attempt_end end =
       aFact.mEnd == attempt_end::Answered && !success ? attempt_end::Lost : aFact.mEnd;
-    return std::optional<replica_load>(
-      WithEnd(LoadOf(aKnown, *aFact.mReplica), aFact.mKey, end, aContext.Now()));
+    return std::optional<replica_load>(WithEnd(
+      LoadOf(aKnown, *aFact.mReplica), aFact.mKey, { end, aFact.mNewConnection }, aContext.Now()));
   });
   const auto state = aContext.mBoard.Read<forward_state>(RequestKey(aFact.mKey.mRequest));
   if (!success) {
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -21,6 +21,30 @@
 constexpr micros kBlockMost = std::chrono::seconds(8);
 constexpr std::uint32_t kMostDoublings = 4;
 
+// Answers after which one more connection is tried.
+constexpr std::uint32_t kAnswersToGrow = 4;
+constexpr std::uint32_t kMostConnections = 64;
+// A replica that answered within this time and ends a new connection is at its limit, not gone.
+constexpr micros kAliveTime = std::chrono::seconds(1);
+
+replica_load WithAnswer(replica_load aLoad, instant aNow)
+{
+  aLoad.mRefusals = 0;
+  aLoad.mAnsweredAt = aNow;
+  if (++aLoad.mAnswers >= kAnswersToGrow) {
+    aLoad.mAnswers = 0;
+    aLoad.mConnections = std::min(aLoad.mConnections + 1, kMostConnections);
+  }
+  return aLoad;
+}
+
+replica_load WithRefusedConnection(replica_load aLoad)
+{
+  aLoad.mAnswers = 0;
+  aLoad.mConnections = std::max(aLoad.mConnections / 2, std::uint32_t{ 1 });
+  return aLoad;
+}
+
 double Fade(instant aSince, instant aNow)
 {
   const double seconds = std::chrono::duration<double>(aNow - aSince).count();
@@ -91,7 +115,7 @@
 
 replica_load WithEnd(const replica_load& aLoad,
                      const attempt_key& aKey,
-                     attempt_end aEnd,
+                     const attempt_outcome& aOutcome,
                      instant aNow)
 {
   std::optional<open_attempt> attempt;
@@ -99,9 +123,13 @@
   if (!attempt) {
     return next;
   }
-  switch (aEnd) {
+  const bool lost = aOutcome.mEnd == attempt_end::Lost || aOutcome.mEnd == attempt_end::NotSent;
+  if (lost && aOutcome.mNewConnection) {
+    next = WithRefusedConnection(std::move(next));
+  }
+  switch (aOutcome.mEnd) {
     case attempt_end::Answered:
-      next.mRefusals = 0;
+      next = WithAnswer(std::move(next), aNow);
       return WithFailing(WithLatency(std::move(next), *attempt, aNow), 0, aNow);
     case attempt_end::Rejected:
     case attempt_end::Lost:
@@ -111,6 +139,9 @@
       next.mGone = true;
       return next;
     case attempt_end::NotSent:
+      if (aNow - next.mAnsweredAt < kAliveTime) {
+        return next;
+      }
       next.mBlockedUntil =
         aNow +
         std::min(kBlockMost,
@@ -128,6 +159,12 @@
   return attempt ? WithLatency(std::move(next), *attempt, aNow) : next;
 }
 
+replica_load WithAbandoned(const replica_load& aLoad, const attempt_key& aKey)
+{
+  std::optional<open_attempt> attempt;
+  return WithoutOpen(aLoad, aKey, attempt);
+}
+
 double SlownessAt(const replica_load& aLoad, instant aNow)
 {
   return 1 + (aLoad.mSlowness - 1) * Fade(aLoad.mSlownessAt, aNow);
--- a/src/forward/replica_load.h
+++ b/src/forward/replica_load.h
@@ -12,6 +12,19 @@
 
 namespace redwingdock {
 
+// How an attempt ended, as far as it says something of the replica.
+struct attempt_outcome
+{
+  attempt_end mEnd = attempt_end::Answered;
+  bool mNewConnection = false; // as in attempt_ended
+
+  auto operator<=>(const attempt_outcome&) const = default;
+};
+
+// Connections to a replica of which nothing is known. After a loss of power the replica still
+// counts those of the daemons before, up to its idle time.
+inline constexpr std::uint32_t kFirstConnections = 2;
+
 struct open_attempt
 {
   attempt_key mKey;
@@ -35,6 +48,11 @@
   std::uint32_t mRefusals = 0; // connections refused in a row
   std::int64_t mSecond = 0;    // second of mSent
   std::uint32_t mSent = 0;     // attempts in that second
+  // Attempts that may be open at the same time, by what the replica has accepted: half as many
+  // after a new connection that ended unanswered, one more after several answers.
+  std::uint32_t mConnections = kFirstConnections;
+  std::uint32_t mAnswers = 0; // since then
+  instant mAnsweredAt{};
 
   auto operator<=>(const replica_load&) const = default;
 };
@@ -47,12 +65,14 @@
                       instant aNow,
                       micros aExpected);
 
-// A cancelled attempt counts with the time that it was open.
 replica_load WithEnd(const replica_load& aLoad,
                      const attempt_key& aKey,
-                     attempt_end aEnd,
+                     const attempt_outcome& aOutcome,
                      instant aNow);
+// A cancelled attempt counts with the time that it was open.
 replica_load WithCancel(const replica_load& aLoad, const attempt_key& aKey, instant aNow);
+// An attempt whose client has left says nothing of the replica.
+replica_load WithAbandoned(const replica_load& aLoad, const attempt_key& aKey);
 
 // Slowness and failing share, faded towards 1 and 0 since their last update, so that a replica is
 // tried again some time after it was slow or failed.
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -359,8 +359,9 @@
     mContext.Emit(cancel_attempt{ key, silent });
     mContext.mBoard.Update<replica_load>(attempt.mReplica->mId, [&](const replica_load* aKnown) {
       const replica_load load = LoadOf(aKnown, *attempt.mReplica);
-      return std::optional<replica_load>(
-        aForSilence ? WithCancel(load, key, now) : WithEnd(load, key, attempt_end::Answered, now));
+      return std::optional<replica_load>(aForSilence
+                                           ? WithCancel(load, key, now)
+                                           : WithEnd(load, key, { attempt_end::Answered }, now));
     });
     if (aForSilence) {
       mContext.Count("forward.cancelled");
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -285,9 +285,10 @@
 {
   const auto report =
     [this, key = aCommand.mKey, replica = aCommand.mReplica, sentAt = SteadyNow()](
-      attempt_end aEnd, reply_pointer aReply, reason aReason) {
+      attempt_end aEnd, reply_pointer aReply, reason aReason, bool aNewConnection = false) {
       mMetrics.CountAttempt(ToString(aEnd), SteadyNow() - sentAt);
-      mDriver.Post(attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason) });
+      mDriver.Post(
+        attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason), aNewConnection });
     };
   std::shared_ptr<const http_message> message;
   mRequests.With(aCommand.mKey.mRequest,
@@ -313,7 +314,7 @@
   mReplicas.Start(std::move(request),
                   [report, replica = aCommand.mReplica](const pool_result& aResult) {
                     if (aResult.mEnd != pool_end::Answered) {
-                      report(EndOf(aResult.mEnd), nullptr, aResult.mReason);
+                      report(EndOf(aResult.mEnd), nullptr, aResult.mReason, aResult.mNewConnection);
                       return;
                     }
                     decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
