Send requests that run once on connections that are known to live

The final answer also leaves the round trip before the deadline.

Rows: fresh_test of the pool, once_test.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -102,6 +102,9 @@
   replica_pointer mReplica;
   instant mDeadline{};
   std::uint32_t mConnections = 1; // to this replica at most
+  micros mFreshness{
+    0
+  }; // only a connection that answered within this time is used again; any if 0
 
   auto operator<=>(const send_attempt&) const = default;
 };
--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -44,26 +44,47 @@
 void http_pool::Start(pool_request aRequest, done_hook aDone)
 {
   auto started = std::make_unique<exchange>(exchange{ std::move(aRequest), std::move(aDone) });
-  while (const std::uint64_t idle = TakeIdle(started->mRequest.mAddress)) {
+  const micros freshness = started->mRequest.mFreshness;
+  const instant since = freshness > micros(0) ? SteadyNow() - freshness : instant{};
+  while (const std::uint64_t idle = TakeIdle(started->mRequest.mAddress, since)) {
     if (SendOn(idle, started)) {
       return;
     }
   }
+  if (freshness > micros(0)) {
+    DropOldest(started->mRequest.mAddress);
+  }
   Open(std::move(started));
 }
 
-std::uint64_t http_pool::TakeIdle(const std::string& aAddress)
+std::uint64_t http_pool::TakeIdle(const std::string& aAddress, instant aSince)
 {
   std::uint64_t taken = 0;
-  mPeers.With(aAddress, [&taken](peer& aPeer) {
-    if (!aPeer.mIdle.empty()) {
-      taken = aPeer.mIdle.back();
+  mPeers.With(aAddress, [&taken, aSince](peer& aPeer) {
+    if (!aPeer.mIdle.empty() && aPeer.mIdle.back().mSince >= aSince) {
+      taken = aPeer.mIdle.back().mId;
       aPeer.mIdle.pop_back();
     }
   });
   return taken;
 }
 
+void http_pool::DropOldest(const std::string& aAddress)
+{
+  std::uint64_t oldest = 0;
+  mPeers.With(aAddress, [&oldest](peer& aPeer) {
+    if (!aPeer.mIdle.empty()) {
+      oldest = aPeer.mIdle.front().mId;
+      aPeer.mIdle.erase(aPeer.mIdle.begin());
+      --aPeer.mCount; // makes room for the connection that replaces it
+    }
+  });
+  mConnections.With(oldest, [](connection& aState) {
+    aState.mCounted = false;
+    aState.mTcp->Close("replaced");
+  });
+}
+
 bool http_pool::Reserve(const std::string& aAddress, std::uint32_t aMost)
 {
   bool reserved = false;
@@ -77,7 +98,8 @@
 void http_pool::Release(const std::string& aAddress, std::uint64_t aConnection)
 {
   mPeers.With(aAddress, [aConnection](peer& aPeer) {
-    std::erase(aPeer.mIdle, aConnection);
+    std::erase_if(aPeer.mIdle,
+                  [aConnection](const idle_connection& aIdle) { return aIdle.mId == aConnection; });
     --aPeer.mCount;
   });
 }
@@ -187,8 +209,9 @@
     idle = true;
   });
   if (idle) {
-    mPeers.With(aExchange->mRequest.mAddress,
-                [aConnection](peer& aPeer) { aPeer.mIdle.push_back(aConnection); });
+    mPeers.With(aExchange->mRequest.mAddress, [aConnection](peer& aPeer) {
+      aPeer.mIdle.push_back({ aConnection, SteadyNow() });
+    });
   }
   aExchange->mDone({ pool_end::Answered, false, std::move(aReply), {} });
 }
@@ -199,7 +222,9 @@
   if (!closed) {
     return;
   }
-  Release(closed->mAddress, aConnection);
+  if (closed->mCounted) {
+    Release(closed->mAddress, aConnection);
+  }
   if (!closed->mExchange) {
     return;
   }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -29,6 +29,8 @@
   std::string mAddress;  // "ip:port"
   std::string mText;
   std::uint32_t mConnections = 8; // to the address at most
+  // Only a connection that has answered within this time is used again; any when zero.
+  micros mFreshness{ 0 };
   micros mConnectTime = std::chrono::seconds(1);
   micros mReplyTime = std::chrono::seconds(30);             // from the send on
   std::size_t mReplyLimit = std::size_t{ 4 } * 1024 * 1024; // bytes of the body
@@ -87,16 +89,26 @@
     bool mWritten = false;               // the request was given to an open connection
     bool mLeftover = false;              // bytes of another reply were seen
     bool mAnswered = false;              // a request before the present one was
+    bool mCounted = true;                // among the connections to the address
+  };
+
+  struct idle_connection
+  {
+    std::uint64_t mId = 0;
+    instant mSince{};
   };
 
   // Connections to one address.
   struct peer
   {
-    std::vector<std::uint64_t> mIdle; // last used at the end
+    std::vector<idle_connection> mIdle; // last used at the end
     std::uint32_t mCount = 0;
   };
 
-  std::uint64_t TakeIdle(const std::string& aAddress);
+  // An idle connection that was last used at aSince or later; 0 when there is none.
+  std::uint64_t TakeIdle(const std::string& aAddress, instant aSince = {});
+  // Closes the idle connection that was not used for the longest time.
+  void DropOldest(const std::string& aAddress);
   bool Reserve(const std::string& aAddress, std::uint32_t aMost);
   void Release(const std::string& aAddress, std::uint64_t aConnection);
   bool SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange);
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -137,6 +137,46 @@
     pool_row{ "bytes that are no reply", { "nonsense\r\n\r\n", Reply(2) }, { kBroken, kOk }, 2 },
     pool_row{ "a closed connection hangs the request", { "", Reply(2) }, { kBroken, kOk }, 2 }));
 
+struct fresh_row
+{
+  const char* mGuardsAgainst;
+  micros mFreshness; // asked for by the second request
+  std::size_t mConnections;
+};
+
+class fresh_test : public testing::TestWithParam<fresh_row>
+{};
+
+TEST_P(fresh_test, UsesOnlyConnectionsThatAnsweredLately)
+{
+  io_loop loop(2);
+  scripted_server server(loop, { Reply(1), Reply(2), Reply(3) });
+  http_pool pool(loop);
+  loop.Start();
+  for (std::uint64_t id : { 1, 2, 3 }) {
+    std::promise<pool_end> done;
+    pool.Start({ .mId = id,
+                 .mAddress = server.Address(),
+                 .mText = FormatRequest("GET", "/", "h", ""),
+                 .mConnections = 1,
+                 .mFreshness = id == 1 ? micros(0) : GetParam().mFreshness },
+               [&done](const pool_result& aResult) { done.set_value(aResult.mEnd); });
+    EXPECT_EQ(done.get_future().get(), pool_end::Answered) << GetParam().mGuardsAgainst;
+  }
+  EXPECT_EQ(server.Connections(), GetParam().mConnections) << GetParam().mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  fresh_test,
+  testing::Values(
+    fresh_row{ "a new connection for each request", micros(0), 1 },
+    fresh_row{ "a connection that has just answered is passed over", std::chrono::minutes(1), 1 },
+    fresh_row{ "a request goes on a connection that may be silent, or finds no room for another",
+               micros(1),
+               3 }));
+
 TEST(http_pool, ASilentServerEndsTheRequest)
 {
   // Guards against a request that waits for ever on a silent connection.
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -14,7 +14,7 @@
 
 namespace {
 
-// The final answer leaves this much before the deadline.
+// The final answer leaves this much before the deadline, and the way back to the client.
 constexpr micros kDeadlineMargin = std::chrono::milliseconds(5);
 constexpr micros kRetryAfterStart = std::chrono::milliseconds(250);
 // A request that ends its replicas is refused for longer than its client waits.
@@ -105,7 +105,7 @@
   if (aFact.mContent.mPatience.count() > 0) {
     patience = std::min(patience, aFact.mContent.mPatience);
   }
-  state.mDeadline = aContext.Now() + patience - kDeadlineMargin;
+  state.mDeadline = aContext.Now() + patience - kDeadlineMargin - aFact.mContent.mRoundTrip;
   state.mSpent = CountPatience(aContext, *aRoute, aFact.mContent.mPatience);
   state.mPartialAt = aContext.Now() + aHooks.mPartialAnswerAfter(
                                         *aRoute, { state.mSpent, aFact.mContent.mRoundTrip });
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -526,5 +526,44 @@
                                 milliseconds(120),
                                 milliseconds(2) }));
 
+struct once_row
+{
+  const char* mGuardsAgainst;
+  bool mIdempotent;
+  bool mFresh; // asks for a connection that answered lately
+};
+
+class once_test : public ::testing::TestWithParam<once_row>
+{};
+
+TEST_P(once_test, ASilentReplicaEndsInAnAnswerInTime)
+{
+  const once_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(Version(7, { Plain("a", row.mIdempotent) }));
+  rig.Script("a-1", kSilent);
+  rig.Script("a-2", kSilent);
+  rig.RunFor(seconds(1));
+  const instant asked = rig.Now();
+  constexpr milliseconds kPatience(500);
+  constexpr milliseconds kRoundTrip(40);
+  rig.Post(request_arrived{ 1, { "id-1", "search.example", "/q/x", kPatience, 0, kRoundTrip } });
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U);
+  EXPECT_LT(rig.mAnswers[1].front().mAt + kRoundTrip - asked, kPatience) << row.mGuardsAgainst;
+  EXPECT_EQ(rig.mSent.front().mCommand.mFreshness > micros(0), row.mFresh) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  once_test,
+  ::testing::Values(
+    once_row{ "each request opens a connection, or the last answer passes the client's deadline",
+              true,
+              false },
+    // bdc-stitchfind-grown trouble-1: sent on kept connections to replicas that had gone dark.
+    once_row{ "a request that cannot be repeated is sent into silence", false, true }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -19,6 +19,9 @@
 constexpr micros kCancelAfterAnswer = std::chrono::milliseconds(300);
 // An attempt that is open this long after an answer without it has met a silent connection.
 constexpr micros kSilentAfter = std::chrono::milliseconds(450);
+// A request that can be sent only once is lost on a connection that has gone silent. A new one
+// shows within its connect time whether the replica is there.
+constexpr micros kFreshness = std::chrono::seconds(1);
 // A client that is refused comes back when another daemon or replica has had time to recover.
 constexpr micros kRetryAfter = std::chrono::milliseconds(60);
 // Of the connections that a replica accepts, the share that all daemons use together; the rest is
@@ -207,7 +210,11 @@
     return std::optional<replica_load>(
       WithSend(LoadOf(aKnown, *target.mReplica), key, mContext.Now(), expected));
   });
-  mContext.Emit(send_attempt{ key, target.mReplica, mState.mDeadline, input.mConnections });
+  mContext.Emit(send_attempt{ key,
+                              target.mReplica,
+                              mState.mDeadline,
+                              input.mConnections,
+                              mState.mRoute->mIdempotent ? micros(0) : kFreshness });
   return aPart;
 }
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -305,6 +305,7 @@
   request.mAddress = aCommand.mReplica->mAddress;
   request.mText = EncodeAttempt(*message, *aCommand.mReplica, left);
   request.mConnections = aCommand.mConnections;
+  request.mFreshness = aCommand.mFreshness;
   request.mConnectTime = kConnectTime;
   request.mReplyTime = left;
   const std::string* id = message->Find(kRequestId);
