Encode keys in calls of the store, test the calls on bytes

Cause: the next page of a listing names the last key as it is. A key that another writer chose with a space or an ampersand breaks the request line, and every listing with it.

Change: the key is percent-encoded by the function that callers' and the operators' programs use, now in base/url. Rows in store_calls_test: request line and decoding of each call, and each failure of a reply.

--- a/src/client/client.cc
+++ b/src/client/client.cc
@@ -1,5 +1,6 @@
 #include "client/client.h"
 
+#include "base/url.h"
 #include "client/caller_json.h"
 #include "client/name_map.h"
 
--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -234,21 +234,6 @@
     std::chrono::duration_cast<micros>(std::chrono::steady_clock::now().time_since_epoch()));
 }
 
-std::string UrlEncode(const std::string& aText)
-{
-  static constexpr char kDigits[] = "0123456789ABCDEF";
-  std::string encoded;
-  for (char each : aText) {
-    auto byte = static_cast<unsigned char>(each);
-    if (std::isalnum(byte) != 0 || each == '-' || each == '.' || each == '_' || each == '~') {
-      encoded += each;
-    } else {
-      encoded += { '%', kDigits[byte >> 4U], kDigits[byte & 15U] };
-    }
-  }
-  return encoded;
-}
-
 http_client::http_client(int aThreads)
   : mState(std::make_unique<state>())
 {
--- a/src/client/http_client.h
+++ b/src/client/http_client.h
@@ -51,9 +51,6 @@
   auto operator<=>(const http_reply&) const = default;
 };
 
-// Text for a query parameter, percent-encoded.
-std::string UrlEncode(const std::string& aText);
-
 class http_client
 {
 public:
--- a/src/ctl/main.cc
+++ b/src/ctl/main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/url.h"
 #include "ctl/answer_text.h"
 #include "ctl/daemon_view.h"
 #include "ctl/log_trace.h"
--- a/src/platform/store_calls.cc
+++ b/src/platform/store_calls.cc
@@ -1,5 +1,6 @@
 #include "platform/store_calls.h"
 
+#include "base/url.h"
 #include "platform/names.h"
 #include "platform/published_codec.h"
 
@@ -60,7 +61,7 @@
 {
   std::string target = std::string(kRangePath) + "?prefix=" + kAllKeys;
   if (!aCommand.mAfter.empty()) {
-    target += "&after=" + aCommand.mAfter;
+    target += "&after=" + UrlEncode(aCommand.mAfter);
   }
   Call(aCommand, target, kReplyTime);
 }
--- /dev/null
+++ b/src/platform/store_calls_test.cc
@@ -0,0 +1,222 @@
+#include "platform/store_calls.h"
+
+#include <future>
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+using std::chrono::milliseconds;
+
+// A store that answers each request with the same bytes and keeps the request lines.
+class scripted_store
+{
+public:
+  scripted_store(io_loop& aLoop, std::string aReply)
+    : mReply(std::move(aReply))
+  {
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        tcp_hooks hooks;
+        hooks.mOnBytes = [this, aConnection](std::string_view aBytes) {
+          {
+            const std::lock_guard lock(mLock);
+            mTarget = std::string(aBytes.substr(0, aBytes.find("\r\n")));
+          }
+          aConnection->Send(mReply);
+          aConnection->CloseAfterSend("script");
+        };
+        aConnection->Start(std::move(hooks));
+      });
+    mListener = *listener;
+  }
+
+  std::string Address() const { return mListener->Address(); }
+  std::string RequestLine() const
+  {
+    const std::lock_guard lock(mLock);
+    return mTarget;
+  }
+
+private:
+  const std::string mReply;
+  mutable std::mutex mLock;
+  std::string mTarget;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+std::string Reply(const std::string& aStatus, const std::string& aBody)
+{
+  return "HTTP/1.1 " + aStatus + "\r\nContent-Length: " + std::to_string(aBody.size()) +
+         "\r\n\r\n" + aBody;
+}
+
+using call = std::function<void(store_calls&)>;
+
+call Page(const std::string& aAfter)
+{
+  return [aAfter](store_calls& aStore) { aStore.Read({ 7, aAfter }); };
+}
+
+call Watch(std::uint64_t aAfter)
+{
+  return [aAfter](store_calls& aStore) { aStore.Watch({ 7, aAfter, milliseconds(5000) }); };
+}
+
+// Answers the call and returns the fact, with the request line.
+std::pair<fact, std::string> Ask(const call& aCall, const std::string& aReply)
+{
+  io_loop loop(2);
+  scripted_store server(loop, aReply);
+  std::promise<fact> heard;
+  store_calls store(
+    loop, server.Address(), [&heard](fact aFact) { heard.set_value(std::move(aFact)); });
+  loop.Start();
+  aCall(store);
+  fact answer = heard.get_future().get();
+  loop.Stop();
+  return { std::move(answer), server.RequestLine() };
+}
+
+struct call_row
+{
+  const char* mGuardsAgainst;
+  call mCall;
+  std::string mRequestLine;
+  std::string mReply;
+  std::size_t mItems;
+  std::uint64_t mAsOf;
+  bool mMore;
+};
+
+class call_test : public testing::TestWithParam<call_row>
+{};
+
+TEST_P(call_test, IsAskedAndDecoded)
+{
+  const call_row& row = GetParam();
+  const auto [answer, line] = Ask(row.mCall, row.mReply);
+  EXPECT_EQ(line, row.mRequestLine) << row.mGuardsAgainst;
+  if (const auto* page = std::get_if<store_page_read>(&answer)) {
+    EXPECT_EQ(page->mRound, 7U);
+    EXPECT_EQ(page->mItems.size(), row.mItems) << row.mGuardsAgainst;
+    EXPECT_EQ(page->mAsOf, row.mAsOf) << row.mGuardsAgainst;
+    EXPECT_EQ(page->mMore, row.mMore) << row.mGuardsAgainst;
+    return;
+  }
+  const auto* changes = std::get_if<store_changes_read>(&answer);
+  ASSERT_NE(changes, nullptr) << row.mGuardsAgainst;
+  EXPECT_EQ(changes->mRound, 7U);
+  EXPECT_EQ(changes->mItems.size(), row.mItems) << row.mGuardsAgainst;
+  EXPECT_EQ(changes->mAsOf, row.mAsOf) << row.mGuardsAgainst;
+}
+
+const std::string kItem =
+  R"({"key":"op/evacuate/z","value":"","revision":4,"created":4,"lease":0})";
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  call_test,
+  testing::Values(
+    call_row{ "the first page is asked from the middle",
+              Page(""),
+              "GET /kv-range?prefix= HTTP/1.1",
+              Reply("200 OK", R"({"items":[)" + kItem + R"(],"hasMore":true,"asOf":9})"),
+              1,
+              9,
+              true },
+    call_row{ "the next page begins at the first key again",
+              Page("servers/i-1"),
+              "GET /kv-range?prefix=&after=servers%2Fi-1 HTTP/1.1",
+              Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              9,
+              false },
+    call_row{ "a key of another writer breaks the request line",
+              Page("a b&c=d%e\xc3\xa9"),
+              "GET /kv-range?prefix=&after=a%20b%26c%3Dd%25e%C3%A9 HTTP/1.1",
+              Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              9,
+              false },
+    call_row{ "a watch begins at the wrong revision, or waits too long",
+              Watch(12),
+              "GET /kv-watch?prefix=&after=12&waitMs=5000 HTTP/1.1",
+              Reply("200 OK",
+                    R"({"events":[)" + kItem +
+                      R"(,{"key":"servers/i-1","revision":5,"deleted":true}],"asOf":5})"),
+              2,
+              5,
+              false },
+    call_row{ "a wait without changes counts as a failure",
+              Watch(12),
+              "GET /kv-watch?prefix=&after=12&waitMs=5000 HTTP/1.1",
+              Reply("200 OK", R"({"events":[],"asOf":12})"),
+              0,
+              12,
+              false }));
+
+struct failure_row
+{
+  const char* mGuardsAgainst;
+  call mCall;
+  std::string mReply;
+  store_failure mFailure;
+};
+
+class failure_test : public testing::TestWithParam<failure_row>
+{};
+
+TEST_P(failure_test, IsToldWithAReason)
+{
+  const failure_row& row = GetParam();
+  const fact answer = Ask(row.mCall, row.mReply).first;
+  const auto* failed = std::get_if<store_read_failed>(&answer);
+  ASSERT_NE(failed, nullptr) << row.mGuardsAgainst;
+  EXPECT_EQ(failed->mRound, 7U);
+  EXPECT_EQ(failed->mFailure, row.mFailure) << row.mGuardsAgainst;
+  EXPECT_FALSE(Describe(failed->mReason).empty()) << row.mGuardsAgainst;
+}
+
+constexpr store_failure kUnavailable = store_failure::Unavailable;
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  failure_test,
+  testing::Values(
+    failure_row{ "a history that is gone is asked for again and again",
+                 Watch(1),
+                 Reply("410 Gone", ""),
+                 store_failure::HistoryGone },
+    failure_row{ "a refusal counts as an empty store",
+                 Page(""),
+                 Reply("429 Slow", ""),
+                 kUnavailable },
+    failure_row{ "an outage counts as an empty store",
+                 Page(""),
+                 Reply("503 Down", ""),
+                 kUnavailable },
+    failure_row{ "a connection that ends without a reply is waited for",
+                 Watch(1),
+                 "x",
+                 kUnavailable },
+    failure_row{ "a cut body counts as whole",
+                 Page(""),
+                 "HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"items\":[",
+                 kUnavailable },
+    failure_row{ "bytes that are no JSON", Page(""), Reply("200 OK", "items"), kUnavailable },
+    failure_row{ "a list of another type",
+                 Page(""),
+                 Reply("200 OK", R"({"items":{},"asOf":1})"),
+                 kUnavailable },
+    failure_row{ "a reply without its revision restarts the watch at 0",
+                 Watch(1),
+                 Reply("200 OK", R"({"events":[]})"),
+                 kUnavailable },
+    failure_row{ "one event that cannot be read hides the others",
+                 Watch(1),
+                 Reply("200 OK", R"({"events":[{"revision":4}],"asOf":4})"),
+                 kUnavailable }));
+
+} // namespace
+} // namespace redwingdock::platform
