Refuse gathers while their services are overloaded

Change: when a fifth of the parts, three at least, are missing at the time of the partial answer, the share of gathers that are taken in falls by a tenth; it rises by 0.03 with each other gather. The rest is refused before anything runs, with a time to come back inside the target; less urgent requests twice as often. The rank of a route is used for the first time.

Rows: admission_test, overload_test.

--- /dev/null
+++ b/src/forward/admission_test.cc
@@ -0,0 +1,52 @@
+#include "forward/admission.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+struct admission_row
+{
+  const char* mGuardsAgainst;
+  int mLate;              // gathers
+  std::size_t mLateParts; // of the 20 parts of each of them
+  int mInTime;            // gathers after those
+  bool mUrgent;
+  double mLeast; // admitted share
+  double mMost;
+};
+
+class admission_test : public testing::TestWithParam<admission_row>
+{};
+
+TEST_P(admission_test, FollowsTheGathers)
+{
+  const admission_row& row = GetParam();
+  admission_level level;
+  for (int i = 0; i < row.mLate + row.mInTime; ++i) {
+    level = AfterGather(level, i < row.mLate ? row.mLateParts : 0, 20);
+  }
+  constexpr int kNoises = 1000;
+  int admitted = 0;
+  for (int i = 0; i < kNoises; ++i) {
+    admitted += IsAdmitted(level, row.mUrgent, static_cast<double>(i) / kNoises) ? 1 : 0;
+  }
+  EXPECT_GE(static_cast<double>(admitted) / kNoises, row.mLeast) << row.mGuardsAgainst;
+  EXPECT_LE(static_cast<double>(admitted) / kNoises, row.mMost) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  admission_test,
+  testing::Values(
+    admission_row{ "requests are refused without need", 0, 0, 0, false, 1, 1 },
+    admission_row{ "one late gather refuses many", 1, 10, 0, false, 0.8, 0.9 },
+    admission_row{ "single late gathers refuse requests for long", 1, 10, 4, false, 1, 1 },
+    // bdc-stitchfind trouble-3: a shard was down and others slow.
+    admission_row{ "requests are refused because few shards are slow", 50, 3, 0, false, 1, 1 },
+    admission_row{ "an overload makes all requests late", 50, 10, 0, true, 0.3, 0.6 },
+    admission_row{ "urgent requests are refused as often as others", 50, 10, 0, false, 0.05, 0.2 },
+    admission_row{ "requests are refused long after an overload", 50, 10, 25, true, 1, 1 }));
+
+} // namespace
+} // namespace redwingdock
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -2,6 +2,7 @@
 
 #include "catalog/routes.h"
 #include "core/core_facts.h"
+#include "forward/admission.h"
 #include "forward/crash_controller.h"
 #include "forward/log_text.h"
 #include "forward/patience.h"
@@ -16,6 +17,8 @@
 
 // The final answer leaves this much before the deadline, and the way back to the client.
 constexpr micros kDeadlineMargin = std::chrono::milliseconds(5);
+// A client that is refused for overload comes back while it can still be answered in its target.
+constexpr int kTargetToReturn = 3;
 constexpr micros kRetryAfterStart = std::chrono::milliseconds(250);
 // A request that ends its replicas is refused for longer than its client waits.
 constexpr micros kRetryAfterCrash = std::chrono::seconds(2);
@@ -120,6 +123,31 @@
   return state;
 }
 
+// Whether no route over the same services is more urgent.
+bool IsUrgent(const catalog& aCatalog, const route_rule& aRoute)
+{
+  for (const auto& [host, routes] : aCatalog.mRoutes) {
+    for (const route_pointer& each : routes) {
+      if (each->mGather && each->mRank < aRoute.mRank &&
+          each->mServices.front() == aRoute.mServices.front()) {
+        return false;
+      }
+    }
+  }
+  return true;
+}
+
+bool IsOverloaded(core_context& aContext, const catalog& aCatalog, const route_rule& aRoute)
+{
+  if (!aRoute.mGather) {
+    return false;
+  }
+  const auto level = aContext.mBoard.Read<admission_level>(AdmissionKey(aRoute));
+  return level && level->mShare < 1 &&
+         !IsAdmitted(
+           *level, IsUrgent(aCatalog, aRoute), static_cast<double>(aContext.Random(1000)) / 1000.0);
+}
+
 void OnArrived(core_context& aContext, const forward_hooks& aHooks, const request_arrived& aFact)
 {
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
@@ -142,6 +170,15 @@
                  kRetryAfterCrash);
     return;
   }
+  if (IsOverloaded(aContext, *known, *route)) {
+    aContext.Count("forward.overloaded");
+    AnswerAtOnce(aContext,
+                 aFact,
+                 answer_kind::NotRun,
+                 "the services are overloaded",
+                 route->mTarget / kTargetToReturn);
+    return;
+  }
   forward_state state = NewState(aContext, aHooks, aFact, *known, route);
   for (const part_pointer& part : state.mParts) {
     aContext.mBoard.Update<repeat_budget>(
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -565,5 +565,54 @@
     // bdc-stitchfind-grown trouble-1: sent on kept connections to replicas that had gone dark.
     once_row{ "a request that cannot be repeated is sent into silence", false, true }));
 
+struct overload_row
+{
+  const char* mGuardsAgainst;
+  int mServiceMs; // of every replica
+  std::size_t mLeastRefused;
+  std::size_t mMostRefused;
+};
+
+class overload_test : public ::testing::TestWithParam<overload_row>
+{};
+
+TEST_P(overload_test, RefusesBeforeAnythingRuns)
+{
+  const overload_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, kFour);
+  rig.Publish(Version(7, { Gather(kFour, 0.75) }));
+  for (const std::string& service : kFour) {
+    rig.Script(service + "-1", AfterMs(row.mServiceMs));
+    rig.Script(service + "-2", AfterMs(row.mServiceMs));
+  }
+  rig.RunFor(seconds(1));
+  constexpr std::uint64_t kRequests = 60;
+  for (std::uint64_t request = 1; request <= kRequests; ++request) {
+    rig.Ask(request, "/q/x");
+    rig.RunFor(milliseconds(600));
+  }
+  std::size_t refused = 0;
+  for (std::uint64_t request = 1; request <= kRequests; ++request) {
+    ASSERT_EQ(rig.mAnswers[request].size(), 1U);
+    const forward_answer& answer = rig.mAnswers[request].front().mAnswer;
+    if (answer.mKind == answer_kind::NotRun) {
+      ++refused;
+      EXPECT_TRUE(rig.SentTo(request).empty()) << "a refusal that says \"not run\" is untrue";
+      EXPECT_GT(answer.mRetryAfter, micros(0));
+    }
+  }
+  EXPECT_GE(refused, row.mLeastRefused) << row.mGuardsAgainst;
+  EXPECT_LE(refused, row.mMostRefused) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  overload_test,
+  ::testing::Values(
+    overload_row{ "requests are refused without need", 20, 0, 0 },
+    // evacuation-and-load: all gathers were late while 1.3 times as many came as can be served.
+    overload_row{ "all requests are taken in and all are late", 400, 15, 45 }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -46,7 +46,8 @@
   micros mSpent{ 0 };   // by the client before the arrival
   instant mPartialAt{}; // a gather answers with what it has
   instant mDeadline{};
-  instant mCheckAt{}; // the earliest timer that is running
+  instant mCheckAt{};    // the earliest timer that is running
+  bool mCounted = false; // for the admission of further requests
   bool mAnswered = false;
   instant mCancelAt{}; // when answered: attempts that are still open are cancelled
 
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -1,6 +1,7 @@
 #include "forward/request_step.h"
 
 #include "core/core_facts.h"
+#include "forward/admission.h"
 #include "forward/gather.h"
 #include "forward/log_text.h"
 
@@ -41,6 +42,11 @@
   return "latency/" + aRoute.mName;
 }
 
+std::string AdmissionKey(const route_rule& aRoute)
+{
+  return "admission/" + aRoute.mServices.front().mService;
+}
+
 std::string BudgetKey(const std::string& aService)
 {
   return "budget/" + aService;
@@ -244,6 +250,9 @@
   const instant now = mContext.Now();
   const std::size_t undecided = UndecidedParts(mState);
   const bool enough = IsEnough(mState);
+  if (now >= mState.mPartialAt || (enough && undecided == 0)) {
+    CountPunctuality();
+  }
   if (enough && (undecided == 0 || now >= mState.mPartialAt)) {
     AnswerSuccess();
   } else if (!IsEnough(mState, undecided)) {
@@ -253,6 +262,33 @@
   }
 }
 
+void request_step::CountPunctuality()
+{
+  if (mState.mCounted || !mState.mRoute->mGather) {
+    return;
+  }
+  mState.mCounted = true;
+  const std::size_t parts = mState.mParts.size();
+  const std::size_t late = parts - AnsweredParts(mState);
+  double before = 1;
+  double after = 1;
+  mContext.mBoard.Update<admission_level>(
+    AdmissionKey(*mState.mRoute), [&](const admission_level* aKnown) {
+      const admission_level known = aKnown != nullptr ? *aKnown : admission_level{};
+      const admission_level next = AfterGather(known, late, parts);
+      before = known.mShare;
+      after = next.mShare;
+      return std::optional<admission_level>(next);
+    });
+  if ((before < 1) != (after < 1)) {
+    mContext.Log("forward",
+                 std::string("event=admission outcome=") + (after < 1 ? "limited" : "all") +
+                   " service=" + mState.mRoute->mServices.front().mService + " request=" +
+                   Quoted(mState.mContent.mId) + " parts=" + std::to_string(AnsweredParts(mState)) +
+                   "/" + std::to_string(mState.mParts.size()));
+  }
+}
+
 void request_step::AnswerSuccess()
 {
   forward_answer answer;
--- a/src/forward/request_step.h
+++ b/src/forward/request_step.h
@@ -26,6 +26,9 @@
 // Key of the latency_record of a route.
 std::string LatencyKey(const route_rule& aRoute);
 
+// Key of the admission_level of the services of a gather.
+std::string AdmissionKey(const route_rule& aRoute);
+
 // Key of the repeat_budget of a service.
 std::string BudgetKey(const std::string& aService);
 
@@ -55,6 +58,8 @@
   // Takes a repeat while no more than the share of the budget is used.
   bool TakeRepeat(const std::string& aService, double aShare);
   void Conclude();
+  // Counts for the admission of further gathers, once, when the partial answer is due or before.
+  void CountPunctuality();
   void AnswerSuccess();
   void AnswerFailure(answer_kind aKind);
   // "service:last end" of the parts without a reply.
