--- a/src/assembly/forwarding_benchmark.cc
+++ b/src/assembly/forwarding_benchmark.cc
@@ -20,9 +20,8 @@
   for (int i = 0; i < aState.range(0); ++i) {
     services.push_back("service-" + std::to_string(i));
     for (int j = 0; j < kReplicas; ++j) {
-      rig.Publish(Replica(services.back() + "-" + std::to_string(j),
-                          services.back(),
-                          "zone-" + std::to_string(j)));
+      rig.Publish(Replica(
+        services.back() + "-" + std::to_string(j), services.back(), "zone-" + std::to_string(j)));
     }
   }
   rig.Publish(Version(7, { Gather(services, 0.9) }));
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -137,14 +137,17 @@
   return true;
 }
 
-bool IsOverloaded(core_context& aContext, const catalog& aCatalog, const route_rule& aRoute)
+bool IsOverloaded(core_context& aContext,
+                  const forward_hooks& aHooks,
+                  const catalog& aCatalog,
+                  const route_rule& aRoute)
 {
   if (!aRoute.mGather) {
     return false;
   }
   const auto level = aContext.mBoard.Read<admission_level>(AdmissionKey(aRoute));
   return level && level->mShare < 1 &&
-         !IsAdmitted(
+         !aHooks.mIsAdmitted(
            *level, IsUrgent(aCatalog, aRoute), static_cast<double>(aContext.Random(1000)) / 1000.0);
 }
 
@@ -170,7 +173,7 @@
                  kRetryAfterCrash);
     return;
   }
-  if (IsOverloaded(aContext, *known, *route)) {
+  if (IsOverloaded(aContext, aHooks, *known, *route)) {
     aContext.Count("forward.overloaded");
     AnswerAtOnce(aContext,
                  aFact,
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -565,9 +565,17 @@
     // bdc-stitchfind-grown trouble-1: sent on kept connections to replicas that had gone dark.
     once_row{ "a request that cannot be repeated is sent into silence", false, true }));
 
+forward_hooks AdmitAll()
+{
+  forward_hooks hooks;
+  hooks.mIsAdmitted = [](const admission_level&, bool, double) { return true; };
+  return hooks;
+}
+
 struct overload_row
 {
   const char* mGuardsAgainst;
+  forward_hooks mHooks;
   int mServiceMs; // of every replica
   std::size_t mLeastRefused;
   std::size_t mMostRefused;
@@ -579,7 +587,7 @@
 TEST_P(overload_test, RefusesBeforeAnythingRuns)
 {
   const overload_row& row = GetParam();
-  forwarding_rig rig({});
+  forwarding_rig rig({ row.mHooks });
   PublishReplicas(rig, kFour);
   rig.Publish(Version(7, { Gather(kFour, 0.75) }));
   for (const std::string& service : kFour) {
@@ -610,9 +618,10 @@
   cases,
   overload_test,
   ::testing::Values(
-    overload_row{ "requests are refused without need", 20, 0, 0 },
+    overload_row{ "requests are refused without need", {}, 20, 0, 0 },
     // evacuation-and-load: all gathers were late while 1.3 times as many came as can be served.
-    overload_row{ "all requests are taken in and all are late", 400, 15, 45 }));
+    overload_row{ "all requests are taken in and all are late", {}, 400, 15, 45 },
+    overload_row{ "something else than the admission refuses", AdmitAll(), 400, 0, 0 }));
 
 } // namespace
 } // namespace redwingdock::testing
--- a/src/forward/forward_hooks.h
+++ b/src/forward/forward_hooks.h
@@ -1,6 +1,7 @@
 #ifndef REDWINGDOCK_FORWARD_FORWARD_HOOKS_H
 #define REDWINGDOCK_FORWARD_FORWARD_HOOKS_H
 
+#include "forward/admission.h"
 #include "forward/choice.h"
 #include "forward/repeat_budget.h"
 #include "forward/timing.h"
@@ -20,6 +21,7 @@
   std::function<micros(const route_rule&, const latency_record&, micros)> mHedgeAfter = HedgeAfter;
   std::function<micros(const route_rule&, const client_time&)> mPartialAnswerAfter =
     PartialAnswerAfter;
+  std::function<bool(const admission_level&, bool, double)> mIsAdmitted = IsAdmitted;
 };
 
 } // namespace redwingdock
