--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -30,21 +30,27 @@
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection)
   {
     ++mCount;
+    {
+      const std::lock_guard lock(mLock);
+      mAccepted.push_back(aConnection);
+    }
     auto reader = std::make_shared<http_reader>(http_side::Server, http_read_limits{ 1000 });
     tcp_hooks hooks;
-    hooks.mOnBytes = [this, aConnection, reader](std::string_view aBytes) {
-      if (reader->Feed(aBytes) != http_status::Complete) {
+    // A connection that its own hooks own is never freed.
+    hooks.mOnBytes = [this, weak = std::weak_ptr(aConnection), reader](std::string_view aBytes) {
+      const std::shared_ptr<tcp_connection> connection = weak.lock();
+      if (!connection || reader->Feed(aBytes) != http_status::Complete) {
         return;
       }
       reader->Take();
       const std::string reply = mNext < mReplies.size() ? mReplies[mNext++] : "";
       if (reply.empty()) {
-        aConnection->Close("script");
+        connection->Close("script");
       } else if (reply.back() == '$') {
-        aConnection->Send(reply.substr(0, reply.size() - 1));
-        aConnection->CloseAfterSend("script");
+        connection->Send(reply.substr(0, reply.size() - 1));
+        connection->CloseAfterSend("script");
       } else {
-        aConnection->Send(reply);
+        connection->Send(reply);
       }
     };
     aConnection->Start(std::move(hooks));
@@ -53,6 +59,8 @@
   const std::vector<std::string> mReplies;
   std::atomic<std::size_t> mNext{ 0 };
   std::atomic<std::size_t> mCount{ 0 };
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
   std::shared_ptr<tcp_listener> mListener;
 };
 
--- a/src/platform/store_calls_test.cc
+++ b/src/platform/store_calls_test.cc
@@ -18,13 +18,22 @@
     auto listener =
       Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
         tcp_hooks hooks;
-        hooks.mOnBytes = [this, aConnection](std::string_view aBytes) {
+        {
+          const std::lock_guard lock(mLock);
+          mAccepted.push_back(aConnection);
+        }
+        // A connection that its own hooks own is never freed.
+        hooks.mOnBytes = [this, weak = std::weak_ptr(aConnection)](std::string_view aBytes) {
+          const std::shared_ptr<tcp_connection> connection = weak.lock();
+          if (!connection) {
+            return;
+          }
           {
             const std::lock_guard lock(mLock);
             mTarget = std::string(aBytes.substr(0, aBytes.find("\r\n")));
           }
-          aConnection->Send(mReply);
-          aConnection->CloseAfterSend("script");
+          connection->Send(mReply);
+          connection->CloseAfterSend("script");
         };
         aConnection->Start(std::move(hooks));
       });
@@ -42,6 +51,7 @@
   const std::string mReply;
   mutable std::mutex mLock;
   std::string mTarget;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
   std::shared_ptr<tcp_listener> mListener;
 };
 
