Compute a part's next state before moving the request's state

Cause: WithPart(std::move(mState), i, AdvancePart(...)) leaves it to the compiler whether mState is moved into the by-value parameter before AdvancePart reads it. GCC on x86-64 evaluates the last argument first; GCC on arm64 and Clang evaluate the first argument first, and AdvancePart then reads a state without a route. The daemon ended with signal 11 at the first request.

A text scan for statements that move a variable and name it again found no other case; what a called member function reads is not visible to it, and request_step is the only class that moves a data member into a call beside another call.

Test: forward_controller_test ends with a crash in its first case on arm64 before the change and passes after it.

--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -161,7 +161,9 @@
   if (part.mReply || part.mGivenUp || mContext.Now() < part.mNextAttemptAt) {
     return;
   }
-  mState = WithPart(std::move(mState), aIndex, AdvancePart(aIndex, part));
+  // AdvancePart reads mState, so it must return before mState is moved from.
+  forward_part next = AdvancePart(aIndex, part);
+  mState = WithPart(std::move(mState), aIndex, std::move(next));
 }
 
 forward_part request_step::AdvancePart(std::uint32_t aIndex, forward_part aPart)
@@ -386,7 +388,9 @@
   for (std::uint32_t i = 0; i < mState.mParts.size(); ++i) {
     const forward_part& part = *mState.mParts[i];
     if (OpenAttempts(part) > 0) {
-      mState = WithPart(std::move(mState), i, CancelPart(i, part, aIsOverdue));
+      // CancelPart reads mState, so it must return before mState is moved from.
+      forward_part next = CancelPart(i, part, aIsOverdue);
+      mState = WithPart(std::move(mState), i, std::move(next));
     }
   }
 }
