Answer 504 when an attempt expires at the deadline of its request

Cause: the front end measures the time left of an attempt when it sends it and reports Expired a moment before the timer of the request's deadline fires. The request then looked as if it had failed for another reason and was answered 502. An expired attempt now answers as timed out.

Attempts whose client left counted as answers: they raised the connection limit of a silent replica. They are now removed without a sample (WithAbandoned).

repeat_window_ms accepts at most the window that the ring of slices covers (10.5 s); a longer one counted about the last 11 s only. VmOfOrigin and core::RunUntilStopped had no caller and are removed.

Tests, each failing before: request_test row of an attempt that expires 5 ms early, AbandonedAttemptsAreNoEvidence, refused_test row of repeat_window_ms.

--- a/src/core/core.h
+++ b/src/core/core.h
@@ -16,7 +16,7 @@
 //   core decisions(config, RecordSearch(record_search_hooks{}));
 //   decisions.Advance(now);
 //   decisions.Post(query_arrived{ 1, request });
-//   decisions.RunUntilIdle(); // or RunUntilStopped() on several threads until Stop()
+//   decisions.RunUntilIdle();
 //   for (const command& each : decisions.TakeCommands()) { ... }
 
 namespace redwingdock {
@@ -59,7 +59,6 @@
   void Post(fact aFact);
 
   void RunUntilIdle() { mContext.mBoard.RunUntilIdle(); }
-  void RunUntilStopped() { mContext.mBoard.RunUntilStopped(); }
   void Stop() { mContext.mBoard.Stop(); }
 
   std::vector<command> TakeCommands() { return mContext.TakeCommands(); }
--- a/src/core/send.cc
+++ b/src/core/send.cc
@@ -9,12 +9,6 @@
   return aConfig.mVm + "." + aConfig.mIncarnation;
 }
 
-std::string VmOfOrigin(const std::string& aOrigin)
-{
-  const std::size_t dot = aOrigin.find('.');
-  return dot == std::string::npos ? std::string() : aOrigin.substr(0, dot);
-}
-
 bool SendToPeer(core_context& aContext, const std::string& aVm, peer_message aMessage)
 {
   std::string address;
--- a/src/core/send.h
+++ b/src/core/send.h
@@ -8,9 +8,6 @@
 // Origin of this daemon's attempts: "<vm>.<incarnation>".
 std::string OriginOf(const core_config& aConfig);
 
-// VM name of an origin or request key; empty when it has none.
-std::string VmOfOrigin(const std::string& aOrigin);
-
 // Sends a message to a VM whose address is in the VM list or the seeds. Returns whether the address
 // is known; the message can still be lost in transit.
 bool SendToPeer(core_context& aContext, const std::string& aVm, peer_message aMessage);
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -162,6 +162,14 @@
                  0,
                  milliseconds(1200),
                  1 },
+    // The attempt expires 5 ms before the timer of the deadline.
+    request_row{ "a request without a reply is answered as failed instead of timed out",
+                 PlainRoute("a", false),
+                 { { "a-1", Always({ attempt_end::Expired, milliseconds(1190) }) } },
+                 answer_kind::TimedOut,
+                 0,
+                 milliseconds(1200),
+                 1 },
     request_row{ "a request that no replica ran is answered as failed",
                  PlainRoute("a", false),
                  { { "a-1", Ends(attempt_end::NotSent) }, { "a-2", Ends(attempt_end::NotSent) } },
@@ -347,6 +355,28 @@
   EXPECT_EQ(rig.mSent.size(), 2U);
 }
 
+TEST(forwarding, AbandonedAttemptsAreNoEvidence)
+{
+  // Guards against attempts whose clients left being counted as answers, which raise the connection
+  // limit of a silent replica and lower its latency ratio.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  rig.Script("a-1", kSilent);
+  rig.Script("a-2", kSilent);
+  rig.RunFor(seconds(1));
+  for (std::uint64_t i = 1; i <= 20; ++i) {
+    rig.SendRequest(i, "/q/x");
+    rig.RunFor(milliseconds(5));
+    rig.Post(request_abandoned{ i });
+  }
+  for (const auto& [id, load] : rig.Board().List<replica_load>()) {
+    EXPECT_EQ(load->mConnections, kInitialConnections) << id;
+    EXPECT_EQ(load->mLastAnswerAt, instant{}) << id;
+    EXPECT_TRUE(load->mOpen.empty()) << id;
+  }
+}
+
 TEST(forwarding, RequestsFollowTheWeights)
 {
   // Guards against a service that gets more or less than its weight of a traffic split.
--- a/src/forward/forward_state.cc
+++ b/src/forward/forward_state.cc
@@ -69,6 +69,16 @@
   });
 }
 
+bool HasExpiredAttempt(const forward_state& aState)
+{
+  return std::any_of(aState.mParts.begin(), aState.mParts.end(), [](const part_pointer& aPart) {
+    return std::any_of(
+      aPart->mAttempts.begin(), aPart->mAttempts.end(), [](const forward_attempt& aAttempt) {
+        return !aAttempt.mOpen && aAttempt.mEnd == attempt_end::Expired;
+      });
+  });
+}
+
 bool HasEnoughParts(const forward_state& aState, std::size_t aAdditional)
 {
   const std::size_t answered = AnsweredParts(aState) + aAdditional;
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -67,6 +67,9 @@
 std::size_t AnsweredParts(const forward_state& aState);
 std::size_t PendingParts(const forward_state& aState);
 bool MayHaveRun(const forward_state& aState);
+// Whether an attempt got no reply by the deadline of the request. The front end measures that on
+// its own clock and can report it before this daemon's timer for the deadline fires.
+bool HasExpiredAttempt(const forward_state& aState);
 // Whether the answered parts plus aAdditional more are enough for a successful answer.
 bool HasEnoughParts(const forward_state& aState, std::size_t aAdditional = 0);
 
--- a/src/forward/repeat_budget.h
+++ b/src/forward/repeat_budget.h
@@ -15,9 +15,10 @@
 
 namespace redwingdock {
 
-// Covers windows of up to 10.5 s, because MayRepeat also reads the two slices around the window.
 inline constexpr std::size_t kBudgetSlices = 44;
 inline constexpr micros kBudgetSlice = std::chrono::milliseconds(250);
+// Longest window that MayRepeat can enforce. It also reads the two slices around the window.
+inline constexpr micros kMaxRepeatWindow = (kBudgetSlices - 2) * kBudgetSlice;
 
 // Counts by time slice, as a ring buffer. Entry key: BudgetKey.
 struct repeat_budget
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -261,10 +261,11 @@
   }
   if (enough && (pending == 0 || now >= mState.mPartialAt)) {
     AnswerSuccess();
-  } else if (!HasEnoughParts(mState, pending)) {
-    AnswerFailure(MayHaveRun(mState) ? answer_kind::Failed : answer_kind::NotRun);
-  } else if (now >= mState.mDeadline) {
-    AnswerFailure(MayHaveRun(mState) ? answer_kind::TimedOut : answer_kind::NotRun);
+  } else if (now >= mState.mDeadline || !HasEnoughParts(mState, pending)) {
+    const bool timedOut = now >= mState.mDeadline || HasExpiredAttempt(mState);
+    AnswerFailure(!MayHaveRun(mState) ? answer_kind::NotRun
+                  : timedOut          ? answer_kind::TimedOut
+                                      : answer_kind::Failed);
   }
 }
 
@@ -410,9 +411,8 @@
     mContext.Emit(cancel_attempt{ key, silent });
     mContext.mBoard.Update<replica_load>(attempt.mReplica->mId, [&](const replica_load* aKnown) {
       const replica_load load = LoadOf(aKnown, *attempt.mReplica);
-      return std::optional<replica_load>(aIsOverdue
-                                           ? WithCancel(load, key, now)
-                                           : WithEnd(load, key, { attempt_end::Answered }, now));
+      return std::optional<replica_load>(aIsOverdue ? WithCancel(load, key, now)
+                                                    : WithAbandoned(load, key));
     });
     if (aIsOverdue) {
       mContext.Count("forward.cancelled");
--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -1,6 +1,7 @@
 #include "platform/edge_settings.h"
 
 #include "base/yaml_reader.h"
+#include "forward/repeat_budget.h"
 
 #include <algorithm>
 
@@ -32,7 +33,7 @@
 {
   aForward.mRepeatRatio = aMapping.Number("repeat_ratio", 0, 10, aForward.mRepeatRatio);
   aForward.mRepeatSlack = aMapping.Number("repeat_slack", 0, 1e6, aForward.mRepeatSlack);
-  ReadMilliseconds(aMapping, "repeat_window_ms", 10 * kMinuteMs, aForward.mRepeatWindow);
+  ReadMilliseconds(aMapping, "repeat_window_ms", ToMs(kMaxRepeatWindow), aForward.mRepeatWindow);
   aForward.mMostDaemons =
     static_cast<std::uint32_t>(aMapping.Integer("most_daemons", 1, 100'000, aForward.mMostDaemons));
   aForward.mColdOverage = aMapping.Number("cold_overage", 0, 1000, aForward.mColdOverage);
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -68,6 +68,10 @@
     refused_row{ "an address without port", "10.1.0.9:8104", "10.1.0.9", "listen.callers" },
     refused_row{ "an unknown key", "workers: 1", "worker: 1", "worker" },
     refused_row{ "a ratio out of bounds", "ratio: 0.1", "ratio: -1", "repeat_ratio" },
+    refused_row{ "a window that the budget cannot enforce",
+                 "repeat_slack: 20\n",
+                 "repeat_slack: 20\n  repeat_window_ms: 20000\n",
+                 "repeat_window_ms" },
     refused_row{ "no store", "store: \"10.200.1.7:8102\"\n", "", "store" },
     refused_row{ "a seed that is not an address", "10.2.0.21:8106", "x", "seeds" }));
 
