Follow what replicas say of themselves: Server-Leaving and Retry-After

A replica that said Server-Leaving got further requests until the store said that it drains, and one that asked for time with 503 got the next request at once.

A reply now carries a notice to the core, decoded in platform/, whatever its status; the notice of another process at the address (421) does not count. A leaving replica gets nothing until another start of it is published; neither a later entry of the same start, a new listing nor an entry of an earlier start ends that. A replica that asked for time gets nothing before, hedges and retries included. A request whose parts cannot be had in time is refused before anything is sent, with the time until enough replicas take requests again; the same holds when services have no replica at all.

X-Deadline-Remaining "nan" was converted to an integer, which is undefined; it now counts as absent.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -72,6 +72,15 @@
 
 using reply_pointer = std::shared_ptr<const forward_reply>;
 
+// What a replica says about itself in a reply, also in one that is a failure or a rejection.
+struct replica_notice
+{
+  bool mLeaving = false;   // takes no new requests until it is started again
+  micros mRetryAfter{ 0 }; // wants no requests from this daemon for this long; 0 when not given
+
+  auto operator<=>(const replica_notice&) const = default;
+};
+
 // How an attempt ended.
 enum class attempt_end
 {
@@ -94,6 +103,7 @@
   reply_pointer mReply;
   reason mReason;
   bool mNewConnection = false; // for NotSent and Lost: no earlier reply on this connection
+  replica_notice mNotice;      // for Answered, Rejected and Lost with a reply
 
   auto operator<=>(const attempt_ended&) const = default;
 };
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -202,7 +202,7 @@
                  " round_trip_ms=" + MsText(state.mContent.mRoundTrip) +
                  " partial_ms=" + MsText(state.mPartialAt - state.mArrivedAt) +
                  " deadline_ms=" + MsText(state.mDeadline - state.mArrivedAt));
-  request_step(aContext, aHooks, std::move(state)).Run();
+  request_step(aContext, aHooks, std::move(state)).Begin();
 }
 
 void RecordLatency(core_context& aContext, const forward_state& aState, micros aLatency)
@@ -245,6 +245,26 @@
   return WithPart(aState, key.mPart, std::move(part));
 }
 
+void OnNotice(core_context& aContext, const attempt_ended& aFact)
+{
+  if (aFact.mNotice == replica_notice{}) {
+    return;
+  }
+  if (aFact.mNotice.mRetryAfter > micros(0)) {
+    const instant until = aContext.Now() + aFact.mNotice.mRetryAfter;
+    aContext.mBoard.Update<replica_deferrals>(
+      kDeferralsKey, [until](const replica_deferrals* aOld) {
+        return std::optional<replica_deferrals>(
+          replica_deferrals{ aOld != nullptr ? std::max(aOld->mLatest, until) : until });
+      });
+  }
+  aContext.Count(aFact.mNotice.mLeaving ? "forward.replica_leaving" : "forward.replica_deferred");
+  aContext.Log("forward",
+               "event=replica_notice replica=" + aFact.mReplica->mId +
+                 " leaving=" + (aFact.mNotice.mLeaving ? "yes" : "no") +
+                 " retry_after_ms=" + MsText(aFact.mNotice.mRetryAfter));
+}
+
 void OnAttemptEnded(core_context& aContext, const forward_hooks& aHooks, const attempt_ended& aFact)
 {
   const bool success =
@@ -253,9 +273,13 @@
     // For the choice of replicas an unsuccessful reply counts as a lost attempt.
     const attempt_end end =
       aFact.mEnd == attempt_end::Answered && !success ? attempt_end::Lost : aFact.mEnd;
-    return std::optional<replica_load>(WithEnd(
-      LoadOf(aKnown, *aFact.mReplica), aFact.mKey, { end, aFact.mNewConnection }, aContext.Now()));
+    return std::optional<replica_load>(WithNotice(
+      WithEnd(
+        LoadOf(aKnown, *aFact.mReplica), aFact.mKey, { end, aFact.mNewConnection }, aContext.Now()),
+      aFact.mNotice,
+      aContext.Now()));
   });
+  OnNotice(aContext, aFact);
   const auto state = aContext.mBoard.Read<forward_state>(ForwardRequestKey(aFact.mKey.mRequest));
   if (!success) {
     aContext.Count(std::string("forward.attempt.") + ToString(aFact.mEnd));
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -511,6 +511,256 @@
                                   "/q/x",
                                   answer_kind::NotRun }));
 
+// What the tests of notices do to the published entry of "a-1" after its notice.
+store_item Entry(std::int64_t aBornMs, std::uint64_t aSequence)
+{
+  store_item item = ReplicaItem("a-1", "a", "zone-1");
+  std::get<replica_entry>(item.mValue).mBornMs = aBornMs;
+  std::get<replica_entry>(item.mValue).mSequence = aSequence;
+  return item;
+}
+
+struct notice_row
+{
+  const char* mGuardsAgainst;
+  replica_action mAction; // of the replica "a-1", for each attempt
+  std::function<void(forwarding_rig&)> mThen;
+  milliseconds mFrom; // after the notice, the times between which a-1 gets mSends requests
+  milliseconds mUntil;
+  std::size_t mMinSends;
+  std::size_t mMaxSends;
+};
+
+class notice_test : public ::testing::TestWithParam<notice_row>
+{};
+
+TEST_P(notice_test, IsFollowed)
+{
+  const notice_row& row = GetParam();
+  forwarding_rig rig({});
+  rig.Publish(Entry(1000, 1));
+  rig.Publish(ReplicaItem("a-2", "a", "zone-2"));
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  rig.Script("a-1", Always(row.mAction));
+  rig.RunFor(seconds(1));
+  const instant noticed = rig.Now();
+  rig.SendRequest(1, "/q/x");
+  rig.RunFor(milliseconds(100));
+  row.mThen(rig);
+  for (std::uint64_t i = 2; i <= 100; ++i) {
+    rig.SendRequest(i, "/q/x");
+    rig.RunFor(milliseconds(50));
+    EXPECT_EQ(rig.mAnswers[i].size(), 1U) << row.mGuardsAgainst;
+  }
+  const auto sends = std::count_if(rig.mSent.begin(), rig.mSent.end(), [&](const auto& aSent) {
+    return aSent.mCommand.mReplica->mId == "a-1" && aSent.mAt >= noticed + row.mFrom &&
+           aSent.mAt < noticed + row.mUntil;
+  });
+  EXPECT_GE(static_cast<std::size_t>(sends), row.mMinSends) << row.mGuardsAgainst;
+  EXPECT_LE(static_cast<std::size_t>(sends), row.mMaxSends) << row.mGuardsAgainst;
+}
+
+replica_action Leaving(attempt_end aEnd, unsigned aStatus = 200)
+{
+  return { aEnd, milliseconds(5), aStatus, "", false, { true, micros(0) } };
+}
+
+replica_action RetryAfter(milliseconds aTime)
+{
+  return { attempt_end::Rejected, milliseconds(5), 503, "", false, { false, aTime } };
+}
+
+void Nothing(forwarding_rig&) {}
+
+constexpr milliseconds kAll(100'000);
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  notice_test,
+  ::testing::Values(notice_row{ "a replica that is leaving gets further requests",
+                                Leaving(attempt_end::Answered),
+                                Nothing,
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "a notice on a failure is ignored",
+                                Leaving(attempt_end::Answered, 500),
+                                Nothing,
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "a notice on a rejection is ignored",
+                                Leaving(attempt_end::Rejected),
+                                Nothing,
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "a later entry of the same start ends the notice",
+                                Leaving(attempt_end::Answered),
+                                [](forwarding_rig& aRig) { aRig.Publish(Entry(1000, 2)); },
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "a new listing of the store ends the notice",
+                                Leaving(attempt_end::Answered),
+                                [](forwarding_rig& aRig) {
+                                  aRig.DropHistory();
+                                  aRig.FailWatch();
+                                },
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "an entry of an earlier start ends the notice",
+                                Leaving(attempt_end::Answered),
+                                [](forwarding_rig& aRig) {
+                                  aRig.Delete("replicas/a-1");
+                                  aRig.RunFor(seconds(4));
+                                  aRig.Publish(Entry(900, 9));
+                                },
+                                milliseconds(100),
+                                kAll,
+                                0,
+                                0 },
+                    notice_row{ "a replica that was started again gets no requests",
+                                Leaving(attempt_end::Answered),
+                                [](forwarding_rig& aRig) {
+                                  aRig.Publish(Entry(2000, 1));
+                                  aRig.Script("a-1", AfterMs(5));
+                                },
+                                milliseconds(500),
+                                kAll,
+                                50,
+                                100 },
+                    notice_row{ "requests arrive before the time that a replica asked to wait for",
+                                RetryAfter(seconds(3)),
+                                Nothing,
+                                milliseconds(100),
+                                milliseconds(3000),
+                                0,
+                                0 },
+                    notice_row{
+                      "a replica gets no requests after the time that it asked to wait for",
+                      RetryAfter(seconds(2)),
+                      [](forwarding_rig& aRig) { aRig.Script("a-1", AfterMs(5)); },
+                      milliseconds(2000),
+                      kAll,
+                      10,
+                      100 },
+                    notice_row{ "a notice of an earlier start holds for the next one",
+                                RetryAfter(seconds(3000)),
+                                [](forwarding_rig& aRig) {
+                                  aRig.Publish(Entry(2000, 1));
+                                  aRig.Script("a-1", AfterMs(5));
+                                },
+                                milliseconds(500),
+                                kAll,
+                                50,
+                                100 }));
+
+// Route over all services, with which a request gets the notices of their replicas.
+route_rule PrimeRoute()
+{
+  route_rule route = GatherRoute(kFour, 0.01);
+  route.mName = "prime";
+  route.mPrefix = "/prime/";
+  return route;
+}
+
+struct deferred_row
+{
+  const char* mGuardsAgainst;
+  route_rule mRoute;
+  std::vector<std::string> mDeferred; // services whose replicas have asked for 2 s
+  answer_kind mKind;
+  std::uint32_t mMissing;
+  milliseconds mMaxTime; // until the answer
+  std::size_t mMaxSends;
+  milliseconds mMinRetryAfter;
+  milliseconds mMaxRetryAfter;
+};
+
+class deferred_test : public ::testing::TestWithParam<deferred_row>
+{};
+
+// Guards against requests that wait for replicas which have asked for more time than the request
+// has.
+TEST_P(deferred_test, IsAnsweredWithoutWaiting)
+{
+  const deferred_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b", "c", "d" });
+  rig.Publish(ConfigurationItem(7, { row.mRoute, PrimeRoute() }));
+  rig.RunFor(seconds(1));
+  for (const std::string& service : row.mDeferred) {
+    for (const char* replica : { "-1", "-2" }) {
+      rig.Script(service + replica, Always(RetryAfter(seconds(2))));
+    }
+  }
+  rig.SendRequest(1, "/prime/x");
+  rig.RunFor(milliseconds(500));
+  rig.mSent.clear();
+  const instant asked = rig.Now();
+  rig.SendRequest(2, "/q/x");
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mAnswers[2].size(), 1U);
+  const sent_answer& given = rig.mAnswers[2].front();
+  EXPECT_EQ(ToString(given.mAnswer.mKind), std::string(ToString(row.mKind))) << row.mGuardsAgainst;
+  EXPECT_EQ(given.mAnswer.mMissing, row.mMissing) << row.mGuardsAgainst;
+  EXPECT_LE(given.mAt - asked, row.mMaxTime) << row.mGuardsAgainst;
+  EXPECT_LE(rig.mSent.size(), row.mMaxSends) << row.mGuardsAgainst;
+  EXPECT_GE(given.mAnswer.mRetryAfter, row.mMinRetryAfter) << row.mGuardsAgainst;
+  EXPECT_LE(given.mAnswer.mRetryAfter, row.mMaxRetryAfter) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  deferred_test,
+  ::testing::Values(deferred_row{ "a request waits although no replica takes it in time",
+                                  PlainRoute("a", true),
+                                  { "a" },
+                                  answer_kind::NotRun,
+                                  0,
+                                  milliseconds(1),
+                                  0,
+                                  milliseconds(1000),
+                                  milliseconds(2000) },
+                    deferred_row{ "a gather is refused although enough parts can be had",
+                                  GatherRoute(kFour, 0.75),
+                                  { "a" },
+                                  answer_kind::Gathered,
+                                  1,
+                                  milliseconds(20),
+                                  3,
+                                  milliseconds(0),
+                                  milliseconds(0) },
+                    deferred_row{ "parts of a gather that cannot succeed are sent",
+                                  GatherRoute(kFour, 0.75),
+                                  { "c", "d" },
+                                  answer_kind::NotRun,
+                                  0,
+                                  milliseconds(1),
+                                  0,
+                                  milliseconds(1000),
+                                  milliseconds(2000) }));
+
+TEST(forwarding, PartsWithoutReplicaRefuseTheGatherBeforeAnythingIsSent)
+{
+  // Guards against work for a gather that cannot succeed because too many services have no replica.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b" });
+  rig.Publish(ConfigurationItem(7, { GatherRoute(kFour, 0.75) }));
+  rig.RunFor(seconds(1));
+  rig.SendRequest(1, "/q/x");
+  EXPECT_TRUE(rig.mSent.empty());
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U);
+  EXPECT_EQ(rig.mAnswers[1].front().mAnswer.mKind, answer_kind::NotRun);
+}
+
 struct client_row
 {
   const char* mGuardsAgainst;
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -26,6 +26,8 @@
   reply_pointer mFailure; // the last unsuccessful reply
   bool mGivenUp = false;
   instant mNextAttemptAt{}; // time of the next attempt at the earliest
+  // When given up because no replica takes requests now: when one does again, or kNever.
+  instant mAcceptedAt = kNever;
 
   auto operator<=>(const forward_part&) const = default;
 };
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -95,7 +95,8 @@
 
 replica_load LoadOf(const replica_load* aKnown, const replica_entry& aReplica)
 {
-  if (aKnown != nullptr && aKnown->mBornMs == aReplica.mBornMs) {
+  if (aKnown != nullptr && (aKnown->mBornMs == aReplica.mBornMs ||
+                            (aKnown->mLeaving && aKnown->mBornMs > aReplica.mBornMs))) {
     return *aKnown;
   }
   replica_load load;
@@ -169,6 +170,21 @@
   return WithoutAttempt(aLoad, aKey, attempt);
 }
 
+replica_load WithNotice(const replica_load& aLoad, const replica_notice& aNotice, instant aNow)
+{
+  replica_load next = aLoad;
+  next.mLeaving = aLoad.mLeaving || aNotice.mLeaving;
+  if (aNotice.mRetryAfter > micros(0)) {
+    next.mRetryAt = std::max(aLoad.mRetryAt, aNow + aNotice.mRetryAfter);
+  }
+  return next;
+}
+
+instant AcceptsRequestsAt(const replica_load& aLoad)
+{
+  return aLoad.mLeaving || aLoad.mAddressTaken ? kNever : aLoad.mRetryAt;
+}
+
 double LatencyRatioAt(const replica_load& aLoad, instant aNow)
 {
   return 1 + (aLoad.mLatencyRatio - 1) * Decay(aLoad.mLatencyRatioAt, aNow);
--- a/src/forward/replica_load.h
+++ b/src/forward/replica_load.h
@@ -53,12 +53,15 @@
   std::uint32_t mConnections = kInitialConnections;
   std::uint32_t mAnswersSinceChange = 0; // since the last change of mConnections
   instant mLastAnswerAt{};
+  bool mLeaving = false; // the process said that it ends soon
+  instant mRetryAt{};    // the process wants no requests from this daemon before this time
 
   auto operator<=>(const replica_load&) const = default;
 };
 
 // The known load of this start of the replica, or an empty load when aKnown is null or belongs to
-// another start.
+// another start. An entry of an earlier start than one that is leaving does not undo that: the
+// earlier process has ended.
 replica_load LoadOf(const replica_load* aKnown, const replica_entry& aReplica);
 
 replica_load WithSend(const replica_load& aLoad,
@@ -75,6 +78,14 @@
 // Removes an attempt whose client disconnected; it is no evidence about the replica.
 replica_load WithAbandoned(const replica_load& aLoad, const attempt_key& aKey);
 
+// Adds what the replica said about itself. A later reply cannot take back that it is leaving, or
+// shorten a time that it asked for.
+replica_load WithNotice(const replica_load& aLoad, const replica_notice& aNotice, instant aNow);
+
+// When the replica takes requests from this daemon again: the time that it asked for, or kNever
+// when it is leaving or another process has its address.
+instant AcceptsRequestsAt(const replica_load& aLoad);
+
 // Latency ratio and failure share, decayed towards 1 and 0 since their last update, so that a
 // replica is tried again some time after it was slow or failed.
 double LatencyRatioAt(const replica_load& aLoad, instant aNow);
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -66,6 +66,32 @@
 {
 }
 
+void request_step::Begin()
+{
+  const auto deferrals = mContext.mBoard.Read<replica_deferrals>(kDeferralsKey);
+  const bool deferred = deferrals && deferrals->mLatest > mContext.Now();
+  for (std::uint32_t i = 0; i < mState.mParts.size(); ++i) {
+    const forward_part& part = *mState.mParts[i];
+    if (!deferred && mCatalog->mReplicas.contains(part.mService)) {
+      continue;
+    }
+    const candidate_list candidates = Candidates(part);
+    if (candidates.mReady.empty() && candidates.mNextAt >= UsefulUntil()) {
+      forward_part next = part;
+      next.mGivenUp = true;
+      next.mAcceptedAt = candidates.mNextAt;
+      mState = WithPart(std::move(mState), i, std::move(next));
+    }
+  }
+  // Nothing is sent for a request that cannot succeed.
+  if (HasEnoughParts(mState, PendingParts(mState))) {
+    Run();
+    return;
+  }
+  AnswerFailure(answer_kind::NotRun);
+  Store();
+}
+
 void request_step::Run()
 {
   if (!mState.mAnswered) {
@@ -116,9 +142,9 @@
   return input;
 }
 
-std::vector<choice_candidate> request_step::Candidates(const forward_part& aPart) const
+request_step::candidate_list request_step::Candidates(const forward_part& aPart) const
 {
-  std::vector<choice_candidate> candidates;
+  candidate_list candidates;
   const auto replicas = mCatalog->mReplicas.find(aPart.mService);
   if (replicas == mCatalog->mReplicas.end()) {
     return candidates;
@@ -130,9 +156,12 @@
     }
     const auto known = mContext.mBoard.Read<replica_load>(replica->mId);
     replica_load load = LoadOf(known.get(), *replica);
-    if (!load.mAddressTaken) {
-      candidates.push_back(
+    const instant acceptsAt = AcceptsRequestsAt(load);
+    if (acceptsAt <= mContext.Now()) {
+      candidates.mReady.push_back(
         { replica, std::move(load), static_cast<double>(mContext.Random(1000)) / 1000.0 });
+    } else {
+      candidates.mNextAt = std::min(candidates.mNextAt, acceptsAt);
     }
   }
   return candidates;
@@ -147,6 +176,11 @@
     });
 }
 
+instant request_step::UsefulUntil() const
+{
+  return (mContext.Now() < mState.mPartialAt ? mState.mPartialAt : mState.mDeadline) - kMinTimeLeft;
+}
+
 bool request_step::MayRepeat(const forward_part& aPart) const
 {
   const std::size_t run = PossiblyRunAttempts(aPart);
@@ -186,11 +220,13 @@
 
 forward_part request_step::SendPart(std::uint32_t aIndex, forward_part aPart, const char* aReason)
 {
-  const std::vector<choice_candidate> candidates = Candidates(aPart);
+  const auto [candidates, nextAt] = Candidates(aPart);
   const bool open = OpenAttempts(aPart) > 0;
   if (candidates.empty()) {
-    aPart.mGivenUp = !open;
-    aPart.mNextAttemptAt = kNever;
+    const bool worthWaiting = nextAt < UsefulUntil();
+    aPart.mGivenUp = !open && !worthWaiting;
+    aPart.mAcceptedAt = nextAt;
+    aPart.mNextAttemptAt = worthWaiting ? nextAt : kNever;
     return aPart;
   }
   const choice_input input = ChoiceInput(aPart.mService);
@@ -327,12 +363,31 @@
     answer.mReply = first.mFailure;
   } else {
     answer.mKind = aKind;
-    answer.mRetryAfter = kRetryAfter;
+    answer.mRetryAfter = RetryAfter();
     answer.mReason = { "forward", first.mService, MissingText() };
   }
   Answer(std::move(answer));
 }
 
+micros request_step::RetryAfter() const
+{
+  std::vector<instant> acceptedAt;
+  for (const part_pointer& part : mState.mParts) {
+    if (part->mGivenUp && part->mAcceptedAt != kNever) {
+      acceptedAt.push_back(part->mAcceptedAt);
+    }
+  }
+  std::sort(acceptedAt.begin(), acceptedAt.end());
+  // The request can succeed as soon as enough of the parts have a replica again.
+  const std::size_t pending = PendingParts(mState);
+  for (std::size_t i = 0; i < acceptedAt.size(); ++i) {
+    if (HasEnoughParts(mState, pending + i + 1)) {
+      return std::max(kRetryAfter, acceptedAt[i] - mContext.Now());
+    }
+  }
+  return kRetryAfter;
+}
+
 std::string request_step::MissingText() const
 {
   std::string text;
--- a/src/forward/request_step.h
+++ b/src/forward/request_step.h
@@ -32,10 +32,23 @@
 // Entry key of the repeat_budget of a service.
 std::string BudgetKey(const std::string& aService);
 
+// The latest time that any replica asked to wait for. Entry key: kDeferralsKey.
+struct replica_deferrals
+{
+  instant mLatest{};
+
+  auto operator<=>(const replica_deferrals&) const = default;
+};
+
+inline constexpr char kDeferralsKey[] = "deferrals";
+
 class request_step
 {
 public:
   request_step(core_context& aContext, const forward_hooks& aHooks, forward_state aState);
+  // Starts a new request. Refuses it before anything is sent when too many parts have no replica
+  // that takes requests in time.
+  void Begin();
   // Advances all parts, answers the request when the answer is due, and stores the state.
   void Run();
 
@@ -45,7 +58,15 @@
 private:
   micros Expected() const;
   choice_input ChoiceInput(const std::string& aService) const;
-  std::vector<choice_candidate> Candidates(const forward_part& aPart) const;
+  struct candidate_list
+  {
+    std::vector<choice_candidate> mReady;
+    instant mNextAt = kNever; // when the first of the others takes requests again
+  };
+
+  candidate_list Candidates(const forward_part& aPart) const;
+  // Until when an attempt that starts then can still improve the answer.
+  instant UsefulUntil() const;
   // Whether the part must not be sent to the replica again. A replica that rejected the part may
   // have capacity later and does not count as tried.
   static bool HasTried(const forward_part& aPart, const replica_entry& aReplica);
@@ -54,7 +75,8 @@
   // Sends the first attempt, a retry or a hedge if it is due, or gives the part up.
   forward_part AdvancePart(std::uint32_t aIndex, forward_part aPart);
   // Sends the part to the replica with the lowest cost. Waits when no replica has capacity or the
-  // budget is used up; gives the part up when no attempt is open and no replica is left.
+  // budget is used up, or until a replica takes requests again in time; gives the part up when no
+  // attempt is open and no replica is left.
   forward_part SendPart(std::uint32_t aIndex, forward_part aPart, const char* aReason);
   // Takes a repeat from the budget of the service unless aShare of it is used up.
   bool TakeRepeat(const std::string& aService, double aShare);
@@ -64,6 +86,8 @@
   void UpdateAdmission();
   void AnswerSuccess();
   void AnswerFailure(answer_kind aKind);
+  // Time after which the client can expect an answer.
+  micros RetryAfter() const;
   // Comma-separated "service:last attempt_end" of the parts without a reply.
   std::string MissingText() const;
   void Answer(forward_answer aAnswer);
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -286,23 +286,30 @@
 
 void edge_daemon::Execute(const send_attempt& aCommand)
 {
-  const auto report =
-    [this, key = aCommand.mKey, replica = aCommand.mReplica, sentAt = SteadyNow()](
-      attempt_end aEnd, reply_pointer aReply, reason aReason, bool aNewConnection = false) {
-      mMetrics.CountAttempt(ToString(aEnd), SteadyNow() - sentAt);
-      mDriver.Post(
-        attempt_ended{ key, replica, aEnd, std::move(aReply), std::move(aReason), aNewConnection });
-    };
+  const auto report = [this,
+                       key = aCommand.mKey,
+                       replica = aCommand.mReplica,
+                       sentAt = SteadyNow()](decoded_reply aReply, bool aNewConnection = false) {
+    mMetrics.CountAttempt(ToString(aReply.mEnd), SteadyNow() - sentAt);
+    mDriver.Post(attempt_ended{ key,
+                                replica,
+                                aReply.mEnd,
+                                std::move(aReply.mReply),
+                                std::move(aReply.mReason),
+                                aNewConnection,
+                                aReply.mNotice });
+  };
   std::shared_ptr<const http_message> message;
   mRequests.With(aCommand.mKey.mRequest,
                  [&message](const pending_request& aPending) { message = aPending.mMessage; });
   const micros left = aCommand.mDeadline - SteadyNow();
   if (!message || left <= micros(0)) {
-    report(attempt_end::NotSent,
-           nullptr,
-           { "send",
-             aCommand.mReplica->mId,
-             message ? "the deadline has passed" : "the request is no longer pending" });
+    report({ attempt_end::NotSent,
+             nullptr,
+             { "send",
+               aCommand.mReplica->mId,
+               message ? "the deadline has passed" : "the request is no longer pending" },
+             {} });
     return;
   }
   pool_request request;
@@ -318,15 +325,15 @@
                              id != nullptr ? *id : std::string()](const http_message& aReply) {
     return MatchesRequestId(aReply, requestId);
   };
-  mReplicaPool.Start(
-    std::move(request), [report, replica = aCommand.mReplica](const pool_result& aResult) {
-      if (aResult.mOutcome != pool_outcome::Answered) {
-        report(ToAttemptEnd(aResult.mOutcome), nullptr, aResult.mReason, aResult.mNewConnection);
-        return;
-      }
-      decoded_reply decoded = DecodeReply(aResult.mReply, replica->mId);
-      report(decoded.mEnd, std::move(decoded.mReply), std::move(decoded.mReason));
-    });
+  mReplicaPool.Start(std::move(request),
+                     [report, replica = aCommand.mReplica](const pool_result& aResult) {
+                       if (aResult.mOutcome != pool_outcome::Answered) {
+                         report({ ToAttemptEnd(aResult.mOutcome), nullptr, aResult.mReason, {} },
+                                aResult.mNewConnection);
+                         return;
+                       }
+                       report(DecodeReply(aResult.mReply, replica->mId));
+                     });
 }
 
 void edge_daemon::Execute(const answer_request& aCommand)
--- a/src/platform/protocol_names.h
+++ b/src/platform/protocol_names.h
@@ -17,6 +17,8 @@
 inline constexpr char kShardStampsHeader[] = "X-Shard-Stamps";
 inline constexpr char kMissingShardsHeader[] = "X-Missing-Shards";
 inline constexpr char kRetryAfterHeader[] = "Retry-After"; // seconds, may be fractional
+// If "1", the replica is about to end and takes no new requests.
+inline constexpr char kServerLeavingHeader[] = "Server-Leaving";
 
 // Paths that this daemon serves.
 inline constexpr char kReadinessPath[] = "/readiness";
--- a/src/platform/request_codec.cc
+++ b/src/platform/request_codec.cc
@@ -9,7 +9,9 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <charconv>
+#include <cmath>
 #include <cstdio>
+#include <cstring>
 #include <utility>
 
 namespace redwingdock::platform {
@@ -65,12 +67,45 @@
   const char* end = aText.data() + aText.size();
   const auto [rest, error] = std::from_chars(aText.data(), end, ms);
   constexpr double kMaxMs = 24.0 * 3600 * 1000;
-  if (error != std::errc() || rest != end || ms <= 0 || ms > kMaxMs) {
+  // The negated comparison also excludes "nan", which std::from_chars accepts.
+  if (error != std::errc() || rest != end || !(ms > 0 && ms <= kMaxMs)) {
     return micros(0);
   }
   return micros(static_cast<std::int64_t>(ms * 1000));
 }
 
+// Parses seconds, which may be fractional. Returns 0 if the text is empty, a date or malformed, and
+// at most kMaxRetryAfter.
+micros ParseRetryAfter(const std::string& aText)
+{
+  // A replica that asks for more is started again or its entry is removed before that.
+  constexpr micros kMaxRetryAfter = std::chrono::hours(1);
+  constexpr double kMicrosPerSecond = 1e6;
+  double seconds = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, seconds, std::chars_format::fixed);
+  // The check of the first character excludes signs, "inf" and "nan".
+  if (rest != end || aText.empty() || std::strchr("0123456789.", aText.front()) == nullptr) {
+    return micros(0);
+  }
+  const double limit = std::chrono::duration<double>(kMaxRetryAfter).count();
+  if (error == std::errc::result_out_of_range || seconds > limit) {
+    return kMaxRetryAfter;
+  }
+  return error == std::errc()
+           ? micros(static_cast<std::int64_t>(std::ceil(seconds * kMicrosPerSecond)))
+           : micros(0);
+}
+
+replica_notice DecodeNotice(const http_message& aMessage)
+{
+  constexpr unsigned kUnavailable = 503;
+  return { FieldValue(aMessage, kServerLeavingHeader) == "1",
+           aMessage.mStatus == kUnavailable
+             ? ParseRetryAfter(FieldValue(aMessage, kRetryAfterHeader))
+             : micros(0) };
+}
+
 std::string FormatSeconds(micros aTime)
 {
   char text[32];
@@ -127,18 +162,19 @@
              nullptr,
              { "send", aReplica, "another process answered at the address of the replica" } };
   }
+  const replica_notice notice = DecodeNotice(aMessage);
   if (aMessage.Find(kNotExecutedHeader) != nullptr) {
     return { attempt_end::Rejected,
              nullptr,
              { "send",
                aReplica,
-               "the replica did not run the request, status " +
-                 std::to_string(aMessage.mStatus) } };
+               "the replica did not run the request, status " + std::to_string(aMessage.mStatus) },
+             notice };
   }
   if (aMessage.Find("Content-Encoding") != nullptr) {
-    return { attempt_end::Lost,
-             nullptr,
-             { "read reply", aReplica, "unsupported Content-Encoding" } };
+    return {
+      attempt_end::Lost, nullptr, { "read reply", aReplica, "unsupported Content-Encoding" }, notice
+    };
   }
   forward_reply reply;
   reply.mStatus = aMessage.mStatus;
@@ -146,7 +182,8 @@
   if (aMessage.mStatus < 300 && reply.mResponseStamp.empty()) {
     return { attempt_end::Lost,
              nullptr,
-             { "read reply", aReplica, "header X-Response-Stamp is missing or empty" } };
+             { "read reply", aReplica, "header X-Response-Stamp is missing or empty" },
+             notice };
   }
   for (http_field& field : aMessage.mFields) {
     if (!ContainsName(field.mName, kHopByHopFields) &&
@@ -155,7 +192,9 @@
     }
   }
   reply.mBody = std::move(aMessage.mBody);
-  return { attempt_end::Answered, std::make_shared<const forward_reply>(std::move(reply)), {} };
+  return {
+    attempt_end::Answered, std::make_shared<const forward_reply>(std::move(reply)), {}, notice
+  };
 }
 
 http_response EncodeAnswer(const forward_answer& aAnswer)
--- a/src/platform/request_codec.h
+++ b/src/platform/request_codec.h
@@ -33,6 +33,7 @@
   attempt_end mEnd = attempt_end::Lost;
   reply_pointer mReply; // set if mEnd is Answered
   reason mReason;
+  replica_notice mNotice; // empty if another process replied
 };
 
 // aReplica is the id of the replica, for error messages.
--- a/src/platform/request_codec_test.cc
+++ b/src/platform/request_codec_test.cc
@@ -1,5 +1,6 @@
 #include "platform/request_codec.h"
 
+#include <deque>
 #include <gtest/gtest.h>
 
 namespace redwingdock::platform {
@@ -70,6 +71,11 @@
                  "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: soon\r\n\r\n",
                  { "", "h", "/a/", micros(0), 0 },
                  "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: 790\r\n"
+                 "X-Expected-Instance: i-1\r\n\r\n" },
+    request_row{ "a deadline that is no number is converted to one",
+                 "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: nan\r\n\r\n",
+                 { "", "h", "/a/", micros(0), 0 },
+                 "GET /a/ HTTP/1.1\r\nHost: h\r\nX-Deadline-Remaining: 790\r\n"
                  "X-Expected-Instance: i-1\r\n\r\n" }));
 
 struct reply_row
@@ -141,6 +147,77 @@
                attempt_end::Misplaced,
                {} }));
 
+struct notice_row
+{
+  const char* mGuardsAgainst;
+  const char* mHead; // status and fields of the reply
+  replica_notice mNotice;
+};
+
+class notice_test : public testing::TestWithParam<notice_row>
+{};
+
+TEST_P(notice_test, Decoded)
+{
+  const std::string bytes =
+    "HTTP/1.1 " + std::string(GetParam().mHead) + "\r\nContent-Length: 0\r\n\r\n";
+  EXPECT_EQ(DecodeReply(Parse(http_side::Client, bytes), "i-1").mNotice, GetParam().mNotice)
+    << GetParam().mGuardsAgainst;
+}
+
+constexpr char kRejected[] = "503 X\r\nX-Not-Executed: 1\r\nRetry-After: ";
+
+notice_row RetryAfterRow(const char* aGuardsAgainst, const char* aValue, micros aExpected)
+{
+  static std::deque<std::string> heads; // keeps the texts of the rows
+  heads.push_back(kRejected + std::string(aValue));
+  return { aGuardsAgainst, heads.back().c_str(), { false, aExpected } };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  notice_test,
+  testing::Values(
+    notice_row{ "a usual reply is a notice", "200 OK\r\nX-Response-Stamp: s", {} },
+    notice_row{ "a replica that answers and leaves is not noticed",
+                "200 OK\r\nX-Response-Stamp: s\r\nServer-Leaving: 1",
+                { true, micros(0) } },
+    notice_row{ "a replica that fails and leaves is not noticed",
+                "500 X\r\nX-Response-Stamp: s\r\nServer-Leaving: 1",
+                { true, micros(0) } },
+    notice_row{ "a replica that rejects and leaves is not noticed",
+                "503 X\r\nX-Not-Executed: 1\r\nServer-Leaving: 1",
+                { true, micros(0) } },
+    notice_row{ "a reply without signature loses its notice",
+                "200 OK\r\nServer-Leaving: 1",
+                { true, micros(0) } },
+    notice_row{ "another value counts as leaving",
+                "200 OK\r\nX-Response-Stamp: s\r\nServer-Leaving: 0",
+                {} },
+    notice_row{ "the notice of another process counts for the replica",
+                "421 X\r\nServer-Leaving: 1",
+                {} },
+    notice_row{ "a time with another status than 503 counts",
+                "429 X\r\nX-Not-Executed: 1\r\nRetry-After: 2",
+                {} },
+    RetryAfterRow("whole seconds are not read", "3", std::chrono::seconds(3)),
+    RetryAfterRow("fractions are not read", "0.25", std::chrono::milliseconds(250)),
+    RetryAfterRow("a fraction without leading digit is not read", ".5", micros(500'000)),
+    RetryAfterRow("no time is a time", "0", micros(0)),
+    RetryAfterRow("a negative time is a time", "-3", micros(0)),
+    RetryAfterRow("a date is a time", "Wed, 21 Oct 2026 07:28:00 GMT", micros(0)),
+    RetryAfterRow("a number with a unit is a time", "3s", micros(0)),
+    RetryAfterRow("infinity is a time", "inf", micros(0)),
+    RetryAfterRow("a time that is no number is converted", "nan", micros(0)),
+    RetryAfterRow("a long time overflows", "99999999999999999999", std::chrono::hours(1)),
+    RetryAfterRow(
+      "more digits than a double holds end the process",
+      "9999999999999999999999999999999999999999999999999999999999999999999999999999999999"
+      "9999999999999999999999999999999999999999999999999999999999999999999999999999999999"
+      "9999999999999999999999999999999999999999999999999999999999999999999999999999999999"
+      "9999999999999999999999999999999999999999999999999999999999999999999999999999999999",
+      std::chrono::hours(1))));
+
 struct answer_row
 {
   const char* mGuardsAgainst;
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -195,6 +195,7 @@
     return;
   }
   attempt_ended ended{ aCommand.mKey, aCommand.mReplica, action.mEnd };
+  ended.mNotice = action.mNotice;
   if (action.mEnd == attempt_end::Answered) {
     forward_reply reply;
     reply.mStatus = action.mStatus;
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -29,6 +29,7 @@
   unsigned mStatus = 200;
   std::string mBody;
   bool mSilent = false; // sends no response
+  replica_notice mNotice;
 
   auto operator<=>(const replica_action&) const = default;
 };
