Bound replies that never end, and tell a second copy of a reply from the reply to a repeat

Cause: the parser limits header and body, but it leaves chunk extensions, chunk sizes and trailers in the buffer until they are complete, so a server could send those without end into the daemon's memory until the request's deadline. Replies to other requests were skipped without limit, and no limit held for all connections together: 88 replicas with 4 MB each are over the memory of a daemon. A reader now refuses over-long framing, a pool closes a connection after three replies to other requests, and the connection that exceeds 64 MB of incomplete replies over all connections.

A repeat of a request could be sent on the connection on which the server had just rejected it. A late second copy of the rejection carries the same request ID and was taken for the reply to the repeat: a request that runs would have been answered as not run. Repeats now use another connection.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -36,8 +36,9 @@
 
 } // namespace
 
-http_pool::http_pool(io_loop& aLoop)
+http_pool::http_pool(io_loop& aLoop, pool_limits aLimits)
   : mLoop(aLoop)
+  , mLimits(aLimits)
 {
 }
 
@@ -46,24 +47,35 @@
   auto started = std::make_unique<exchange>(exchange{ std::move(aRequest), std::move(aDone) });
   const micros maxIdleAge = started->mRequest.mMaxIdleAge;
   const instant since = maxIdleAge > micros(0) ? SteadyNow() - maxIdleAge : instant{};
-  while (const std::uint64_t idle = TakeIdle(started->mRequest.mAddress, since)) {
+  while (const std::uint64_t idle =
+           TakeIdle(started->mRequest.mAddress, since, started->mRequest.mRepeatKey)) {
     if (SendOn(idle, started)) {
       return;
     }
   }
-  if (maxIdleAge > micros(0)) {
+  // Only old connections, and those that answered an earlier send of the request, can be left.
+  if (maxIdleAge > micros(0) || started->mRequest.mRepeatKey != 0) {
     CloseLeastRecentlyUsed(started->mRequest.mAddress);
   }
   Open(std::move(started));
 }
 
-std::uint64_t http_pool::TakeIdle(const std::string& aAddress, instant aUsedSince)
+std::uint64_t http_pool::TakeIdle(const std::string& aAddress,
+                                  instant aUsedSince,
+                                  std::uint64_t aRepeatKey)
 {
   std::uint64_t taken = 0;
-  mPeers.With(aAddress, [&taken, aUsedSince](peer& aPeer) {
-    if (!aPeer.mIdle.empty() && aPeer.mIdle.back().mLastUsed >= aUsedSince) {
-      taken = aPeer.mIdle.back().mId;
-      aPeer.mIdle.pop_back();
+  mPeers.With(aAddress, [&](peer& aPeer) {
+    const auto usable = [&](const idle_connection& aIdle) {
+      return aIdle.mLastUsed >= aUsedSince &&
+             (aRepeatKey == 0 ||
+              std::find(aIdle.mAnswered.begin(), aIdle.mAnswered.end(), aRepeatKey) ==
+                aIdle.mAnswered.end());
+    };
+    const auto found = std::find_if(aPeer.mIdle.rbegin(), aPeer.mIdle.rend(), usable);
+    if (found != aPeer.mIdle.rend()) {
+      taken = found->mId;
+      aPeer.mIdle.erase(std::next(found).base());
     }
   });
   return taken;
@@ -111,6 +123,7 @@
     mConnectionByRequest.Insert(id, aConnection);
     aState.mReader.SetLimits({ aExchange->mRequest.mReplyLimit });
     aState.mRequestSent = true;
+    aState.mSkippedReplies = 0;
     aState.mTcp->ExpireAfter(aExchange->mRequest.mReplyTimeout);
     aState.mTcp->Send(std::move(aExchange->mRequest.mText));
     aState.mExchange = std::move(aExchange);
@@ -158,37 +171,52 @@
 void http_pool::Received(std::uint64_t aConnection, std::string_view aBytes)
 {
   std::unique_ptr<exchange> done;
-  http_message reply;
+  std::optional<http_message> reply;
   mConnections.With(aConnection, [&](connection& aState) {
     if (!aState.mExchange) {
       aState.mTcp->Close("received bytes without an open request");
       return;
     }
-    http_read_status status = aState.mReader.Feed(aBytes);
-    while (status == http_read_status::Complete) {
-      reply = aState.mReader.Take();
-      const auto& owns = aState.mExchange->mRequest.mMatchesReply;
-      if (!owns || owns(reply)) {
-        done = std::move(aState.mExchange);
-        aState.mUnexpectedBytes = aState.mUnexpectedBytes || aState.mReader.Buffered() > 0;
-        return;
-      }
-      // The server replied twice to an earlier request. The expected reply follows, but the
-      // connection is not reused.
-      aState.mUnexpectedBytes = true;
-      if (!reply.mKeepAlive) {
-        aState.mTcp->Close("received only a reply to another request");
-        return;
-      }
-      status = aState.mReader.Feed({});
-    }
-    if (status == http_read_status::Failed) {
-      aState.mTcp->Close(aState.mReader.Error().mText);
+    reply = ReadReply(aState, aBytes);
+    if (reply) {
+      done = std::move(aState.mExchange);
     }
   });
   if (done) {
-    Finish(aConnection, std::move(reply), std::move(done));
+    Finish(aConnection, std::move(*reply), std::move(done));
+  }
+}
+
+std::optional<http_message> http_pool::ReadReply(connection& aState, std::string_view aBytes)
+{
+  aState.mIncompleteBytes += aBytes.size();
+  mIncompleteBytes += aBytes.size();
+  http_read_status status = aState.mReader.Feed(aBytes);
+  while (status == http_read_status::Complete) {
+    http_message reply = aState.mReader.Take();
+    mIncompleteBytes -= std::exchange(aState.mIncompleteBytes, aState.mReader.Buffered());
+    mIncompleteBytes += aState.mIncompleteBytes;
+    const auto& owns = aState.mExchange->mRequest.mMatchesReply;
+    if (!owns || owns(reply)) {
+      aState.mUnexpectedBytes = aState.mUnexpectedBytes || aState.mReader.Buffered() > 0;
+      return reply;
+    }
+    // The server replied twice to an earlier request. The expected reply follows, but the
+    // connection is not reused.
+    aState.mUnexpectedBytes = true;
+    if (!reply.mKeepAlive || ++aState.mSkippedReplies > mLimits.mSkippedReplies) {
+      aState.mTcp->Close("received only replies to other requests");
+      return std::nullopt;
+    }
+    status = aState.mReader.Feed({});
+  }
+  if (status == http_read_status::Failed) {
+    aState.mTcp->Close(aState.mReader.Error().mText);
+  } else if (mIncompleteBytes > mLimits.mIncompleteBytes) {
+    aState.mTcp->Close("incomplete replies are over " + std::to_string(mLimits.mIncompleteBytes) +
+                       " bytes");
   }
+  return std::nullopt;
 }
 
 // Returns the connection to the pool or closes it, before the hook runs and may start another
@@ -198,7 +226,7 @@
                        std::unique_ptr<exchange> aExchange)
 {
   mConnectionByRequest.Take(aExchange->mRequest.mId);
-  bool idle = false;
+  std::optional<idle_connection> idle;
   mConnections.With(aConnection, [&](connection& aState) {
     if (!aReply.mKeepAlive || aState.mUnexpectedBytes) {
       aState.mTcp->Close("connection is not reusable");
@@ -206,12 +234,14 @@
     }
     aState.mTcp->ExpireAfter(IdleTime(aReply));
     aState.mAnsweredBefore = true;
-    idle = true;
+    std::rotate(
+      aState.mAnswered.begin(), std::prev(aState.mAnswered.end()), aState.mAnswered.end());
+    aState.mAnswered.front() = aExchange->mRequest.mRepeatKey;
+    idle = { aConnection, SteadyNow(), aState.mAnswered };
   });
   if (idle) {
-    mPeers.With(aExchange->mRequest.mAddress, [aConnection](peer& aPeer) {
-      aPeer.mIdle.push_back({ aConnection, SteadyNow() });
-    });
+    mPeers.With(aExchange->mRequest.mAddress,
+                [&idle](peer& aPeer) { aPeer.mIdle.push_back(*idle); });
   }
   aExchange->mDone({ pool_outcome::Answered, false, std::move(aReply), {} });
 }
@@ -222,6 +252,7 @@
   if (!closed) {
     return;
   }
+  mIncompleteBytes -= closed->mIncompleteBytes;
   if (closed->mCounted) {
     Release(closed->mAddress, aConnection);
   }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -5,12 +5,14 @@
 #include "daemon/http_text.h"
 #include "daemon/tcp.h"
 
+#include <array>
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -37,6 +39,20 @@
   // Whether a reply belongs to this request; other replies are skipped. When not set, every reply
   // does.
   std::function<bool(const http_message&)> mMatchesReply;
+  // Equal for repeats of one request; 0 when there are none. A connection on which the server has
+  // replied to one of them is not used for another: a second copy of that reply could not be told
+  // from the reply to the repeat.
+  std::uint64_t mRepeatKey = 0;
+};
+
+struct pool_limits
+{
+  // Bytes of incomplete replies over all connections. The connection that exceeds it is closed.
+  std::size_t mIncompleteBytes = std::size_t{ 64 } * 1024 * 1024;
+  // Complete replies to other requests that are skipped while a request waits for its own.
+  std::uint32_t mSkippedReplies = 3;
+
+  auto operator<=>(const pool_limits&) const = default;
 };
 
 // How a request ended.
@@ -61,7 +77,7 @@
 public:
   using done_hook = std::function<void(const pool_result&)>;
 
-  explicit http_pool(io_loop& aLoop);
+  explicit http_pool(io_loop& aLoop, pool_limits aLimits = {});
   http_pool(const http_pool&) = delete;
   http_pool& operator=(const http_pool&) = delete;
 
@@ -82,6 +98,9 @@
     done_hook mDone;
   };
 
+  // Keys of the latest requests that were answered on a connection.
+  using repeat_keys = std::array<std::uint64_t, 4>;
+
   struct connection
   {
     std::string mAddress;
@@ -92,12 +111,16 @@
     bool mUnexpectedBytes = false;       // other bytes than the expected reply arrived; no reuse
     bool mAnsweredBefore = false;        // an earlier request was answered
     bool mCounted = true;                // included in peer::mCount
+    std::size_t mIncompleteBytes = 0;    // received since the last complete reply
+    std::uint32_t mSkippedReplies = 0;   // since the request was sent
+    repeat_keys mAnswered{};
   };
 
   struct idle_connection
   {
     std::uint64_t mId = 0;
     instant mLastUsed{};
+    repeat_keys mAnswered{};
   };
 
   // Connections to one address.
@@ -107,9 +130,11 @@
     std::uint32_t mCount = 0;
   };
 
-  // Removes and returns an idle connection whose last reply came at aUsedSince or later; 0 when
-  // there is none.
-  std::uint64_t TakeIdle(const std::string& aAddress, instant aUsedSince = {});
+  // Removes and returns the most recently used idle connection whose last reply came at aUsedSince
+  // or later and that has not answered a request with the key; 0 when there is none.
+  std::uint64_t TakeIdle(const std::string& aAddress,
+                         instant aUsedSince = {},
+                         std::uint64_t aRepeatKey = 0);
   // Closes the least recently used idle connection.
   void CloseLeastRecentlyUsed(const std::string& aAddress);
   // Counts a new connection to the address; false when aLimit connections exist.
@@ -123,8 +148,13 @@
   void Received(std::uint64_t aConnection, std::string_view aBytes);
   void Finish(std::uint64_t aConnection, http_message aReply, std::unique_ptr<exchange> aExchange);
   void Closed(std::uint64_t aConnection, const tcp_close_info& aInfo);
+  // Reads what the connection received for its request. Returns the reply once it is complete;
+  // closes the connection when a limit is exceeded.
+  std::optional<http_message> ReadReply(connection& aState, std::string_view aBytes);
 
   io_loop& mLoop;
+  const pool_limits mLimits;
+  std::atomic<std::size_t> mIncompleteBytes{ 0 }; // over all connections
   std::atomic<std::uint64_t> mNextConnection{ 0 };
   sharded_map<std::uint64_t, connection> mConnections;
   sharded_map<std::uint64_t, std::uint64_t> mConnectionByRequest; // connection ID by request ID
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -64,7 +64,10 @@
   std::shared_ptr<tcp_listener> mListener;
 };
 
-pool_result SendAndWait(http_pool& aPool, std::uint64_t aId, const std::string& aAddress)
+pool_result SendAndWait(http_pool& aPool,
+                        std::uint64_t aId,
+                        const std::string& aAddress,
+                        std::uint64_t aRepeatKey = 0)
 {
   auto done = std::make_shared<std::promise<pool_result>>();
   pool_request request;
@@ -72,6 +75,7 @@
   request.mAddress = aAddress;
   request.mText = FormatRequest("GET", "/", "h", "");
   request.mReplyTimeout = milliseconds(300);
+  request.mRepeatKey = aRepeatKey;
   request.mMatchesReply = [aId](const http_message& aReply) {
     const std::string* field = aReply.Find("Id");
     return field == nullptr || *field == std::to_string(aId);
@@ -85,6 +89,15 @@
   return "HTTP/1.1 200 OK\r\nId: " + std::to_string(aId) + "\r\n" + aRest;
 }
 
+std::string Repeated(const std::string& aText, std::size_t aTimes)
+{
+  std::string all;
+  for (std::size_t i = 0; i < aTimes; ++i) {
+    all += aText;
+  }
+  return all;
+}
+
 struct pool_row
 {
   const char* mGuardsAgainst;
@@ -100,7 +113,7 @@
 {
   io_loop loop(2);
   scripted_server server(loop, GetParam().mReplies);
-  http_pool pool(loop);
+  http_pool pool(loop, { .mIncompleteBytes = 20'000 });
   loop.Start();
   for (std::size_t i = 0; i < GetParam().mOutcomes.size(); ++i) {
     const pool_result result = SendAndWait(pool, i + 1, server.Address());
@@ -149,6 +162,17 @@
                             { "nonsense\r\n\r\n", Reply(2) },
                             { kBroken, kAnswered },
                             2 },
+                  pool_row{ "replies to other requests are skipped without end",
+                            { Repeated(Reply(9), 100), Reply(2) },
+                            { kBroken, kAnswered },
+                            2 },
+                  pool_row{ "incomplete replies use memory without limit, or are counted after "
+                            "their connection ended",
+                            { Reply(1, "Content-Length: 90000\r\n\r\n" + std::string(30'000, 'x')),
+                              Reply(2, "Content-Length: 90000\r\n\r\n" + std::string(30'000, 'x')),
+                              Reply(3) },
+                            { kBroken, kBroken, kAnswered },
+                            3 },
                   pool_row{ "a request hangs when its connection is closed",
                             { "", Reply(2) },
                             { kBroken, kAnswered },
@@ -195,6 +219,39 @@
       micros(1),
       3 }));
 
+struct repeat_row
+{
+  const char* mGuardsAgainst;
+  std::uint64_t mRepeatKeys[2];
+  std::size_t mConnections;
+};
+
+class repeat_test : public testing::TestWithParam<repeat_row>
+{};
+
+TEST_P(repeat_test, UsesAnotherConnection)
+{
+  io_loop loop(2);
+  scripted_server server(loop, { Reply(1), Reply(2) });
+  http_pool pool(loop);
+  loop.Start();
+  for (const std::uint64_t id : { 1, 2 }) {
+    const pool_result result =
+      SendAndWait(pool, id, server.Address(), GetParam().mRepeatKeys[id - 1]);
+    EXPECT_EQ(result.mOutcome, kAnswered) << GetParam().mGuardsAgainst;
+  }
+  EXPECT_EQ(server.Connections(), GetParam().mConnections) << GetParam().mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  repeat_test,
+  testing::Values(
+    repeat_row{ "a second copy of a rejection is taken for the reply to the repeat", { 5, 5 }, 2 },
+    repeat_row{ "each request opens a connection", { 5, 6 }, 1 },
+    repeat_row{ "requests without repeats open connections", { 0, 0 }, 1 }));
+
 TEST(http_pool, UnresponsiveServerEndsTheRequest)
 {
   // Guards against a request that waits forever for an incomplete reply.
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -20,6 +20,10 @@
 using request_parser = http::request_parser<http::string_body>;
 using reply_parser = http::response_parser<http::string_body>;
 
+// Limit on the bytes of a message, in multiples of its body limit. The framing of a body that is
+// sent in chunks of one byte takes five bytes for each.
+constexpr std::size_t kMaxFramingFactor = 6;
+
 std::string ToString(boost::beast::string_view aText)
 {
   return { aText.data(), aText.size() };
@@ -55,6 +59,7 @@
   std::optional<request_parser> mRequestParser;
   std::optional<reply_parser> mReplyParser;
   std::string mBuffer;
+  std::size_t mParsedBytes = 0; // of the current message
   bool mStarted = false;
   bool mComplete = false;
   bool mFailed = false;
@@ -81,6 +86,7 @@
       const std::size_t used =
         aParser.put(boost::asio::const_buffer(mBuffer.data(), mBuffer.size()), error);
       mBuffer.erase(0, used);
+      mParsedBytes += used;
       if (error == http::error::need_more) {
         break;
       }
@@ -92,12 +98,25 @@
       }
     }
     if (!aParser.is_done()) {
-      return http_read_status::NeedMore;
+      return FailIfOverLimits();
     }
     mComplete = true;
     return http_read_status::Complete;
   }
 
+  // The parser limits the header and the body, but not chunk extensions and trailers, which it
+  // leaves in the buffer until they are complete.
+  http_read_status FailIfOverLimits()
+  {
+    if (mBuffer.size() > mLimits.mHeader) {
+      return Fail(http::error::header_limit);
+    }
+    if (mParsedBytes > mLimits.mHeader + kMaxFramingFactor * mLimits.mBody) {
+      return Fail(http::error::body_limit);
+    }
+    return http_read_status::NeedMore;
+  }
+
   http_read_status Fail(const boost::beast::error_code& aError)
   {
     mFailed = true;
@@ -184,6 +203,7 @@
   }
   self.mRequestParser.reset();
   self.mReplyParser.reset();
+  self.mParsedBytes = 0;
   self.mComplete = false;
   self.mStarted = false;
   return taken;
--- /dev/null
+++ b/src/daemon/http_text_test.cc
@@ -0,0 +1,96 @@
+#include "daemon/http_text.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+constexpr std::size_t kHeaderLimit = 2000;
+constexpr std::size_t kBodyLimit = 5000;
+constexpr std::size_t kReadSize = 1000;
+// Bytes after which a message without end must have been refused. Chunks of one byte take six.
+constexpr std::size_t kMaxBytes = kHeaderLimit + 6 * kBodyLimit + 2 * kReadSize;
+// Bytes that may be kept of it besides the body.
+constexpr std::size_t kMaxBuffered = kHeaderLimit + 2 * kReadSize;
+
+struct endless_row
+{
+  const char* mGuardsAgainst;
+  http_side mSide;
+  std::string mStart;
+  std::string mRepeated;
+};
+
+class endless_test : public testing::TestWithParam<endless_row>
+{};
+
+TEST_P(endless_test, IsRefusedWithinTheLimits)
+{
+  const endless_row& row = GetParam();
+  http_reader reader(row.mSide, { kBodyLimit, kHeaderLimit });
+  std::string bytes;
+  while (bytes.size() < kReadSize) {
+    bytes += row.mRepeated;
+  }
+  std::size_t fed = row.mStart.size();
+  http_read_status status = reader.Feed(row.mStart);
+  while (status == http_read_status::NeedMore && fed <= kMaxBytes) {
+    status = reader.Feed(bytes);
+    fed += bytes.size();
+  }
+  EXPECT_EQ(status, http_read_status::Failed) << row.mGuardsAgainst << " after " << fed;
+  EXPECT_LE(reader.Buffered(), kMaxBuffered) << row.mGuardsAgainst;
+}
+
+constexpr char kChunked[] = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  endless_test,
+  testing::Values(
+    endless_row{ "a first line without end is kept", http_side::Client, "", "x" },
+    endless_row{ "a reason phrase without end is kept", http_side::Client, "HTTP/1.1 200 ", "x" },
+    endless_row{ "empty lines without end are kept", http_side::Client, "", "\r\n" },
+    endless_row{ "fields without end are kept",
+                 http_side::Client,
+                 "HTTP/1.1 200 OK\r\n",
+                 "A: b\r\n" },
+    endless_row{ "a field without end is kept", http_side::Client, "HTTP/1.1 200 OK\r\nA: ", "b" },
+    endless_row{ "a body with a length over the limit is kept",
+                 http_side::Client,
+                 "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+                 "x" },
+    endless_row{ "a body without length or end is kept",
+                 http_side::Client,
+                 "HTTP/1.1 200 OK\r\n\r\n",
+                 "x" },
+    endless_row{ "chunks without end are kept", http_side::Client, kChunked, "4\r\nabcd\r\n" },
+    endless_row{ "a chunk without end is kept",
+                 http_side::Client,
+                 std::string(kChunked) + "ffffffff\r\n",
+                 "x" },
+    endless_row{ "a chunk size without end is kept", http_side::Client, kChunked, "0" },
+    endless_row{ "a chunk extension without end is kept",
+                 http_side::Client,
+                 std::string(kChunked) + "4;a=",
+                 "b" },
+    endless_row{ "empty chunk extensions without end are kept",
+                 http_side::Client,
+                 std::string(kChunked) + "4",
+                 ";a" },
+    endless_row{ "trailer fields without end are kept",
+                 http_side::Client,
+                 std::string(kChunked) + "0\r\n",
+                 "A: b\r\n" },
+    endless_row{ "a trailer field without end is kept",
+                 http_side::Client,
+                 std::string(kChunked) + "0\r\nA: ",
+                 "b" },
+    endless_row{ "a request line without end is kept", http_side::Server, "GET /", "x" },
+    endless_row{ "a chunk extension of a request without end is kept",
+                 http_side::Server,
+                 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+                 "b" }));
+
+} // namespace
+} // namespace redwingdock
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -320,6 +320,7 @@
   request.mMaxIdleAge = aCommand.mMaxIdleAge;
   request.mConnectTimeout = kConnectTimeout;
   request.mReplyTimeout = left;
+  request.mRepeatKey = aCommand.mKey.mRequest;
   const std::string* id = message->Find(kAttemptIdHeader);
   request.mMatchesReply = [requestId =
                              id != nullptr ? *id : std::string()](const http_message& aReply) {
