Refuse odd entries of the store one by one

Cause: entries of another writer were only checked for missing fields and types. A warm-up time of 9e15 ms overflowed when it was added to the present time, slots over 32 bits were cut, an ID with a line break added header fields to requests, an ID, zone or service could be of any size and add lines to the log, and an address with a zero byte passed the check. One item with a wrong revision, or a key that is not UTF-8, made the whole listing unreadable, so the daemon no longer followed it.

Numbers and times are bounded, names are printable ASCII of at most 200 bytes, and an item that cannot be read becomes an unreadable value of its key; the other items of the reply are used. Texts from outside are escaped and cut in log lines. Deep nesting was already refused by the parser.

--- a/src/base/yaml_reader.cc
+++ b/src/base/yaml_reader.cc
@@ -67,6 +67,9 @@
     return false;
   }
   const std::string host = aText.substr(0, colon);
+  if (host.find('\0') != std::string::npos) {
+    return false; // inet_pton would read only the bytes before it
+  }
   if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
     in6_addr address{};
     return inet_pton(AF_INET6, host.substr(1, host.size() - 2).c_str(), &address) == 1;
--- a/src/catalog/catalog_controller.cc
+++ b/src/catalog/catalog_controller.cc
@@ -1,5 +1,6 @@
 #include "catalog/catalog_controller.h"
 
+#include "base/log_text.h"
 #include "catalog/routes.h"
 #include "core/controller_facts.h"
 #include "follow/follow_state.h"
@@ -15,9 +16,9 @@
 {
   if (const auto* unreadable = std::get_if<unreadable_value>(&aItem.mValue)) {
     aContext.Log("catalog",
-                 "event=unreadable key=\"" + aItem.mKey +
-                   "\" revision=" + std::to_string(aItem.mRevision) + " reason=\"" +
-                   Describe(unreadable->mReason) + "\"",
+                 "event=unreadable key=" + Quoted(aItem.mKey) +
+                   " revision=" + std::to_string(aItem.mRevision) +
+                   " reason=" + Quoted(Describe(unreadable->mReason)),
                  log_level::Warning);
   }
 }
@@ -82,7 +83,7 @@
     for (const std::string& zone : next.mClosedZones) {
       zones += (zones.empty() ? "" : ",") + zone;
     }
-    aContext.Log("catalog", "event=closed_zones zones=\"" + zones + "\"");
+    aContext.Log("catalog", "event=closed_zones zones=" + Quoted(zones));
   }
   return next;
 }
--- a/src/forward/crash_controller.cc
+++ b/src/forward/crash_controller.cc
@@ -1,9 +1,9 @@
 #include "forward/crash_controller.h"
 
+#include "base/log_text.h"
 #include "core/controller_facts.h"
 #include "forward/crash_record.h"
 #include "forward/forward_state.h"
-#include "forward/log_text.h"
 #include "forward/replica_load.h"
 
 #include <utility>
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -1,11 +1,11 @@
 #include "forward/forward_controller.h"
 
+#include "base/log_text.h"
 #include "catalog/routes.h"
 #include "core/controller_facts.h"
 #include "forward/admission.h"
 #include "forward/client_timeout.h"
 #include "forward/crash_controller.h"
-#include "forward/log_text.h"
 #include "forward/request_step.h"
 
 #include <algorithm>
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -1,9 +1,9 @@
 #include "forward/request_step.h"
 
+#include "base/log_text.h"
 #include "core/controller_facts.h"
 #include "forward/admission.h"
 #include "forward/gather.h"
-#include "forward/log_text.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/platform/store_codec.cc
+++ b/src/platform/store_codec.cc
@@ -4,10 +4,12 @@
 #include "base/yaml_reader.h"
 #include "platform/protocol_names.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/parse.hpp>
 #include <cmath>
+#include <limits>
 #include <optional>
 #include <utility>
 
@@ -17,6 +19,17 @@
 
 namespace json = boost::json;
 
+// Whether the text has 1 to 200 bytes, all printable ASCII other than space, quote and backslash.
+bool IsName(std::string_view aText)
+{
+  constexpr std::size_t kMaxNameBytes = 200;
+  return !aText.empty() && aText.size() <= kMaxNameBytes &&
+         std::all_of(aText.begin(), aText.end(), [](char aChar) {
+           const auto byte = static_cast<unsigned char>(aChar);
+           return byte > 0x20 && byte < 0x7f && aChar != '"' && aChar != '\\';
+         });
+}
+
 // Reads the fields of one JSON object and keeps the first error.
 class object_reader
 {
@@ -65,10 +78,36 @@
     return static_cast<std::uint64_t>(number);
   }
 
+  std::uint32_t Count(const char* aName, std::uint32_t aDefault, bool aRequired = false)
+  {
+    const std::uint64_t number = UnsignedInteger(aName, aDefault, aRequired);
+    if (number > std::numeric_limits<std::uint32_t>::max()) {
+      SetError(aName, "is over 4294967295");
+      return aDefault;
+    }
+    return static_cast<std::uint32_t>(number);
+  }
+
+  // Times of over a day are refused: they cannot be added to a point in time without a check.
   micros Milliseconds(const char* aName, micros aDefault, bool aRequired = false)
   {
-    return micros(static_cast<std::int64_t>(
-      Number(aName, static_cast<double>(aDefault.count()) / 1000, aRequired) * 1000));
+    constexpr double kMaxMs = 24.0 * 3600 * 1000;
+    const double ms = Number(aName, static_cast<double>(aDefault.count()) / 1000, aRequired);
+    if (ms > kMaxMs) {
+      SetError(aName, "is over a day");
+      return aDefault;
+    }
+    return micros(static_cast<std::int64_t>(ms * 1000));
+  }
+
+  // A name, which becomes part of keys, log lines and header fields.
+  std::string Name(const char* aName)
+  {
+    std::string name = String(aName);
+    if (!name.empty() && !IsName(name)) {
+      SetError(aName, "is not a name");
+    }
+    return name;
   }
 
   const json::array* Array(const char* aName, bool aRequired)
@@ -110,7 +149,11 @@
 std::optional<json::value> ParseObject(std::string_view aBytes)
 {
   boost::system::error_code error;
-  json::value value = json::parse(json::string_view(aBytes.data(), aBytes.size()), error);
+  json::parse_options options;
+  // A key that is not valid UTF-8 must not make the listing that contains it unreadable.
+  options.allow_invalid_utf8 = true;
+  json::value value =
+    json::parse(json::string_view(aBytes.data(), aBytes.size()), error, {}, options);
   if (error || !value.is_object()) {
     return std::nullopt;
   }
@@ -136,8 +179,7 @@
       aRoute.mServices.push_back({ std::string(each.get_string()), 1 });
     }
     aRoute.mGather =
-      gather_rule{ static_cast<std::uint32_t>(aReader.UnsignedInteger("topK", 0, true)),
-                   aReader.Number("minimumSuccessShare", 1) };
+      gather_rule{ aReader.Count("topK", 0, true), aReader.Number("minimumSuccessShare", 1) };
     return;
   }
   if (const json::array* split = aReader.Array("trafficSplit", false)) {
@@ -177,8 +219,8 @@
   }
   route.mTimeout = reader.Milliseconds("timeoutMs", micros(0), true);
   route.mTargetLatency = reader.Milliseconds("targetLatencyMs", route.mTimeout);
-  route.mMaxAttempts = static_cast<std::uint32_t>(reader.UnsignedInteger("maxAttempts", 1));
-  route.mPriority = static_cast<std::uint32_t>(reader.UnsignedInteger("priority", 0));
+  route.mMaxAttempts = reader.Count("maxAttempts", 1);
+  route.mPriority = reader.Count("priority", 0);
   if (reader.Error()) {
     return "route \"" + route.mName + "\": " + *reader.Error();
   }
@@ -194,8 +236,7 @@
   object_reader reader(aValue.get_object());
   service_limits service;
   service.mName = reader.String("name");
-  service.mConnectionLimit =
-    static_cast<std::uint32_t>(reader.UnsignedInteger("connectionLimit", 0));
+  service.mConnectionLimit = reader.Count("connectionLimit", 0);
   service.mColdRate = reader.Number("warmupPerS", 0);
   if (reader.Error()) {
     return "service \"" + service.mName + "\": " + *reader.Error();
@@ -259,10 +300,10 @@
   object_reader reader(root->get_object());
   replica_entry entry;
   entry.mId = aId;
-  entry.mService = reader.String("service");
+  entry.mService = reader.Name("service");
   entry.mAddress = reader.String("address");
-  entry.mZone = reader.String("zone");
-  entry.mSlots = static_cast<std::uint32_t>(reader.UnsignedInteger("slots", 1, true));
+  entry.mZone = reader.Name("zone");
+  entry.mSlots = reader.Count("slots", 1, true);
   entry.mWarmupRemaining = reader.Milliseconds("warmupRemainingMs", micros(0));
   entry.mSequence = reader.UnsignedInteger("sequence", 0, true);
   entry.mBornMs = static_cast<std::int64_t>(reader.UnsignedInteger("born", 0));
@@ -271,6 +312,9 @@
   if (state != "ready" && state != "draining") {
     reader.SetError("state", "is neither \"ready\" nor \"draining\"");
   }
+  if (!IsName(aId)) {
+    reader.SetError("id", "is not a name");
+  }
   if (!IsAddress(entry.mAddress)) {
     reader.SetError("address", "is not an address of the form ip:port");
   }
@@ -294,10 +338,13 @@
   const json::value* deleted = reader.Find("deleted", false);
   const bool isDeleted = deleted != nullptr && deleted->is_bool() && deleted->get_bool();
   const std::string value = isDeleted ? std::string() : reader.String("value", false);
-  if (reader.Error()) {
-    return Failure<store_item_pointer>(kStep, item.mKey, *reader.Error());
+  if (item.mKey.empty()) {
+    return Failure<store_item_pointer>(kStep, "", *reader.Error());
   }
-  if (!isDeleted) {
+  if (reader.Error()) {
+    // The other items of the reply can still be used.
+    item.mValue = Unreadable(kStep, *reader.Error());
+  } else if (!isDeleted) {
     const std::optional<std::string> bytes = FromBase64(value);
     item.mValue =
       bytes ? DecodeValue(item.mKey, *bytes) : Unreadable(kStep, "the value is not valid base64");
@@ -347,7 +394,9 @@
     return DecodeConfiguration(aBytes);
   }
   if (aKey.starts_with(kClosedZonePrefix)) {
-    return closed_zone{ aKey.substr(sizeof(kClosedZonePrefix) - 1) };
+    std::string zone = aKey.substr(sizeof(kClosedZonePrefix) - 1);
+    return IsName(zone) ? published_value(closed_zone{ std::move(zone) })
+                        : Unreadable("parse closed zone", "the zone is not a name");
   }
   if (aKey.starts_with(kReplicaPrefix)) {
     return DecodeReplica(aKey.substr(sizeof(kReplicaPrefix) - 1), aBytes);
--- a/src/platform/store_codec_test.cc
+++ b/src/platform/store_codec_test.cc
@@ -16,6 +16,12 @@
   return aText.replace(at, aFrom.size(), aTo);
 }
 
+// Arrays within arrays, without their ends when aClosed is false.
+std::string Nested(std::size_t aDepth, bool aClosed = true)
+{
+  return std::string(aDepth, '[') + std::string(aClosed ? aDepth : 0, ']');
+}
+
 struct replica_row
 {
   const char* mGuardsAgainst;
@@ -50,7 +56,74 @@
     replica_row{ "a sequence with a fraction",
                  WithReplaced(kReplica, R"("sequence":4)", R"("sequence":4.5)") },
     replica_row{ "a start time as a string", WithReplaced(kReplica, "1775133628009", R"("now")") },
-    replica_row{ "a missing zone", WithReplaced(kReplica, R"("zone":"z",)", "") }));
+    replica_row{ "a missing zone", WithReplaced(kReplica, R"("zone":"z",)", "") },
+    replica_row{ "a deeply nested value", Nested(100'000) },
+    replica_row{ "a deeply nested field",
+                 WithReplaced(kReplica, R"("service":"desk")", R"("service":)" + Nested(1000)) },
+    replica_row{ "a deeply nested field with an unknown name",
+                 WithReplaced(kReplica, R"("version":"v1")", R"("note":)" + Nested(1000)) },
+    replica_row{ "a port of 0", WithReplaced(kReplica, ":8080", ":0") },
+    replica_row{ "a port over 65535", WithReplaced(kReplica, ":8080", ":65536") },
+    replica_row{ "a port that wraps around", WithReplaced(kReplica, ":8080", ":4294975376") },
+    replica_row{ "a port with a sign", WithReplaced(kReplica, ":8080", ":-8080") },
+    replica_row{ "an address with a name", WithReplaced(kReplica, "10.128.0.9", "desk.example") },
+    replica_row{ "an address with a zero byte", WithReplaced(kReplica, ":8080", "\\u0000:8080") },
+    replica_row{ "more slots than a count holds",
+                 WithReplaced(kReplica, R"("slots":3)", R"("slots":4294967296)") },
+    replica_row{ "slots beyond any number",
+                 WithReplaced(kReplica, R"("slots":3)", R"("slots":1e999)") },
+    replica_row{ "a warm-up that overflows", WithReplaced(kReplica, "1500", "1e300") },
+    replica_row{ "a warm-up that overflows when it is added to the present time",
+                 WithReplaced(kReplica, "1500", "9e15") },
+    replica_row{
+      "a sequence with too many digits",
+      WithReplaced(kReplica, R"("sequence":4)", R"("sequence":99999999999999999999999)") },
+    replica_row{ "a start time beyond exact integers",
+                 WithReplaced(kReplica, "1775133628009", "1e18") },
+    replica_row{
+      "a zone of a megabyte",
+      WithReplaced(kReplica, R"("zone":"z")", R"("zone":")" + std::string(1'000'000, 'z') + '"') },
+    replica_row{ "a zone that is not UTF-8",
+                 WithReplaced(kReplica, R"("zone":"z")", "\"zone\":\"\xff\"") },
+    replica_row{ "a service with a line break",
+                 WithReplaced(kReplica, R"("desk")", R"("desk\nevent=x")") }));
+
+struct key_row
+{
+  const char* mGuardsAgainst;
+  std::string mKey;
+};
+
+class malformed_key_test : public testing::TestWithParam<key_row>
+{};
+
+TEST_P(malformed_key_test, IsUnreadable)
+{
+  const published_value value = DecodeValue(GetParam().mKey, kReplica);
+  EXPECT_TRUE(std::holds_alternative<unreadable_value>(value)) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  malformed_key_test,
+  testing::Values(key_row{ "a replica without id", "servers/" },
+                  key_row{ "an id that adds a header field to requests",
+                           "servers/i-1\r\nX-Deadline-Remaining: 1" },
+                  key_row{ "an id with a space", "servers/i 1" },
+                  key_row{ "an id with a zero byte", std::string("servers/i\0", 10) },
+                  key_row{ "an id of a megabyte", "servers/" + std::string(1'000'000, 'i') },
+                  key_row{ "a zone that adds a line to the log", "op/evacuate/z\nevent=x" },
+                  key_row{ "no zone", "op/evacuate/" },
+                  key_row{ "an unknown prefix", "other/i-1" }));
+
+TEST(store_codec_test, LastOfRepeatedFieldsCounts)
+{
+  // Guards against an entry with repeated fields that ends the process.
+  const published_value value = DecodeValue(
+    "servers/i-1", WithReplaced(kReplica, R"("sequence":4)", R"("sequence":[],"sequence":5)"));
+  ASSERT_TRUE(std::holds_alternative<replica_entry>(value));
+  EXPECT_EQ(std::get<replica_entry>(value).mSequence, 5U);
+}
 
 TEST(store_codec_test, ReplicaIsRead)
 {
@@ -186,6 +259,24 @@
               true,
               2,
               false },
+    page_row{ "a key that is not UTF-8 makes the whole page fail",
+              "{\"items\":[{\"key\":\"servers/\xff\",\"value\":\"e30=\",\"revision\":9},"
+              R"({"key":"op/evacuate/z","value":"e30=","revision":8}],"asOf":530})",
+              true,
+              2,
+              false },
+    page_row{ "an item with a wrong revision makes the whole page fail",
+              R"({"items":[{"key":"servers/i","value":"e30=","revision":-9},)"
+              R"({"key":"servers/j","value":[],"revision":9},)"
+              R"({"key":"op/evacuate/z","value":"e30=","revision":8}],"asOf":530})",
+              true,
+              3,
+              false },
+    page_row{ "a body nested without end",
+              R"({"items":)" + Nested(100'000, false),
+              false,
+              0,
+              false },
     page_row{ "a truncated body", R"({"items":[)", false, 0, false },
     page_row{ "a body without revision", R"({"items":[]})", false, 0, false },
     page_row{ "items that are not an array", R"({"items":7,"asOf":530})", false, 0, false }));
