--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -13,6 +13,13 @@
   endif()
 endfunction()
 
+# Folders and tests of the code that decides or decodes and does no I/O. The target core_tests builds
+# their tests; they have the label "core".
+set(REDWINGDOCK_CORE_FOLDERS base blackboard catalog codec entry fleet follow forward gate membership
+  permits query safety settings tables)
+set(REDWINGDOCK_CORE_TESTS platform_request_codec_test platform_store_codec_test)
+add_custom_target(core_tests)
+
 # redwingdock_test(NAME base_hash_test SOURCES hash_test.cc DEPS base_hash)
 function(redwingdock_test)
   if(NOT REDWINGDOCK_TESTS)
@@ -31,6 +38,11 @@
   target_compile_definitions(${ARG_NAME} PRIVATE ${ARG_DEFINITIONS})
   add_test(NAME ${ARG_NAME} COMMAND ${ARG_NAME})
   set_tests_properties(${ARG_NAME} PROPERTIES TIMEOUT ${ARG_TIMEOUT})
+  get_filename_component(folder ${CMAKE_CURRENT_SOURCE_DIR} NAME)
+  if(folder IN_LIST REDWINGDOCK_CORE_FOLDERS OR ARG_NAME IN_LIST REDWINGDOCK_CORE_TESTS)
+    set_tests_properties(${ARG_NAME} PROPERTIES LABELS core)
+    add_dependencies(core_tests ${ARG_NAME})
+  endif()
 endfunction()
 
 # redwingdock_benchmark(NAME base_hash_benchmark SOURCES hash_benchmark.cc DEPS base_hash)
--- a/scripts/install.sh
+++ b/scripts/install.sh
@@ -2,7 +2,7 @@
 # Installs the compilers and libraries for the build from Debian packages, unless all are present.
 set -euo pipefail
 packages=(
-  ccache clang-format clang-tidy cmake curl g++ git libbenchmark-dev libboost1.81-dev
+  ccache clang clang-format clang-tidy cmake curl g++ git libbenchmark-dev libboost1.81-dev
   libboost-json1.81-dev libdocopt-dev libgmock-dev libgtest-dev libnghttp2-dev libprotobuf-dev
   librapidcheck-dev libspdlog-dev libxxhash-dev libyaml-cpp-dev ninja-build pkg-config protobuf-compiler
 )
