--- a/scripts/lint.sh
+++ b/scripts/lint.sh
@@ -13,7 +13,7 @@
 cache=${REDWINGDOCK_LINT_CACHE:-${XDG_CACHE_HOME:-$HOME/.cache}/redwingdock-lint}
 mkdir -p "$cache"
 lint_one() {
-  key=$({ cat .clang-tidy "$1"; g++ -std=c++20 -Isrc -I"$2/src/codec/generated" -E -P "$1" 2>/dev/null; } | sha256sum | cut -c1-32)
+  key=$({ cat .clang-tidy "$1"; g++ -std=c++20 -Isrc -isystem src/codec/generated -E -P "$1" 2>/dev/null; } | sha256sum | cut -c1-32)
   [ -e "$cache/$key" ] && return 0
   if output=$(clang-tidy --quiet -p "$2" "$1" 2>/dev/null); then
     : >"$cache/$key"
