Keep the process when work ends with an unexpected error; answer new connections at a stop

An exception in a controller, a command, a connection, an accepted connection or a datagram ended the process. The blackboard now drops the notification, the driver the command, and the loop closes the connection; each is logged (event=unexpected_error) and counted (redwingdock_unexpected_errors), and the next work goes on.

A planned stop closed connections that had not had a request yet, and reset those that were established but not accepted. Both may have their first request on the way. They are now accepted and stay open until the process ends 0.4 s later.

--- a/src/blackboard/blackboard.cc
+++ b/src/blackboard/blackboard.cc
@@ -114,7 +114,7 @@
     batch.swap(target.mQueue);
   }
   for (const detail::notification& item : batch) {
-    Dispatch(item);
+    DispatchGuarded(item);
   }
   bool more = false;
   {
@@ -127,6 +127,19 @@
   }
 }
 
+void blackboard::DispatchGuarded(const detail::notification& aNotification) const
+{
+  if (!mErrorHook) {
+    Dispatch(aNotification);
+    return;
+  }
+  try {
+    Dispatch(aNotification);
+  } catch (const std::exception& error) {
+    mErrorHook("key " + aNotification.mId.mKey + ": " + error.what());
+  }
+}
+
 void blackboard::Dispatch(const detail::notification& aNotification) const
 {
   if (aNotification.mFact) {
--- a/src/blackboard/blackboard.h
+++ b/src/blackboard/blackboard.h
@@ -137,6 +137,14 @@
     return entries;
   }
 
+  // Calls the hook with the text of an exception that leaves a hook of a fact or entry. The
+  // notification is dropped and the next one is processed, so that one unexpected input does not
+  // end the process. Without this hook the exception leaves RunUntilIdle or RunUntilStopped.
+  void OnUnexpectedError(std::function<void(const std::string&)> aHook)
+  {
+    mErrorHook = std::move(aHook);
+  }
+
   // Processes queued notifications on the calling thread until there are none. Deterministic if no
   // other thread uses the blackboard.
   void RunUntilIdle();
@@ -167,12 +175,15 @@
   void Schedule(std::size_t aShard);
   void Process(std::size_t aShard);
   void Dispatch(const detail::notification& aNotification) const;
+  void DispatchGuarded(const detail::notification& aNotification) const;
 
   std::vector<std::unique_ptr<shard>> mShards;
   std::map<std::uint32_t, std::vector<std::function<void(const std::string&, const void*)>>>
     mFactHooks;
   std::map<std::uint32_t, std::vector<std::function<void(const std::string&)>>> mChangeHooks;
 
+  std::function<void(const std::string&)> mErrorHook;
+
   std::mutex mReadyLock; // never held together with a shard lock
   std::condition_variable mReadyCondition;
   std::deque<std::size_t> mReadyShards;
--- a/src/blackboard/blackboard_test.cc
+++ b/src/blackboard/blackboard_test.cc
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <gtest/gtest.h>
+#include <stdexcept>
 #include <thread>
 
 namespace redwingdock {
@@ -116,5 +117,49 @@
     change_row{ "controllers are not notified of an erased entry", { 1, -1 }, 2 },
     change_row{ "controllers are notified when a missing entry is erased", { -1, -1 }, 0 }));
 
+struct error_row
+{
+  const char* mGuardsAgainst;
+  bool mHasHook;
+  int mProcessed; // of three facts, the second of which makes its hook throw
+  int mErrors;
+};
+
+class error_test : public testing::TestWithParam<error_row>
+{};
+
+TEST_P(error_test, DoesNotStopTheShard)
+{
+  blackboard board(1);
+  int processed = 0;
+  int errors = 0;
+  board.OnFact<int>([&processed](const std::string&, const int& aFact) {
+    if (aFact == 2) {
+      throw std::runtime_error("unexpected");
+    }
+    ++processed;
+  });
+  if (GetParam().mHasHook) {
+    board.OnUnexpectedError([&errors](const std::string&) { ++errors; });
+  }
+  for (const int fact : { 1, 2, 3 }) {
+    board.Post("key", fact);
+  }
+  if (GetParam().mHasHook) {
+    board.RunUntilIdle();
+  } else {
+    EXPECT_THROW(board.RunUntilIdle(), std::runtime_error);
+  }
+  EXPECT_EQ(processed, GetParam().mProcessed) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(errors, GetParam().mErrors) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  error_test,
+  testing::Values(
+    error_row{ "one unexpected input ends the process or the work on its shard", true, 2, 1 },
+    error_row{ "an error that nobody handles is hidden", false, 1, 0 }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -60,6 +60,11 @@
 
   void RunUntilIdle() { mContext.mBoard.RunUntilIdle(); }
   void Stop() { mContext.mBoard.Stop(); }
+  // As blackboard::OnUnexpectedError. Call before posting facts.
+  void OnUnexpectedError(std::function<void(const std::string&)> aHook)
+  {
+    mContext.mBoard.OnUnexpectedError(std::move(aHook));
+  }
 
   std::vector<command> TakeCommands() { return mContext.TakeCommands(); }
   instant NextDue() const { return mContext.NextDue(); }
--- a/src/daemon/core_driver.cc
+++ b/src/daemon/core_driver.cc
@@ -27,6 +27,7 @@
 
 void core_driver::Start()
 {
+  mCore.OnUnexpectedError([this](const std::string& aText) { mLoop.ReportUnexpectedError(aText); });
   mCore.Advance(SteadyNow());
   Schedule();
 }
@@ -54,7 +55,12 @@
   mCore.RunUntilIdle();
   const std::lock_guard lock(mRunLock);
   for (command& each : mCore.TakeCommands()) {
-    mExecute(each);
+    try {
+      mExecute(each);
+    } catch (const std::exception& error) {
+      // The other commands must still be carried out, and the timer be set.
+      mLoop.ReportUnexpectedError(error.what());
+    }
   }
   mTimer.Set(std::min(mCore.NextDue(), SteadyNow() + kMaxAdvanceInterval));
 }
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -47,9 +47,12 @@
 void http_server::CloseIdle()
 {
   mClosing = true;
-  mListener.reset();
+  if (mListener) {
+    mListener->AcceptPendingAndStop();
+    mListener.reset();
+  }
   mSessions.ForEach([](std::uint64_t, const session& aSession) {
-    if (aSession.mRequestId == 0 && !aSession.mReader.Started()) {
+    if (aSession.mUsed && aSession.mRequestId == 0 && !aSession.mReader.Started()) {
       aSession.mConnection->CloseAfterSend("daemon is shutting down");
     }
   });
@@ -121,6 +124,7 @@
 {
   http_message request = aSession.mReader.Take();
   aSession.mRequestId = ++mRequestIds;
+  aSession.mUsed = true;
   aSession.mKeepAlive = request.mKeepAlive;
   const http_limits limits = Limits();
   aSession.mReader.SetLimits(limits.mRead);
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -71,7 +71,8 @@
 
   // Makes each connection close after its next reply, which says "Connection: close".
   void AnnounceClose() { mClosing = true; }
-  // Stops accepting connections and closes those without a request. Calls AnnounceClose as well.
+  // Stops accepting connections and closes the idle ones that have had a request. A new connection
+  // stays open: its first request may be on the way. Calls AnnounceClose as well.
   void CloseIdle();
 
   // Unanswered requests, and bytes of replies that the kernel has not accepted yet.
@@ -86,6 +87,7 @@
     http_reader mReader;
     std::uint64_t mRequestId = 0; // the unanswered request, 0 when there is none
     bool mKeepAlive = true;
+    bool mUsed = false; // a request was read
   };
 
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -1,5 +1,6 @@
 #include "daemon/query_daemon.h"
 
+#include "base/log_text.h"
 #include "daemon/logging.h"
 #include "daemon/operator_view.h"
 
@@ -141,6 +142,10 @@
   if (failed) {
     return { std::nullopt, *failed };
   }
+  mLoop.OnUnexpectedError([this](const std::string& aText) {
+    ++mUnexpectedErrors;
+    Log({ log_level::Warning, "daemon", "event=unexpected_error text=" + Quoted(aText) });
+  });
   mLoop.Start();
   mDriver.Start();
   Log({ log_level::Info,
@@ -243,7 +248,8 @@
       { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.PendingRequests()) },
       { "redwingdock_backend_connections", static_cast<double>(mBackends.Connections()) },
       { "redwingdock_peer_messages_dropped", static_cast<double>(mPeers.DroppedMessages()) },
-      { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) } });
+      { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) },
+      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
 }
 
 } // namespace redwingdock
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -11,6 +11,7 @@
 #include "daemon/peer_streams.h"
 #include "settings/settings.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <string>
@@ -85,6 +86,7 @@
   http_server mOperatorServer;
 
   std::atomic<bool> mStopRequested{ false };
+  std::atomic<std::uint64_t> mUnexpectedErrors{ 0 };
   std::mutex mEndLock;
   std::condition_variable mEndCondition;
   end_state mEndState = end_state::Running;
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -94,6 +94,24 @@
     });
   }
 
+  // Runs the loop until it is stopped.
+  void Run()
+  {
+    if (!mErrorHook) {
+      mContext.run();
+      return;
+    }
+    for (bool ended = false; !ended;) {
+      try {
+        mContext.run();
+        ended = true;
+      } catch (const std::exception& error) {
+        mErrorHook(error.what());
+      }
+    }
+  }
+
+  std::function<void(const std::string&)> mErrorHook;
   std::function<void()> mStopHook; // both hooks are set before the threads start
   std::function<void()> mReloadHook;
   bool mWaitingForSignals = false;
@@ -246,7 +264,13 @@
       }
     }
     if (size > 0 && mHooks.mOnBytes) {
-      mHooks.mOnBytes(std::string_view(buffer.data(), size));
+      try {
+        mHooks.mOnBytes(std::string_view(buffer.data(), size));
+      } catch (const std::exception&) {
+        const std::lock_guard lock(mLock);
+        CloseLocked("unexpected error");
+        throw;
+      }
     }
     WaitForBytes();
   }
@@ -470,7 +494,12 @@
       const std::lock_guard lock(aNext->mLock);
       aNext->MarkOpenLocked();
     }
-    mOnAccept(std::make_shared<tcp_connection>(aNext));
+    try {
+      mOnAccept(std::make_shared<tcp_connection>(aNext));
+    } catch (const std::exception&) {
+      Accept();
+      throw;
+    }
     Accept();
   }
 
@@ -483,6 +512,33 @@
     mAcceptRetryTimer.cancel();
   }
 
+  // Closing the acceptor resets connections that the kernel has established and nothing has
+  // accepted yet.
+  void AcceptPendingAndStop()
+  {
+    std::vector<std::shared_ptr<connection_state>> pending;
+    {
+      const std::lock_guard lock(mLock);
+      error_code error;
+      mAcceptor.non_blocking(true, error);
+      while (!error && !mStopped) {
+        auto next = std::make_shared<connection_state>(mContext);
+        mAcceptor.accept(next->mSocket, error);
+        if (!error) {
+          pending.push_back(std::move(next));
+        }
+      }
+    }
+    Stop();
+    for (const std::shared_ptr<connection_state>& each : pending) {
+      {
+        const std::lock_guard lock(each->mLock);
+        each->MarkOpenLocked();
+      }
+      mOnAccept(std::make_shared<tcp_connection>(each));
+    }
+  }
+
   std::mutex mLock;
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
@@ -540,7 +596,7 @@
 void io_loop::Start()
 {
   for (std::size_t i = 0; i < mState->mThreadCount; ++i) {
-    mState->mThreads.emplace_back([this] { mState->mContext.run(); });
+    mState->mThreads.emplace_back([this] { mState->Run(); });
   }
 }
 
@@ -568,6 +624,18 @@
   });
 }
 
+void io_loop::OnUnexpectedError(std::function<void(const std::string&)> aHook)
+{
+  mState->mErrorHook = std::move(aHook);
+}
+
+void io_loop::ReportUnexpectedError(const std::string& aText)
+{
+  if (mState->mErrorHook) {
+    mState->mErrorHook(aText);
+  }
+}
+
 void io_loop::OnStopSignals(std::function<void()> aHook)
 {
   mState->mStopHook = std::move(aHook);
@@ -665,6 +733,11 @@
   mState->Stop();
 }
 
+void tcp_listener::AcceptPendingAndStop()
+{
+  mState->AcceptPendingAndStop();
+}
+
 std::string tcp_listener::Address() const
 {
   return mState->mBoundEndpoint.address().to_string() + ":" +
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -52,6 +52,12 @@
 
   void Post(std::function<void()> aWork);
   void After(micros aDelay, std::function<void()> aWork);
+  // Calls the hook, on a thread of the loop, with the text of an exception that leaves other work
+  // of the loop; a connection whose work it left is closed. Without this hook such an exception
+  // ends the process. Call before Start().
+  void OnUnexpectedError(std::function<void(const std::string&)> aHook);
+  // Passes an error to that hook.
+  void ReportUnexpectedError(const std::string& aText);
   // Calls the hook for each SIGINT and SIGTERM. Call before Start().
   void OnStopSignals(std::function<void()> aHook);
   // Calls the hook for each SIGHUP. Call before Start().
@@ -135,6 +141,9 @@
   tcp_listener(const tcp_listener&) = delete;
   tcp_listener& operator=(const tcp_listener&) = delete;
 
+  // Accepts the connections that are already established, then no more.
+  void AcceptPendingAndStop();
+
   // The bound "ip:port"; for a requested port 0, with the port that the kernel assigned.
   std::string Address() const;
 
--- a/src/daemon/udp_socket.cc
+++ b/src/daemon/udp_socket.cc
@@ -46,7 +46,12 @@
         }
         // Other errors, such as "connection refused", concern an earlier send; keep receiving.
         if (!aError) {
-          self->mOnReceive(std::string_view(self->mBuffer.data(), aSize));
+          try {
+            self->mOnReceive(std::string_view(self->mBuffer.data(), aSize));
+          } catch (const std::exception&) {
+            self->Receive();
+            throw;
+          }
         }
         self->Receive();
       });
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -1,5 +1,6 @@
 #include "platform/edge_daemon.h"
 
+#include "base/log_text.h"
 #include "codec/heartbeat_json.h"
 #include "daemon/logging.h"
 #include "platform/protocol_names.h"
@@ -161,6 +162,10 @@
   if (failed) {
     return { std::nullopt, *failed };
   }
+  mLoop.OnUnexpectedError([this](const std::string& aText) {
+    ++mUnexpectedErrors;
+    Log({ log_level::Warning, "daemon", "event=unexpected_error text=" + Quoted(aText) });
+  });
   mLoop.Start();
   mDriver.Start();
   if (mSettingsReloader) {
@@ -357,7 +362,8 @@
     { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
       { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.PendingRequests()) },
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
-      { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) } });
+      { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
+      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
 }
 
 } // namespace redwingdock::platform
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -11,6 +11,7 @@
 #include "platform/settings_reloader.h"
 #include "platform/store_client.h"
 
+#include <atomic>
 #include <condition_variable>
 #include <mutex>
 #include <string>
@@ -95,6 +96,7 @@
   http_server mMetricsServer;
   std::unique_ptr<settings_reloader> mSettingsReloader;
 
+  std::atomic<std::uint64_t> mUnexpectedErrors{ 0 };
   std::mutex mEndLock;
   std::condition_variable mEndCondition;
   bool mHasEnded = false;
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -318,5 +318,38 @@
   fixture.mDaemon->WaitForEnd();
 }
 
+TEST(edge_daemon, PlannedStopAnswersTheFirstRequestOfANewConnection)
+{
+  // Guards against a planned stop that cuts a connection between its opening and its first request.
+  edge_fixture fixture;
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  auto reader = std::make_shared<http_reader>(http_side::Client, http_read_limits{ 100'000 });
+  auto done = std::make_shared<std::promise<http_message>>();
+  auto delivered = std::make_shared<std::atomic<bool>>(false);
+  tcp_hooks hooks;
+  hooks.mOnBytes = [=](std::string_view aBytes) {
+    if (reader->Feed(aBytes) == http_read_status::Complete && !delivered->exchange(true)) {
+      done->set_value(reader->Take());
+    }
+  };
+  hooks.mOnClosed = [=](const tcp_close_info&) {
+    if (!delivered->exchange(true)) {
+      done->set_value({});
+    }
+  };
+  fixture.mDaemon->RequestStop();
+  // The daemon closes its idle connections 2.3 s after the stop and ends 0.4 s later. The
+  // connection is opened before the first and its request sent between the two.
+  std::shared_ptr<tcp_connection> connection;
+  fixture.mLoop.After(milliseconds(2100), [&] {
+    connection = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
+    fixture.mLoop.After(milliseconds(350), [&] { connection->Send(Request("/p/x")); });
+  });
+  EXPECT_EQ(done->get_future().get().mStatus, 200U);
+  fixture.mDaemon->WaitForEnd();
+  connection->Close("test done");
+}
+
 } // namespace
 } // namespace redwingdock::platform
