Exchange heartbeats by zone in large fleets, and share what daemons observe

With more than 16 peers a daemon now sends to its own zone and to two daemons of other zones, with a report of its zone; what is learnt from another zone is passed on within the zone. Daemons now tell each other what they observed.

A refusal of a crashing request was taken over with its full time, so that two daemons could renew it for each other without end. Heartbeats now state the time that is left.

--- a/src/codec/json_reader.cc
+++ b/src/codec/json_reader.cc
@@ -186,6 +186,60 @@
            String(object, "text", 0, kMaxReasonFieldBytes) };
 }
 
+array_reader::array_reader(json_reader& aReader,
+                           const json::value& aValue,
+                           std::string_view aName,
+                           std::size_t aSize)
+  : mReader(aReader)
+  , mName(aName)
+{
+  const json::array* array = aValue.if_array();
+  if (array == nullptr || array->size() != aSize) {
+    mReader.Fail(Quoted(mName) + " contains a value that is not an array of " +
+                 std::to_string(aSize));
+    return;
+  }
+  mArray = array;
+}
+
+std::string array_reader::String(std::size_t aIndex, std::size_t aMax) const
+{
+  const json::string* text = mArray != nullptr ? (*mArray)[aIndex].if_string() : nullptr;
+  if (text == nullptr || text->empty() || text->size() > aMax) {
+    Fail(aIndex, "is not a string of 1 to " + std::to_string(aMax) + " bytes");
+    return {};
+  }
+  return { text->data(), text->size() };
+}
+
+std::uint64_t array_reader::Integer(std::size_t aIndex, std::uint64_t aMax) const
+{
+  json::error_code error;
+  const bool isNumber = mArray != nullptr && (*mArray)[aIndex].is_number();
+  const auto number =
+    isNumber ? (*mArray)[aIndex].to_number<std::uint64_t>(error) : std::uint64_t{ 0 };
+  if (!isNumber || error || number > aMax) {
+    Fail(aIndex, "is not an integer from 0 to " + std::to_string(aMax));
+    return 0;
+  }
+  return number;
+}
+
+bool array_reader::Bool(std::size_t aIndex) const
+{
+  const bool* flag = mArray != nullptr ? (*mArray)[aIndex].if_bool() : nullptr;
+  if (flag == nullptr) {
+    Fail(aIndex, "is not true or false");
+    return false;
+  }
+  return *flag;
+}
+
+void array_reader::Fail(std::size_t aIndex, const std::string& aText) const
+{
+  mReader.Fail("element " + std::to_string(aIndex) + " of " + Quoted(mName) + " " + aText);
+}
+
 json::object ToJson(const fields& aFields)
 {
   json::object object;
--- a/src/codec/json_reader.h
+++ b/src/codec/json_reader.h
@@ -82,6 +82,29 @@
   std::optional<std::string> mError;
 };
 
+// Reads the elements of an array with a fixed number of them. Errors are kept by the json_reader.
+class array_reader
+{
+public:
+  // The value must be an array of aSize elements; aName is its name in errors.
+  array_reader(json_reader& aReader,
+               const boost::json::value& aValue,
+               std::string_view aName,
+               std::size_t aSize);
+
+  // A string of 1 to aMax bytes, an integer from 0 to aMax, and a flag.
+  std::string String(std::size_t aIndex, std::size_t aMax) const;
+  std::uint64_t Integer(std::size_t aIndex, std::uint64_t aMax) const;
+  bool Bool(std::size_t aIndex) const;
+
+private:
+  void Fail(std::size_t aIndex, const std::string& aText) const;
+
+  json_reader& mReader;
+  const std::string mName;
+  const boost::json::array* mArray = nullptr; // null when the value is malformed
+};
+
 // Names of the enumerators of operation, urgency and server_mode, in their order.
 inline constexpr const char* kOperationNames[] = { "search", "submit" };
 inline constexpr const char* kUrgencyNames[] = { "urgent", "normal", "background" };
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -23,16 +23,49 @@
   std::string mZone;
   bool mServing = false; // has a configuration and is not shutting down
   micros mInterval{ 0 }; // until its next heartbeat
+  // Increases with each heartbeat interval and each change of this state. A relayed report counts
+  // only with a higher number than the known one, so that a daemon that was suspended cannot make a
+  // dead one look alive.
+  std::uint64_t mBeat = 0;
 
   auto operator<=>(const daemon_state&) const = default;
 };
 
+// What the sender of a heartbeat knows of another daemon.
+struct member_report
+{
+  daemon_state mState;
+  micros mAge{ 0 }; // time since the daemon sent this state
+
+  auto operator<=>(const member_report&) const = default;
+};
+
+// A request that crashes its replicas and is refused for a time.
+struct refused_request
+{
+  std::uint64_t mFingerprint = 0;
+  micros mTimeLeft{ 0 }; // of the refusal
+
+  auto operator<=>(const refused_request&) const = default;
+};
+
+// The timeout with which the clients of a route start, as observed by the sender.
+struct observed_timeout
+{
+  std::string mRoute;
+  micros mTimeout{ 0 };
+
+  auto operator<=>(const observed_timeout&) const = default;
+};
+
 // Periodic datagram of one daemon to another.
 struct heartbeat
 {
   daemon_state mSender;
-  std::vector<std::string> mPeers;     // some peer addresses that the sender heard from recently
-  std::vector<std::uint64_t> mRefused; // fingerprints of requests that crash their replicas
+  std::vector<std::string> mPeers; // some peer addresses that the sender heard from recently
+  std::vector<refused_request> mRefused;
+  std::vector<member_report> mMembers;
+  std::vector<observed_timeout> mTimeouts;
 
   auto operator<=>(const heartbeat&) const = default;
 };
@@ -64,7 +97,8 @@
 {
   daemon_state mState;
   instant mHeardAt{};
-  instant mSilentAt{}; // without a further heartbeat it counts as silent after this
+  instant mSilentAt{};  // without a further heartbeat it counts as silent after this
+  bool mIsNews = false; // learnt from another zone and not yet passed on within this daemon's zone
 
   auto operator<=>(const fleet_member&) const = default;
 };
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -36,6 +36,9 @@
   // to the longest one.
   double mHeartbeatRate = 40;
   micros mMaxHeartbeatInterval = std::chrono::milliseconds(1200);
+  // With more peers than this, a daemon sends heartbeats to the daemons of its own zone and to a
+  // few of each other zone, which pass on what they hear.
+  std::size_t mMaxMeshPeers = 16;
   int mMissedHeartbeats = 4; // a daemon that missed this many is not named to callers
   micros mAddressTtl = std::chrono::seconds(60);   // heartbeats to a silent address stop after it
   micros mEntryLifetime = std::chrono::seconds(2); // of an answer that lists addresses
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -2,6 +2,7 @@
 
 #include "core/controller_facts.h"
 #include "fleet/members.h"
+#include "forward/client_timeout.h"
 #include "forward/crash_record.h"
 #include "forward/forward_state.h"
 
@@ -71,23 +72,41 @@
 constexpr std::size_t kPeersForNewDaemon = 64;
 constexpr std::size_t kPeersPerHeartbeat = 3;
 
-heartbeat MakeHeartbeat(core_context& aContext, const fleet_view& aView, std::size_t aPeers)
+// Timeouts of routes in a heartbeat, chosen at random; the others follow in later heartbeats.
+constexpr std::size_t kTimeoutsPerHeartbeat = 2;
+
+heartbeat MakeHeartbeat(core_context& aContext,
+                        const fleet_view& aView,
+                        std::size_t aPeers,
+                        std::vector<member_report> aMembers = {})
 {
+  const auto random = [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); };
   heartbeat sent{ aView.mSelf,
-                  RandomSample(
-                    LivePeers(aView, aContext.Now()),
-                    aPeers,
-                    [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); }),
+                  RandomSample(LivePeers(aView, aContext.Now()), aPeers, random),
+                  {},
+                  std::move(aMembers),
                   {} };
   for (const auto& [key, record] : aContext.mBoard.List<crash_record>()) {
-    if (record->mRefused && sent.mRefused.size() < kMaxRefused) {
-      sent.mRefused.push_back(record->mFingerprint);
+    if (record->mRefused && record->mUntil > aContext.Now() && sent.mRefused.size() < kMaxRefused) {
+      sent.mRefused.push_back({ record->mFingerprint, record->mUntil - aContext.Now() });
+    }
+  }
+  std::vector<std::string> routes;
+  const auto timeouts = aContext.mBoard.List<client_timeout_record>();
+  for (const auto& [key, record] : timeouts) {
+    if (ObservedTimeout(*record) > micros(0)) {
+      routes.push_back(key);
     }
   }
+  for (const std::string& key : RandomSample(std::move(routes), kTimeoutsPerHeartbeat, random)) {
+    sent.mTimeouts.push_back({ RouteOfClientTimeoutKey(key), ObservedTimeout(*timeouts.at(key)) });
+  }
   return sent;
 }
 
-void SendHeartbeats(core_context& aContext, const fleet_view& aView)
+// Sends heartbeats to all daemons, at each interval of a small fleet and at changes of this
+// daemon's state.
+void SendToAll(core_context& aContext, const fleet_view& aView)
 {
   const heartbeat sent = MakeHeartbeat(aContext, aView, kPeersPerHeartbeat);
   for (const auto& [address, since] : aView.mAddresses) {
@@ -95,6 +114,28 @@
   }
 }
 
+// Sends the heartbeats of one interval. Returns the view with what was passed on marked as such.
+fleet_view SendHeartbeats(core_context& aContext, const fleet_view& aView)
+{
+  if (!UsesZoneReports(aView, *aContext.ForwardConfig())) {
+    SendToAll(aContext, aView);
+    return aView;
+  }
+  const instant now = aContext.Now();
+  const heartbeat_targets targets =
+    ZoneTargets(aView, now, [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); });
+  const auto send = [&aContext](const std::vector<std::string>& aAddresses,
+                                const heartbeat& aSent) {
+    for (const std::string& address : aAddresses) {
+      aContext.Emit(send_heartbeat{ address, aSent });
+    }
+  };
+  send(targets.mOwnZone, MakeHeartbeat(aContext, aView, 0, ReportsOfNews(aView, now)));
+  send(targets.mOtherZones, MakeHeartbeat(aContext, aView, 0, ReportsOfOwnZone(aView, now)));
+  send(targets.mUnknown, MakeHeartbeat(aContext, aView, kPeersPerHeartbeat));
+  return WithNewsSent(aView);
+}
+
 fleet_view WithUpdatedSelf(core_context& aContext, fleet_view aView)
 {
   const core_config& config = aContext.mConfig;
@@ -106,7 +147,8 @@
                   config.mCallAddress,
                   config.mZone,
                   serving && !aView.mLeaving,
-                  HeartbeatInterval(aView.mAddresses.size(), *aContext.ForwardConfig()) };
+                  HeartbeatInterval(aView.mAddresses.size(), *aContext.ForwardConfig()),
+                  aView.mSelf.mBeat };
   const auto live = static_cast<std::uint32_t>(LivePeers(aView, aContext.Now()).size()) + 1;
   aView.mMaxLiveDaemons = std::max(aView.mMaxLiveDaemons, live);
   return aView;
@@ -129,7 +171,8 @@
       aContext.Log("members", "event=silent vm=" + vm, log_level::Warning);
     }
   }
-  SendHeartbeats(aContext, view);
+  ++view.mSelf.mBeat;
+  view = SendHeartbeats(aContext, view);
   aContext.After(view.mSelf.mInterval, kFleetKey, heartbeat_due{});
   aContext.mBoard.Write(kFleetKey, std::move(view));
 }
@@ -141,9 +184,13 @@
     aContext, WithHeartbeat(before, aHeartbeat, *aContext.ForwardConfig(), aContext.Now()));
   LogIfChanged(aContext, before, next, aHeartbeat.mSender);
   // Replies to a daemon that has just started, which then need not wait for the next heartbeat.
-  if (next.mMembers.size() > before.mMembers.size()) {
-    aContext.Emit(send_heartbeat{ aHeartbeat.mSender.mPeerAddress,
-                                  MakeHeartbeat(aContext, next, kPeersForNewDaemon) });
+  const daemon_state& sender = aHeartbeat.mSender;
+  const auto old = before.mMembers.find(sender.mVm);
+  if (sender.mVm != next.mSelf.mVm &&
+      (old == before.mMembers.end() || old->second.mState.mIncarnation != sender.mIncarnation)) {
+    aContext.Emit(send_heartbeat{
+      sender.mPeerAddress,
+      MakeHeartbeat(aContext, next, kPeersForNewDaemon, ReportsOfAll(next, aContext.Now())) });
   }
   aContext.mBoard.Write(kFleetKey, std::move(next));
 }
@@ -154,7 +201,8 @@
   fleet_view next = WithUpdatedSelf(aContext, before);
   if (before.mSelf.mServing != next.mSelf.mServing) {
     aContext.Log("entry", std::string("event=serving now=") + (next.mSelf.mServing ? "yes" : "no"));
-    SendHeartbeats(aContext, next);
+    ++next.mSelf.mBeat;
+    SendToAll(aContext, next);
   }
   aContext.mBoard.Write(kFleetKey, std::move(next));
 }
@@ -186,7 +234,8 @@
   view.mLeaving = true;
   view = WithUpdatedSelf(aContext, std::move(view));
   aContext.Log("entry", "event=stop_begun");
-  SendHeartbeats(aContext, view);
+  ++view.mSelf.mBeat;
+  SendToAll(aContext, view);
   aContext.mBoard.Write(kFleetKey, std::move(view));
   aContext.After(kStopCheck, kFleetKey, stop_check{ aContext.Now(), false });
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -19,8 +19,11 @@
 // second.
 micros HeartbeatInterval(std::size_t aPeers, const forward_config& aConfig);
 
-// Returns the view with the sender's state and its peers added. Ignores this daemon's own
-// heartbeats and delayed ones of an earlier start of the sender.
+// Whether daemons exchange reports between zones instead of sending heartbeats to all others.
+bool UsesZoneReports(const fleet_view& aView, const forward_config& aConfig);
+
+// Returns the view with the sender's state, its reports of other daemons and its peers added.
+// Ignores this daemon's own heartbeats and delayed ones of an earlier start of the sender.
 fleet_view WithHeartbeat(const fleet_view& aView,
                          const heartbeat& aHeartbeat,
                          const forward_config& aConfig,
@@ -32,6 +35,32 @@
                          const std::vector<std::string>& aKept,
                          instant aSince);
 
+// Peer addresses for the heartbeats of one interval.
+struct heartbeat_targets
+{
+  std::vector<std::string> mOwnZone;
+  std::vector<std::string> mOtherZones; // daemons that get a report of this daemon's zone
+  std::vector<std::string> mUnknown;    // addresses that have not answered yet
+
+  auto operator<=>(const heartbeat_targets&) const = default;
+};
+
+// Selects the targets when zone reports are used. The live daemons of a zone share the other zones
+// so that each gets at least kReportsPerZone reports in an interval. aRandom(n) returns a number in
+// [0, n).
+inline constexpr std::size_t kReportsPerZone = 2;
+heartbeat_targets ZoneTargets(const fleet_view& aView,
+                              instant aNow,
+                              const std::function<std::uint64_t(std::uint64_t)>& aRandom);
+
+// Reports for a daemon of another zone: the live daemons of this zone.
+std::vector<member_report> ReportsOfOwnZone(const fleet_view& aView, instant aNow);
+// Reports for the daemons of this zone: what was learnt from other zones and is not yet passed on.
+std::vector<member_report> ReportsOfNews(const fleet_view& aView, instant aNow);
+// Reports for a daemon that has just started: all live daemons, up to a limit.
+std::vector<member_report> ReportsOfAll(const fleet_view& aView, instant aNow);
+fleet_view WithNewsSent(const fleet_view& aView);
+
 // Call addresses of the serving daemons: this one and the members that are not silent.
 std::vector<std::string> CallAddresses(const fleet_view& aView, instant aNow);
 
--- a/src/fleet/members_test.cc
+++ b/src/fleet/members_test.cc
@@ -114,5 +114,195 @@
                   sample_row{ "fewer peers than the limit are read out of bounds", 2, 3, 2 },
                   sample_row{ "heartbeats grow with the fleet", 40, 3, 3 }));
 
+// Runs the views of a fleet on a manual clock: each daemon sends the heartbeats of an interval, and
+// datagrams that are not lost arrive at once.
+class simulated_fleet
+{
+public:
+  simulated_fleet(std::size_t aDaemons, std::size_t aZones, double aLoss)
+    : mLoss(aLoss)
+  {
+    for (std::size_t i = 0; i < aDaemons; ++i) {
+      const std::string number = std::to_string(100 + i);
+      fleet_view view;
+      view.mSelf = { "vm-" + number,
+                     1,
+                     "peer-" + number,
+                     "call-" + number,
+                     "zone-" + std::to_string(i % aZones),
+                     true,
+                     mConfig.mMaxHeartbeatInterval };
+      mDaemons.push_back({ view, true });
+    }
+    for (daemon& each : mDaemons) {
+      SendToAll(each);
+    }
+  }
+
+  void Kill(std::size_t aDaemon) { mDaemons[aDaemon].mAlive = false; }
+  void Suspend(std::size_t aDaemon, micros aTime)
+  {
+    mDaemons[aDaemon].mClockOffset -= aTime;
+    mDaemons[aDaemon].mSuspendedUntil = mNow + aTime;
+  }
+
+  void RunFor(micros aDuration)
+  {
+    const instant until = mNow + aDuration;
+    for (; mNow < until; mNow += kStep) {
+      for (std::size_t i = 0; i < mDaemons.size(); ++i) {
+        // Daemons start their intervals at different times.
+        const micros phase = mConfig.mMaxHeartbeatInterval * static_cast<int>(i) /
+                             static_cast<int>(mDaemons.size()) / kStep * kStep;
+        if ((mNow.time_since_epoch() - phase) % mConfig.mMaxHeartbeatInterval == micros(0) &&
+            IsRunning(mDaemons[i])) {
+          SendInterval(mDaemons[i]);
+        }
+      }
+    }
+  }
+
+  // Running daemons whose callers get the address of the daemon. Those that were suspended are left
+  // out: their clocks have not counted that time.
+  std::size_t NamedBy(std::size_t aDaemon) const
+  {
+    return static_cast<std::size_t>(
+      std::count_if(mDaemons.begin(), mDaemons.end(), [&](const daemon& aEach) {
+        const std::vector<std::string> named = CallAddresses(aEach.mView, Clock(aEach));
+        return aEach.mAlive && aEach.mClockOffset == micros(0) &&
+               std::find(named.begin(), named.end(), mDaemons[aDaemon].mView.mSelf.mCallAddress) !=
+                 named.end();
+      }));
+  }
+
+  std::size_t mSentBetweenZones = 0;
+
+private:
+  struct daemon
+  {
+    fleet_view mView;
+    bool mAlive = true;
+    micros mClockOffset{ 0 };
+    instant mSuspendedUntil{};
+  };
+
+  static constexpr micros kStep = milliseconds(20);
+
+  bool IsRunning(const daemon& aDaemon) const
+  {
+    return aDaemon.mAlive && mNow >= aDaemon.mSuspendedUntil;
+  }
+  instant Clock(const daemon& aDaemon) const { return mNow + aDaemon.mClockOffset; }
+  std::uint64_t Random(std::uint64_t aBelow)
+  {
+    mSeed = mSeed * 6364136223846793005U + 1442695040888963407U;
+    return (mSeed >> 33U) % aBelow;
+  }
+
+  void Send(const daemon& aFrom, const std::string& aAddress, std::vector<member_report> aMembers)
+  {
+    const heartbeat sent{ aFrom.mView.mSelf, {}, {}, std::move(aMembers), {} };
+    for (daemon& to : mDaemons) {
+      if (to.mView.mSelf.mPeerAddress != aAddress) {
+        continue;
+      }
+      mSentBetweenZones += to.mView.mSelf.mZone != aFrom.mView.mSelf.mZone ? 1 : 0;
+      if (IsRunning(to) && static_cast<double>(Random(1000)) / 1000 >= mLoss) {
+        to.mView = WithHeartbeat(to.mView, sent, mConfig, Clock(to));
+      }
+    }
+  }
+
+  void SendToAll(const daemon& aFrom)
+  {
+    for (const daemon& to : mDaemons) {
+      if (&to != &aFrom) {
+        Send(aFrom, to.mView.mSelf.mPeerAddress, {});
+      }
+    }
+  }
+
+  void SendInterval(daemon& aFrom)
+  {
+    ++aFrom.mView.mSelf.mBeat;
+    const instant now = Clock(aFrom);
+    const heartbeat_targets targets =
+      ZoneTargets(aFrom.mView, now, [this](std::uint64_t aBelow) { return Random(aBelow); });
+    const std::vector<member_report> news = ReportsOfNews(aFrom.mView, now);
+    const std::vector<member_report> ownZone = ReportsOfOwnZone(aFrom.mView, now);
+    for (const std::string& address : targets.mOwnZone) {
+      Send(aFrom, address, news);
+    }
+    for (const std::string& address : targets.mOtherZones) {
+      Send(aFrom, address, ownZone);
+    }
+    aFrom.mView = WithNewsSent(aFrom.mView);
+  }
+
+  forward_config mConfig;
+  double mLoss;
+  instant mNow{ std::chrono::seconds(100) };
+  std::uint64_t mSeed = 1;
+  std::vector<daemon> mDaemons;
+};
+
+struct zone_report_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mDaemons;
+  std::size_t mZones;
+  double mLoss;            // of datagrams
+  micros mSuspension{ 0 }; // of another daemon, from just before the loss
+};
+
+class zone_report_test : public testing::TestWithParam<zone_report_row>
+{};
+
+// A daemon that ended may be named for 7 s, the tightest bound of the deployments (3 s after 4 s).
+TEST_P(zone_report_test, NamesLiveDaemonsOnly)
+{
+  const zone_report_row& row = GetParam();
+  simulated_fleet fleet(row.mDaemons, row.mZones, row.mLoss);
+  std::size_t missing = 0;
+  for (int second = 0; second < 30; ++second) {
+    fleet.RunFor(std::chrono::seconds(1));
+    missing += row.mDaemons - fleet.NamedBy(1);
+  }
+  EXPECT_LE(missing, row.mDaemons * 30 / 100) << row.mGuardsAgainst;
+  if (row.mSuspension > micros(0)) {
+    fleet.Suspend(2, row.mSuspension);
+  }
+  fleet.Kill(1);
+  fleet.RunFor(std::chrono::seconds(7));
+  for (int second = 0; second < 15; ++second) {
+    EXPECT_EQ(fleet.NamedBy(1), 0U) << row.mGuardsAgainst << " after " << 7 + second << " s";
+    fleet.RunFor(std::chrono::seconds(1));
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  fleets,
+  zone_report_test,
+  testing::Values(zone_report_row{ "a large fleet names dead daemons", 78, 7, 0 },
+                  zone_report_row{ "lost datagrams hide live daemons", 78, 7, 0.05 },
+                  zone_report_row{ "zones with few daemons are not reported", 20, 10, 0.02 },
+                  zone_report_row{ "one zone hides its daemons", 30, 1, 0 },
+                  zone_report_row{ "a daemon that was suspended brings a dead one back",
+                                   78,
+                                   7,
+                                   0,
+                                   std::chrono::seconds(8) }));
+
+TEST(members, HeartbeatsBetweenZonesGrowWithTheZonesOnly)
+{
+  // Guards against heartbeats of each daemon to all daemons of other zones, which were half of the
+  // bytes between zones at 78 daemons.
+  simulated_fleet fleet(78, 7, 0);
+  fleet.mSentBetweenZones = 0;
+  fleet.RunFor(std::chrono::seconds(12));
+  // Ten intervals; two reports for each ordered pair of zones, rounded up for each daemon.
+  EXPECT_LE(fleet.mSentBetweenZones, 10U * 78 * 2);
+}
+
 } // namespace
 } // namespace redwingdock
--- a/src/forward/client_timeout.cc
+++ b/src/forward/client_timeout.cc
@@ -10,10 +10,21 @@
 // requests arrive over a reused connection and state the full timeout. A few clients with a longer
 // timeout must not make all others look late.
 constexpr std::size_t kMinShareDivisor = 4;
+constexpr char kKeyPrefix[] = "patience/";
 constexpr std::size_t kMinEqual = 2; // samples, also when a quarter is fewer
 
 } // namespace
 
+std::string ClientTimeoutKey(const std::string& aRoute)
+{
+  return kKeyPrefix + aRoute;
+}
+
+std::string RouteOfClientTimeoutKey(const std::string& aKey)
+{
+  return aKey.substr(sizeof(kKeyPrefix) - 1);
+}
+
 client_timeout_record WithClientTimeout(const client_timeout_record& aRecord, micros aRemaining)
 {
   client_timeout_record next = aRecord;
@@ -23,11 +34,8 @@
   return next;
 }
 
-micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining)
+micros ObservedTimeout(const client_timeout_record& aRecord)
 {
-  if (aRemaining <= micros(0)) {
-    return micros(0);
-  }
   const std::size_t samples = std::min<std::size_t>(aRecord.mCount, kClientTimeoutSamples);
   const auto begin = aRecord.mRecentMs.begin();
   const auto end = begin + static_cast<std::ptrdiff_t>(samples);
@@ -38,7 +46,25 @@
       full = *it;
     }
   }
-  return std::max(micros(std::chrono::milliseconds(full)) - aRemaining, micros(0));
+  return std::chrono::milliseconds(full);
+}
+
+client_timeout_record WithReportedTimeout(const client_timeout_record& aRecord, micros aTimeout)
+{
+  client_timeout_record next = aRecord;
+  next.mReportedMs = static_cast<std::uint32_t>(ToMs(aTimeout));
+  return next;
+}
+
+micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining)
+{
+  if (aRemaining <= micros(0)) {
+    return micros(0);
+  }
+  const micros observed = ObservedTimeout(aRecord);
+  const micros full =
+    observed > micros(0) ? observed : micros(std::chrono::milliseconds(aRecord.mReportedMs));
+  return std::max(full - aRemaining, micros(0));
 }
 
 } // namespace redwingdock
--- a/src/forward/client_timeout.h
+++ b/src/forward/client_timeout.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <compare>
 #include <cstdint>
+#include <string>
 
 // Estimates how long a client had waited before its request arrived. Clients of a route mostly
 // start with the same timeout and state the time that remains of it. The difference was spent on
@@ -19,19 +20,30 @@
 inline constexpr std::size_t kClientTimeoutSamples = 16;
 
 // The latest remaining times stated by clients, in milliseconds, as a ring buffer. Entry key:
-// "patience/" and the route.
+// ClientTimeoutKey.
 struct client_timeout_record
 {
   std::array<std::uint32_t, kClientTimeoutSamples> mRecentMs{};
   std::uint32_t mCount = 0; // samples ever added
+  // What another daemon observed; used while this daemon has too few samples.
+  std::uint32_t mReportedMs = 0;
 
   auto operator<=>(const client_timeout_record&) const = default;
 };
 
+// Entry key of the record of a route, and the route of a key.
+std::string ClientTimeoutKey(const std::string& aRoute);
+std::string RouteOfClientTimeoutKey(const std::string& aKey);
+
 client_timeout_record WithClientTimeout(const client_timeout_record& aRecord, micros aRemaining);
 
-// Estimated time spent before the arrival. 0 while too few clients have stated the same time, or
-// when aRemaining is 0 because the client states none.
+// The timeout that clients start with, as this daemon's samples show it; 0 while they are too few.
+micros ObservedTimeout(const client_timeout_record& aRecord);
+
+client_timeout_record WithReportedTimeout(const client_timeout_record& aRecord, micros aTimeout);
+
+// Estimated time spent before the arrival. 0 while too few clients have stated the same time and no
+// other daemon has reported it, or when aRemaining is 0 because the client states none.
 micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining);
 
 } // namespace redwingdock
--- a/src/forward/crash_controller.cc
+++ b/src/forward/crash_controller.cc
@@ -6,12 +6,17 @@
 #include "forward/forward_state.h"
 #include "forward/replica_load.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwingdock {
 
 namespace {
 
+// A report extends a refusal only by more than this. The way of a heartbeat counts as time left,
+// and daemons must not extend each other's refusals by it.
+constexpr micros kMinExtension = std::chrono::seconds(1);
+
 // Fact: a crash_record may have expired. Key: CrashKey.
 struct crash_expiry
 {
@@ -23,7 +28,8 @@
 void StoreCrashRecord(core_context& aContext, crash_record aRecord)
 {
   const std::uint64_t fingerprint = aRecord.mFingerprint;
-  aContext.After(kCrashRecordTtl, CrashKey(fingerprint), crash_expiry{ fingerprint });
+  aContext.After(
+    aRecord.mUntil - aContext.Now(), CrashKey(fingerprint), crash_expiry{ fingerprint });
   aContext.mBoard.Write(CrashKey(fingerprint), std::move(aRecord));
 }
 
@@ -47,17 +53,24 @@
 // Refuses the requests that the sender of the heartbeat refuses.
 void OnRefusalsReceived(core_context& aContext, const heartbeat& aHeartbeat)
 {
-  for (const std::uint64_t fingerprint : aHeartbeat.mRefused) {
-    const auto known = aContext.mBoard.Read<crash_record>(CrashKey(fingerprint));
-    if (known && known->mRefused) {
+  for (const refused_request& refused : aHeartbeat.mRefused) {
+    // The refusal ends here when it ends at the sender. With a full time from here on, daemons
+    // would tell it each other again and again, and it would never end.
+    const instant until = aContext.Now() + std::min(refused.mTimeLeft, kCrashRecordTtl);
+    const auto known = aContext.mBoard.Read<crash_record>(CrashKey(refused.mFingerprint));
+    if (until <= aContext.Now() ||
+        (known && known->mRefused && until < known->mUntil + kMinExtension)) {
       continue;
     }
-    crash_record record = known ? *known : crash_record{ fingerprint };
+    crash_record record = known ? *known : crash_record{ refused.mFingerprint };
+    if (!record.mRefused) {
+      aContext.Log(
+        "forward",
+        "event=crashing_request_learnt fingerprint=" + std::to_string(refused.mFingerprint) +
+          " from=" + aHeartbeat.mSender.mVm + " left_ms=" + MsText(refused.mTimeLeft));
+    }
     record.mRefused = true;
-    record.mUntil = aContext.Now() + kCrashRecordTtl;
-    aContext.Log("forward",
-                 "event=crashing_request_learnt fingerprint=" + std::to_string(fingerprint) +
-                   " from=" + aHeartbeat.mSender.mVm);
+    record.mUntil = until;
     StoreCrashRecord(aContext, std::move(record));
   }
 }
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -58,6 +58,15 @@
   return aRoute.mServices.back().mService;
 }
 
+bool HasRoute(const catalog& aCatalog, const std::string& aName)
+{
+  return std::any_of(aCatalog.mRoutes.begin(), aCatalog.mRoutes.end(), [&aName](const auto& aHost) {
+    return std::any_of(aHost.second.begin(),
+                       aHost.second.end(),
+                       [&aName](const route_pointer& aRoute) { return aRoute->mName == aName; });
+  });
+}
+
 // Answers a request without sending it to a replica.
 void AnswerImmediately(core_context& aContext,
                        const request_arrived& aFact,
@@ -77,13 +86,29 @@
   aContext.Emit(answer_request{ aFact.mRequest, std::move(answer) });
 }
 
+// Adopts the timeouts of clients that other daemons observed: at hundreds of daemons each gets only
+// a few requests of a route.
+void OnTimeoutsReported(core_context& aContext, const heartbeat& aHeartbeat)
+{
+  const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
+  for (const observed_timeout& each : aHeartbeat.mTimeouts) {
+    if (known && HasRoute(*known, each.mRoute)) {
+      aContext.mBoard.Update<client_timeout_record>(
+        ClientTimeoutKey(each.mRoute), [&each](const client_timeout_record* aOld) {
+          return std::optional<client_timeout_record>(
+            WithReportedTimeout(aOld != nullptr ? *aOld : client_timeout_record{}, each.mTimeout));
+        });
+    }
+  }
+}
+
 // Records the time that the client states and returns the time that it had already waited,
 // estimated from what other clients of the route state.
 micros RecordClientTimeout(core_context& aContext, const route_rule& aRoute, micros aRemaining)
 {
   micros spent{ 0 };
   aContext.mBoard.Update<client_timeout_record>(
-    "patience/" + aRoute.mName,
+    ClientTimeoutKey(aRoute.mName),
     [&](const client_timeout_record* aOld) -> std::optional<client_timeout_record> {
       const client_timeout_record known = aOld != nullptr ? *aOld : client_timeout_record{};
       spent = TimeBeforeArrival(known, aRemaining);
@@ -317,6 +342,10 @@
   board.OnFact<attempt_ended>([&aContext, aHooks](const std::string&, const attempt_ended& aFact) {
     OnAttemptEnded(aContext, aHooks, aFact);
   });
+  board.OnFact<heartbeat_received>(
+    [&aContext](const std::string&, const heartbeat_received& aFact) {
+      OnTimeoutsReported(aContext, aFact.mHeartbeat);
+    });
   board.OnFact<step_due>([&aContext, aHooks](const std::string& aKey, const step_due&) {
     if (const auto state = aContext.mBoard.Read<forward_state>(aKey)) {
       request_step(aContext, aHooks, *state).Run();
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -377,6 +377,56 @@
   }
 }
 
+heartbeat RefusalOf(std::uint64_t aFingerprint, micros aTimeLeft)
+{
+  return { { "vm-2", 5, "127.0.0.9:7380", "call", "zone-2", true },
+           {},
+           { { aFingerprint, aTimeLeft } } };
+}
+
+TEST(forwarding, ARefusalEndsWhereItEndsAtTheSender)
+{
+  // Guards against daemons that tell each other of a refusal again and again, so that it never
+  // ends.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  rig.RunFor(seconds(1));
+  for (int left = 10; left > 0; --left) {
+    rig.Post(heartbeat_received{ RefusalOf(77, seconds(left)) });
+    rig.RunFor(seconds(1));
+  }
+  rig.RunFor(milliseconds(100));
+  rig.mHeartbeats.clear();
+  rig.Post(request_arrived{ 1, { "id", "search.example", "/q/x", micros(0), 77 } });
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U);
+  EXPECT_EQ(rig.mAnswers[1].front().mAnswer.mKind, answer_kind::Relayed);
+  for (const heartbeat& each : rig.mHeartbeats) {
+    EXPECT_TRUE(each.mRefused.empty());
+  }
+}
+
+TEST(forwarding, ClientTimeoutsOfOtherDaemonsAreUsed)
+{
+  // Guards against a daemon of a large fleet that gets too few requests to know how long their
+  // clients have waited already, and answers after their target.
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a", "b" });
+  rig.Publish(ConfigurationItem(7, { GatherRoute({ "a", "b" }, 0.5) }));
+  rig.Script("b-1", kSilent);
+  rig.Script("b-2", kSilent);
+  rig.RunFor(seconds(1));
+  heartbeat report = RefusalOf(1, micros(0));
+  report.mTimeouts = { { "r", milliseconds(1000) }, { "unknown", milliseconds(1) } };
+  rig.Post(heartbeat_received{ report });
+  const instant asked = rig.Now();
+  rig.SendRequest(1, "/q/x", milliseconds(940));
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U);
+  EXPECT_LE(rig.mAnswers[1].front().mAt - asked, milliseconds(200 - 60));
+}
+
 TEST(forwarding, RequestsFollowTheWeights)
 {
   // Guards against a service that gets more or less than its weight of a traffic split.
@@ -461,8 +511,7 @@
   PublishReplicas(rig, { "a" });
   rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
   rig.RunFor(seconds(1));
-  rig.Post(
-    heartbeat_received{ { { "vm-2", 5, "127.0.0.9:7380", "call", "zone-2", true }, {}, { 77 } } });
+  rig.Post(heartbeat_received{ RefusalOf(77, seconds(30)) });
   rig.Post(request_arrived{ 1, { "id", "search.example", "/q/x", micros(0), 77 } });
   EXPECT_TRUE(rig.mSent.empty());
   ASSERT_EQ(rig.mAnswers[1].size(), 1U);
