Pass on observed client timeouts, with the time they are valid

A heartbeat named two routes at random, mostly such that only test the configuration, and what was heard was not passed on. It now names six, and reports are passed on for a minute from the observation. Reports do not extend each other.

Tests: report_test, client_timeout.ReportsDoNotExtendEachOther.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -78,7 +78,7 @@
   if (!aHeartbeat.mTimeouts.empty()) {
     json::array timeouts;
     for (const observed_timeout& each : aHeartbeat.mTimeouts) {
-      timeouts.emplace_back(json::array{ each.mRoute, ToMs(each.mTimeout) });
+      timeouts.emplace_back(json::array{ each.mRoute, ToMs(each.mTimeout), ToMs(each.mTimeLeft) });
     }
     object.emplace("client_timeouts", std::move(timeouts));
   }
@@ -132,9 +132,10 @@
   }
   if (reader.Has(root, "client_timeouts")) {
     for (const json::value& timeout : reader.Array(root, "client_timeouts")) {
-      const detail::array_reader fields(reader, timeout, "client_timeouts", 2);
+      const detail::array_reader fields(reader, timeout, "client_timeouts", 3);
       parsed.mTimeouts.push_back({ fields.String(0, kMaxStringBytes),
-                                   std::chrono::milliseconds(fields.Integer(1, kMaxTimeMs)) });
+                                   std::chrono::milliseconds(fields.Integer(1, kMaxTimeMs)),
+                                   std::chrono::milliseconds(fields.Integer(2, kMaxTimeMs)) });
     }
   }
   if (reader.Error()) {
--- a/src/codec/heartbeat_json_test.cc
+++ b/src/codec/heartbeat_json_test.cc
@@ -11,7 +11,7 @@
   { { 18446744073709551615U, std::chrono::seconds(59) }, { 7, std::chrono::milliseconds(1) } },
   { { { "vm-2", 17, "10.2.0.9:7380", "10.2.0.9:8104", "zone-b", false, micros(0), 12 },
       std::chrono::milliseconds(1250) } },
-  { { "search", std::chrono::milliseconds(800) } }
+  { { "search", std::chrono::milliseconds(800), std::chrono::seconds(60) } }
 };
 
 TEST(heartbeat_json, ReadsWhatItWrites)
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -49,11 +49,12 @@
   auto operator<=>(const refused_request&) const = default;
 };
 
-// The timeout with which the clients of a route start, as observed by the sender.
+// The timeout with which the clients of a route start, as a daemon observed it.
 struct observed_timeout
 {
   std::string mRoute;
   micros mTimeout{ 0 };
+  micros mTimeLeft{ 0 }; // until the observation is too old to be used
 
   auto operator<=>(const observed_timeout&) const = default;
 };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -73,7 +73,7 @@
 constexpr std::size_t kPeersPerHeartbeat = 3;
 
 // Timeouts of routes in a heartbeat, chosen at random; the others follow in later heartbeats.
-constexpr std::size_t kTimeoutsPerHeartbeat = 2;
+constexpr std::size_t kTimeoutsPerHeartbeat = 6;
 
 heartbeat MakeHeartbeat(core_context& aContext,
                         const fleet_view& aView,
@@ -91,15 +91,16 @@
       sent.mRefused.push_back({ record->mFingerprint, record->mUntil - aContext.Now() });
     }
   }
-  std::vector<std::string> routes;
+  std::vector<std::string> keys;
   const auto timeouts = aContext.mBoard.List<client_timeout_record>();
   for (const auto& [key, record] : timeouts) {
-    if (ObservedTimeout(*record) > micros(0)) {
-      routes.push_back(key);
+    if (ReportOf({}, *record, aContext.Now()).mTimeout > micros(0)) {
+      keys.push_back(key);
     }
   }
-  for (const std::string& key : RandomSample(std::move(routes), kTimeoutsPerHeartbeat, random)) {
-    sent.mTimeouts.push_back({ RouteOfClientTimeoutKey(key), ObservedTimeout(*timeouts.at(key)) });
+  for (const std::string& key : RandomSample(std::move(keys), kTimeoutsPerHeartbeat, random)) {
+    sent.mTimeouts.push_back(
+      ReportOf(RouteOfClientTimeoutKey(key), *timeouts.at(key), aContext.Now()));
   }
   return sent;
 }
--- a/src/forward/client_timeout.cc
+++ b/src/forward/client_timeout.cc
@@ -49,22 +49,42 @@
   return std::chrono::milliseconds(full);
 }
 
-client_timeout_record WithReportedTimeout(const client_timeout_record& aRecord, micros aTimeout)
+observed_timeout ReportOf(const std::string& aRoute,
+                          const client_timeout_record& aRecord,
+                          instant aNow)
 {
+  const micros observed = ObservedTimeout(aRecord);
+  if (observed > micros(0)) {
+    return { aRoute, observed, kReportTtl };
+  }
+  if (aRecord.mReportedUntil <= aNow) {
+    return { aRoute };
+  }
+  return { aRoute, std::chrono::milliseconds(aRecord.mReportedMs), aRecord.mReportedUntil - aNow };
+}
+
+client_timeout_record WithReport(const client_timeout_record& aRecord,
+                                 const observed_timeout& aReport,
+                                 instant aNow)
+{
+  // The way of a report counts as time left; reports must not extend each other by it.
+  constexpr micros kMinExtension = std::chrono::seconds(1);
+  const instant until = aNow + std::min(aReport.mTimeLeft, kReportTtl);
+  if (until < std::max(aRecord.mReportedUntil, aNow) + kMinExtension) {
+    return aRecord;
+  }
   client_timeout_record next = aRecord;
-  next.mReportedMs = static_cast<std::uint32_t>(ToMs(aTimeout));
+  next.mReportedMs = static_cast<std::uint32_t>(ToMs(aReport.mTimeout));
+  next.mReportedUntil = until;
   return next;
 }
 
-micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining)
+micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining, instant aNow)
 {
   if (aRemaining <= micros(0)) {
     return micros(0);
   }
-  const micros observed = ObservedTimeout(aRecord);
-  const micros full =
-    observed > micros(0) ? observed : micros(std::chrono::milliseconds(aRecord.mReportedMs));
-  return std::max(full - aRemaining, micros(0));
+  return std::max(ReportOf({}, aRecord, aNow).mTimeout - aRemaining, micros(0));
 }
 
 } // namespace redwingdock
--- a/src/forward/client_timeout.h
+++ b/src/forward/client_timeout.h
@@ -1,7 +1,7 @@
 #ifndef REDWINGDOCK_FORWARD_CLIENT_TIMEOUT_H
 #define REDWINGDOCK_FORWARD_CLIENT_TIMEOUT_H
 
-#include "base/time.h"
+#include "core/fleet.h"
 
 #include <array>
 #include <compare>
@@ -13,11 +13,13 @@
 // finding an address, on connecting or on an earlier attempt.
 //
 //   client_timeout_record next = WithClientTimeout(record, remaining);
-//   micros spent = TimeBeforeArrival(next, remaining);
+//   micros spent = TimeBeforeArrival(next, remaining, now);
 
 namespace redwingdock {
 
 inline constexpr std::size_t kClientTimeoutSamples = 16;
+// Time for which an observation is used by other daemons.
+inline constexpr micros kReportTtl = std::chrono::seconds(60);
 
 // The latest remaining times stated by clients, in milliseconds, as a ring buffer. Entry key:
 // ClientTimeoutKey.
@@ -25,8 +27,10 @@
 {
   std::array<std::uint32_t, kClientTimeoutSamples> mRecentMs{};
   std::uint32_t mCount = 0; // samples ever added
-  // What another daemon observed; used while this daemon has too few samples.
+  // What another daemon observed, which is used while this daemon has too few samples, and until
+  // when.
   std::uint32_t mReportedMs = 0;
+  instant mReportedUntil{};
 
   auto operator<=>(const client_timeout_record&) const = default;
 };
@@ -40,11 +44,20 @@
 // The timeout that clients start with, as this daemon's samples show it; 0 while they are too few.
 micros ObservedTimeout(const client_timeout_record& aRecord);
 
-client_timeout_record WithReportedTimeout(const client_timeout_record& aRecord, micros aTimeout);
+// What to report to other daemons: the observation of this daemon, else what was reported to it.
+// The time is 0 if there is neither.
+observed_timeout ReportOf(const std::string& aRoute,
+                          const client_timeout_record& aRecord,
+                          instant aNow);
+
+// Takes over a report unless a newer one is known.
+client_timeout_record WithReport(const client_timeout_record& aRecord,
+                                 const observed_timeout& aReport,
+                                 instant aNow);
 
 // Estimated time spent before the arrival. 0 while too few clients have stated the same time and no
 // other daemon has reported it, or when aRemaining is 0 because the client states none.
-micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining);
+micros TimeBeforeArrival(const client_timeout_record& aRecord, micros aRemaining, instant aNow);
 
 } // namespace redwingdock
 
--- a/src/forward/client_timeout_test.cc
+++ b/src/forward/client_timeout_test.cc
@@ -7,6 +7,9 @@
 namespace {
 
 using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant kNow{ seconds(1000) };
 
 struct client_timeout_row
 {
@@ -25,7 +28,7 @@
   for (const int each : GetParam().mBefore) {
     record = WithClientTimeout(record, milliseconds(each));
   }
-  EXPECT_EQ(TimeBeforeArrival(record, milliseconds(GetParam().mStated)),
+  EXPECT_EQ(TimeBeforeArrival(record, milliseconds(GetParam().mStated), kNow),
             milliseconds(GetParam().mSpent))
     << GetParam().mGuardsAgainst;
 }
@@ -56,5 +59,73 @@
                         785,
                         15 }));
 
+struct report_row
+{
+  const char* mGuardsAgainst;
+  std::vector<int> mOwn; // samples of this daemon, ms
+  observed_timeout mReport;
+  seconds mAfter; // from the report until the request
+  int mSpent;     // by a request that states 785 ms, ms
+};
+
+class report_test : public testing::TestWithParam<report_row>
+{};
+
+TEST_P(report_test, IsUsedWhileOwnSamplesAreMissing)
+{
+  client_timeout_record record;
+  for (const int each : GetParam().mOwn) {
+    record = WithClientTimeout(record, milliseconds(each));
+  }
+  record = WithReport(record, GetParam().mReport, kNow);
+  EXPECT_EQ(TimeBeforeArrival(record, milliseconds(785), kNow + GetParam().mAfter),
+            milliseconds(GetParam().mSpent))
+    << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         report_test,
+                         testing::Values(report_row{ "a daemon with few requests answers late",
+                                                     { 785 },
+                                                     { "r", milliseconds(800), seconds(60) },
+                                                     seconds(1),
+                                                     15 },
+                                         report_row{ "a report replaces the daemon's own samples",
+                                                     { 800, 800 },
+                                                     { "r", milliseconds(5000), seconds(60) },
+                                                     seconds(1),
+                                                     15 },
+                                         report_row{ "a report is used without end",
+                                                     {},
+                                                     { "r", milliseconds(800), seconds(10) },
+                                                     seconds(11),
+                                                     0 },
+                                         report_row{ "a wrong time left is used without end",
+                                                     {},
+                                                     { "r", milliseconds(800), seconds(3600) },
+                                                     seconds(61),
+                                                     0 },
+                                         report_row{ "an old report is taken over",
+                                                     {},
+                                                     { "r", milliseconds(800), milliseconds(100) },
+                                                     seconds(0),
+                                                     0 }));
+
+TEST(client_timeout, ReportsDoNotExtendEachOther)
+{
+  // Guards against an observation that daemons tell each other again and again after it has ended.
+  client_timeout_record first = WithReport({}, { "r", milliseconds(800), seconds(60) }, kNow);
+  client_timeout_record second;
+  instant now = kNow;
+  for (int i = 0; i < 100; ++i) {
+    now += seconds(1);
+    // Each report is on its way for 5 ms.
+    second = WithReport(second, ReportOf("r", first, now), now + milliseconds(5));
+    first = WithReport(first, ReportOf("r", second, now), now + milliseconds(5));
+  }
+  EXPECT_EQ(ReportOf("r", first, now).mTimeout, micros(0));
+  EXPECT_EQ(ReportOf("r", second, now).mTimeout, micros(0));
+}
+
 } // namespace
 } // namespace redwingdock
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -92,13 +92,14 @@
 {
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
   for (const observed_timeout& each : aHeartbeat.mTimeouts) {
-    if (known && HasRoute(*known, each.mRoute)) {
-      aContext.mBoard.Update<client_timeout_record>(
-        ClientTimeoutKey(each.mRoute), [&each](const client_timeout_record* aOld) {
-          return std::optional<client_timeout_record>(
-            WithReportedTimeout(aOld != nullptr ? *aOld : client_timeout_record{}, each.mTimeout));
-        });
+    if (!known || !HasRoute(*known, each.mRoute)) {
+      continue;
     }
+    aContext.mBoard.Update<client_timeout_record>(
+      ClientTimeoutKey(each.mRoute), [&aContext, &each](const client_timeout_record* aOld) {
+        return std::optional<client_timeout_record>(
+          WithReport(aOld != nullptr ? *aOld : client_timeout_record{}, each, aContext.Now()));
+      });
   }
 }
 
@@ -111,7 +112,7 @@
     ClientTimeoutKey(aRoute.mName),
     [&](const client_timeout_record* aOld) -> std::optional<client_timeout_record> {
       const client_timeout_record known = aOld != nullptr ? *aOld : client_timeout_record{};
-      spent = TimeBeforeArrival(known, aRemaining);
+      spent = TimeBeforeArrival(known, aRemaining, aContext.Now());
       if (aRemaining <= micros(0)) {
         return std::nullopt;
       }
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -418,7 +418,8 @@
   rig.Script("b-2", kSilent);
   rig.RunFor(seconds(1));
   heartbeat report = RefusalOf(1, micros(0));
-  report.mTimeouts = { { "r", milliseconds(1000) }, { "unknown", milliseconds(1) } };
+  report.mTimeouts = { { "r", milliseconds(1000), seconds(60) },
+                       { "unknown", milliseconds(1), seconds(60) } };
   rig.Post(heartbeat_received{ report });
   const instant asked = rig.Now();
   rig.SendRequest(1, "/q/x", milliseconds(940));
