Derive the wait of a watch from the bounds of changes

Cause: daemons renewed the watch of the store every 5 s, which the bounds of the smallest deployment need (3 s for a change after 4 s of disturbance). The platform states its bounds in the settings; the wait and the pause after changes now follow them: 9 s on large, 5 s as before on the small deployments.

Test: wait_test rows, edge_settings.AreRead.

--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -16,11 +16,10 @@
 struct forward_config
 {
   // Watching the store.
-  micros mWatchWait = std::chrono::seconds(5);
-  // Pause after changes. It doubles while changes continue, up to a third of the shortest time
-  // within which a change must take effect (3 s).
-  micros mWatchPause = std::chrono::milliseconds(250);
-  micros mMaxWatchPause = std::chrono::seconds(1);
+  micros mChangeBound = std::chrono::seconds(3); // within which a published change must take effect
+  // Time after connections have gone silent in which that bound does not hold.
+  micros mDisturbanceTime = std::chrono::seconds(4);
+  micros mWatchPause = std::chrono::milliseconds(250); // after changes; doubles while they continue
   micros mInitialRetryDelay = std::chrono::milliseconds(100); // doubles with each failure
   micros mMaxRetryDelay = std::chrono::seconds(1);
   // Deletions seen soon after a failed read take effect only after this delay, because entries that
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -11,6 +11,12 @@
 namespace {
 
 constexpr std::uint32_t kMaxBackoffDoublings = 8;
+// The pause after changes takes at most this part of the time in which a change must take effect.
+constexpr int kMaxPauseDivisor = 3;
+// Time to time out a silent watch, list everything and put it into effect.
+constexpr micros kWatchRecovery = std::chrono::seconds(2);
+constexpr micros kMinWatchWait = std::chrono::seconds(1);
+constexpr micros kMaxWatchWait = std::chrono::seconds(30); // that the store accepts
 
 // Timer: starts the next read unless a later read has started.
 struct read_due
@@ -38,6 +44,14 @@
   return items ? items->mItems : item_map{};
 }
 
+// A watch whose connection has gone silent ends after this wait. A change that was published in the
+// meantime must still take effect in its time, which counts from the end of the disturbance.
+micros WatchWait(const forward_config& aConfig)
+{
+  return std::clamp(
+    aConfig.mDisturbanceTime + aConfig.mChangeBound - kWatchRecovery, kMinWatchWait, kMaxWatchWait);
+}
+
 // Starts the next read and writes the state.
 void StartNextRead(core_context& aContext, follow_state aState)
 {
@@ -47,7 +61,7 @@
     aContext.Emit(read_store_page{ aState.mReadNumber, aState.mAfter });
   } else {
     aContext.Emit(
-      watch_store{ aState.mReadNumber, aState.mAsOf, aContext.ForwardConfig()->mWatchWait });
+      watch_store{ aState.mReadNumber, aState.mAsOf, WatchWait(*aContext.ForwardConfig()) });
   }
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
@@ -141,10 +155,10 @@
 // doubles during a long burst, so that few calls read it.
 micros NextPause(const forward_config& aConfig, const follow_state& aState, instant aNow)
 {
-  const bool burstContinues = aNow - aState.mReadStartedAt < aConfig.mMaxWatchPause;
-  return burstContinues
-           ? std::clamp(2 * aState.mReadPause, aConfig.mWatchPause, aConfig.mMaxWatchPause)
-           : aConfig.mWatchPause;
+  const micros maxPause = std::max(aConfig.mWatchPause, aConfig.mChangeBound / kMaxPauseDivisor);
+  const bool burstContinues = aNow - aState.mReadStartedAt < maxPause;
+  return burstContinues ? std::clamp(2 * aState.mReadPause, aConfig.mWatchPause, maxPause)
+                        : aConfig.mWatchPause;
 }
 
 void OnChanges(core_context& aContext, const store_changes_read& aFact)
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -248,5 +248,48 @@
                milliseconds(1500),
                7 }));
 
+struct wait_row
+{
+  const char* mGuardsAgainst;
+  milliseconds mChangeBound;
+  milliseconds mDisturbance;
+  milliseconds mWait; // of a watch
+};
+
+class wait_test : public ::testing::TestWithParam<wait_row>
+{};
+
+TEST_P(wait_test, FollowsTheBoundsOfChanges)
+{
+  rig_options options;
+  options.mForward.mChangeBound = GetParam().mChangeBound;
+  options.mForward.mDisturbanceTime = GetParam().mDisturbance;
+  forwarding_rig rig(options);
+  rig.RunFor(seconds(1));
+  ASSERT_FALSE(rig.mWatches.empty());
+  EXPECT_EQ(rig.mWatches.front().mWait, GetParam().mWait) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  wait_test,
+  ::testing::Values(wait_row{ "a watch that went silent is noticed after the bound of a change",
+                              milliseconds(3000),
+                              milliseconds(4000),
+                              milliseconds(5000) },
+                    wait_row{
+                      "hundreds of daemons renew their watches more often than the bounds need",
+                      milliseconds(5000),
+                      milliseconds(6000),
+                      milliseconds(9000) },
+                    wait_row{ "tight bounds make the daemon read without pause",
+                              milliseconds(100),
+                              milliseconds(100),
+                              milliseconds(1000) },
+                    wait_row{ "the store refuses the wait",
+                              milliseconds(60'000),
+                              milliseconds(60'000),
+                              milliseconds(30'000) }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -31,9 +31,17 @@
 
 void ReadForwarding(yaml_mapping& aMapping, forward_config& aForward)
 {
+  micros drainBound = aForward.mChangeBound;
+  micros closedZoneBound = aForward.mChangeBound;
   aForward.mRepeatRatio = aMapping.Number("repeat_ratio", 0, 10, aForward.mRepeatRatio);
   aForward.mRepeatSlack = aMapping.Number("repeat_slack", 0, 1e6, aForward.mRepeatSlack);
   ReadMilliseconds(aMapping, "repeat_window_ms", ToMs(kMaxRepeatWindow), aForward.mRepeatWindow);
+  ReadMilliseconds(aMapping, "change_bound_ms", kMinuteMs, aForward.mChangeBound);
+  ReadMilliseconds(aMapping, "drain_bound_ms", kMinuteMs, drainBound);
+  ReadMilliseconds(aMapping, "closed_zone_bound_ms", kMinuteMs, closedZoneBound);
+  ReadMilliseconds(aMapping, "disturbance_ms", kMinuteMs, aForward.mDisturbanceTime);
+  // One watch serves all kinds of changes.
+  aForward.mChangeBound = std::min({ aForward.mChangeBound, drainBound, closedZoneBound });
   aForward.mMostDaemons =
     static_cast<std::uint32_t>(aMapping.Integer("most_daemons", 1, 100'000, aForward.mMostDaemons));
   aForward.mColdOverage = aMapping.Number("cold_overage", 0, 1000, aForward.mColdOverage);
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -19,6 +19,10 @@
 forwarding:
   repeat_ratio: 0.1
   repeat_slack: 20
+  change_bound_ms: 6000
+  drain_bound_ms: 5500
+  closed_zone_bound_ms: 5000
+  disturbance_ms: 6000
 )";
 
 TEST(edge_settings, AreRead)
@@ -32,6 +36,8 @@
             (std::vector<std::string>{ "10.1.0.9:7380", "10.2.0.21:7380" }));
   EXPECT_EQ(settings->mCore.mForward.mRepeatRatio, 0.1);
   EXPECT_EQ(settings->mCore.mForward.mRepeatSlack, 20);
+  EXPECT_EQ(settings->mCore.mForward.mChangeBound, std::chrono::seconds(5));
+  EXPECT_EQ(settings->mCore.mForward.mDisturbanceTime, std::chrono::seconds(6));
   EXPECT_EQ(settings->mStore, "10.200.1.7:8102");
   EXPECT_EQ(settings->mWorkers, 1U);
 }
