Use the greatest observed client timeout while a daemon has few samples

Cause: two clients of a daemon that both needed 15 ms to connect state the same remaining time. With fewer than eight samples the greater of the own and the reported timeout counts.

--- a/src/forward/client_timeout.cc
+++ b/src/forward/client_timeout.cc
@@ -12,6 +12,9 @@
 constexpr std::size_t kMinShareDivisor = 4;
 constexpr char kKeyPrefix[] = "patience/";
 constexpr std::size_t kMinEqual = 2; // samples, also when a quarter is fewer
+// With fewer samples, equal ones can come from clients that needed the same time to connect, and a
+// greater timeout that another daemon observed is more likely to be the full one.
+constexpr std::uint32_t kReliableSamples = 8;
 
 } // namespace
 
@@ -54,13 +57,13 @@
                           instant aNow)
 {
   const micros observed = ObservedTimeout(aRecord);
-  if (observed > micros(0)) {
-    return { aRoute, observed, kReportTtl };
+  const micros reported = aRecord.mReportedUntil > aNow
+                            ? micros(std::chrono::milliseconds(aRecord.mReportedMs))
+                            : micros(0);
+  if (reported > observed && aRecord.mCount < kReliableSamples) {
+    return { aRoute, reported, aRecord.mReportedUntil - aNow };
   }
-  if (aRecord.mReportedUntil <= aNow) {
-    return { aRoute };
-  }
-  return { aRoute, std::chrono::milliseconds(aRecord.mReportedMs), aRecord.mReportedUntil - aNow };
+  return { aRoute, observed, observed > micros(0) ? kReportTtl : micros(0) };
 }
 
 client_timeout_record WithReport(const client_timeout_record& aRecord,
@@ -70,11 +73,16 @@
   // The way of a report counts as time left; reports must not extend each other by it.
   constexpr micros kMinExtension = std::chrono::seconds(1);
   const instant until = aNow + std::min(aReport.mTimeLeft, kReportTtl);
-  if (until < std::max(aRecord.mReportedUntil, aNow) + kMinExtension) {
+  const auto reportedMs = static_cast<std::uint32_t>(ToMs(aReport.mTimeout));
+  const bool isValid = aRecord.mReportedUntil > aNow;
+  if ((isValid && reportedMs < aRecord.mReportedMs) ||
+      (isValid && reportedMs == aRecord.mReportedMs &&
+       until < aRecord.mReportedUntil + kMinExtension) ||
+      until < aNow + kMinExtension) {
     return aRecord;
   }
   client_timeout_record next = aRecord;
-  next.mReportedMs = static_cast<std::uint32_t>(ToMs(aReport.mTimeout));
+  next.mReportedMs = reportedMs;
   next.mReportedUntil = until;
   return next;
 }
--- a/src/forward/client_timeout.h
+++ b/src/forward/client_timeout.h
@@ -27,8 +27,8 @@
 {
   std::array<std::uint32_t, kClientTimeoutSamples> mRecentMs{};
   std::uint32_t mCount = 0; // samples ever added
-  // What another daemon observed, which is used while this daemon has too few samples, and until
-  // when.
+  // The greatest that other daemons observed, which is used while this daemon has few samples, and
+  // until when.
   std::uint32_t mReportedMs = 0;
   instant mReportedUntil{};
 
@@ -44,13 +44,13 @@
 // The timeout that clients start with, as this daemon's samples show it; 0 while they are too few.
 micros ObservedTimeout(const client_timeout_record& aRecord);
 
-// What to report to other daemons: the observation of this daemon, else what was reported to it.
-// The time is 0 if there is neither.
+// What this daemon uses and reports to others: its own observation, or a greater one that was
+// reported to it while it has few samples. The timeout is 0 if there is neither.
 observed_timeout ReportOf(const std::string& aRoute,
                           const client_timeout_record& aRecord,
                           instant aNow);
 
-// Takes over a report unless a newer one is known.
+// Takes over a report unless a greater or newer one is known.
 client_timeout_record WithReport(const client_timeout_record& aRecord,
                                  const observed_timeout& aReport,
                                  instant aNow);
