--- a/cmake/modules.cmake
+++ b/cmake/modules.cmake
@@ -17,7 +17,7 @@
 # their tests; they have the label "core".
 set(REDWINGDOCK_CORE_FOLDERS base blackboard catalog codec entry fleet follow forward gate membership
   permits query safety settings tables)
-set(REDWINGDOCK_CORE_TESTS platform_request_codec_test platform_store_codec_test)
+set(REDWINGDOCK_CORE_TESTS platform_decoder_fuzz_test platform_request_codec_test platform_store_codec_test)
 add_custom_target(core_tests)
 
 # redwingdock_test(NAME base_hash_test SOURCES hash_test.cc DEPS base_hash)
