--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -270,6 +270,123 @@
       "",
       0 }));
 
+// A server that answers each connection with a start and then the same bytes again and again, until
+// the connection is closed.
+class endless_server
+{
+public:
+  endless_server(io_loop& aLoop, std::string aStart, std::string aRepeated)
+    : mLoop(aLoop)
+    , mStart(std::move(aStart))
+  {
+    while (mChunk.size() < kChunkBytes) {
+      mChunk += aRepeated;
+    }
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        tcp_hooks hooks;
+        hooks.mOnBytes = [this, weak = std::weak_ptr(aConnection)](std::string_view) {
+          if (const auto connection = weak.lock()) {
+            connection->Send(mStart);
+            SendMore(connection);
+          }
+        };
+        hooks.mOnClosed = [this](const tcp_close_info&) { ++mClosed; };
+        ++mOpened;
+        {
+          const std::lock_guard lock(mLock);
+          mAccepted.push_back(aConnection);
+        }
+        aConnection->Start(std::move(hooks));
+      });
+    mListener = *listener;
+  }
+
+  std::string Address() const { return mListener->Address(); }
+  bool AllClosed() const { return mOpened > 0 && mClosed == mOpened; }
+
+private:
+  static constexpr std::size_t kChunkBytes = std::size_t{ 64 } * 1024;
+
+  void SendMore(const std::shared_ptr<tcp_connection>& aConnection)
+  {
+    if (aConnection->UnsentBytes() == 0) {
+      aConnection->Send(mChunk);
+    }
+    mLoop.After(milliseconds(1), [this, weak = std::weak_ptr(aConnection)] {
+      const auto connection = weak.lock();
+      if (connection && mClosed < mOpened) {
+        SendMore(connection);
+      }
+    });
+  }
+
+  io_loop& mLoop;
+  const std::string mStart;
+  std::string mChunk;
+  std::atomic<int> mOpened{ 0 };
+  std::atomic<int> mClosed{ 0 };
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+struct endless_row
+{
+  const char* mGuardsAgainst;
+  std::string mStart;
+  std::string mRepeated;
+};
+
+class endless_test : public testing::TestWithParam<endless_row>
+{};
+
+TEST_P(endless_test, EndsTheAttemptAndTheConnection)
+{
+  edge_fixture fixture;
+  endless_server server(fixture.mLoop, GetParam().mStart, GetParam().mRepeated);
+  fixture.Publish();
+  fixture.mStore.Put("servers/i-a",
+                     R"({"service":"a","address":")" + server.Address() +
+                       R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
+                       R"("warmupRemainingMs":0,"sequence":9,"born":2})");
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  // The daemon may still know the earlier entry; then another request meets the endless server.
+  unsigned status = 200;
+  for (int i = 0; i < 100 && status == 200; ++i) {
+    status = fixture.Exchange(fixture.mBound.mCallers, Request("/p/x")).mStatus;
+  }
+  EXPECT_TRUE(status == 502 || status == 504) << GetParam().mGuardsAgainst << ": " << status;
+  const instant latest = SteadyNow() + seconds(2);
+  while (!server.AllClosed() && SteadyNow() < latest) {
+    fixture.Get(fixture.mBound.mReadiness, "/readiness");
+  }
+  EXPECT_TRUE(server.AllClosed()) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, Request("/u/x")).mStatus, 200U)
+    << GetParam().mGuardsAgainst;
+  fixture.mDaemon.reset();
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  endless_test,
+  testing::Values(
+    endless_row{ "a head without end is read until the deadline", "", "x" },
+    endless_row{ "fields without end are read until the deadline",
+                 "HTTP/1.1 200 OK\r\n",
+                 "A: b\r\n" },
+    endless_row{ "a body without end is read until the deadline", "HTTP/1.1 200 OK\r\n\r\n", "x" },
+    endless_row{ "a chunk extension without end is read until the deadline",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
+                 "b" },
+    endless_row{ "trailers without end are read until the deadline",
+                 "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+                 "A: b\r\n" },
+    endless_row{ "replies to other requests are read until the deadline",
+                 "",
+                 "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n" }));
+
 TEST(edge_daemon, RefusesAndIsNotReadyWithoutConfiguration)
 {
   // Guards against a daemon that answers 404 or reports that it is ready before it has read the
