Pass on the oldest news first when they do not fit one heartbeat

Cause: found when reading the change for 300 daemons. A heartbeat holds 128 reports; the rest was marked as passed on, and those with late names were always in the rest.

Test: members.NewsThatDoNotFitAHeartbeatFollowInTheNext.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -131,10 +131,11 @@
       aContext.Emit(send_heartbeat{ address, aSent });
     }
   };
-  send(targets.mOwnZone, MakeHeartbeat(aContext, aView, 0, ReportsOfNews(aView, now)));
+  const std::vector<member_report> news = ReportsOfNews(aView, now);
+  send(targets.mOwnZone, MakeHeartbeat(aContext, aView, 0, news));
   send(targets.mOtherZones, MakeHeartbeat(aContext, aView, 0, ReportsOfOwnZone(aView, now)));
   send(targets.mUnknown, MakeHeartbeat(aContext, aView, kPeersPerHeartbeat));
-  return WithNewsSent(aView);
+  return WithNewsSent(aView, news);
 }
 
 fleet_view WithUpdatedSelf(core_context& aContext, fleet_view aView)
--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -64,10 +64,17 @@
 {
   std::vector<member_report> reports;
   for (const auto& [vm, member] : aView.mMembers) {
-    if (member.mSilentAt >= aNow && reports.size() < kMaxReports && aIncluded(member)) {
+    if (member.mSilentAt >= aNow && aIncluded(member)) {
       reports.push_back({ member.mState, aNow - member.mHeardAt });
     }
   }
+  if (reports.size() > kMaxReports) {
+    // The oldest first, so that no member waits for the others again and again.
+    std::sort(reports.begin(), reports.end(), [](const auto& aLeft, const auto& aRight) {
+      return aLeft.mAge > aRight.mAge;
+    });
+    reports.resize(kMaxReports);
+  }
   return reports;
 }
 
@@ -239,11 +246,11 @@
   return Reports(aView, aNow, [](const fleet_member&) { return true; });
 }
 
-fleet_view WithNewsSent(const fleet_view& aView)
+fleet_view WithNewsSent(const fleet_view& aView, const std::vector<member_report>& aSent)
 {
   fleet_view next = aView;
-  for (auto& [vm, member] : next.mMembers) {
-    member.mIsNews = false;
+  for (const member_report& report : aSent) {
+    next.mMembers.at(report.mState.mVm).mIsNews = false;
   }
   return next;
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -59,7 +59,8 @@
 std::vector<member_report> ReportsOfNews(const fleet_view& aView, instant aNow);
 // Reports for a daemon that has just started: all live daemons, up to a limit.
 std::vector<member_report> ReportsOfAll(const fleet_view& aView, instant aNow);
-fleet_view WithNewsSent(const fleet_view& aView);
+// Marks news as passed on. aSent are reports of aView.
+fleet_view WithNewsSent(const fleet_view& aView, const std::vector<member_report>& aSent);
 
 // Call addresses of the serving daemons: this one and the members that are not silent.
 std::vector<std::string> CallAddresses(const fleet_view& aView, instant aNow);
--- a/src/fleet/members_test.cc
+++ b/src/fleet/members_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <set>
 
 namespace redwingdock {
 namespace {
@@ -236,7 +237,7 @@
     for (const std::string& address : targets.mOtherZones) {
       Send(aFrom, address, ownZone);
     }
-    aFrom.mView = WithNewsSent(aFrom.mView);
+    aFrom.mView = WithNewsSent(aFrom.mView, news);
   }
 
   forward_config mConfig;
@@ -293,6 +294,32 @@
                                    0,
                                    std::chrono::seconds(8) }));
 
+TEST(members, NewsThatDoNotFitAHeartbeatFollowInTheNext)
+{
+  // Guards against daemons of a large fleet that are never passed on, because others come first by
+  // their names.
+  constexpr std::size_t kMembers = 300;
+  const instant now{ std::chrono::seconds(100) };
+  fleet_view view;
+  view.mSelf.mZone = "own";
+  for (std::size_t i = 0; i < kMembers; ++i) {
+    const std::string vm = "vm-" + std::to_string(i);
+    const heartbeat received{ { vm, 1, "peer-" + vm, "call-" + vm, "other", true }, {}, {} };
+    view = WithHeartbeat(view, received, {}, now);
+  }
+  std::set<std::string> reported;
+  for (int i = 0; i < 3; ++i) {
+    const std::vector<member_report> news = ReportsOfNews(view, now);
+    EXPECT_LE(news.size(), 128U);
+    view = WithNewsSent(view, news);
+    for (const member_report& each : news) {
+      reported.insert(each.mState.mVm);
+    }
+  }
+  EXPECT_EQ(reported.size(), kMembers);
+  EXPECT_TRUE(ReportsOfNews(view, now).empty());
+}
+
 TEST(members, HeartbeatsBetweenZonesGrowWithTheZonesOnly)
 {
   // Guards against heartbeats of each daemon to all daemons of other zones, which were half of the
