--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -98,8 +98,9 @@
 {
   daemon_state mState;
   instant mHeardAt{};
-  instant mSilentAt{};  // without a further heartbeat it counts as silent after this
-  bool mIsNews = false; // learnt from another zone and not yet passed on within this daemon's zone
+  instant mSilentAt{}; // without a further heartbeat it counts as silent after this
+  bool mNeedsRelay =
+    false; // learnt from another zone and not yet passed on within this daemon's zone
 
   auto operator<=>(const fleet_member&) const = default;
 };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -131,11 +131,11 @@
       aContext.Emit(send_heartbeat{ address, aSent });
     }
   };
-  const std::vector<member_report> news = ReportsOfNews(aView, now);
-  send(targets.mOwnZone, MakeHeartbeat(aContext, aView, 0, news));
+  const std::vector<member_report> relayed = ReportsToRelay(aView, now);
+  send(targets.mOwnZone, MakeHeartbeat(aContext, aView, 0, relayed));
   send(targets.mOtherZones, MakeHeartbeat(aContext, aView, 0, ReportsOfOwnZone(aView, now)));
   send(targets.mUnknown, MakeHeartbeat(aContext, aView, kPeersPerHeartbeat));
-  return WithNewsSent(aView, news);
+  return WithRelayed(aView, relayed);
 }
 
 fleet_view WithUpdatedSelf(core_context& aContext, fleet_view aView)
--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -43,7 +43,7 @@
   const auto known = aView.mMembers.find(state.mVm);
   if (known != aView.mMembers.end() && !IsNewer(known->second, state, sentAt)) {
     if (fromOwnZone && state.mBeat >= known->second.mState.mBeat) {
-      known->second.mIsNews = false; // the zone has heard it already
+      known->second.mNeedsRelay = false; // the zone has heard it already
     }
     return aView;
   }
@@ -236,9 +236,9 @@
   });
 }
 
-std::vector<member_report> ReportsOfNews(const fleet_view& aView, instant aNow)
+std::vector<member_report> ReportsToRelay(const fleet_view& aView, instant aNow)
 {
-  return Reports(aView, aNow, [](const fleet_member& aMember) { return aMember.mIsNews; });
+  return Reports(aView, aNow, [](const fleet_member& aMember) { return aMember.mNeedsRelay; });
 }
 
 std::vector<member_report> ReportsOfAll(const fleet_view& aView, instant aNow)
@@ -246,11 +246,11 @@
   return Reports(aView, aNow, [](const fleet_member&) { return true; });
 }
 
-fleet_view WithNewsSent(const fleet_view& aView, const std::vector<member_report>& aSent)
+fleet_view WithRelayed(const fleet_view& aView, const std::vector<member_report>& aSent)
 {
   fleet_view next = aView;
   for (const member_report& report : aSent) {
-    next.mMembers.at(report.mState.mVm).mIsNews = false;
+    next.mMembers.at(report.mState.mVm).mNeedsRelay = false;
   }
   return next;
 }
--- a/src/fleet/members.h
+++ b/src/fleet/members.h
@@ -56,11 +56,11 @@
 // Reports for a daemon of another zone: the live daemons of this zone.
 std::vector<member_report> ReportsOfOwnZone(const fleet_view& aView, instant aNow);
 // Reports for the daemons of this zone: what was learnt from other zones and is not yet passed on.
-std::vector<member_report> ReportsOfNews(const fleet_view& aView, instant aNow);
+std::vector<member_report> ReportsToRelay(const fleet_view& aView, instant aNow);
 // Reports for a daemon that has just started: all live daemons, up to a limit.
 std::vector<member_report> ReportsOfAll(const fleet_view& aView, instant aNow);
-// Marks news as passed on. aSent are reports of aView.
-fleet_view WithNewsSent(const fleet_view& aView, const std::vector<member_report>& aSent);
+// Marks the members in aSent, which are reports of aView, as relayed.
+fleet_view WithRelayed(const fleet_view& aView, const std::vector<member_report>& aSent);
 
 // Call addresses of the serving daemons: this one and the members that are not silent.
 std::vector<std::string> CallAddresses(const fleet_view& aView, instant aNow);
--- a/src/fleet/members_test.cc
+++ b/src/fleet/members_test.cc
@@ -229,15 +229,15 @@
     const instant now = Clock(aFrom);
     const heartbeat_targets targets =
       ZoneTargets(aFrom.mView, now, [this](std::uint64_t aBelow) { return Random(aBelow); });
-    const std::vector<member_report> news = ReportsOfNews(aFrom.mView, now);
+    const std::vector<member_report> relayed = ReportsToRelay(aFrom.mView, now);
     const std::vector<member_report> ownZone = ReportsOfOwnZone(aFrom.mView, now);
     for (const std::string& address : targets.mOwnZone) {
-      Send(aFrom, address, news);
+      Send(aFrom, address, relayed);
     }
     for (const std::string& address : targets.mOtherZones) {
       Send(aFrom, address, ownZone);
     }
-    aFrom.mView = WithNewsSent(aFrom.mView, news);
+    aFrom.mView = WithRelayed(aFrom.mView, relayed);
   }
 
   forward_config mConfig;
@@ -294,7 +294,7 @@
                                    0,
                                    std::chrono::seconds(8) }));
 
-TEST(members, NewsThatDoNotFitAHeartbeatFollowInTheNext)
+TEST(members, ReportsThatDoNotFitAHeartbeatFollowInTheNext)
 {
   // Guards against daemons of a large fleet that are never passed on, because others come first by
   // their names.
@@ -309,15 +309,15 @@
   }
   std::set<std::string> reported;
   for (int i = 0; i < 3; ++i) {
-    const std::vector<member_report> news = ReportsOfNews(view, now);
-    EXPECT_LE(news.size(), 128U);
-    view = WithNewsSent(view, news);
-    for (const member_report& each : news) {
+    const std::vector<member_report> relayed = ReportsToRelay(view, now);
+    EXPECT_LE(relayed.size(), 128U);
+    view = WithRelayed(view, relayed);
+    for (const member_report& each : relayed) {
       reported.insert(each.mState.mVm);
     }
   }
   EXPECT_EQ(reported.size(), kMembers);
-  EXPECT_TRUE(ReportsOfNews(view, now).empty());
+  EXPECT_TRUE(ReportsToRelay(view, now).empty());
 }
 
 TEST(members, HeartbeatsBetweenZonesGrowWithTheZonesOnly)
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -455,17 +455,26 @@
       done->set_value({});
     }
   };
+  const auto fresh = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
+  // The daemon closes its idle connections 2.3 s after the stop. The end of one that has had a
+  // request shows that moment; the first request of the other follows at once.
+  auto answered = std::make_shared<std::promise<void>>();
+  tcp_hooks idleHooks;
+  idleHooks.mOnBytes = [answered,
+                        first = std::make_shared<std::atomic<bool>>(true)](std::string_view) {
+    if (first->exchange(false)) {
+      answered->set_value();
+    }
+  };
+  idleHooks.mOnClosed = [fresh](const tcp_close_info&) { fresh->Send(Request("/p/x")); };
+  const auto idle =
+    Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(idleHooks));
+  idle->Send(Request("/p/x"));
+  answered->get_future().wait();
   fixture.mDaemon->RequestStop();
-  // The daemon closes its idle connections 2.3 s after the stop and ends 0.4 s later. The
-  // connection is opened before the first and its request sent between the two.
-  std::shared_ptr<tcp_connection> connection;
-  fixture.mLoop.After(milliseconds(2100), [&] {
-    connection = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
-    fixture.mLoop.After(milliseconds(350), [&] { connection->Send(Request("/p/x")); });
-  });
   EXPECT_EQ(done->get_future().get().mStatus, 200U);
   fixture.mDaemon->WaitForEnd();
-  connection->Close("test done");
+  fresh->Close("test done");
 }
 
 } // namespace
