Let the test of a stop follow the listener instead of exact times

It now sends the request when the daemon has stopped accepting; it fails without the rule in CloseIdle.

--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -125,6 +125,7 @@
   http_exchange_client mExchanges;
   std::unique_ptr<edge_daemon> mDaemon;
   edge_addresses mBound;
+  std::vector<std::shared_ptr<tcp_connection>> mProbes;
 };
 
 struct call_row
@@ -455,26 +456,32 @@
       done->set_value({});
     }
   };
+  fixture.mDaemon->RequestStop();
+  // The connections are opened during the 2.3 s after which the daemon closes idle ones, late
+  // enough not to reach the idle timeout of 2 s before.
+  std::promise<void> elapsed;
+  fixture.mLoop.After(seconds(1), [&elapsed] { elapsed.set_value(); });
+  elapsed.get_future().wait();
   const auto fresh = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
-  // The daemon closes its idle connections 2.3 s after the stop. The end of one that has had a
-  // request shows that moment; the first request of the other follows at once.
-  auto answered = std::make_shared<std::promise<void>>();
-  tcp_hooks idleHooks;
-  idleHooks.mOnBytes = [answered,
-                        first = std::make_shared<std::atomic<bool>>(true)](std::string_view) {
-    if (first->exchange(false)) {
-      answered->set_value();
-    }
+  // A stopping daemon closes a connection after its first reply. The request of the new connection
+  // is sent when the daemon no longer accepts connections, which shows that it has closed the idle
+  // ones.
+  const std::function<void()> probe = [&fixture, fresh, &probe] {
+    tcp_hooks probeHooks;
+    probeHooks.mOnClosed = [fresh](const tcp_close_info& aInfo) {
+      if (aInfo.mDescription.starts_with("connect")) {
+        fresh->Send(Request("/p/x"));
+      }
+    };
+    probeHooks.mOnOpen = [&fixture, &probe] { fixture.mLoop.After(milliseconds(20), probe); };
+    fixture.mProbes.push_back(
+      Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(probeHooks)));
   };
-  idleHooks.mOnClosed = [fresh](const tcp_close_info&) { fresh->Send(Request("/p/x")); };
-  const auto idle =
-    Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(idleHooks));
-  idle->Send(Request("/p/x"));
-  answered->get_future().wait();
-  fixture.mDaemon->RequestStop();
+  fixture.mLoop.Post(probe);
   EXPECT_EQ(done->get_future().get().mStatus, 200U);
   fixture.mDaemon->WaitForEnd();
-  fresh->Close("test done");
+  fixture.mDaemon.reset();
+  fixture.mLoop.Stop();
 }
 
 } // namespace
