--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -276,7 +276,7 @@
 class endless_server
 {
 public:
-  endless_server(io_loop& aLoop, std::string aStart, std::string aRepeated)
+  endless_server(io_loop& aLoop, std::string aStart, const std::string& aRepeated)
     : mLoop(aLoop)
     , mStart(std::move(aStart))
   {
