--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -648,7 +648,7 @@
     { "platform.address", store_ },
     { "limits.cores", "1" },
     { "bounds.retryBudgetRatio", "0.2" },
-    { "bounds.retryBudgetSlack", "56" },
+    { "bounds.retryBudgetSlack", std::to_string(repeatSlack_) },
     { "bounds.configurationApplyMs", "3000" },
     { "bounds.drainMs", "3000" },
     { "bounds.evacuationMs", "5000" },
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -187,6 +187,7 @@
 public:
   daemon_process(std::string name, std::string zone, std::string ip, std::string storeAddress,
          std::vector<std::string> seeds, std::string folder);
+  void SetRepeatSlack(int slack) { repeatSlack_ = slack; }
   void Start();
   void Signal(int number);
   // Waits for the end of the process.
@@ -202,6 +203,7 @@
   std::string name_, zone_, ip_, store_, folder_;
   std::vector<std::string> seeds_;
   int pid_ = -1;
+  int repeatSlack_ = 56; // retryBudgetSlack of bdc-stitchfind
 };
 
 struct answer {
