--- a/review/rig/rig.cc
+++ b/review/rig/rig.cc
@@ -84,6 +84,21 @@
   return {};
 }
 
+std::string& FolderToRemove()
+{
+  static std::string folder;
+  return folder;
+}
+
+// With KEEP set, the logs of the daemons stay.
+void RemoveFolder()
+{
+  if (!FolderToRemove().empty() && std::getenv("KEEP") == nullptr) {
+    std::error_code ignored;
+    std::filesystem::remove_all(FolderToRemove(), ignored);
+  }
+}
+
 std::string Reply(int status, const std::string& fields, const std::string& body)
 {
   return "HTTP/1.1 " + std::to_string(status) + " Status\r\n" + fields +
@@ -140,7 +155,17 @@
 void GiveUp(const std::string& why)
 {
   std::fprintf(stderr, "could not run: %s\n", why.c_str());
-  std::exit(kCouldNotRun);
+  RemoveFolder();
+  ::_exit(kCouldNotRun); // ends the daemons too
+}
+
+void LimitRunTime()
+{
+  constexpr double kMaxRunMs = 115'000;
+  std::thread([] {
+    SleepMs(kMaxRunMs);
+    GiveUp("the time is over");
+  }).detach();
 }
 
 std::string message::Field(const std::string& name) const
@@ -610,12 +635,6 @@
 
 namespace {
 
-std::string& FolderToRemove()
-{
-  static std::string folder;
-  return folder;
-}
-
 void ReplaceAll(std::string& text, const std::string& from, const std::string& to)
 {
   for (std::size_t at = 0; (at = text.find(from, at)) != std::string::npos; at += to.size()) {
@@ -767,10 +786,7 @@
 void Finish(std::vector<std::unique_ptr<daemon_process>>& daemons, int code)
 {
   daemons.clear();
-  if (!FolderToRemove().empty() && std::getenv("KEEP") == nullptr) {
-    std::error_code ignored;
-    std::filesystem::remove_all(FolderToRemove(), ignored);
-  }
+  RemoveFolder();
   std::fflush(nullptr);
   ::_exit(code); // threads of the stand-ins still run
 }
@@ -798,12 +814,7 @@
     GiveUp("cannot make a temporary folder");
   }
   FolderToRemove() = pattern;
-  if (std::getenv("KEEP") == nullptr) {
-    std::atexit([] {
-      std::error_code ignored;
-      std::filesystem::remove_all(FolderToRemove(), ignored);
-    });
-  } else {
+  if (std::getenv("KEEP") != nullptr) {
     std::fprintf(stderr, "logs: %s\n", pattern.c_str());
   }
   return pattern;
--- a/review/rig/rig.h
+++ b/review/rig/rig.h
@@ -45,6 +45,8 @@
 constexpr int kCouldNotRun = 2;
 // Ends the process with kCouldNotRun.
 [[noreturn]] void GiveUp(const std::string& why);
+// Gives up after 115 s.
+void LimitRunTime();
 
 struct message {
   std::string first;                                       // request line or status line
@@ -228,7 +230,7 @@
 
 // Addresses of one run: a /24 of the loopback network on which the daemons' ports are free.
 std::string ChooseNetwork();
-// A temporary folder, removed at exit.
+// A temporary folder, which Finish() and GiveUp() remove.
 std::string TemporaryFolder();
 // Waits until the daemons are ready; gives up after 20 s.
 void WaitReady(const std::vector<std::unique_ptr<daemon_process>>& daemons);
