Refuse a request that crashes its replicas at all daemons, and clear one that is answered

Cause: a lost run counted only when this daemon saw the replica refuse a connection, but a replica that failed is not tried again while the service has others; the removal of its entry did not count and daemons did not share what they saw.

A lost run now starts a check of its replica: one connection after 100 ms, unless the replica answered meanwhile. Crashes are reported in heartbeats and add up. An answer clears the request. A refusal lasts 60 s and is not renewed by repeats; then one attempt decides. Records are bounded.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -82,6 +82,14 @@
     }
     object.emplace("client_timeouts", std::move(timeouts));
   }
+  if (!aHeartbeat.mCrashes.empty()) {
+    json::array crashes;
+    for (const replica_crash& each : aHeartbeat.mCrashes) {
+      crashes.emplace_back(
+        json::array{ each.mFingerprint, each.mReplica, each.mBornMs, ToMs(each.mTimeLeft) });
+    }
+    object.emplace("crashes", std::move(crashes));
+  }
   return json::serialize(object);
 }
 
@@ -138,6 +146,15 @@
                                    std::chrono::milliseconds(fields.Integer(2, kMaxTimeMs)) });
     }
   }
+  if (reader.Has(root, "crashes")) {
+    for (const json::value& crash : reader.Array(root, "crashes")) {
+      const detail::array_reader fields(reader, crash, "crashes", 4);
+      parsed.mCrashes.push_back({ fields.Integer(0, std::numeric_limits<std::uint64_t>::max()),
+                                  fields.String(1, kMaxStringBytes),
+                                  static_cast<std::int64_t>(fields.Integer(2, kMaxInteger)),
+                                  std::chrono::milliseconds(fields.Integer(3, kMaxTimeMs)) });
+    }
+  }
   if (reader.Error()) {
     return Failure<heartbeat>("parse heartbeat", parsed.mSender.mVm, *reader.Error());
   }
--- a/src/codec/heartbeat_json_test.cc
+++ b/src/codec/heartbeat_json_test.cc
@@ -11,7 +11,8 @@
   { { 18446744073709551615U, std::chrono::seconds(59) }, { 7, std::chrono::milliseconds(1) } },
   { { { "vm-2", 17, "10.2.0.9:7380", "10.2.0.9:8104", "zone-b", false, micros(0), 12 },
       std::chrono::milliseconds(1250) } },
-  { { "search", std::chrono::milliseconds(800), std::chrono::seconds(60) } }
+  { { "search", std::chrono::milliseconds(800), std::chrono::seconds(60) } },
+  { { 18446744073709551614U, "i-1", 1775133628007, std::chrono::milliseconds(59999) } }
 };
 
 TEST(heartbeat_json, ReadsWhatItWrites)
@@ -56,7 +57,9 @@
                   malformed_row{ "a member that is not an array", "[\"vm-2\"", "{},[\"vm-2\"" },
                   malformed_row{ "a member's flag of another type", "false", "0" },
                   malformed_row{ "fewer times than refusals", "[59000,1]", "[59000]" },
-                  malformed_row{ "a timeout that is not a number", "800", "\"800\"" }));
+                  malformed_row{ "a timeout that is not a number", "800", "\"800\"" },
+                  malformed_row{ "a crash without its time", ",59999]", "]" },
+                  malformed_row{ "a crash of a replica without id", "\"i-1\"", "\"\"" }));
 
 TEST(heartbeat_json, ReadsHeartbeatsOfEarlierVersions)
 {
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -32,6 +32,7 @@
   {
     return ForwardRequestKey(aFact.mKey.mRequest);
   }
+  std::string operator()(const replica_checked& aFact) const { return aFact.mReplica->mId; }
   std::string operator()(const store_page_read&) const { return kStoreKey; }
   std::string operator()(const store_changes_read&) const { return kStoreKey; }
   std::string operator()(const store_read_failed&) const { return kStoreKey; }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -49,6 +49,18 @@
   auto operator<=>(const refused_request&) const = default;
 };
 
+// A replica that crashed while it ran a request. A daemon reports it until it is no longer evidence
+// or the request is refused.
+struct replica_crash
+{
+  std::uint64_t mFingerprint = 0; // of the request
+  std::string mReplica;
+  std::int64_t mBornMs = 0; // start of the process that crashed
+  micros mTimeLeft{ 0 };    // of the evidence
+
+  auto operator<=>(const replica_crash&) const = default;
+};
+
 // The timeout with which the clients of a route start, as a daemon observed it.
 struct observed_timeout
 {
@@ -67,6 +79,7 @@
   std::vector<refused_request> mRefused;
   std::vector<member_report> mMembers;
   std::vector<observed_timeout> mTimeouts;
+  std::vector<replica_crash> mCrashes;
 
   auto operator<=>(const heartbeat&) const = default;
 };
--- a/src/core/forwarding.cc
+++ b/src/core/forwarding.cc
@@ -21,6 +21,19 @@
   return "unknown";
 }
 
+const char* ToString(replica_status aStatus)
+{
+  switch (aStatus) {
+    case replica_status::Running:
+      return "running";
+    case replica_status::Ended:
+      return "ended";
+    case replica_status::Unknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 const char* ToString(answer_kind aKind)
 {
   switch (aKind) {
--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -133,6 +133,33 @@
   auto operator<=>(const cancel_attempt&) const = default;
 };
 
+// Command: find out whether the process of the replica still accepts connections. Answered by
+// replica_checked.
+struct check_replica
+{
+  replica_pointer mReplica;
+
+  auto operator<=>(const check_replica&) const = default;
+};
+
+enum class replica_status
+{
+  Running, // it accepts connections
+  Ended,   // nothing listens on its address
+  Unknown, // no connection could be tried, or nothing answered in time
+};
+
+const char* ToString(replica_status aStatus);
+
+// Fact: result of a check_replica command.
+struct replica_checked
+{
+  replica_pointer mReplica;
+  replica_status mStatus = replica_status::Unknown;
+
+  auto operator<=>(const replica_checked&) const = default;
+};
+
 // Kind of a final answer, with the members of forward_answer that it uses.
 enum class answer_kind
 {
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -201,7 +201,8 @@
         return;
       }
       if (aError) {
-        CloseLocked("connect: " + aError.message());
+        CloseLocked(tcp_close_info{ .mDescription = "connect: " + aError.message(),
+                                    .mRefused = aError == asio::error::connection_refused });
         return;
       }
       ExpireAfterLocked(tcp_connection::kNoLimit);
@@ -253,7 +254,7 @@
         if (mClosing) {
           CloseLocked(mCloseReason);
         } else if (error == asio::error::eof) {
-          CloseLocked("closed by the peer", true);
+          CloseLocked(tcp_close_info{ .mDescription = "closed by the peer", .mOrderly = true });
         } else {
           CloseLocked(error.message());
         }
@@ -344,7 +345,12 @@
     WriteLocked();
   }
 
-  void CloseLocked(std::string aReason, bool aOrderly = false, bool aExpired = false)
+  void CloseLocked(std::string aReason)
+  {
+    CloseLocked(tcp_close_info{ .mDescription = std::move(aReason) });
+  }
+
+  void CloseLocked(tcp_close_info aInfo)
   {
     if (mClosed) {
       return;
@@ -356,13 +362,11 @@
     mTimer.cancel();
     mSendBuffer = std::string();
     mSentBytes = 0;
-    asio::post(
-      mContext,
-      [self = shared_from_this(), end = tcp_close_info{ std::move(aReason), aOrderly, aExpired }] {
-        if (self->mHooks.mOnClosed) {
-          self->mHooks.mOnClosed(end);
-        }
-      });
+    asio::post(mContext, [self = shared_from_this(), end = std::move(aInfo)] {
+      if (self->mHooks.mOnClosed) {
+        self->mHooks.mOnClosed(end);
+      }
+    });
   }
 
   void ExpireAfterLocked(micros aDelay)
@@ -405,11 +409,10 @@
       }
       mExpiry = kNever;
       if (mClosing || !mOpen || !mHooks.mOnExpired) {
-        CloseLocked(mClosing ? mCloseReason
-                    : mOpen  ? "timed out"
-                             : "connect: timed out",
-                    false,
-                    true);
+        CloseLocked(tcp_close_info{ .mDescription = mClosing ? mCloseReason
+                                                    : mOpen  ? "timed out"
+                                                             : "connect: timed out",
+                                    .mExpired = true });
         return;
       }
     }
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -90,6 +90,7 @@
   std::string mDescription;
   bool mOrderly = false; // the peer closed it with a FIN, not a reset
   bool mExpired = false; // the time limit of ExpireAfter passed
+  bool mRefused = false; // nothing listens on the address
 
   auto operator<=>(const tcp_close_info&) const = default;
 };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -67,6 +67,7 @@
 // Limit on refused fingerprints in a heartbeat, so that it fits one datagram. The latest refusals
 // matter most, and repeats of the request renew them.
 constexpr std::size_t kMaxRefused = 32;
+constexpr std::size_t kMaxCrashes = 16;
 // Number of peers in a heartbeat to a daemon that has just started, which needs all of them, and in
 // other heartbeats. The others learn of missing peers over several heartbeats.
 constexpr std::size_t kPeersForNewDaemon = 64;
@@ -75,22 +76,38 @@
 // Timeouts of routes in a heartbeat, chosen at random; the others follow in later heartbeats.
 constexpr std::size_t kTimeoutsPerHeartbeat = 6;
 
+// Adds the refusals of crashing requests and, for requests that are not refused yet, the replicas
+// that crashed.
+void AddCrashEvidence(core_context& aContext, heartbeat& aSent)
+{
+  const instant now = aContext.Now();
+  for (const auto& [key, suspects] : aContext.mBoard.List<crash_suspects>()) {
+    for (const auto& [fingerprint, record] : suspects->mRecords) {
+      if (record.mRefusedUntil > now) {
+        if (aSent.mRefused.size() < kMaxRefused) {
+          aSent.mRefused.push_back({ fingerprint, record.mRefusedUntil - now });
+        }
+        continue;
+      }
+      for (const lost_replica& lost : record.mLost) {
+        if (lost.mEnded && lost.mUntil > now && aSent.mCrashes.size() < kMaxCrashes) {
+          aSent.mCrashes.push_back({ fingerprint, lost.mId, lost.mBornMs, lost.mUntil - now });
+        }
+      }
+    }
+  }
+}
+
 heartbeat MakeHeartbeat(core_context& aContext,
                         const fleet_view& aView,
                         std::size_t aPeers,
                         std::vector<member_report> aMembers = {})
 {
   const auto random = [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); };
-  heartbeat sent{ aView.mSelf,
-                  RandomSample(LivePeers(aView, aContext.Now()), aPeers, random),
-                  {},
-                  std::move(aMembers),
-                  {} };
-  for (const auto& [key, record] : aContext.mBoard.List<crash_record>()) {
-    if (record->mRefused && record->mUntil > aContext.Now() && sent.mRefused.size() < kMaxRefused) {
-      sent.mRefused.push_back({ record->mFingerprint, record->mUntil - aContext.Now() });
-    }
-  }
+  heartbeat sent{ aView.mSelf, RandomSample(LivePeers(aView, aContext.Now()), aPeers, random),
+                  {},          std::move(aMembers),
+                  {},          {} };
+  AddCrashEvidence(aContext, sent);
   std::vector<std::string> keys;
   const auto timeouts = aContext.mBoard.List<client_timeout_record>();
   for (const auto& [key, record] : timeouts) {
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -132,6 +132,7 @@
   state.mContent = aFact.mContent;
   state.mRoute = aRoute;
   state.mVersion = aCatalog.mVersion;
+  state.mMaxAttempts = aRoute->mMaxAttempts;
   state.mArrivedAt = aContext.Now();
   micros timeout = aRoute->mTimeout;
   if (aFact.mContent.mClientTimeout.count() > 0) {
@@ -194,7 +195,8 @@
     AnswerImmediately(aContext, aFact, answer_kind::NoRoute, "no route for this path", micros(0));
     return;
   }
-  if (IsCrashingRequest(aContext, aFact.mContent)) {
+  const crash_verdict verdict = VerdictOf(aContext, aFact.mContent);
+  if (verdict == crash_verdict::Refused) {
     AnswerImmediately(aContext,
                       aFact,
                       answer_kind::NotRun,
@@ -212,6 +214,9 @@
     return;
   }
   forward_state state = NewState(aContext, aHooks, aFact, *known, route);
+  if (verdict == crash_verdict::Trial) {
+    state.mMaxAttempts = 1;
+  }
   for (const part_pointer& part : state.mParts) {
     aContext.mBoard.Update<repeat_budget>(
       BudgetKey(part->mService), [&](const repeat_budget* aOld) {
@@ -223,7 +228,8 @@
                "event=routed request=" + Quoted(state.mContent.mId) + " route=" + route->mName +
                  " version=" + std::to_string(state.mVersion) +
                  " service=" + (route->mGather ? "gather" : state.mParts.front()->mService) +
-                 " parts=" + std::to_string(state.mParts.size()) + " patience_ms=" +
+                 " parts=" + std::to_string(state.mParts.size()) +
+                 (verdict == crash_verdict::Trial ? " trial=yes" : "") + " patience_ms=" +
                  MsText(state.mContent.mClientTimeout) + " spent_ms=" + MsText(state.mSpent) +
                  " round_trip_ms=" + MsText(state.mContent.mRoundTrip) +
                  " partial_ms=" + MsText(state.mPartialAt - state.mArrivedAt) +
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -482,6 +482,9 @@
       }
       return replica_action{ attempt_end::Lost, milliseconds(2) };
     });
+    rig.ScriptCheck(replica, [&, replica] {
+      return rig.Now() < downUntil[replica] ? replica_status::Ended : replica_status::Running;
+    });
   }
   std::size_t runs = 0;
   for (asked = 1; asked <= GetParam().mRepeats * 10; ++asked) {
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -48,7 +48,8 @@
   micros mSpent{ 0 };   // time that the client had waited before the arrival
   instant mPartialAt{}; // when a gather answers with the parts it has
   instant mDeadline{};
-  instant mTimerAt{}; // when the earliest pending timer fires
+  instant mTimerAt{};             // when the earliest pending timer fires
+  std::uint32_t mMaxAttempts = 1; // replicas that may run the request, per service
   bool mAdmissionUpdated = false;
   bool mAnswered = false;
   instant mCancelAt{}; // when attempts left open by the answer are cancelled
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -184,7 +184,7 @@
 bool request_step::MayRepeat(const forward_part& aPart) const
 {
   const std::size_t run = PossiblyRunAttempts(aPart);
-  return aPart.mAttempts.size() < kMaxSends && run < mState.mRoute->mMaxAttempts &&
+  return aPart.mAttempts.size() < kMaxSends && run < mState.mMaxAttempts &&
          (mState.mRoute->mIdempotent || run == 0) &&
          mState.mDeadline - mContext.Now() > kMinTimeLeft;
 }
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -3,6 +3,7 @@
 #include "base/log_text.h"
 #include "codec/heartbeat_json.h"
 #include "daemon/logging.h"
+#include "daemon/port_check.h"
 #include "platform/protocol_names.h"
 #include "platform/request_codec.h"
 
@@ -63,6 +64,19 @@
   return attempt_end::Lost;
 }
 
+replica_status ToReplicaStatus(port_status aStatus)
+{
+  switch (aStatus) {
+    case port_status::Open:
+      return replica_status::Running;
+    case port_status::Closed:
+      return replica_status::Ended;
+    case port_status::Unknown:
+      return replica_status::Unknown;
+  }
+  return replica_status::Unknown;
+}
+
 http_limits ToHttpLimits(const client_limits& aLimits)
 {
   http_limits limits;
@@ -265,7 +279,8 @@
     [this](auto& aEach) {
       using type = std::decay_t<decltype(aEach)>;
       if constexpr (std::is_same_v<type, send_attempt> || std::is_same_v<type, answer_request> ||
-                    std::is_same_v<type, apply_client_limits>) {
+                    std::is_same_v<type, apply_client_limits> ||
+                    std::is_same_v<type, check_replica>) {
         Execute(aEach);
       } else if constexpr (std::is_same_v<type, cancel_attempt>) {
         mReplicaPool.Cancel(PoolId(aEach.mKey), aEach.mSilent);
@@ -350,6 +365,16 @@
   mCallerServer.Reply(aCommand.mRequest, EncodeAnswer(aCommand.mAnswer));
 }
 
+void edge_daemon::Execute(const check_replica& aCommand)
+{
+  CheckPort(mLoop,
+            aCommand.mReplica->mAddress,
+            kConnectTimeout,
+            [this, replica = aCommand.mReplica](port_status aStatus) {
+              mDriver.Post(replica_checked{ replica, ToReplicaStatus(aStatus) });
+            });
+}
+
 void edge_daemon::Execute(const apply_client_limits& aCommand)
 {
   mCallerServer.SetLimits(ToHttpLimits(aCommand.mLimits));
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -76,6 +76,7 @@
   void Execute(command& aCommand);
   void Execute(const send_attempt& aCommand);
   void Execute(const answer_request& aCommand);
+  void Execute(const check_replica& aCommand);
   void Execute(const apply_client_limits& aCommand);
   void EndWhenFlushed(instant aLatest);
   bool IsReady() const;
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -3,6 +3,7 @@
 #include "platform/protocol_names.h"
 #include "platform/standin.h"
 
+#include <algorithm>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -388,6 +389,81 @@
                  "",
                  "HTTP/1.1 200 OK\r\nX-Attempt-Id: other\r\nContent-Length: 0\r\n\r\n" }));
 
+// A replica that ends as soon as it gets a request: it resets the connection and stops listening.
+class crashing_server
+{
+public:
+  explicit crashing_server(io_loop& aLoop)
+  {
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        tcp_hooks hooks;
+        hooks.mOnBytes = [this, weak = std::weak_ptr(aConnection)](std::string_view) {
+          const std::lock_guard lock(mLock);
+          mListener.reset();
+          if (const auto connection = weak.lock()) {
+            connection->Close("crashed");
+          }
+        };
+        const std::lock_guard lock(mLock);
+        mAccepted.push_back(aConnection);
+        aConnection->Start(std::move(hooks));
+      });
+    mListener = *listener;
+    mAddress = mListener->Address();
+  }
+
+  std::string Entry(const std::string& aService) const
+  {
+    return R"({"service":")" + aService + R"(","address":")" + mAddress +
+           R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
+           R"("warmupRemainingMs":0,"sequence":9,"born":2})";
+  }
+
+  bool HasCrashed() const
+  {
+    const std::lock_guard lock(mLock);
+    return mListener == nullptr;
+  }
+
+private:
+  mutable std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
+  std::shared_ptr<tcp_listener> mListener;
+  std::string mAddress;
+};
+
+TEST(edge_daemon, RefusesARequestThatCrashesItsReplicas)
+{
+  // Guards against a request that crashes one replica after the other as long as the service has
+  // replicas (review/1): the daemon does not try a crashed replica again by itself.
+  edge_fixture fixture;
+  std::vector<std::unique_ptr<crashing_server>> servers;
+  fixture.Publish();
+  for (int i = 0; i < 6; ++i) {
+    servers.push_back(std::make_unique<crashing_server>(fixture.mLoop));
+    fixture.mStore.Put("servers/i-x" + std::to_string(i), servers.back()->Entry("b"));
+  }
+  fixture.mStore.Delete("servers/i-b");
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  unsigned status = 0;
+  const instant latest = SteadyNow() + seconds(3);
+  // Each send of the request runs on one replica. The check of a lost replica takes 0.1 s.
+  for (int i = 0; i < 6 && status != 503 && SteadyNow() < latest; ++i) {
+    status = fixture.Exchange(fixture.mBound.mCallers, Request("/u/x")).mStatus;
+    std::promise<void> elapsed;
+    fixture.mLoop.After(milliseconds(300), [&elapsed] { elapsed.set_value(); });
+    elapsed.get_future().wait();
+  }
+  EXPECT_EQ(status, 503U);
+  EXPECT_EQ(std::count_if(servers.begin(),
+                          servers.end(),
+                          [](const auto& aServer) { return aServer->HasCrashed(); }),
+            2);
+  fixture.mDaemon.reset();
+  fixture.mLoop.Stop();
+}
+
 TEST(edge_daemon, RefusesAndIsNotReadyWithoutConfiguration)
 {
   // Guards against a daemon that answers 404 or reports that it is ready before it has read the
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr micros kStoreDelay = std::chrono::milliseconds(4);
+constexpr micros kConnectDelay = std::chrono::milliseconds(1);
 
 core_config ConfigOf(const rig_options& aOptions)
 {
@@ -164,6 +165,8 @@
         Send(aEach);
       } else if constexpr (std::is_same_v<type, cancel_attempt>) {
         mCancelled.push_back(aEach);
+      } else if constexpr (std::is_same_v<type, check_replica>) {
+        Check(aEach);
       } else if constexpr (std::is_same_v<type, answer_request>) {
         mAnswers[aEach.mRequest].push_back({ aEach.mAnswer, Now() });
       } else if constexpr (std::is_same_v<type, read_store_page>) {
@@ -206,6 +209,17 @@
   mEvents.After(action.mAfter, [this, ended] { Post(ended); });
 }
 
+void forwarding_rig::Check(const check_replica& aCommand)
+{
+  const std::string& id = aCommand.mReplica->mId;
+  mCheckedReplicas.push_back(id);
+  const auto script = mCheckScripts.find(id);
+  const replica_status status =
+    script != mCheckScripts.end() ? script->second() : replica_status::Running;
+  mEvents.After(kConnectDelay,
+                [this, checked = replica_checked{ aCommand.mReplica, status }] { Post(checked); });
+}
+
 void forwarding_rig::Read(const read_store_page& aCommand)
 {
   if (mStoreFails) {
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -82,6 +82,12 @@
     mScripts[aReplica] = std::move(aAction);
   }
 
+  // Sets what a check of the replica finds; without this the replica runs.
+  void ScriptCheck(const std::string& aReplica, std::function<replica_status()> aStatus)
+  {
+    mCheckScripts[aReplica] = std::move(aStatus);
+  }
+
   void SendRequest(std::uint64_t aRequest, const std::string& aPath, micros aPatience = micros(0));
   void Post(fact aFact);
   void RunFor(micros aDuration);
@@ -92,6 +98,7 @@
 
   std::vector<sent_attempt> mSent;
   std::vector<cancel_attempt> mCancelled;
+  std::vector<std::string> mCheckedReplicas;
   std::map<std::uint64_t, std::vector<sent_answer>> mAnswers; // by request
   std::vector<heartbeat> mHeartbeats;
   std::vector<answer_entry> mEntries;
@@ -104,6 +111,7 @@
   void RunCore();
   void Execute(const command& aCommand);
   void Send(const send_attempt& aCommand);
+  void Check(const check_replica& aCommand);
   void Read(const read_store_page& aCommand);
   void Watch(const watch_store& aCommand);
   std::vector<store_item_pointer> ChangesAfter(std::uint64_t aRevision) const;
@@ -118,6 +126,7 @@
   std::map<std::string, store_item_pointer> mItems; // by key, including deletions
   std::optional<watch_store> mPendingWatch;
   std::map<std::string, std::function<replica_action(int)>> mScripts;
+  std::map<std::string, std::function<replica_status()>> mCheckScripts;
   std::map<std::string, int> mAttemptCounts; // by replica
 };
 
