Bound the age of the copy of the store instead of the wait of a watch

Cause: a silent watch was noticed only at the end of its wait, which was the bound on a change plus the time in which the bound does not hold, less 2 s.

Each answer of the store confirms the copy. When no daemon's copy has been confirmed for 0.6 to 1 times the larger of the two spans less 1 s, the daemon reads the store's revision on a new connection while the watch waits. Heartbeats carry the revision and a count of confirmations. A newer revision, of the store or of a peer, ends the watch and lists everything on a new connection. The watch waits 30 s. The share of 0.6 lets the first of several daemons confirm the others; 1 s is the time to connect and to list.

wait_test expected the sum of the spans, which is the fault; check_test replaces it with the age that follows from the bounds, and change_in_time_test holds all kinds of change to the bound.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -90,6 +90,10 @@
     }
     object.emplace("crashes", std::move(crashes));
   }
+  if (aHeartbeat.mStore.mConfirmations > 0) {
+    object.emplace("store",
+                   json::array{ aHeartbeat.mStore.mRevision, aHeartbeat.mStore.mConfirmations });
+  }
   return json::serialize(object);
 }
 
@@ -155,6 +159,10 @@
                                   std::chrono::milliseconds(fields.Integer(3, kMaxTimeMs)) });
     }
   }
+  if (reader.Has(root, "store")) {
+    const detail::array_reader fields(reader, root.at("store"), "store", 2);
+    parsed.mStore = { fields.Integer(0, kMaxInteger), fields.Integer(1, kMaxInteger) };
+  }
   if (reader.Error()) {
     return Failure<heartbeat>("parse heartbeat", parsed.mSender.mVm, *reader.Error());
   }
--- a/src/codec/heartbeat_json_test.cc
+++ b/src/codec/heartbeat_json_test.cc
@@ -12,7 +12,8 @@
   { { { "vm-2", 17, "10.2.0.9:7380", "10.2.0.9:8104", "zone-b", false, micros(0), 12 },
       std::chrono::milliseconds(1250) } },
   { { "search", std::chrono::milliseconds(800), std::chrono::seconds(60) } },
-  { { 18446744073709551614U, "i-1", 1775133628007, std::chrono::milliseconds(59999) } }
+  { { 18446744073709551614U, "i-1", 1775133628007, std::chrono::milliseconds(59999) } },
+  { 812, 33 }
 };
 
 TEST(heartbeat_json, ReadsWhatItWrites)
@@ -58,6 +59,7 @@
                   malformed_row{ "a member's flag of another type", "false", "0" },
                   malformed_row{ "fewer times than refusals", "[59000,1]", "[59000]" },
                   malformed_row{ "a timeout that is not a number", "800", "\"800\"" },
+                  malformed_row{ "a revision of the store that is negative", "[812,", "[-812," },
                   malformed_row{ "a crash without its time", ",59999]", "]" },
                   malformed_row{ "a crash of a replica without id", "\"i-1\"", "\"\"" }));
 
--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -143,6 +143,7 @@
                              answer_request,
                              read_store_page,
                              watch_store,
+                             check_store,
                              apply_client_limits,
                              send_heartbeat,
                              close_callers>;
--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -36,6 +36,7 @@
   std::string operator()(const store_page_read&) const { return kStoreKey; }
   std::string operator()(const store_changes_read&) const { return kStoreKey; }
   std::string operator()(const store_read_failed&) const { return kStoreKey; }
+  std::string operator()(const store_checked&) const { return kStoreKey; }
   std::string operator()(const heartbeat_received&) const { return kFleetKey; }
   std::string operator()(const settings_changed&) const { return kSettingsKey; }
 
--- a/src/core/core.h
+++ b/src/core/core.h
@@ -41,6 +41,7 @@
                           store_page_read,
                           store_changes_read,
                           store_read_failed,
+                          store_checked,
                           heartbeat_received,
                           settings_changed>;
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -71,6 +71,17 @@
   auto operator<=>(const observed_timeout&) const = default;
 };
 
+// How current a daemon's copy of the store is.
+struct store_copy
+{
+  std::uint64_t mRevision = 0;
+  // Increases with each answer of the store that showed nothing newer than mRevision. 0 when the
+  // daemon does not state it.
+  std::uint64_t mConfirmations = 0;
+
+  auto operator<=>(const store_copy&) const = default;
+};
+
 // Periodic datagram of one daemon to another.
 struct heartbeat
 {
@@ -80,6 +91,7 @@
   std::vector<member_report> mMembers;
   std::vector<observed_timeout> mTimeouts;
   std::vector<replica_crash> mCrashes;
+  store_copy mStore;
 
   auto operator<=>(const heartbeat&) const = default;
 };
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -4,6 +4,7 @@
 #include "base/reason.h"
 #include "core/catalog.h"
 
+#include <optional>
 #include <variant>
 
 // Facts and commands for reading a key-value store that has revisions, paged listings and watches.
@@ -85,12 +86,24 @@
   auto operator<=>(const store_read_failed&) const = default;
 };
 
+// Result of a check_store command.
+struct store_checked
+{
+  std::uint64_t mCheckNumber = 0;
+  std::optional<std::uint64_t> mAsOf; // revision of the store; nullopt when it was not reached
+  reason mReason;                     // otherwise
+
+  auto operator<=>(const store_checked&) const = default;
+};
+
 // Command: read the page of the listing of all items that begins after the key mAfter. mAfter is
-// empty for the first page.
+// empty for the first page. With mNewConnection, here and below, ends the previous read and opens a
+// new connection, because open ones may no longer deliver data.
 struct read_store_page
 {
   std::uint64_t mReadNumber = 0;
   std::string mAfter;
+  bool mNewConnection = false;
 
   auto operator<=>(const read_store_page&) const = default;
 };
@@ -101,10 +114,19 @@
   std::uint64_t mReadNumber = 0;
   std::uint64_t mAfter = 0;
   micros mWait{ 0 };
+  bool mNewConnection = false;
 
   auto operator<=>(const watch_store&) const = default;
 };
 
+// Command: read the revision of the store on a new connection, while a watch waits.
+struct check_store
+{
+  std::uint64_t mCheckNumber = 0;
+
+  auto operator<=>(const check_store&) const = default;
+};
+
 // Command: apply changed limits on client requests.
 struct apply_client_limits
 {
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -2,6 +2,7 @@
 
 #include "core/controller_facts.h"
 #include "fleet/members.h"
+#include "follow/follow_state.h"
 #include "forward/client_timeout.h"
 #include "forward/crash_record.h"
 #include "forward/forward_state.h"
@@ -108,6 +109,9 @@
                   {},          std::move(aMembers),
                   {},          {} };
   AddCrashEvidence(aContext, sent);
+  if (const auto copy = aContext.mBoard.Read<follow_state>(kStoreKey)) {
+    sent.mStore = { copy->mAsOf, copy->mConfirmations };
+  }
   std::vector<std::string> keys;
   const auto timeouts = aContext.mBoard.List<client_timeout_record>();
   for (const auto& [key, record] : timeouts) {
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -1,5 +1,6 @@
 #include "follow/follow_controller.h"
 
+#include "base/log_text.h"
 #include "core/controller_facts.h"
 #include "follow/follow_state.h"
 
@@ -13,10 +14,20 @@
 constexpr std::uint32_t kMaxBackoffDoublings = 8;
 // The pause after changes takes at most this part of the time in which a change must take effect.
 constexpr int kMaxPauseDivisor = 3;
-// Time to time out a silent watch, list everything and put it into effect.
-constexpr micros kWatchRecovery = std::chrono::seconds(2);
-constexpr micros kMinWatchWait = std::chrono::seconds(1);
-constexpr micros kMaxWatchWait = std::chrono::seconds(30); // that the store accepts
+constexpr micros kWatchWait = std::chrono::seconds(30); // the longest that the store accepts
+// Time to check the store, list everything and put it into effect when a watch went silent.
+constexpr micros kCheckMargin = std::chrono::seconds(1);
+constexpr micros kMinCheckAge = std::chrono::milliseconds(500);
+// Daemons whose copies have the same age check the store at different times, from this share of the
+// longest age on. The first one confirms the copies of the others by its heartbeat.
+constexpr double kMinCheckAgeShare = 0.6;
+constexpr micros kMinCheckDelay = std::chrono::milliseconds(50);
+// Interval of the check timer while no watch waits.
+constexpr micros kIdleCheckDelay = std::chrono::milliseconds(500);
+// A change that another daemon has read reaches this one by its own watch within this time.
+constexpr micros kBehindDelay = std::chrono::milliseconds(500);
+// Copies of other daemons from which nothing was heard for this long are forgotten.
+constexpr micros kPeerCopyTtl = std::chrono::seconds(60);
 
 // Timer: starts the next read unless a later read has started.
 struct read_due
@@ -32,6 +43,33 @@
   auto operator<=>(const deletion_due&) const = default;
 };
 
+// Timer: the copy may have to be checked. There is one at a time.
+struct check_due
+{
+  auto operator<=>(const check_due&) const = default;
+};
+
+// Another daemon's copy has this revision. With mConfirmedAt, the store had nothing newer at that
+// time. Key: kStoreKey.
+struct peer_copy_received
+{
+  std::string mVm;
+  std::uint64_t mRevision = 0;
+  instant mConfirmedAt{};
+
+  auto operator<=>(const peer_copy_received&) const = default;
+};
+
+// Timer: the read should have returned the revision by now.
+struct behind_due
+{
+  std::string mVm; // that has the revision
+  std::uint64_t mRevision = 0;
+  std::uint64_t mReadNumber = 0;
+
+  auto operator<=>(const behind_due&) const = default;
+};
+
 follow_state StateOf(core_context& aContext)
 {
   const auto state = aContext.mBoard.Read<follow_state>(kStoreKey);
@@ -44,40 +82,76 @@
   return items ? items->mItems : item_map{};
 }
 
-// A watch whose connection has gone silent ends after this wait. A change that was published in the
-// meantime must still take effect in its time, which counts from the end of the disturbance.
-micros WatchWait(const forward_config& aConfig)
+bool IsWatching(const follow_state& aState)
+{
+  return aState.mReading && aState.mPhase == follow_phase::Watching;
+}
+
+// The longest time without a confirmation. When open connections go silent, a change that follows
+// must be in effect within the bound on changes or, if that is later, at the end of the time in
+// which the bound does not hold. The two times do not add up.
+micros MaxCheckAge(const forward_config& aConfig)
+{
+  return std::max(kMinCheckAge,
+                  std::max(aConfig.mChangeBound, aConfig.mDisturbanceTime) - kCheckMargin);
+}
+
+// Sets the timer for the next check of a copy that was confirmed at aConfirmedAt.
+void ScheduleCheck(core_context& aContext, follow_state& aState, instant aConfirmedAt)
 {
-  return std::clamp(
-    aConfig.mDisturbanceTime + aConfig.mChangeBound - kWatchRecovery, kMinWatchWait, kMaxWatchWait);
+  const micros longest = MaxCheckAge(*aContext.ForwardConfig());
+  const micros shortest(
+    static_cast<std::int64_t>(static_cast<double>(longest.count()) * kMinCheckAgeShare));
+  const auto spread = static_cast<std::uint64_t>((longest - shortest).count());
+  aState.mCheckAge = shortest + micros(static_cast<std::int64_t>(aContext.Random(spread + 1)));
+  const micros delay =
+    IsWatching(aState) ? std::max(aConfirmedAt + aState.mCheckAge - aContext.Now(), kMinCheckDelay)
+                       : kIdleCheckDelay;
+  aContext.After(delay, kStoreKey, check_due{});
 }
 
 // Starts the next read and writes the state.
-void StartNextRead(core_context& aContext, follow_state aState)
+void StartNextRead(core_context& aContext, follow_state aState, bool aNewConnection = false)
 {
   ++aState.mReadNumber;
+  aState.mReading = true;
   aState.mReadStartedAt = aContext.Now();
+  const bool onNewConnection = aNewConnection || aState.mFailures > 0;
   if (aState.mPhase == follow_phase::Listing) {
-    aContext.Emit(read_store_page{ aState.mReadNumber, aState.mAfter });
+    aContext.Emit(read_store_page{ aState.mReadNumber, aState.mAfter, onNewConnection });
   } else {
-    aContext.Emit(
-      watch_store{ aState.mReadNumber, aState.mAsOf, WatchWait(*aContext.ForwardConfig()) });
+    aContext.Emit(watch_store{ aState.mReadNumber, aState.mAsOf, kWatchWait, onNewConnection });
   }
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
 
-// Resets the failure count after a successful read.
-follow_state RecordSuccess(core_context& aContext, follow_state aState)
+// Lists everything on a new connection, in place of the current read. A new watch could miss
+// changes while the store drops its history.
+void ListAgain(core_context& aContext, follow_state aState)
+{
+  aState.mPhase = follow_phase::Listing;
+  aState.mAfter.clear();
+  StartNextRead(aContext, std::move(aState), true);
+}
+
+// The store answered a read: it had nothing newer than aAsOf.
+follow_state WithAnswer(core_context& aContext, follow_state aState, std::uint64_t aAsOf)
 {
   if (aState.mFailures > 0) {
-    aContext.Log("follow", "event=store_regained failures=" + std::to_string(aState.mFailures));
+    aContext.Log("follow",
+                 "event=store_regained failures=" + std::to_string(aState.mFailures) +
+                   " unconfirmed_ms=" + MsText(aContext.Now() - aState.mConfirmedAt));
     aState.mFailures = 0;
   }
+  aState.mReading = false;
+  aState.mAsOf = aAsOf;
+  aState.mConfirmedAt = aContext.Now();
+  ++aState.mConfirmations;
   return aState;
 }
 
-// Deletes a key, or delays the deletion by mDeletionDelay when the store was unavailable shortly
-// before: entries that expired during the outage may be written again.
+// Deletes a key, or delays the deletion when the store was unavailable shortly before: entries that
+// expired during the outage may be written again.
 void RemoveOrDelay(core_context& aContext,
                    const std::string& aKey,
                    item_map& aItems,
@@ -113,11 +187,10 @@
   if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Listing) {
     return;
   }
-  state = RecordSuccess(aContext, std::move(state));
   // Pages are read at different revisions. The watch starts at the revision of the first page, so
   // that it repeats the changes made between pages.
   if (state.mAfter.empty()) {
-    state.mAsOf = aFact.mAsOf;
+    state = WithAnswer(aContext, std::move(state), aFact.mAsOf);
     state.mListedItems.clear();
   }
   for (const store_item_pointer& item : aFact.mItems) {
@@ -167,7 +240,7 @@
   if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Watching) {
     return;
   }
-  state = RecordSuccess(aContext, std::move(state));
+  state = WithAnswer(aContext, std::move(state), std::max(state.mAsOf, aFact.mAsOf));
   if (!aFact.mItems.empty()) {
     item_map items = ItemsOf(aContext);
     for (const store_item_pointer& item : aFact.mItems) {
@@ -182,7 +255,6 @@
     }
     aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
   }
-  state.mAsOf = std::max(state.mAsOf, aFact.mAsOf);
   if (aFact.mItems.empty()) {
     StartNextRead(aContext, std::move(state));
     return;
@@ -192,40 +264,168 @@
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
-void OnReadFailed(core_context& aContext, const store_read_failed& aFact)
+// Records that the store could not be read, and reads again after a delay.
+void RetryLater(core_context& aContext, follow_state aState, const store_read_failed& aFact)
 {
-  follow_state state = StateOf(aContext);
-  if (state.mReadNumber != aFact.mReadNumber) {
-    return;
-  }
   const auto config = aContext.ForwardConfig();
-  if (state.mFailures == 0) {
+  if (aState.mFailures == 0) {
     aContext.Log("follow",
-                 "event=store_lost as_of=" + std::to_string(state.mAsOf) + " reason=\"" +
-                   Describe(aFact.mReason) + "\"",
+                 "event=store_lost as_of=" + std::to_string(aState.mAsOf) +
+                   " unconfirmed_ms=" + MsText(aContext.Now() - aState.mConfirmedAt) +
+                   " reason=\"" + Describe(aFact.mReason) + "\"",
                  log_level::Warning);
   }
   aContext.Count("follow.failures");
-  ++state.mFailures;
-  state.mDelayDeletionsUntil = aContext.Now() + config->mDeletionDelayWindow;
+  ++aState.mFailures;
+  aState.mDelayDeletionsUntil = aContext.Now() + config->mDeletionDelayWindow;
   // A new watch may miss changes while the store drops its history. A listing returns the current
   // items.
-  state.mPhase = follow_phase::Listing;
-  state.mAfter.clear();
+  aState.mPhase = follow_phase::Listing;
+  aState.mAfter.clear();
   if (aFact.mFailure == store_failure::HistoryGone) {
-    StartNextRead(aContext, std::move(state));
+    StartNextRead(aContext, std::move(aState));
     return;
   }
-  const auto doublings = std::min(state.mFailures - 1, kMaxBackoffDoublings);
+  aState.mReading = false;
+  const auto doublings = std::min(aState.mFailures - 1, kMaxBackoffDoublings);
   const micros wait =
     std::min(config->mMaxRetryDelay, config->mInitialRetryDelay * (std::int64_t{ 1 } << doublings));
   // Jitter: daemons that lost the store at the same time must not all retry at the same time.
   const micros spread(
     static_cast<std::int64_t>(aContext.Random(static_cast<std::uint64_t>(wait.count()) / 2 + 1)));
-  aContext.After(wait / 2 + spread, kStoreKey, read_due{ state.mReadNumber });
+  aContext.After(wait / 2 + spread, kStoreKey, read_due{ aState.mReadNumber });
+  aContext.mBoard.Write(kStoreKey, std::move(aState));
+}
+
+void OnReadFailed(core_context& aContext, const store_read_failed& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (state.mReadNumber == aFact.mReadNumber && state.mReading) {
+    RetryLater(aContext, std::move(state), aFact);
+  }
+}
+
+// Reads the revision of the store when the copy has not been confirmed for some time: the watch may
+// wait on a connection that no longer delivers data.
+void OnCheckDue(core_context& aContext)
+{
+  follow_state state = StateOf(aContext);
+  instant confirmedAt = state.mConfirmedAt;
+  if (IsWatching(state) && aContext.Now() - confirmedAt >= state.mCheckAge) {
+    aContext.Count("follow.checks");
+    aContext.Emit(check_store{ ++state.mCheckNumber });
+    confirmedAt = aContext.Now(); // if the check succeeds
+  }
+  ScheduleCheck(aContext, state, confirmedAt);
+  aContext.mBoard.Write(kStoreKey, std::move(state));
+}
+
+void LogBehind(core_context& aContext,
+               const follow_state& aState,
+               std::uint64_t aRevision,
+               const std::string& aSource)
+{
+  aContext.Count("follow.behind");
+  aContext.Log("follow",
+               "event=copy_behind as_of=" + std::to_string(aState.mAsOf) +
+                 " store=" + std::to_string(aRevision) + " source=" + aSource +
+                 " watch_open_ms=" + MsText(aContext.Now() - aState.mReadStartedAt),
+               log_level::Warning);
+}
+
+void OnChecked(core_context& aContext, const store_checked& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (state.mCheckNumber != aFact.mCheckNumber || !IsWatching(state)) {
+    return;
+  }
+  if (!aFact.mAsOf) {
+    // The watch waits for a store that does not answer. Listing replaces it.
+    RetryLater(
+      aContext, std::move(state), { state.mReadNumber, store_failure::Unavailable, aFact.mReason });
+    return;
+  }
+  if (*aFact.mAsOf > state.mAsOf) {
+    LogBehind(aContext, state, *aFact.mAsOf, "check");
+    ListAgain(aContext, std::move(state));
+    return;
+  }
+  state.mConfirmedAt = aContext.Now();
+  ++state.mConfirmations;
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
+void OnPeerCopy(core_context& aContext, const peer_copy_received& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (aFact.mRevision == state.mAsOf && aFact.mConfirmedAt > state.mConfirmedAt) {
+    state.mConfirmedAt = aFact.mConfirmedAt;
+    aContext.mBoard.Write(kStoreKey, std::move(state));
+    return;
+  }
+  if (aFact.mRevision > state.mAsOf && IsWatching(state) &&
+      state.mBehindRead != state.mReadNumber) {
+    state.mBehindRead = state.mReadNumber;
+    aContext.After(
+      kBehindDelay, kStoreKey, behind_due{ aFact.mVm, aFact.mRevision, state.mReadNumber });
+    aContext.mBoard.Write(kStoreKey, std::move(state));
+  }
+}
+
+void OnBehindDue(core_context& aContext, const behind_due& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (IsWatching(state) && state.mReadNumber == aFact.mReadNumber &&
+      state.mAsOf < aFact.mRevision) {
+    LogBehind(aContext, state, aFact.mRevision, aFact.mVm);
+    ListAgain(aContext, std::move(state));
+  }
+}
+
+peer_copies WithCopy(const peer_copies* aKnown, const std::string& aVm, const peer_copy& aCopy)
+{
+  peer_copies next = aKnown != nullptr ? *aKnown : peer_copies{};
+  if (!next.mCopies.contains(aVm)) {
+    std::erase_if(next.mCopies, [&aCopy](const auto& aEach) {
+      return aCopy.mReceivedAt - aEach.second.mReceivedAt > kPeerCopyTtl;
+    });
+  }
+  next.mCopies.insert_or_assign(aVm, aCopy);
+  return next;
+}
+
+// A confirmation of another daemon counts from its previous heartbeat on. Only the clock of this
+// daemon tells when that was, so a daemon that was suspended cannot make an old copy look current.
+void OnHeartbeat(core_context& aContext, const heartbeat& aHeartbeat)
+{
+  const std::string& vm = aHeartbeat.mSender.mVm;
+  if (aHeartbeat.mStore.mConfirmations == 0 || vm == aContext.mConfig.mVm) {
+    return;
+  }
+  const peer_copy received{ aHeartbeat.mSender.mIncarnation, aHeartbeat.mStore, aContext.Now() };
+  std::optional<peer_copy> before;
+  const bool overtaken = !aContext.mBoard.Update<peer_copies>(
+    kFleetKey, [&](const peer_copies* aKnown) -> std::optional<peer_copies> {
+      if (aKnown != nullptr && aKnown->mCopies.contains(vm)) {
+        before = aKnown->mCopies.at(vm);
+      }
+      if (before && before->mIncarnation == received.mIncarnation &&
+          before->mCopy.mConfirmations > received.mCopy.mConfirmations) {
+        return std::nullopt;
+      }
+      return WithCopy(aKnown, vm, received);
+    });
+  if (overtaken) {
+    return;
+  }
+  const bool confirmed = before && before->mIncarnation == received.mIncarnation &&
+                         before->mCopy.mConfirmations < received.mCopy.mConfirmations;
+  aContext.mBoard.Post(kStoreKey,
+                       peer_copy_received{ vm,
+                                           received.mCopy.mRevision,
+                                           confirmed ? before->mReceivedAt : instant{} });
+}
+
 void OnReadDue(core_context& aContext, const read_due& aFact)
 {
   follow_state state = StateOf(aContext);
@@ -274,7 +474,22 @@
     [&aContext](const std::string&, const read_due& aFact) { OnReadDue(aContext, aFact); });
   board.OnFact<deletion_due>(
     [&aContext](const std::string&, const deletion_due&) { OnDeletionDue(aContext); });
+  board.OnFact<store_checked>(
+    [&aContext](const std::string&, const store_checked& aFact) { OnChecked(aContext, aFact); });
+  board.OnFact<check_due>(
+    [&aContext](const std::string&, const check_due&) { OnCheckDue(aContext); });
+  board.OnFact<heartbeat_received>(
+    [&aContext](const std::string&, const heartbeat_received& aFact) {
+      OnHeartbeat(aContext, aFact.mHeartbeat);
+    });
+  board.OnFact<peer_copy_received>(
+    [&aContext](const std::string&, const peer_copy_received& aFact) {
+      OnPeerCopy(aContext, aFact);
+    });
+  board.OnFact<behind_due>(
+    [&aContext](const std::string&, const behind_due& aFact) { OnBehindDue(aContext, aFact); });
   aContext.After(micros(0), kStoreKey, read_due{ 0 });
+  aContext.After(micros(0), kStoreKey, check_due{});
 }
 
 } // namespace redwingdock
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -1,6 +1,9 @@
+#include "follow/follow_state.h"
 #include "testing/forwarding_rig.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
+#include <tuple>
 
 namespace redwingdock::testing {
 namespace {
@@ -248,48 +251,294 @@
                milliseconds(1500),
                7 }));
 
-struct wait_row
+// A disturbance of the reads. mBegin and, after mLasts, mEnd run once, mRepeat after each
+// mInterval.
+struct disturbance_case
+{
+  const char* mName;
+  std::function<void(forwarding_rig&)> mBegin;
+  std::function<void(forwarding_rig&)> mRepeat;
+  micros mInterval = seconds(60);
+  std::function<void(forwarding_rig&)> mEnd = [](forwarding_rig&) {};
+  micros mLasts{ 0 };
+};
+
+void DoNothing(forwarding_rig&) {}
+
+void FailWatch(forwarding_rig& aRig)
+{
+  aRig.FailWatch();
+}
+
+void SilenceWatch(forwarding_rig& aRig)
+{
+  aRig.SilenceWatch();
+}
+
+void PublishOther(forwarding_rig& aRig)
+{
+  aRig.Publish({ "operator/other", 0, closed_zone{ "zone-9" } });
+}
+
+const disturbance_case kDisturbances[] = {
+  { "none", DoNothing, DoNothing },
+  { "silent watch", SilenceWatch, DoNothing },
+  { "silent watch before a series of changes", SilenceWatch, PublishOther, milliseconds(330) },
+  { "cut watch", FailWatch, DoNothing },
+  { "watch cut each second", FailWatch, FailWatch, seconds(1) },
+  { "series of changes", PublishOther, PublishOther, milliseconds(330) },
+  { "cut watch at each of a series of changes",
+    FailWatch,
+    [](forwarding_rig& aRig) {
+      aRig.FailWatch();
+      PublishOther(aRig);
+    },
+    milliseconds(330) },
+  { "store refuses for 200 ms",
+    [](forwarding_rig& aRig) {
+      aRig.FailStore(true);
+      aRig.FailWatch();
+    },
+    DoNothing,
+    seconds(60),
+    [](forwarding_rig& aRig) { aRig.FailStore(false); },
+    milliseconds(200) },
+  { "history gone",
+    [](forwarding_rig& aRig) {
+      aRig.DropHistory();
+      aRig.FailWatch();
+    },
+    DoNothing },
+};
+
+// A change, and whether it is in effect.
+struct change_case
+{
+  const char* mName;
+  std::function<void(forwarding_rig&)> mMake;
+  std::function<bool(const forwarding_rig&)> mInEffect;
+};
+
+const change_case kChanges[] = {
+  { "configuration",
+    [](forwarding_rig& aRig) { aRig.Publish(ConfigurationItem(9, { PlainRoute("a", true) })); },
+    [](const forwarding_rig& aRig) { return VersionOf(aRig) == 9; } },
+  { "drain",
+    [](forwarding_rig& aRig) { aRig.Publish(StartedReplica(200, 5, true)); },
+    [](const forwarding_rig& aRig) { return Draining(aRig); } },
+  { "removal",
+    [](forwarding_rig& aRig) { aRig.Delete("replicas/a-1"); },
+    [](const forwarding_rig& aRig) { return Replicas(aRig) == 0; } },
+  { "closed zone",
+    [](forwarding_rig& aRig) {
+      aRig.Publish({ "operator/z", 0, closed_zone{ "zone-1" } });
+    },
+    [](const forwarding_rig& aRig) {
+      const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+      return known && known->mClosedZones.contains("zone-1");
+    } },
+};
+
+class change_in_time_test
+  : public ::testing::TestWithParam<std::tuple<disturbance_case, change_case>>
+{};
+
+// Guards against waits that add up: of a watch that went silent, of the pause in a series of
+// changes, and of delayed deletions. A change must be in effect within the bound on changes or, if
+// that is later, at the end of the time in which the bound does not hold after a disturbance.
+TEST_P(change_in_time_test, IsInEffectWithinTheBound)
+{
+  const auto& [disturbance, change] = GetParam();
+  constexpr micros kDisturbanceTime = seconds(4);
+  constexpr micros kBound = seconds(3);
+  for (int moment = 0; moment < 80; ++moment) {
+    rig_options options;
+    options.mForward.mChangeBound = kBound;
+    options.mForward.mDisturbanceTime = kDisturbanceTime;
+    forwarding_rig rig(options);
+    rig.Publish(StartedReplica(200, 1, false));
+    rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+    // The phase of the check timer differs from row to row.
+    rig.RunFor(seconds(6) + milliseconds(370 * moment % 3000));
+    ASSERT_EQ(VersionOf(rig), 7U);
+    const instant began = rig.Now();
+    const instant changesAt = began + milliseconds(50 * moment);
+    const bool disturbed = std::string(disturbance.mName) != "none";
+    const instant due =
+      std::max(changesAt + kBound, began + (disturbed ? kDisturbanceTime : micros(0)));
+    instant repeatAt = began + disturbance.mInterval;
+    instant endAt = began + disturbance.mLasts;
+    bool made = false;
+    disturbance.mBegin(rig);
+    while (rig.Now() < due) {
+      if (rig.Now() >= endAt) {
+        disturbance.mEnd(rig);
+        endAt = kNever;
+      }
+      if (rig.Now() >= repeatAt) {
+        disturbance.mRepeat(rig);
+        repeatAt += disturbance.mInterval;
+      }
+      if (!made && rig.Now() >= changesAt) {
+        change.mMake(rig);
+        made = true;
+      }
+      rig.RunFor(milliseconds(10));
+    }
+    EXPECT_TRUE(change.mInEffect(rig))
+      << disturbance.mName << ", " << change.mName << " " << 50 * moment << " ms after it";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         change_in_time_test,
+                         ::testing::Combine(::testing::ValuesIn(kDisturbances),
+                                            ::testing::ValuesIn(kChanges)),
+                         [](const auto& aInfo) {
+                           std::string name = std::string(std::get<0>(aInfo.param).mName) + " " +
+                                              std::get<1>(aInfo.param).mName;
+                           std::replace(name.begin(), name.end(), ' ', '_');
+                           return name;
+                         });
+
+struct check_row
 {
   const char* mGuardsAgainst;
   milliseconds mChangeBound;
   milliseconds mDisturbance;
-  milliseconds mWait; // of a watch
+  milliseconds mMinGap; // between checks, from the 1 s that a check may take and its spread
+  milliseconds mMaxGap;
 };
 
-class wait_test : public ::testing::TestWithParam<wait_row>
+class check_test : public ::testing::TestWithParam<check_row>
 {};
 
-TEST_P(wait_test, FollowsTheBoundsOfChanges)
+TEST_P(check_test, FollowsTheBoundsOfChanges)
 {
   rig_options options;
   options.mForward.mChangeBound = GetParam().mChangeBound;
   options.mForward.mDisturbanceTime = GetParam().mDisturbance;
   forwarding_rig rig(options);
   rig.RunFor(seconds(1));
-  ASSERT_FALSE(rig.mWatches.empty());
-  EXPECT_EQ(rig.mWatches.front().mWait, GetParam().mWait) << GetParam().mGuardsAgainst;
+  int checks = rig.mChecks;
+  instant checkedAt = rig.Now();
+  const instant end = rig.Now() + seconds(25); // before the watch is renewed
+  while (rig.Now() < end) {
+    rig.RunFor(milliseconds(10));
+    if (rig.mChecks == checks) {
+      EXPECT_LE(rig.Now() - checkedAt, GetParam().mMaxGap) << GetParam().mGuardsAgainst;
+      continue;
+    }
+    if (checks > 0) {
+      EXPECT_GE(rig.Now() - checkedAt, GetParam().mMinGap) << GetParam().mGuardsAgainst;
+    }
+    checks = rig.mChecks;
+    checkedAt = rig.Now();
+  }
+  EXPECT_EQ(rig.mWatches.size(), 1U) << "the watch is renewed without need";
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  check_test,
+  ::testing::Values(check_row{ "a watch that went silent is noticed after the bound of a change",
+                               milliseconds(3000),
+                               milliseconds(4000),
+                               milliseconds(1700),
+                               milliseconds(3100) },
+                    check_row{ "hundreds of daemons check more often than the bounds need",
+                               milliseconds(5000),
+                               milliseconds(6000),
+                               milliseconds(2900),
+                               milliseconds(5100) },
+                    check_row{ "tight bounds make the daemon check without pause",
+                               milliseconds(100),
+                               milliseconds(100),
+                               milliseconds(250),
+                               milliseconds(600) }));
+
+heartbeat CopyOf(const std::string& aVm, const store_copy& aCopy)
+{
+  heartbeat sent{ { aVm, 5, "127.0.0.9:7380", "call", "zone-2", true } };
+  sent.mStore = aCopy;
+  return sent;
+}
+
+struct shared_check_row
+{
+  const char* mGuardsAgainst;
+  // The heartbeat of another daemon after some number of intervals of 400 ms.
+  std::function<heartbeat(std::uint64_t aRevision, std::uint64_t aInterval)> mHeartbeat;
+  int mMinChecks; // in 20 s
+  int mMaxChecks;
+};
+
+class shared_check_test : public ::testing::TestWithParam<shared_check_row>
+{};
+
+TEST_P(shared_check_test, ChecksOnlyWhatNoDaemonHasConfirmed)
+{
+  forwarding_rig rig({});
+  rig.RunFor(seconds(1));
+  const auto copy = rig.Board().Read<follow_state>(kStoreKey);
+  ASSERT_TRUE(copy);
+  for (std::uint64_t i = 1; i <= 50; ++i) {
+    rig.Post(heartbeat_received{ GetParam().mHeartbeat(copy->mAsOf, i) });
+    rig.RunFor(milliseconds(400));
+  }
+  EXPECT_GE(rig.mChecks, GetParam().mMinChecks) << GetParam().mGuardsAgainst;
+  EXPECT_LE(rig.mChecks, GetParam().mMaxChecks) << GetParam().mGuardsAgainst;
 }
 
+// Alone, a daemon checks at ages of 1.8 to 3 s.
 INSTANTIATE_TEST_SUITE_P(
   cases,
-  wait_test,
-  ::testing::Values(wait_row{ "a watch that went silent is noticed after the bound of a change",
-                              milliseconds(3000),
-                              milliseconds(4000),
-                              milliseconds(5000) },
-                    wait_row{
-                      "hundreds of daemons renew their watches more often than the bounds need",
-                      milliseconds(5000),
-                      milliseconds(6000),
-                      milliseconds(9000) },
-                    wait_row{ "tight bounds make the daemon read without pause",
-                              milliseconds(100),
-                              milliseconds(100),
-                              milliseconds(1000) },
-                    wait_row{ "the store refuses the wait",
-                              milliseconds(60'000),
-                              milliseconds(60'000),
-                              milliseconds(30'000) }));
+  shared_check_test,
+  ::testing::Values(
+    shared_check_row{ "each daemon checks the store although another one just did",
+                      [](std::uint64_t aRevision, std::uint64_t aInterval) {
+                        return CopyOf("vm-2", { aRevision, aInterval });
+                      },
+                      0,
+                      0 },
+    shared_check_row{ "a daemon that hears nothing from the store confirms the copies of others",
+                      [](std::uint64_t aRevision, std::uint64_t) {
+                        return CopyOf("vm-2", { aRevision, 3 });
+                      },
+                      6,
+                      11 },
+    shared_check_row{ "a copy of another revision confirms this one",
+                      [](std::uint64_t aRevision, std::uint64_t aInterval) {
+                        return CopyOf("vm-2", { aRevision - 1, aInterval });
+                      },
+                      6,
+                      11 },
+    shared_check_row{ "a daemon that does not state its copy confirms this one",
+                      [](std::uint64_t, std::uint64_t) { return CopyOf("vm-2", {}); },
+                      6,
+                      11 },
+    shared_check_row{ "a daemon that restarts again and again confirms copies",
+                      [](std::uint64_t aRevision, std::uint64_t aInterval) {
+                        heartbeat sent = CopyOf("vm-2", { aRevision, aInterval });
+                        sent.mSender.mIncarnation = aInterval;
+                        return sent;
+                      },
+                      6,
+                      11 }));
+
+TEST(follow, ANewerCopyOfAnotherDaemonEndsASilentWatch)
+{
+  // Guards against a daemon that waits for its own check although others have read the change.
+  forwarding_rig rig({});
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  rig.RunFor(seconds(6));
+  rig.SilenceWatch();
+  rig.Publish(ConfigurationItem(9, { PlainRoute("a", true) }));
+  const auto copy = rig.Board().Read<follow_state>(kStoreKey);
+  rig.Post(heartbeat_received{ CopyOf("vm-2", { copy->mAsOf + 1, 9 }) });
+  rig.RunFor(milliseconds(600));
+  EXPECT_EQ(VersionOf(rig), 9U);
+}
 
 } // namespace
 } // namespace redwingdock::testing
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -1,6 +1,7 @@
 #ifndef REDWINGDOCK_FOLLOW_FOLLOW_STATE_H
 #define REDWINGDOCK_FOLLOW_FOLLOW_STATE_H
 
+#include "core/fleet.h"
 #include "core/store.h"
 
 #include <map>
@@ -31,20 +32,45 @@
 struct follow_state
 {
   follow_phase mPhase = follow_phase::Listing;
-  std::uint64_t mReadNumber = 0;  // of the current read; replies to others are ignored
-  item_map mListedItems;          // items of the pages read so far
-  std::string mAfter;             // key after which the next page begins
-  std::uint64_t mAsOf = 0;        // the watch continues from this revision
-  instant mReadStartedAt{};       // start of the current read
-  micros mReadPause{ 0 };         // before the next read, after the latest changes
-  std::uint32_t mFailures = 0;    // consecutive failed reads
-  instant mDelayDeletionsUntil{}; // deletions read before this time are delayed
+  std::uint64_t mReadNumber = 0; // of the current read; replies to others are ignored
+  bool mReading = false;         // the current read has been sent and not answered
+  item_map mListedItems;         // items of the pages read so far
+  std::string mAfter;            // key after which the next page begins
+  std::uint64_t mAsOf = 0;       // the watch continues from this revision
+  instant mReadStartedAt{};      // start of the current read
+  micros mReadPause{ 0 };        // before the next read, after the latest changes
+  std::uint32_t mFailures = 0;   // consecutive failed reads
+  // The store had nothing newer than mAsOf at this time, as it answered this daemon or another one.
+  instant mConfirmedAt{};
+  std::uint64_t mConfirmations = 0; // answers of the store to this daemon
+  micros mCheckAge{ 0 };            // age of the confirmation at which the copy is checked
+  std::uint64_t mCheckNumber = 0;   // of the latest check
+  std::uint64_t mBehindRead = 0;    // read during which another daemon had a newer copy
+  instant mDelayDeletionsUntil{};   // deletions read before this time take effect then
   std::map<std::string, instant>
     mDelayedDeletions; // deleted keys that are still in the copy, and when they leave it
 
   auto operator<=>(const follow_state&) const = default;
 };
 
+// The state of another daemon's copy in its latest heartbeat.
+struct peer_copy
+{
+  std::uint64_t mIncarnation = 0; // of the daemon
+  store_copy mCopy;
+  instant mReceivedAt{};
+
+  auto operator<=>(const peer_copy&) const = default;
+};
+
+// Entry key: kFleetKey.
+struct peer_copies
+{
+  std::map<std::string, peer_copy> mCopies; // by VM
+
+  auto operator<=>(const peer_copies&) const = default;
+};
+
 } // namespace redwingdock
 
 #endif
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -288,6 +288,8 @@
         mStore.Read(aEach);
       } else if constexpr (std::is_same_v<type, watch_store>) {
         mStore.Watch(aEach);
+      } else if constexpr (std::is_same_v<type, check_store>) {
+        mStore.Check(aEach);
       } else if constexpr (std::is_same_v<type, send_heartbeat>) {
         // A heartbeat that cannot be sent is not retried; the next one replaces it.
         mPeers.Send(aEach.mAddress, FormatHeartbeat(aEach.mHeartbeat));
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -476,6 +476,32 @@
   EXPECT_NE(reply.Find(kRetryAfterHeader), nullptr);
 }
 
+TEST(edge_daemon, AppliesAChangeThoughItsWatchWentSilent)
+{
+  // Guards against a change that is late because the connection to the store went silent right
+  // before it (review/3). The bound on changes (3 s) may be exceeded until the end of the time in
+  // which it does not hold (4 s).
+  edge_fixture fixture;
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, Request("/n/x")).mStatus, 404U);
+  std::promise<void> elapsed;
+  fixture.mLoop.After(milliseconds(700), [&elapsed] { elapsed.set_value(); }); // the watch waits
+  elapsed.get_future().wait();
+  const instant silentAt = SteadyNow();
+  fixture.mStore.SilenceWatches();
+  std::string changed = kConfiguration;
+  changed.replace(changed.find("\"version\":1"), 11, "\"version\":2");
+  changed.replace(changed.find("/p/"), 3, "/n/");
+  fixture.mStore.Put("op/config", changed);
+  unsigned status = 404;
+  while (status == 404 && SteadyNow() - silentAt < seconds(8)) {
+    status = fixture.Exchange(fixture.mBound.mCallers, Request("/n/x")).mStatus;
+  }
+  EXPECT_EQ(status, 200U);
+  EXPECT_LE(SteadyNow() - silentAt, seconds(4));
+}
+
 TEST(edge_daemon, ServesAddressesAndMetrics)
 {
   // Guards against a ready daemon that does not answer requests for addresses or metrics.
--- a/src/platform/standin.cc
+++ b/src/platform/standin.cc
@@ -55,6 +55,12 @@
   mDown = aDown;
 }
 
+void store_standin::SilenceWatches()
+{
+  const std::lock_guard lock(mLock);
+  mWatches.clear();
+}
+
 void store_standin::ApplyChange(const std::string& aKey, item aItem)
 {
   std::vector<std::pair<std::uint64_t, std::string>> replies;
@@ -94,9 +100,11 @@
                     std::string body;
                     {
                       const std::lock_guard relock(mLock);
-                      std::erase_if(mWatches, [aRequestId](const watch& aWatch) {
-                        return aWatch.mRequestId == aRequestId;
-                      });
+                      if (std::erase_if(mWatches, [aRequestId](const watch& aWatch) {
+                            return aWatch.mRequestId == aRequestId;
+                          }) == 0) {
+                        return;
+                      }
                       body = EventsBody(after);
                     }
                     mServer.Reply(aRequestId, { 200, "application/json", body, {} });
--- a/src/platform/standin.h
+++ b/src/platform/standin.h
@@ -31,6 +31,8 @@
   void Delete(const std::string& aKey);
   // While the store is down, it answers all calls with status 503.
   void SetDown(bool aDown);
+  // The connections of the watches that wait now deliver nothing more, without being closed.
+  void SilenceWatches();
 
 private:
   struct item
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -65,33 +65,63 @@
   if (!aCommand.mAfter.empty()) {
     target += "&after=" + UrlEncode(aCommand.mAfter);
   }
-  StartRequest(aCommand, target, kReplyTimeout);
+  StartRead(aCommand, target, kReplyTimeout);
 }
 
 void store_client::Watch(const watch_store& aCommand)
 {
-  StartRequest(aCommand,
-               std::string(kWatchPath) + "?prefix=" + kAllKeysPrefix +
-                 "&after=" + std::to_string(aCommand.mAfter) +
-                 "&waitMs=" + std::to_string(ToMs(aCommand.mWait)),
-               aCommand.mWait + kReplyTimeout);
+  StartRead(aCommand,
+            std::string(kWatchPath) + "?prefix=" + kAllKeysPrefix + "&after=" +
+              std::to_string(aCommand.mAfter) + "&waitMs=" + std::to_string(ToMs(aCommand.mWait)),
+            aCommand.mWait + kReplyTimeout);
+}
+
+void store_client::Check(const check_store& aCommand)
+{
+  // Any range states the revision of the store; this one has the fewest items.
+  mPool.Start(MakeRequest(std::string(kRangePath) + "?prefix=" + UrlEncode(kClosedZonePrefix),
+                          kReplyTimeout,
+                          true),
+              [this, aCommand](const pool_result& aResult) {
+                fact read = Decode(read_store_page{ aCommand.mCheckNumber }, aResult);
+                store_checked checked{ aCommand.mCheckNumber };
+                if (const auto* page = std::get_if<store_page_read>(&read)) {
+                  checked.mAsOf = page->mAsOf;
+                } else {
+                  checked.mReason = std::get<store_read_failed>(read).mReason;
+                }
+                mPost(std::move(checked));
+              });
 }
 
 template<typename Command>
-void store_client::StartRequest(const Command& aCommand,
-                                const std::string& aTarget,
-                                micros aReplyTimeout)
+void store_client::StartRead(const Command& aCommand,
+                             const std::string& aTarget,
+                             micros aReplyTimeout)
+{
+  pool_request request = MakeRequest(aTarget, aReplyTimeout, aCommand.mNewConnection);
+  const std::uint64_t previous = mLatestReadId.exchange(request.mId);
+  if (aCommand.mNewConnection) {
+    mPool.Cancel(previous, true);
+  }
+  mPool.Start(std::move(request),
+              [this, aCommand](const pool_result& aResult) { mPost(Decode(aCommand, aResult)); });
+}
+
+pool_request store_client::MakeRequest(const std::string& aTarget,
+                                       micros aReplyTimeout,
+                                       bool aNewConnection)
 {
   pool_request request;
   request.mId = ++mNextRequestId;
   request.mAddress = mAddress;
   request.mText = FormatRequest("GET", aTarget, mAddress, "");
   request.mConnections = kMaxConnections;
+  request.mMaxIdleAge = aNewConnection ? micros(1) : micros(0);
   request.mConnectTimeout = kConnectTimeout;
   request.mReplyTimeout = aReplyTimeout;
   request.mReplyLimit = kMaxReplyBytes;
-  mPool.Start(std::move(request),
-              [this, aCommand](const pool_result& aResult) { mPost(Decode(aCommand, aResult)); });
+  return request;
 }
 
 } // namespace redwingdock::platform
--- a/src/platform/store_client.h
+++ b/src/platform/store_client.h
@@ -25,14 +25,19 @@
   // Posts store_changes_read or store_read_failed.
   void Watch(const watch_store& aCommand);
 
+  // Posts store_checked.
+  void Check(const check_store& aCommand);
+
 private:
   template<typename Command>
-  void StartRequest(const Command& aCommand, const std::string& aTarget, micros aReplyTimeout);
+  void StartRead(const Command& aCommand, const std::string& aTarget, micros aReplyTimeout);
+  pool_request MakeRequest(const std::string& aTarget, micros aReplyTimeout, bool aNewConnection);
 
   http_pool mPool;
   const std::string mAddress;
   const std::function<void(fact)> mPost;
   std::atomic<std::uint64_t> mNextRequestId{ 0 };
+  std::atomic<std::uint64_t> mLatestReadId{ 0 };
 };
 
 } // namespace redwingdock::platform
--- a/src/platform/store_client_test.cc
+++ b/src/platform/store_client_test.cc
@@ -2,6 +2,7 @@
 
 #include <future>
 #include <gtest/gtest.h>
+#include <optional>
 
 namespace redwingdock::platform {
 namespace {
@@ -166,6 +167,120 @@
               12,
               false }));
 
+struct check_row
+{
+  const char* mGuardsAgainst;
+  std::string mReply;
+  std::optional<std::uint64_t> mAsOf;
+};
+
+class check_test : public testing::TestWithParam<check_row>
+{};
+
+TEST_P(check_test, ReadsTheRevisionOnly)
+{
+  const call check = [](store_client& aStore) { aStore.Check({ 7 }); };
+  const auto [answer, line] = RunCall(check, GetParam().mReply);
+  EXPECT_EQ(line, "GET /kv-range?prefix=op%2Fevacuate%2F HTTP/1.1");
+  const auto* checked = std::get_if<store_checked>(&answer);
+  ASSERT_NE(checked, nullptr) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(checked->mCheckNumber, 7U);
+  EXPECT_EQ(checked->mAsOf, GetParam().mAsOf) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(checked->mReason == reason{}, GetParam().mAsOf.has_value())
+    << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  check_test,
+  testing::Values(
+    check_row{ "the revision is not read",
+               Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
+               9 },
+    check_row{ "a refusal counts as a revision", Reply("503 Down", ""), std::nullopt },
+    check_row{ "a lost reply counts as a revision", "x", std::nullopt }));
+
+// A server that answers the first request of each connection and then nothing more on it.
+class once_server
+{
+public:
+  explicit once_server(io_loop& aLoop)
+  {
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        tcp_hooks hooks;
+        auto answered = std::make_shared<std::atomic<bool>>(false);
+        hooks.mOnBytes = [answered, weak = std::weak_ptr(aConnection)](std::string_view) {
+          const std::shared_ptr<tcp_connection> connection = weak.lock();
+          if (connection && !answered->exchange(true)) {
+            connection->Send(
+              Reply("200 OK", R"({"items":[],"events":[],"hasMore":false,"asOf":9})"));
+          }
+        };
+        const std::lock_guard lock(mLock);
+        mAccepted.push_back(aConnection);
+        aConnection->Start(std::move(hooks));
+      });
+    mListener = *listener;
+  }
+
+  std::string Address() const { return mListener->Address(); }
+
+private:
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+struct silent_row
+{
+  const char* mGuardsAgainst;
+  call mCall;
+};
+
+class silent_test : public testing::TestWithParam<silent_row>
+{};
+
+TEST_P(silent_test, IsReadOnANewConnection)
+{
+  io_loop loop(2);
+  once_server server(loop);
+  std::mutex lock;
+  std::promise<fact> first;
+  std::promise<fact> second;
+  int posted = 0;
+  store_client store(loop, server.Address(), [&](fact aFact) {
+    const std::lock_guard guard(lock);
+    (posted++ == 0 ? first : second).set_value(std::move(aFact));
+  });
+  loop.Start();
+  ReadPage("")(store);
+  first.get_future().wait();
+  // A watch waits on the only connection, which delivers nothing more.
+  Watch(9)(store);
+  GetParam().mCall(store);
+  auto answer = second.get_future();
+  ASSERT_EQ(answer.wait_for(std::chrono::seconds(5)), std::future_status::ready)
+    << GetParam().mGuardsAgainst;
+  const fact got = answer.get();
+  EXPECT_FALSE(std::holds_alternative<store_read_failed>(got)) << GetParam().mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  silent_test,
+  testing::Values(silent_row{ "a check waits on a silent connection",
+                              [](store_client& aStore) { aStore.Check({ 7 }); } },
+                  silent_row{ "a listing after a silent watch waits on a silent connection",
+                              [](store_client& aStore) {
+                                aStore.Read({ 8, "", true });
+                              } },
+                  silent_row{ "a watch after a silent watch waits on a silent connection",
+                              [](store_client& aStore) {
+                                aStore.Watch({ 8, 9, milliseconds(100), true });
+                              } }));
+
 struct failure_row
 {
   const char* mGuardsAgainst;
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -10,6 +10,8 @@
 
 constexpr micros kStoreDelay = std::chrono::milliseconds(4);
 constexpr micros kConnectDelay = std::chrono::milliseconds(1);
+// A read without a reply ends this long after its wait.
+constexpr micros kReplyTimeout = std::chrono::milliseconds(900);
 
 core_config ConfigOf(const rig_options& aOptions)
 {
@@ -103,6 +105,16 @@
   }
 }
 
+void forwarding_rig::SilenceWatch()
+{
+  if (mPendingWatch) {
+    const watch_store silent = *std::exchange(mPendingWatch, std::nullopt);
+    mEvents.After(silent.mWait + kReplyTimeout, [this, silent] {
+      Post(store_read_failed{ silent.mReadNumber, store_failure::Unavailable, {} });
+    });
+  }
+}
+
 void forwarding_rig::Delete(const std::string& aKey)
 {
   Publish({ aKey, 0, deleted_value{} });
@@ -174,6 +186,8 @@
       } else if constexpr (std::is_same_v<type, watch_store>) {
         mWatches.push_back(aEach);
         Watch(aEach);
+      } else if constexpr (std::is_same_v<type, check_store>) {
+        CheckStore(aEach);
       } else if constexpr (std::is_same_v<type, send_heartbeat>) {
         mHeartbeats.push_back(aEach.mHeartbeat);
       } else if constexpr (std::is_same_v<type, answer_entry>) {
@@ -253,11 +267,27 @@
   store_changes_read changes{ aCommand.mReadNumber, ChangesAfter(aCommand.mAfter), mRevision };
   if (changes.mItems.empty() || mWatchesSuppressed) {
     mPendingWatch = aCommand;
+    mEvents.After(aCommand.mWait, [this, read = aCommand.mReadNumber] {
+      if (mPendingWatch && mPendingWatch->mReadNumber == read) {
+        mPendingWatch.reset();
+        Post(store_changes_read{ read, {}, mRevision });
+      }
+    });
     return;
   }
   mEvents.After(kStoreDelay, [this, changes] { Post(changes); });
 }
 
+void forwarding_rig::CheckStore(const check_store& aCommand)
+{
+  ++mChecks;
+  store_checked checked{ aCommand.mCheckNumber };
+  if (!mStoreFails) {
+    checked.mAsOf = mRevision;
+  }
+  mEvents.After(kStoreDelay, [this, checked] { Post(checked); });
+}
+
 std::vector<store_item_pointer> forwarding_rig::ChangesAfter(std::uint64_t aRevision) const
 {
   std::vector<store_item_pointer> changes;
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -73,6 +73,8 @@
   // While set, watches get no changes, as when the store drops its history.
   void SuppressWatchEvents(bool aSuppressed) { mWatchesSuppressed = aSuppressed; }
   void FailWatch();
+  // The connection of the waiting watch delivers nothing more; later reads work.
+  void SilenceWatch();
   void DropHistory() { mHistoryFrom = mRevision + 1; }
 
   // Sets the action of a replica for its Nth attempt, counted from 0. Without a script the replica
@@ -104,6 +106,7 @@
   std::vector<answer_entry> mEntries;
   std::vector<watch_store> mWatches;
   int mListReads = 0;
+  int mChecks = 0; // of the store
   std::optional<instant> mClosedAt;
   std::optional<instant> mStoppedAt;
 
@@ -114,6 +117,7 @@
   void Check(const check_replica& aCommand);
   void Read(const read_store_page& aCommand);
   void Watch(const watch_store& aCommand);
+  void CheckStore(const check_store& aCommand);
   std::vector<store_item_pointer> ChangesAfter(std::uint64_t aRevision) const;
 
   event_queue mEvents;
