End the delay of deletions at one time after the store is back

Cause: waits that add up. For 5 s after any failed read, each deletion took effect 2.2 s after it was read, and in a series of changes it may be read 1 s after it was made.

Deletions are now delayed until 2.2 s after the return of the store, whenever they are read. One failed read, such as a cut watch, does not show that the store was away; then the delay also ends within the bound on changes, less 0.5 s, of the last confirmation of the copy, before which no deletion that is read later can have been made. 0.5 s is left to put it into effect.

--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -22,11 +22,9 @@
   micros mWatchPause = std::chrono::milliseconds(250); // after changes; doubles while they continue
   micros mInitialRetryDelay = std::chrono::milliseconds(100); // doubles with each failure
   micros mMaxRetryDelay = std::chrono::seconds(1);
-  // Deletions seen soon after a failed read take effect only after this delay, because entries that
-  // expired while the store was unavailable are written again within this time.
+  // After the store was unavailable, deletions take effect only when it has been back for this
+  // long, because entries that expired meanwhile are written again within this time.
   micros mDeletionDelay = std::chrono::milliseconds(2200);
-  // Time after a failed read in which deletions are delayed.
-  micros mDeletionDelayWindow = std::chrono::seconds(5);
 
   // Discovery of other daemons.
   std::vector<std::string> mPeers; // seed addresses of peers, "ip:port"
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -26,6 +26,8 @@
 constexpr micros kIdleCheckDelay = std::chrono::milliseconds(500);
 // A change that another daemon has read reaches this one by its own watch within this time.
 constexpr micros kBehindDelay = std::chrono::milliseconds(500);
+// Part of the bound on changes that is left to put a delayed deletion into effect.
+constexpr micros kDeletionMargin = std::chrono::milliseconds(500);
 // Copies of other daemons from which nothing was heard for this long are forgotten.
 constexpr micros kPeerCopyTtl = std::chrono::seconds(60);
 
@@ -134,14 +136,32 @@
   StartNextRead(aContext, std::move(aState), true);
 }
 
+// After failed reads: resets their count and sets until when deletions are delayed. A single failed
+// read, such as a watch whose connection was cut, does not show that the store was unavailable. The
+// delay then ends within the bound on changes, counted from the earliest time at which a deletion
+// may have been made.
+follow_state WithStoreRegained(core_context& aContext, follow_state aState)
+{
+  const auto config = aContext.ForwardConfig();
+  const instant now = aContext.Now();
+  aState.mDelayDeletionsUntil = now + config->mDeletionDelay;
+  if (aState.mFailures == 1) {
+    aState.mDelayDeletionsUntil = std::min(
+      aState.mDelayDeletionsUntil, aState.mConfirmedAt + config->mChangeBound - kDeletionMargin);
+  }
+  aContext.Log("follow",
+               "event=store_regained failures=" + std::to_string(aState.mFailures) +
+                 " unconfirmed_ms=" + MsText(now - aState.mConfirmedAt) + " delay_deletions_ms=" +
+                 MsText(std::max(aState.mDelayDeletionsUntil - now, micros(0))));
+  aState.mFailures = 0;
+  return aState;
+}
+
 // The store answered a read: it had nothing newer than aAsOf.
 follow_state WithAnswer(core_context& aContext, follow_state aState, std::uint64_t aAsOf)
 {
   if (aState.mFailures > 0) {
-    aContext.Log("follow",
-                 "event=store_regained failures=" + std::to_string(aState.mFailures) +
-                   " unconfirmed_ms=" + MsText(aContext.Now() - aState.mConfirmedAt));
-    aState.mFailures = 0;
+    aState = WithStoreRegained(aContext, std::move(aState));
   }
   aState.mReading = false;
   aState.mAsOf = aAsOf;
@@ -164,9 +184,8 @@
     aItems.erase(aKey);
     return;
   }
-  const micros wait = aContext.ForwardConfig()->mDeletionDelay;
-  aState.mDelayedDeletions.emplace(aKey, aContext.Now() + wait);
-  aContext.After(wait, kStoreKey, deletion_due{});
+  aState.mDelayedDeletions.emplace(aKey, aState.mDelayDeletionsUntil);
+  aContext.After(aState.mDelayDeletionsUntil - aContext.Now(), kStoreKey, deletion_due{});
 }
 
 // Stores an item unless the copy already has a later revision of it, and cancels a delayed
@@ -277,7 +296,6 @@
   }
   aContext.Count("follow.failures");
   ++aState.mFailures;
-  aState.mDelayDeletionsUntil = aContext.Now() + config->mDeletionDelayWindow;
   // A new watch may miss changes while the store drops its history. A listing returns the current
   // items.
   aState.mPhase = follow_phase::Listing;
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -287,6 +287,7 @@
   { "cut watch", FailWatch, DoNothing },
   { "watch cut each second", FailWatch, FailWatch, seconds(1) },
   { "series of changes", PublishOther, PublishOther, milliseconds(330) },
+  { "cut watch before a series of changes", FailWatch, PublishOther, milliseconds(330) },
   { "cut watch at each of a series of changes",
     FailWatch,
     [](forwarding_rig& aRig) {
@@ -303,6 +304,15 @@
     seconds(60),
     [](forwarding_rig& aRig) { aRig.FailStore(false); },
     milliseconds(200) },
+  { "store refuses for 200 ms before a series of changes",
+    [](forwarding_rig& aRig) {
+      aRig.FailStore(true);
+      aRig.FailWatch();
+    },
+    PublishOther,
+    milliseconds(330),
+    [](forwarding_rig& aRig) { aRig.FailStore(false); },
+    milliseconds(200) },
   { "history gone",
     [](forwarding_rig& aRig) {
       aRig.DropHistory();
