Answer every request that was read before a planned stop ends

Cause: at its limit the process ended with requests open and nothing answered them; requests that came late in the grace, on connections opened before, were forwarded whatever time was left; a reply closed its connection although further requests of it had been read; the end of the process reset connections.

At the limit each open request gets its final answer. A request that arrives when less than the route's target, or 2.5 medians, is left gets 503 with Retry-After 0 before it is forwarded. Pipelined requests are answered before the close. Connections without a request are closed 0.4 s after the idle ones. A connection that is being closed takes no further request, under the lock of its session.

--- a/src/base/sharded_map.h
+++ b/src/base/sharded_map.h
@@ -94,6 +94,17 @@
 
   // Calls the function with each key and value. The shards are locked one after the other, so this
   // is not an atomic snapshot.
+  template<typename Function>
+  void ForEach(Function&& aFunction)
+  {
+    for (shard& each : mShards) {
+      const std::lock_guard lock(each.mLock);
+      for (auto& [key, value] : each.mValues) {
+        aFunction(key, value);
+      }
+    }
+  }
+
   template<typename Function>
   void ForEach(Function&& aFunction) const
   {
--- a/src/core/controller_facts.h
+++ b/src/core/controller_facts.h
@@ -97,6 +97,13 @@
   return "request/" + std::to_string(aRequest);
 }
 
+// The daemon stops: a request that has not been answered gets its final answer. Key:
+// ForwardRequestKey.
+struct answer_now
+{
+  auto operator<=>(const answer_now&) const = default;
+};
+
 inline constexpr char kStoreKey[] = "store";
 
 // Key of the suspect entry of a request fingerprint.
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -112,9 +112,12 @@
   auto operator<=>(const send_heartbeat&) const = default;
 };
 
-// Command: stop accepting callers and close their idle connections.
+// Command: stop accepting callers and close their idle connections. With mUnused, also those that
+// have not had a request yet.
 struct close_callers
 {
+  bool mUnused = false;
+
   auto operator<=>(const close_callers&) const = default;
 };
 
@@ -134,7 +137,8 @@
 struct fleet_view
 {
   daemon_state mSelf;
-  bool mLeaving = false;                        // this daemon is shutting down
+  bool mLeaving = false;    // this daemon is shutting down
+  instant mStopAt = kNever; // when leaving: unanswered requests get their final answer then
   std::map<std::string, fleet_member> mMembers; // other daemons, by VM
   // Peer addresses to send heartbeats to, with the time of the last heartbeat from each, or the
   // time when it became known if there was none.
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -44,16 +44,31 @@
   mLimits = aLimits;
 }
 
-void http_server::CloseIdle()
+void http_server::session::CloseAfterSend(const char* aReason)
+{
+  mClosing = true;
+  mConnection->CloseAfterSend(aReason);
+}
+
+void http_server::CloseIdle(bool aUnused)
 {
   mClosing = true;
   if (mListener) {
     mListener->AcceptPendingAndStop();
     mListener.reset();
   }
-  mSessions.ForEach([](std::uint64_t, const session& aSession) {
-    if (aSession.mUsed && aSession.mRequestId == 0 && !aSession.mReader.Started()) {
-      aSession.mConnection->CloseAfterSend("daemon is shutting down");
+  mSessions.ForEach([aUnused](std::uint64_t, session& aSession) {
+    if ((aUnused || aSession.mUsed) && aSession.mRequestId == 0 && !aSession.mReader.Started()) {
+      aSession.CloseAfterSend("daemon is shutting down");
+    }
+  });
+}
+
+void http_server::CloseAll()
+{
+  mSessions.ForEach([](std::uint64_t, session& aSession) {
+    if (aSession.mRequestId == 0) {
+      aSession.CloseAfterSend("daemon is shutting down");
     }
   });
 }
@@ -94,6 +109,9 @@
   std::optional<http_message> request;
   std::uint64_t requestId = 0;
   mSessions.With(aSessionId, [&](session& aSession) {
+    if (aSession.mClosing) {
+      return; // a request that is read now could not be answered
+    }
     const bool started = aSession.mReader.Started();
     const bool headerDone = aSession.mReader.HeaderDone();
     const http_read_status status = aSession.mReader.Feed(aBytes);
@@ -139,7 +157,7 @@
     aSession.mReader.ErrorStatus(), "application/json", ReasonJson(aSession.mReader.Error()), {}
   };
   aSession.mConnection->Send(FormatReply(refusal, false));
-  aSession.mConnection->CloseAfterSend("invalid request");
+  aSession.CloseAfterSend("invalid request");
 }
 
 void http_server::Reply(std::uint64_t aRequestId, const http_response& aReply)
@@ -152,13 +170,15 @@
   std::uint64_t requestId = 0;
   mSessions.With(*id, [&](session& aSession) {
     aSession.mRequestId = 0;
-    const bool keepAlive = aSession.mKeepAlive && !mClosing;
+    // The client may have pipelined its next request, which is answered before the connection
+    // closes.
+    const bool pipelined = aSession.mReader.Buffered() > 0;
+    const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.mConnection->Send(FormatReply(aReply, keepAlive));
     if (!keepAlive) {
-      aSession.mConnection->CloseAfterSend("reply sent");
+      aSession.CloseAfterSend("reply sent");
       return;
     }
-    // The client may have pipelined its next request.
     const http_read_status status = aSession.mReader.Feed({});
     if (status == http_read_status::Complete) {
       next = BeginRequest(*id, aSession);
@@ -195,7 +215,7 @@
     if (lateRequest == 0 && aSession.mReader.Started()) {
       // The request is incomplete, so it had no effect and the client may repeat it.
       aSession.mConnection->Send(FormatReply({ 408, "", "", {} }, false));
-      aSession.mConnection->CloseAfterSend("request timed out");
+      aSession.CloseAfterSend("request timed out");
     } else if (lateRequest == 0) {
       aSession.mConnection->Close("timed out");
     }
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -69,11 +69,14 @@
   // Replaces the limits. A message that is already being read keeps the previous ones.
   void SetLimits(const http_limits& aLimits);
 
-  // Makes each connection close after its next reply, which says "Connection: close".
+  // Makes each connection close after its next reply, which says "Connection: close", unless a
+  // further request of the connection has arrived by then.
   void AnnounceClose() { mClosing = true; }
-  // Stops accepting connections and closes the idle ones that have had a request. A new connection
-  // stays open: its first request may be on the way. Calls AnnounceClose as well.
-  void CloseIdle();
+  // Stops accepting connections and closes the idle ones that have had a request. With aUnused,
+  // also those whose first request may be on the way. Calls AnnounceClose as well.
+  void CloseIdle(bool aUnused);
+  // Closes all connections that have no unanswered request, after their replies have been sent.
+  void CloseAll();
 
   // Unanswered requests, and bytes of replies that the kernel has not accepted yet.
   std::size_t PendingRequests() const { return mSessionByRequest.Size(); }
@@ -87,7 +90,10 @@
     http_reader mReader;
     std::uint64_t mRequestId = 0; // the unanswered request, 0 when there is none
     bool mKeepAlive = true;
-    bool mUsed = false; // a request was read
+    bool mUsed = false;    // a request was read
+    bool mClosing = false; // closes after its last reply; what arrives from now on is ignored
+
+    void CloseAfterSend(const char* aReason);
   };
 
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -1,5 +1,6 @@
 #include "fleet/fleet_controller.h"
 
+#include "base/log_text.h"
 #include "core/controller_facts.h"
 #include "fleet/members.h"
 #include "follow/follow_state.h"
@@ -28,6 +29,7 @@
 {
   instant mStopRequestedAt{};
   bool mCallersClosed = false; // close_callers has been emitted
+  bool mUnusedClosed = false;  // also for connections without a request
 
   auto operator<=>(const stop_check&) const = default;
 };
@@ -255,12 +257,28 @@
     return;
   }
   view.mLeaving = true;
+  view.mStopAt = aContext.Now() + aContext.ForwardConfig()->mStopLimit;
   view = WithUpdatedSelf(aContext, std::move(view));
-  aContext.Log("entry", "event=stop_begun");
+  aContext.Log("entry",
+               "event=stop_begun open_requests=" + std::to_string(OpenRequests(aContext.mBoard)) +
+                 " limit_ms=" + MsText(aContext.ForwardConfig()->mStopLimit));
   ++view.mSelf.mBeat;
   SendToAll(aContext, view);
   aContext.mBoard.Write(kFleetKey, std::move(view));
-  aContext.After(kStopCheck, kFleetKey, stop_check{ aContext.Now(), false });
+  aContext.After(kStopCheck, kFleetKey, stop_check{ aContext.Now() });
+}
+
+// Answers the requests that are left, refuses further ones and ends the process.
+void EndStop(core_context& aContext, std::size_t aOpenRequests)
+{
+  aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(aOpenRequests));
+  fleet_view view = ReadView(aContext);
+  view.mStopAt = std::min(view.mStopAt, aContext.Now());
+  aContext.mBoard.Write(kFleetKey, std::move(view));
+  for (const auto& [key, state] : aContext.mBoard.List<forward_state>()) {
+    aContext.mBoard.Post(key, answer_now{});
+  }
+  aContext.Emit(exit_process{});
 }
 
 void OnStopCheck(core_context& aContext, stop_check aFact)
@@ -272,11 +290,15 @@
     aContext.Log("entry", "event=callers_closed");
     aContext.Emit(close_callers{});
   }
+  // Requests that were read before their connection was closed have arrived by the next check.
+  const bool settled = aFact.mUnusedClosed;
+  if (!settled && elapsed >= config->mLingerTime + kReadGrace) {
+    aFact.mUnusedClosed = true;
+    aContext.Emit(close_callers{ true });
+  }
   const std::size_t open = OpenRequests(aContext.mBoard);
-  const bool settled = aFact.mCallersClosed && elapsed >= config->mLingerTime + kReadGrace;
-  if ((settled && open == 0) || elapsed >= config->mStopLimit) {
-    aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(open));
-    aContext.Emit(exit_process{});
+  if ((settled && open == 0) || aContext.Now() >= ReadView(aContext).mStopAt) {
+    EndStop(aContext, open);
     return;
   }
   aContext.After(kStopCheck, kFleetKey, aFact);
--- a/src/fleet/fleet_controller_test.cc
+++ b/src/fleet/fleet_controller_test.cc
@@ -1,5 +1,6 @@
 #include "testing/forwarding_rig.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace redwingdock::testing {
@@ -141,6 +142,80 @@
                               milliseconds(3260),
                               milliseconds(3400) }));
 
+struct late_row
+{
+  const char* mGuardsAgainst;
+  replica_action mAction; // of the replica
+  milliseconds mSentAt;   // after the stop signal
+  answer_kind mKind;
+  milliseconds mMaxTime; // until the answer
+  std::size_t mMaxSends;
+};
+
+class late_test : public ::testing::TestWithParam<late_row>
+{};
+
+TEST_P(late_test, IsAnsweredBeforeTheProcessEnds)
+{
+  const late_row& row = GetParam();
+  forwarding_rig rig({});
+  rig.Publish(ReplicaItem("a-1", "a", "zone-1"));
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", false) }));
+  rig.Script("a-1", [&row](int) { return row.mAction; });
+  rig.RunFor(seconds(1));
+  rig.Post(stop_requested{});
+  // Keeps the daemon running until its limit.
+  const instant busyUntil = rig.Now() + row.mSentAt;
+  for (std::uint64_t i = 100; rig.Now() < busyUntil; ++i) {
+    rig.SendRequest(i, "/q/x");
+    rig.RunFor(std::min<micros>(milliseconds(100), busyUntil - rig.Now()));
+  }
+  const std::size_t before = rig.mSent.size();
+  const instant sentAt = rig.Now();
+  rig.SendRequest(1, "/q/x");
+  EXPECT_LE(rig.mSent.size() - before, row.mMaxSends) << row.mGuardsAgainst;
+  rig.RunFor(seconds(3));
+  ASSERT_TRUE(rig.mStoppedAt);
+  ASSERT_EQ(rig.mAnswers[1].size(), 1U) << row.mGuardsAgainst;
+  EXPECT_EQ(ToString(rig.mAnswers[1].front().mAnswer.mKind), std::string(ToString(row.mKind)))
+    << row.mGuardsAgainst;
+  EXPECT_LE(rig.mAnswers[1].front().mAt - sentAt, row.mMaxTime) << row.mGuardsAgainst;
+  for (const auto& [request, answers] : rig.mAnswers) {
+    EXPECT_EQ(answers.size(), 1U) << "request " << request;
+  }
+}
+
+const replica_action kNoReply{ attempt_end::Answered, milliseconds(0), 200, "", true };
+
+// The limit of a stop is 5.6 s, the target of the route 200 ms and its timeout 1.2 s.
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  late_test,
+  ::testing::Values(late_row{ "a request without a reply at the limit is cut",
+                              kNoReply,
+                              milliseconds(5000),
+                              answer_kind::TimedOut,
+                              milliseconds(650),
+                              1 },
+                    late_row{ "a request that no replica has run at the limit is said to have run",
+                              { attempt_end::Rejected, milliseconds(5) },
+                              milliseconds(5000),
+                              answer_kind::NotRun,
+                              milliseconds(650),
+                              1 },
+                    late_row{ "a request that cannot be finished is sent to a replica",
+                              { attempt_end::Answered, milliseconds(100) },
+                              milliseconds(5450),
+                              answer_kind::NotRun,
+                              milliseconds(0),
+                              0 },
+                    late_row{ "a request that can be finished is refused",
+                              { attempt_end::Answered, milliseconds(100) },
+                              milliseconds(5300),
+                              answer_kind::Relayed,
+                              milliseconds(110),
+                              1 }));
+
 TEST(settings, ChangedSeedsReceiveHeartbeats)
 {
   // Guards against a daemon that keeps calling the seeds that were configured at its start.
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -181,6 +181,18 @@
            *level, IsUrgent(aCatalog, aRoute), static_cast<double>(aContext.Random(1000)) / 1000.0);
 }
 
+// Whether a request that arrives now is likely to be answered before a stopping daemon answers all
+// requests that are left. Other daemons can run one that is not.
+bool CanFinishBeforeStop(core_context& aContext, const route_rule& aRoute)
+{
+  const auto view = aContext.mBoard.Read<fleet_view>(kFleetKey);
+  if (!view || !view->mLeaving) {
+    return true;
+  }
+  const auto recent = aContext.mBoard.Read<latency_record>(LatencyKey(aRoute));
+  return aContext.Now() + LongLatency(aRoute, recent ? *recent : latency_record{}) <= view->mStopAt;
+}
+
 void OnArrived(core_context& aContext, const forward_hooks& aHooks, const request_arrived& aFact)
 {
   const auto known = aContext.mBoard.Read<catalog>(kCatalogKey);
@@ -204,6 +216,11 @@
                       kRetryAfterCrash);
     return;
   }
+  if (!CanFinishBeforeStop(aContext, *route)) {
+    aContext.Count("forward.refused_at_stop");
+    AnswerImmediately(aContext, aFact, answer_kind::NotRun, "the daemon is stopping", micros(0));
+    return;
+  }
   if (IsOverloaded(aContext, aHooks, *known, *route)) {
     aContext.Count("forward.overloaded");
     AnswerImmediately(aContext,
@@ -353,6 +370,11 @@
     [&aContext](const std::string&, const heartbeat_received& aFact) {
       OnTimeoutsReported(aContext, aFact.mHeartbeat);
     });
+  board.OnFact<answer_now>([&aContext, aHooks](const std::string& aKey, const answer_now&) {
+    if (const auto state = aContext.mBoard.Read<forward_state>(aKey)) {
+      request_step(aContext, aHooks, *state).AnswerNow();
+    }
+  });
   board.OnFact<step_due>([&aContext, aHooks](const std::string& aKey, const step_due&) {
     if (const auto state = aContext.mBoard.Read<forward_state>(aKey)) {
       request_step(aContext, aHooks, *state).Run();
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -298,13 +298,31 @@
   if (enough && (pending == 0 || now >= mState.mPartialAt)) {
     AnswerSuccess();
   } else if (now >= mState.mDeadline || !HasEnoughParts(mState, pending)) {
-    const bool timedOut = now >= mState.mDeadline || HasExpiredAttempt(mState);
-    AnswerFailure(!MayHaveRun(mState) ? answer_kind::NotRun
-                  : timedOut          ? answer_kind::TimedOut
-                                      : answer_kind::Failed);
+    AnswerUnanswered(now >= mState.mDeadline || HasExpiredAttempt(mState));
   }
 }
 
+void request_step::AnswerUnanswered(bool aTimedOut)
+{
+  AnswerFailure(!MayHaveRun(mState) ? answer_kind::NotRun
+                : aTimedOut         ? answer_kind::TimedOut
+                                    : answer_kind::Failed);
+}
+
+void request_step::AnswerNow()
+{
+  if (mState.mAnswered) {
+    return;
+  }
+  if (HasEnoughParts(mState)) {
+    AnswerSuccess();
+  } else {
+    AnswerUnanswered(true);
+  }
+  CancelAll(false);
+  Store();
+}
+
 void request_step::UpdateAdmission()
 {
   if (mState.mAdmissionUpdated || !mState.mRoute->mGather) {
--- a/src/forward/request_step.h
+++ b/src/forward/request_step.h
@@ -52,6 +52,9 @@
   // Advances all parts, answers the request when the answer is due, and stores the state.
   void Run();
 
+  // Answers a request that is not answered yet with what it has, and cancels its attempts.
+  void AnswerNow();
+
   // Cancels all attempts of a request whose client disconnected, and removes its state.
   void Abandon();
 
@@ -85,6 +88,8 @@
   // answer is due.
   void UpdateAdmission();
   void AnswerSuccess();
+  // Answers that the request did not succeed: that it did not run, if that is certain.
+  void AnswerUnanswered(bool aTimedOut);
   void AnswerFailure(answer_kind aKind);
   // Time after which the client can expect an answer.
   micros RetryAfter() const;
--- a/src/forward/timing.cc
+++ b/src/forward/timing.cc
@@ -34,6 +34,11 @@
   return median ? *median : aRoute.mTargetLatency / kDefaultLatencyDivisor;
 }
 
+micros LongLatency(const route_rule& aRoute, const latency_record& aRecent)
+{
+  return std::max(aRoute.mTargetLatency, Scaled(ExpectedLatency(aRoute, aRecent), kHedgeMedians));
+}
+
 micros PartialAnswerDelay(const route_rule& aRoute, const client_delays& aClient)
 {
   const micros whole = aRoute.mTargetLatency - aClient.mRoundTrip -
--- a/src/forward/timing.h
+++ b/src/forward/timing.h
@@ -12,6 +12,10 @@
 // been recorded.
 micros ExpectedLatency(const route_rule& aRoute, const latency_record& aRecent);
 
+// A latency that few attempts on the route exceed: the target, or several medians when that is
+// more.
+micros LongLatency(const route_rule& aRoute, const latency_record& aRecent);
+
 // The part of the client's target that is spent outside this daemon.
 struct client_delays
 {
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -207,8 +207,10 @@
 
 void edge_daemon::EndWhenFlushed(instant aLatest)
 {
-  if (SteadyNow() < aLatest &&
-      (mCallerServer.UnsentBytes() > 0 || mCallerServer.PendingRequests() > 0)) {
+  // Waits until the clients have closed: ending the process with received bytes unread would reset
+  // their connections, and a reply that is on the way could be lost.
+  mCallerServer.CloseAll();
+  if (SteadyNow() < aLatest && mCallerServer.Connections() > 0) {
     mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
     return;
   }
@@ -296,7 +298,7 @@
       } else if constexpr (std::is_same_v<type, answer_entry>) {
         mAddressServer.Reply(aEach.mEntryRequest, EncodeAddresses(aEach.mAnswer));
       } else if constexpr (std::is_same_v<type, close_callers>) {
-        mCallerServer.CloseIdle();
+        mCallerServer.CloseIdle(aEach.mUnused);
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
       } else if constexpr (std::is_same_v<type, exit_process>) {
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -1,11 +1,6 @@
-#include "daemon/http_exchange.h"
-#include "platform/edge_daemon.h"
-#include "platform/protocol_names.h"
-#include "platform/standin.h"
+#include "platform/edge_fixture.h"
 
 #include <algorithm>
-#include <future>
-#include <gtest/gtest.h>
 
 namespace redwingdock::platform {
 namespace {
@@ -13,122 +8,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const std::string kConfiguration =
-  R"({"version":1,"routes":[)"
-  R"({"name":"g","host":"h.example","prefix":"/g/","kind":"safe","timeoutMs":900,)"
-  R"("targetLatencyMs":300,"gather":["a","b","c"],"maxAttempts":2,"topK":2,)"
-  R"("minimumSuccessShare":0.6},)"
-  R"({"name":"p","host":"h.example","prefix":"/p/","kind":"safe","timeoutMs":900,)"
-  R"("targetLatencyMs":300,"service":"a","maxAttempts":2},)"
-  R"({"name":"u","host":"h.example","prefix":"/u/","kind":"unsafe","timeoutMs":900,)"
-  R"("targetLatencyMs":300,"service":"b","maxAttempts":2}],)"
-  R"("services":[{"name":"a","connectionLimit":20},{"name":"b","connectionLimit":20},)"
-  R"({"name":"c","connectionLimit":20}],)"
-  R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":300,)"
-  R"("idleTimeoutMs":2000}})";
-
-// One daemon with a store and one replica for each of the services a, b and c.
-class edge_fixture
-{
-public:
-  edge_fixture()
-    : mLoop(2)
-    , mStore(mLoop)
-    , mExchanges(mLoop)
-  {
-    for (const char* service : { "a", "b", "c" }) {
-      auto replica =
-        std::make_unique<replica_standin>(mLoop, std::string("i-") + service, replica_behaviour{});
-      EXPECT_TRUE(replica->ListenOn("127.0.0.1:0"));
-      mReplicas.emplace(service, std::move(replica));
-    }
-    edge_settings settings;
-    settings.mCore.mVm = "vm-1";
-    settings.mCore.mZone = "zone-1";
-    settings.mListenCallers = "127.0.0.1:0";
-    settings.mListenReadiness = "127.0.0.1:0";
-    settings.mListenAddresses = "127.0.0.1:0";
-    settings.mListenPeers = "127.0.0.1:0";
-    settings.mListenMetrics = "127.0.0.1:0";
-    const result<std::string> store = mStore.ListenOn("127.0.0.1:0");
-    settings.mStore = store ? *store : "";
-    settings.mCore.mCallAddress = "127.0.0.1:1";
-    settings.mCore.mAddress = "127.0.0.1:2";
-    settings.mCore.mLogDecisions = false;
-    mLoop.Start();
-    mDaemon = std::make_unique<edge_daemon>(settings, forward_hooks{});
-    mBound = *mDaemon->Start();
-  }
-
-  ~edge_fixture()
-  {
-    mDaemon.reset();
-    mLoop.Stop();
-  }
-
-  void Publish()
-  {
-    for (const auto& [service, replica] : mReplicas) {
-      mStore.Put("servers/i-" + service, replica->PublishedEntry(service, "zone-1", false));
-    }
-    mStore.Put("op/config", kConfiguration);
-  }
-
-  // Polls the readiness path for up to 3 s, the limit for a change of the configuration to take
-  // effect.
-  bool WaitUntilReady()
-  {
-    const instant latest = SteadyNow() + seconds(3);
-    while (SteadyNow() < latest) {
-      if (Get(mBound.mReadiness, "/readiness").mStatus == 200) {
-        return true;
-      }
-      std::promise<void> elapsed;
-      mLoop.After(milliseconds(5), [&elapsed] { elapsed.set_value(); });
-      elapsed.get_future().wait();
-    }
-    return false;
-  }
-
-  http_message Get(const std::string& aAddress, const std::string& aTarget)
-  {
-    return Exchange(aAddress, "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n\r\n");
-  }
-
-  // Sends the bytes on a new connection. The reply has status 0 if the connection ends before a
-  // complete reply.
-  http_message Exchange(const std::string& aAddress, const std::string& aBytes)
-  {
-    auto done = std::make_shared<std::promise<http_message>>();
-    auto reader = std::make_shared<http_reader>(http_side::Client, http_read_limits{ 100'000 });
-    auto delivered = std::make_shared<std::atomic<bool>>(false);
-    tcp_hooks hooks;
-    hooks.mOnBytes = [done, reader, delivered](std::string_view aReceived) {
-      if (reader->Feed(aReceived) == http_read_status::Complete && !delivered->exchange(true)) {
-        done->set_value(reader->Take());
-      }
-    };
-    hooks.mOnClosed = [done, delivered](const tcp_close_info&) {
-      if (!delivered->exchange(true)) {
-        done->set_value({});
-      }
-    };
-    auto connection = Connect(mLoop, aAddress, seconds(1), std::move(hooks));
-    connection->Send(aBytes);
-    http_message reply = done->get_future().get();
-    connection->Close("test done");
-    return reply;
-  }
-
-  io_loop mLoop;
-  store_standin mStore;
-  std::map<std::string, std::unique_ptr<replica_standin>> mReplicas;
-  http_exchange_client mExchanges;
-  std::unique_ptr<edge_daemon> mDaemon;
-  edge_addresses mBound;
-  std::vector<std::shared_ptr<tcp_connection>> mProbes;
-};
-
 struct call_row
 {
   const char* mGuardsAgainst;
@@ -140,11 +19,6 @@
   int mMaxRuns;       // limit on the executions on all replicas together
 };
 
-std::string Request(const std::string& aTarget, const std::string& aRest = "\r\n")
-{
-  return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n" + aRest;
-}
-
 class call_test : public testing::TestWithParam<call_row>
 {};
 
@@ -185,7 +59,7 @@
   call_test,
   testing::Values(
     call_row{ "a request is altered when it is forwarded",
-              Request("/p/x?y=1"),
+              EdgeRequest("/p/x?y=1"),
               {},
               200,
               "/p/x",
@@ -200,7 +74,7 @@
               kResponseStampHeader,
               1 },
     call_row{ "records are merged in the wrong order",
-              Request("/g/x"),
+              EdgeRequest("/g/x"),
               { { "a", ReplyWith("aaaaaaaaaaaaaaaaccccccccccccccccxx") },
                 { "b", ReplyWith("dddddddddddddddd") },
                 { "c", ReplyWith("bbbbbbbbbbbbbbbb") } },
@@ -209,7 +83,7 @@
               kShardStampsHeader,
               3 },
     call_row{ "a missing part is not reported",
-              Request("/g/x"),
+              EdgeRequest("/g/x"),
               { { "a", ReplyWith("aaaaaaaaaaaaaaaa") },
                 { "b", kSilent },
                 { "c", ReplyWith("bbbbbbbbbbbbbbbb") } },
@@ -218,30 +92,30 @@
               kMissingShardsHeader,
               3 },
     call_row{ "an answer with too few parts counts as a success",
-              Request("/g/x"),
+              EdgeRequest("/g/x"),
               { { "a", kRefusing }, { "b", kRefusing } },
               502,
               "",
               "",
               1 },
     call_row{ "an answer that the request did not run has no Retry-After",
-              Request("/u/x"),
+              EdgeRequest("/u/x"),
               { { "b", kRefusing } },
               503,
               "",
               kRetryAfterHeader,
               0 },
     call_row{ "a request that may have run is reported as not run",
-              Request("/u/x"),
+              EdgeRequest("/u/x"),
               { { "b", kSilent } },
               504,
               "",
               "",
               1 },
-    call_row{ "an unknown path reaches a replica", Request("/none/"), {}, 404, "", "", 0 },
+    call_row{ "an unknown path reaches a replica", EdgeRequest("/none/"), {}, 404, "", "", 0 },
     call_row{
       "a header over the limit is accepted",
-      Request("/p/" + std::string(5000, 'x')),
+      EdgeRequest("/p/" + std::string(5000, 'x')),
       {},
       431,
       R"({"reason": {"step": "read header", "peer": "", "text": "header is over 4096 bytes"}})",
@@ -265,7 +139,7 @@
               0 },
     call_row{
       "a request smuggled by two kinds of framing reaches a replica",
-      Request("/p/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
+      EdgeRequest("/p/x", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"),
       {},
       400,
       R"({"reason": {"step": "read message", "peer": "", "text": "bad Transfer-Encoding"}})",
@@ -356,7 +230,7 @@
   // The daemon may still know the earlier entry; then another request meets the endless server.
   unsigned status = 200;
   for (int i = 0; i < 100 && status == 200; ++i) {
-    status = fixture.Exchange(fixture.mBound.mCallers, Request("/p/x")).mStatus;
+    status = fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/p/x")).mStatus;
   }
   EXPECT_TRUE(status == 502 || status == 504) << GetParam().mGuardsAgainst << ": " << status;
   const instant latest = SteadyNow() + seconds(2);
@@ -364,7 +238,7 @@
     fixture.Get(fixture.mBound.mReadiness, "/readiness");
   }
   EXPECT_TRUE(server.AllClosed()) << GetParam().mGuardsAgainst;
-  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, Request("/u/x")).mStatus, 200U)
+  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/u/x")).mStatus, 200U)
     << GetParam().mGuardsAgainst;
   fixture.mDaemon.reset();
   fixture.mLoop.Stop();
@@ -450,10 +324,8 @@
   const instant latest = SteadyNow() + seconds(3);
   // Each send of the request runs on one replica. The check of a lost replica takes 0.1 s.
   for (int i = 0; i < 6 && status != 503 && SteadyNow() < latest; ++i) {
-    status = fixture.Exchange(fixture.mBound.mCallers, Request("/u/x")).mStatus;
-    std::promise<void> elapsed;
-    fixture.mLoop.After(milliseconds(300), [&elapsed] { elapsed.set_value(); });
-    elapsed.get_future().wait();
+    status = fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/u/x")).mStatus;
+    fixture.WaitFor(milliseconds(300));
   }
   EXPECT_EQ(status, 503U);
   EXPECT_EQ(std::count_if(servers.begin(),
@@ -471,7 +343,7 @@
   edge_fixture fixture;
   EXPECT_EQ(fixture.Get(fixture.mBound.mReadiness, "/readiness").mStatus, 503U);
   EXPECT_EQ(fixture.Get(fixture.mBound.mAddresses, "/resolution?name=h&zone=z").mStatus, 503U);
-  const http_message reply = fixture.Exchange(fixture.mBound.mCallers, Request("/p/x"));
+  const http_message reply = fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/p/x"));
   EXPECT_EQ(reply.mStatus, 503U);
   EXPECT_NE(reply.Find(kRetryAfterHeader), nullptr);
 }
@@ -484,10 +356,8 @@
   edge_fixture fixture;
   fixture.Publish();
   ASSERT_TRUE(fixture.WaitUntilReady());
-  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, Request("/n/x")).mStatus, 404U);
-  std::promise<void> elapsed;
-  fixture.mLoop.After(milliseconds(700), [&elapsed] { elapsed.set_value(); }); // the watch waits
-  elapsed.get_future().wait();
+  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/n/x")).mStatus, 404U);
+  fixture.WaitFor(milliseconds(700)); // the watch waits
   const instant silentAt = SteadyNow();
   fixture.mStore.SilenceWatches();
   std::string changed = kConfiguration;
@@ -496,7 +366,7 @@
   fixture.mStore.Put("op/config", changed);
   unsigned status = 404;
   while (status == 404 && SteadyNow() - silentAt < seconds(8)) {
-    status = fixture.Exchange(fixture.mBound.mCallers, Request("/n/x")).mStatus;
+    status = fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/n/x")).mStatus;
   }
   EXPECT_EQ(status, 200U);
   EXPECT_LE(SteadyNow() - silentAt, seconds(4));
@@ -510,7 +380,7 @@
   ASSERT_TRUE(fixture.WaitUntilReady());
   EXPECT_EQ(fixture.Get(fixture.mBound.mAddresses, "/resolution?name=h&zone=z").mBody,
             R"({"addrs":["127.0.0.1:1"],"ttl_s":2E0})");
-  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, Request("/p/x")).mStatus, 200U);
+  EXPECT_EQ(fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/p/x")).mStatus, 200U);
   const http_message metrics = fixture.Get(fixture.mBound.mMetrics, "/metrics");
   EXPECT_NE(metrics.mBody.find(R"(name="forward.answer.relayed"} 1)"), std::string::npos)
     << metrics.mBody;
@@ -524,12 +394,10 @@
   ASSERT_TRUE(fixture.WaitUntilReady());
   fixture.mReplicas.at("a")->SetBehaviour({ milliseconds(250), 200, "" });
   auto reply = std::async(std::launch::async, [&fixture] {
-    return fixture.Exchange(fixture.mBound.mCallers, Request("/p/x"));
+    return fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/p/x"));
   });
   while (fixture.mReplicas.at("a")->RunCounts().empty()) {
-    std::promise<void> elapsed;
-    fixture.mLoop.After(milliseconds(5), [&elapsed] { elapsed.set_value(); });
-    elapsed.get_future().wait();
+    fixture.WaitFor(milliseconds(5));
   }
   fixture.mDaemon->RequestStop();
   const http_message answered = reply.get();
@@ -561,9 +429,7 @@
   fixture.mDaemon->RequestStop();
   // The connections are opened during the 2.3 s after which the daemon closes idle ones, late
   // enough not to reach the idle timeout of 2 s before.
-  std::promise<void> elapsed;
-  fixture.mLoop.After(seconds(1), [&elapsed] { elapsed.set_value(); });
-  elapsed.get_future().wait();
+  fixture.WaitFor(seconds(1));
   const auto fresh = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
   // A stopping daemon closes a connection after its first reply. The request of the new connection
   // is sent when the daemon no longer accepts connections, which shows that it has closed the idle
@@ -572,7 +438,7 @@
     tcp_hooks probeHooks;
     probeHooks.mOnClosed = [fresh](const tcp_close_info& aInfo) {
       if (aInfo.mDescription.starts_with("connect")) {
-        fresh->Send(Request("/p/x"));
+        fresh->Send(EdgeRequest("/p/x"));
       }
     };
     probeHooks.mOnOpen = [&fixture, &probe] { fixture.mLoop.After(milliseconds(20), probe); };
--- /dev/null
+++ b/src/platform/planned_stop_test.cc
@@ -0,0 +1,284 @@
+#include "platform/edge_fixture.h"
+
+#include <algorithm>
+
+namespace redwingdock::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+// A client's connection that keeps the replies it gets.
+class raw_client
+{
+public:
+  raw_client(io_loop& aLoop, const std::string& aAddress)
+    : mState(std::make_shared<state>())
+  {
+    tcp_hooks hooks;
+    hooks.mOnOpen = [shared = mState] { shared->Change([&] { shared->mOpened = true; }); };
+    hooks.mOnBytes = [shared = mState](std::string_view aBytes) {
+      shared->Change([&] {
+        http_read_status status = shared->mReader.Feed(aBytes);
+        while (status == http_read_status::Complete) {
+          shared->mReplies.push_back(shared->mReader.Take());
+          status = shared->mReader.Feed({});
+        }
+      });
+    };
+    hooks.mOnClosed = [shared = mState](const tcp_close_info&) {
+      shared->Change([&] { shared->mClosedAt = SteadyNow(); });
+    };
+    mConnection = Connect(aLoop, aAddress, seconds(1), std::move(hooks));
+  }
+
+  void Send(const std::string& aBytes) { mConnection->Send(aBytes); }
+  bool WaitUntilOpen()
+  {
+    return mState->Wait([this] { return mState->mOpened; });
+  }
+  // Waits until the daemon has closed the connection. Returns all replies.
+  std::vector<http_message> WaitUntilClosed()
+  {
+    mState->Wait([this] { return mState->mClosedAt != instant{}; });
+    const std::lock_guard lock(mState->mLock);
+    return mState->mReplies;
+  }
+  instant ClosedAt() const
+  {
+    const std::lock_guard lock(mState->mLock);
+    return mState->mClosedAt;
+  }
+
+private:
+  struct state
+  {
+    std::mutex mLock;
+    std::condition_variable mChanged;
+    http_reader mReader{ http_side::Client, http_read_limits{ 100'000 } };
+    std::vector<http_message> mReplies;
+    bool mOpened = false;
+    instant mClosedAt{};
+
+    void Change(const std::function<void()>& aChange)
+    {
+      const std::lock_guard lock(mLock);
+      aChange();
+      mChanged.notify_all();
+    }
+
+    bool Wait(const std::function<bool()>& aCondition)
+    {
+      std::unique_lock lock(mLock);
+      return mChanged.wait_for(lock, seconds(10), aCondition);
+    }
+  };
+
+  std::shared_ptr<state> mState;
+  std::shared_ptr<tcp_connection> mConnection;
+};
+
+// The stop closes callers after 0.4 s and ends after 1.5 s at the latest.
+forward_config ShortStop()
+{
+  forward_config config;
+  config.mLingerTime = milliseconds(400);
+  config.mStopLimit = milliseconds(1500);
+  return config;
+}
+
+std::string RequestWithId(const std::string& aTarget, const std::string& aId)
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + aId + "\r\n\r\n";
+}
+
+int TotalRuns(const edge_fixture& aFixture)
+{
+  int runs = 0;
+  for (const auto& [service, replica] : aFixture.mReplicas) {
+    for (const auto& [id, count] : replica->RunCounts()) {
+      runs += count;
+    }
+  }
+  return runs;
+}
+
+struct stop_row
+{
+  const char* mGuardsAgainst;
+  std::string mTarget;
+  replica_behaviour mBehaviour; // of all replicas
+  milliseconds mOpenedAt;       // of the client's connection, after the stop signal
+  milliseconds mSentAt;         // of the requests, after the stop signal
+  int mRequests;                // sent at once on the connection
+  std::vector<unsigned> mStatuses;
+  int mMaxRuns;
+  bool mBusy = false; // another request keeps the daemon running until its limit
+};
+
+class planned_stop_test : public testing::TestWithParam<stop_row>
+{};
+
+TEST_P(planned_stop_test, AnswersWhatItHasRead)
+{
+  const stop_row& row = GetParam();
+  edge_fixture fixture(ShortStop());
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  for (const auto& [service, replica] : fixture.mReplicas) {
+    replica->SetBehaviour(row.mBehaviour);
+  }
+  std::string bytes;
+  for (int i = 0; i < row.mRequests; ++i) {
+    bytes += RequestWithId(row.mTarget, "id-" + std::to_string(i));
+  }
+  std::unique_ptr<raw_client> client;
+  raw_client other(fixture.mLoop, fixture.mBound.mCallers);
+  if (row.mBusy) {
+    other.Send(RequestWithId("/long/x", "other"));
+  }
+  std::vector<std::pair<milliseconds, std::function<void()>>> steps = {
+    { milliseconds(0), [&] { fixture.mDaemon->RequestStop(); } },
+    { row.mOpenedAt,
+      [&] {
+        client = std::make_unique<raw_client>(fixture.mLoop, fixture.mBound.mCallers);
+        EXPECT_TRUE(client->WaitUntilOpen());
+      } },
+    { row.mSentAt, [&] { client->Send(bytes); } }
+  };
+  std::stable_sort(steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
+    return aLeft.first < aRight.first;
+  });
+  const instant stopAt = SteadyNow() + milliseconds(200);
+  for (const auto& [at, step] : steps) {
+    fixture.WaitFor(std::max(stopAt + at - SteadyNow(), micros(0)));
+    step();
+  }
+  fixture.mDaemon->WaitForEnd();
+  const instant endedAt = SteadyNow();
+  fixture.mDaemon.reset();
+  const std::vector<http_message> replies = client->WaitUntilClosed();
+  std::vector<unsigned> statuses;
+  statuses.reserve(replies.size());
+  for (const http_message& reply : replies) {
+    statuses.push_back(reply.mStatus);
+  }
+  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  if (!replies.empty()) {
+    EXPECT_FALSE(replies.back().mKeepAlive) << row.mGuardsAgainst;
+  }
+  EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
+  // The platform ends the process 0.4 s after the limit.
+  EXPECT_LE(endedAt - stopAt, ShortStop().mStopLimit + milliseconds(400));
+  fixture.mLoop.Stop();
+}
+
+const replica_behaviour kSilentReplica{ micros(0), 200, "", true };
+
+replica_behaviour WorksFor(int aMs)
+{
+  return { milliseconds(aMs), 200, "" };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  planned_stop_test,
+  testing::Values(
+    stop_row{ "a request that runs longer than the grace is cut without an answer",
+              "/long/x",
+              WorksFor(5000),
+              milliseconds(-100),
+              milliseconds(0),
+              1,
+              { 504 },
+              1 },
+    stop_row{ "a request whose replica lost its answer is cut without an answer",
+              "/long/x",
+              kSilentReplica,
+              milliseconds(-100),
+              milliseconds(200),
+              1,
+              { 504 },
+              1 },
+    stop_row{ "a late request on a connection that was never used is forwarded and cut",
+              "/long/x",
+              WorksFor(5000),
+              milliseconds(-100),
+              milliseconds(1100),
+              1,
+              {},
+              1,
+              true },
+    stop_row{ "a late request that cannot finish is forwarded",
+              "/slow/x",
+              WorksFor(900),
+              milliseconds(300),
+              milliseconds(700),
+              1,
+              { 503 },
+              0 },
+    stop_row{ "a late request that can finish is refused",
+              "/long/x",
+              WorksFor(50),
+              milliseconds(300),
+              milliseconds(450),
+              1,
+              { 200 },
+              1 },
+    stop_row{ "pipelined requests are read and cut without an answer",
+              "/long/x",
+              WorksFor(150),
+              milliseconds(-100),
+              milliseconds(-50),
+              4,
+              { 200, 200, 200, 200 },
+              4 },
+    stop_row{ "pipelined requests that cannot finish are read and cut without an answer",
+              "/slow/x",
+              WorksFor(600),
+              milliseconds(-100),
+              milliseconds(-50),
+              5,
+              { 200, 503, 503, 503, 503 },
+              1 }));
+
+TEST(planned_stop, ForwardsNothingThatCrossesTheClose)
+{
+  // Guards against a request that is read while its idle connection is being closed: it was
+  // forwarded, and its answer could not be sent.
+  edge_fixture fixture(ShortStop());
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  constexpr int kClients = 300;
+  std::vector<std::unique_ptr<raw_client>> clients;
+  for (int i = 0; i < kClients; ++i) {
+    clients.push_back(std::make_unique<raw_client>(fixture.mLoop, fixture.mBound.mCallers));
+    clients.back()->Send(RequestWithId("/none", "first")); // answered without a replica
+  }
+  fixture.WaitFor(milliseconds(300));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  // The idle connections are closed at one moment in the 60 ms after the linger time.
+  for (int i = 0; i < kClients; ++i) {
+    const instant at = stopAt + ShortStop().mLingerTime + micros(200) * i;
+    fixture.WaitFor(std::max(at - SteadyNow(), micros(0)));
+    clients[static_cast<std::size_t>(i)]->Send(RequestWithId("/u/x", "id-" + std::to_string(i)));
+  }
+  fixture.mDaemon->WaitForEnd();
+  fixture.mDaemon.reset();
+  const std::map<std::string, int> runs = fixture.mReplicas.at("b")->RunCounts();
+  int answered = 0;
+  for (int i = 0; i < kClients; ++i) {
+    const std::vector<http_message> replies =
+      clients[static_cast<std::size_t>(i)]->WaitUntilClosed();
+    const bool ran = runs.contains("id-" + std::to_string(i));
+    EXPECT_EQ(replies.size(), ran ? 2U : 1U) << "request " << i;
+    answered += ran ? 1 : 0;
+  }
+  EXPECT_GT(answered, 0) << "no request arrived before the close";
+  EXPECT_LT(answered, kClients) << "no request arrived after the close";
+  fixture.mLoop.Stop();
+}
+
+} // namespace
+} // namespace redwingdock::platform
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -193,7 +193,7 @@
       } else if constexpr (std::is_same_v<type, answer_entry>) {
         mEntries.push_back(aEach);
       } else if constexpr (std::is_same_v<type, close_callers>) {
-        mClosedAt = Now();
+        mClosedAt = mClosedAt.value_or(Now());
       } else if constexpr (std::is_same_v<type, exit_process>) {
         mStoppedAt = Now();
       }
