Take the grace of a stop from the command line

The limit of a planned stop was 5.6 s whatever time the platform gives. A deployment with another grace would have its processes killed with requests open, or would stop requests sooner than needed. It is an option and no setting, so that programs that fill in the settings template themselves need not know the bound. stop_test and grace_test of edge_settings_test.

--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -4,12 +4,14 @@
 #include "forward/repeat_budget.h"
 
 #include <algorithm>
+#include <charconv>
 
 namespace redwingdock::platform {
 
 namespace {
 
 constexpr std::uint64_t kMinuteMs = 60'000;
+constexpr std::uint64_t kMaxStopMs = 3'600'000;
 
 void ReadMilliseconds(yaml_mapping& aMapping, const char* aKey, std::uint64_t aMax, micros& aValue)
 {
@@ -48,15 +50,23 @@
   aForward.mColdSlack = aMapping.Number("cold_slack", 0, 1e6, aForward.mColdSlack);
 }
 
-void ReadStop(yaml_mapping& aMapping, forward_config& aForward)
+void ReadStop(yaml_mapping& aMapping, micros aGrace, forward_config& aForward)
 {
+  // Time to send the last answers and to end, before the platform ends the process.
+  constexpr micros kEndTime = std::chrono::milliseconds(400);
+  if (aGrace > micros(0)) {
+    aForward.mStopLimit = aGrace - kEndTime;
+  }
   ReadMilliseconds(aMapping, "linger_ms", kMinuteMs, aForward.mLingerTime);
-  ReadMilliseconds(aMapping, "limit_ms", kMinuteMs, aForward.mStopLimit);
+  ReadMilliseconds(aMapping, "limit_ms", kMaxStopMs, aForward.mStopLimit);
+  aForward.mLingerTime = std::min(aForward.mLingerTime, aForward.mStopLimit / 2);
 }
 
 } // namespace
 
-result<edge_settings> ParseEdgeSettings(const std::string& aText, const std::string& aFile)
+result<edge_settings> ParseEdgeSettings(const std::string& aText,
+                                        const std::string& aFile,
+                                        micros aGrace)
 {
   yaml_errors errors{ "parse settings", aFile, {} };
   yaml_mapping root = LoadYaml(aText, errors);
@@ -82,7 +92,8 @@
   ReadForwarding(forwarding, core.mForward);
   forwarding.RejectUnknownKeys();
   yaml_mapping stop = root.Mapping("stop", false);
-  ReadStop(stop, core.mForward);
+  ReadStop(stop, aGrace, core.mForward);
+  settings.mGrace = aGrace;
   stop.RejectUnknownKeys();
   yaml_mapping log = root.Mapping("log", false);
   constexpr log_threshold kThresholds[] = {
@@ -99,4 +110,19 @@
   return Success(std::move(settings));
 }
 
+result<micros> ParseGrace(const std::string& aText)
+{
+  constexpr double kMinSeconds = 1;
+  constexpr double kMaxSeconds = 3600;
+  double seconds = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, seconds, std::chars_format::fixed);
+  // The negated comparison also excludes "nan", which std::from_chars accepts.
+  if (error != std::errc() || rest != end || !(seconds >= kMinSeconds && seconds <= kMaxSeconds)) {
+    return Failure<micros>(
+      "parse --grace", "", "\"" + aText + "\" is not a number of seconds from 1 to 3600");
+  }
+  return Success(std::chrono::duration_cast<micros>(std::chrono::duration<double>(seconds)));
+}
+
 } // namespace redwingdock::platform
--- a/src/platform/edge_settings.h
+++ b/src/platform/edge_settings.h
@@ -23,12 +23,21 @@
   std::uint32_t mWorkers = 2; // threads
   std::uint32_t mBoardShards = 64;
   log_threshold mLogThreshold = log_threshold::Info;
+  // From the command line: time from the stop signal until the platform ends the process; 0 when
+  // not given.
+  micros mGrace{ 0 };
 
   bool operator==(const edge_settings&) const = default;
 };
 
-// aFile is the file name for error messages, which also name the line and the key.
-result<edge_settings> ParseEdgeSettings(const std::string& aText, const std::string& aFile);
+// aFile is the file name for error messages, which also name the line and the key. aGrace is
+// edge_settings::mGrace; the limit of a stop follows from it unless the text sets one.
+result<edge_settings> ParseEdgeSettings(const std::string& aText,
+                                        const std::string& aFile,
+                                        micros aGrace = micros(0));
+
+// Parses the time of the command line, in seconds from 1 to 3600 with an optional fraction.
+result<micros> ParseGrace(const std::string& aText);
 
 } // namespace redwingdock::platform
 
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -42,6 +42,67 @@
   EXPECT_EQ(settings->mWorkers, 1U);
 }
 
+struct stop_row
+{
+  const char* mGuardsAgainst;
+  std::string mText; // appended to the settings
+  std::string mGrace;
+  std::chrono::milliseconds mLinger;
+  std::chrono::milliseconds mLimit;
+};
+
+class stop_test : public testing::TestWithParam<stop_row>
+{};
+
+TEST_P(stop_test, EndsBeforeTheGrace)
+{
+  const stop_row& row = GetParam();
+  const result<micros> grace = row.mGrace.empty() ? Success(micros(0)) : ParseGrace(row.mGrace);
+  ASSERT_TRUE(grace) << Describe(grace.mReason);
+  const result<edge_settings> settings =
+    ParseEdgeSettings(kSettings + row.mText, "boot.yaml", *grace);
+  ASSERT_TRUE(settings) << Describe(settings.mReason);
+  EXPECT_EQ(settings->mCore.mForward.mStopLimit, row.mLimit) << row.mGuardsAgainst;
+  EXPECT_EQ(settings->mCore.mForward.mLingerTime, row.mLinger) << row.mGuardsAgainst;
+}
+
+using std::chrono::milliseconds;
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  stop_test,
+  testing::Values(stop_row{ "the default changes", "", "", milliseconds(2300), milliseconds(5600) },
+                  stop_row{ "the grace of the platform is ignored",
+                            "",
+                            "10",
+                            milliseconds(2300),
+                            milliseconds(9600) },
+                  stop_row{ "callers are closed after the end",
+                            "",
+                            "2.5",
+                            milliseconds(1050),
+                            milliseconds(2100) },
+                  stop_row{ "the settings are ignored",
+                            "stop: {linger_ms: 300, limit_ms: 1000}\n",
+                            "8",
+                            milliseconds(300),
+                            milliseconds(1000) }));
+
+class grace_test : public testing::TestWithParam<const char*>
+{};
+
+TEST_P(grace_test, RefusesWhatIsNoTime)
+{
+  // Guards against a daemon that stops at once, or never, because of a malformed argument.
+  const result<micros> grace = ParseGrace(GetParam());
+  ASSERT_FALSE(grace);
+  EXPECT_NE(Describe(grace.mReason).find(GetParam()), std::string::npos);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         grace_test,
+                         testing::Values("x", "0", "-6", "6s", "nan", "1e9", "3601"));
+
 struct refused_row
 {
   const char* mGuardsAgainst;
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -12,12 +12,14 @@
 constexpr char kUsage[] = R"(redwingdock_edge: a daemon of the query tier on the users' platform.
 
 Usage:
-  redwingdock_edge --settings FILE [--check]
+  redwingdock_edge --settings FILE [--grace SECONDS] [--check]
   redwingdock_edge --help
   redwingdock_edge --version
 
 Options:
   --settings FILE  Settings in YAML.
+  --grace SECONDS  Time from the stop signal until the process is killed; 1 to
+                   3600, with an optional fraction. Default: 6.
   --check          Check the settings and exit.
   --help           Show this text.
   --version        Show the version.
@@ -35,18 +37,22 @@
   return aCode;
 }
 
-result<platform::edge_settings> ReadSettings(const std::string& aFile)
+result<platform::edge_settings> ReadSettings(const std::string& aFile, micros aGrace)
 {
   const result<std::string> text = ReadFile(aFile);
   if (!text) {
     return { std::nullopt, text.mReason };
   }
-  return platform::ParseEdgeSettings(*text, aFile);
+  return platform::ParseEdgeSettings(*text, aFile, aGrace);
 }
 
-int Run(const std::string& aFile, bool aCheckOnly)
+int Run(const std::string& aFile, const std::string& aGrace, bool aCheckOnly)
 {
-  const result<platform::edge_settings> settings = ReadSettings(aFile);
+  const result<micros> grace = aGrace.empty() ? Success(micros(0)) : platform::ParseGrace(aGrace);
+  if (!grace) {
+    return Fail(kExitUsage, grace.mReason);
+  }
+  const result<platform::edge_settings> settings = ReadSettings(aFile, *grace);
   if (!settings) {
     return Fail(kExitBadData, settings.mReason);
   }
@@ -77,7 +83,7 @@
     return *arguments.mExitCode;
   }
   try {
-    return Run(arguments.Text("--settings"), arguments.Has("--check"));
+    return Run(arguments.Text("--settings"), arguments.Text("--grace"), arguments.Has("--check"));
   } catch (const std::exception& error) {
     return Fail(kExitInternalError, { "run", "", error.what() });
   }
--- a/src/platform/settings_reloader.cc
+++ b/src/platform/settings_reloader.cc
@@ -26,6 +26,7 @@
   : mLoop(aLoop)
   , mPath(std::move(aPath))
   , mOnChanged(std::move(aOnChanged))
+  , mGrace(aCurrent.mGrace)
   , mCurrent(std::move(aCurrent))
 {
 }
@@ -66,7 +67,7 @@
 
 void settings_reloader::Apply(const std::string& aText)
 {
-  const result<edge_settings> read = ParseEdgeSettings(aText, mPath);
+  const result<edge_settings> read = ParseEdgeSettings(aText, mPath, mGrace);
   const std::lock_guard lock(mLock);
   mLastContent = aText;
   if (!read) {
--- a/src/platform/settings_reloader.h
+++ b/src/platform/settings_reloader.h
@@ -44,6 +44,7 @@
   io_loop& mLoop;
   const std::string mPath;
   const changed_hook mOnChanged;
+  const micros mGrace;
 
   std::mutex mLock;
   edge_settings mCurrent;
