Close the largest incomplete reply when all of them exceed their limit

Memory is bounded here, but above the common limit the connection that received the last bytes was closed, also when it was a sound server's whose reply arrives in parts while a faulty server keeps large replies open.

Now the connections with the largest incomplete replies are closed until the limit holds. The limit is 32 MB instead of 64 MB, because strings that grow hold up to twice their size.

http_pool.ClosesTheConnectionWithMostIncompleteBytes fails before (the sound reply is cut).

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -185,6 +185,7 @@
   if (done) {
     Finish(aConnection, std::move(*reply), std::move(done));
   }
+  LimitIncompleteReplies();
 }
 
 std::optional<http_message> http_pool::ReadReply(connection& aState, std::string_view aBytes)
@@ -212,13 +213,34 @@
   }
   if (status == http_read_status::Failed) {
     aState.mTcp->Close(aState.mReader.Error().mText);
-  } else if (mIncompleteBytes > mLimits.mIncompleteBytes) {
-    aState.mTcp->Close("incomplete replies are over " + std::to_string(mLimits.mIncompleteBytes) +
-                       " bytes");
   }
   return std::nullopt;
 }
 
+// The connection that exceeds the limit may be that of a sound server, whose reply arrives in parts
+// while a faulty server keeps large replies open.
+void http_pool::LimitIncompleteReplies()
+{
+  while (mIncompleteBytes > mLimits.mIncompleteBytes) {
+    std::uint64_t largest = 0;
+    std::size_t size = 0;
+    mConnections.ForEach([&](std::uint64_t aId, const connection& aState) {
+      if (aState.mIncompleteBytes > size) {
+        largest = aId;
+        size = aState.mIncompleteBytes;
+      }
+    });
+    if (size == 0) {
+      return;
+    }
+    mConnections.With(largest, [this](connection& aState) {
+      mIncompleteBytes -= std::exchange(aState.mIncompleteBytes, 0);
+      aState.mTcp->Close("incomplete replies are over " + std::to_string(mLimits.mIncompleteBytes) +
+                         " bytes");
+    });
+  }
+}
+
 // Returns the connection to the pool or closes it, before the hook runs and may start another
 // request.
 void http_pool::Finish(std::uint64_t aConnection,
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -47,8 +47,9 @@
 
 struct pool_limits
 {
-  // Bytes of incomplete replies over all connections. The connection that exceeds it is closed.
-  std::size_t mIncompleteBytes = std::size_t{ 64 } * 1024 * 1024;
+  // Bytes of incomplete replies over all connections. Above it, the connections with the largest
+  // ones are closed.
+  std::size_t mIncompleteBytes = std::size_t{ 32 } * 1024 * 1024;
   // Complete replies to other requests that are skipped while a request waits for its own.
   std::uint32_t mSkippedReplies = 3;
 
@@ -149,8 +150,10 @@
   void Finish(std::uint64_t aConnection, http_message aReply, std::unique_ptr<exchange> aExchange);
   void Closed(std::uint64_t aConnection, const tcp_close_info& aInfo);
   // Reads what the connection received for its request. Returns the reply once it is complete;
-  // closes the connection when a limit is exceeded.
+  // closes the connection when a limit of a single reply is exceeded.
   std::optional<http_message> ReadReply(connection& aState, std::string_view aBytes);
+  // Closes connections until the incomplete replies are within their limit.
+  void LimitIncompleteReplies();
 
   io_loop& mLoop;
   const pool_limits mLimits;
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -1,5 +1,6 @@
 #include "daemon/http_pool.h"
 
+#include <array>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -25,6 +26,13 @@
 
   std::string Address() const { return mListener->Address(); }
   std::size_t Connections() const { return mCount; }
+  void SendToAll(const std::string& aBytes)
+  {
+    const std::lock_guard lock(mLock);
+    for (const std::shared_ptr<tcp_connection>& each : mAccepted) {
+      each->Send(aBytes);
+    }
+  }
 
 private:
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection)
@@ -252,6 +260,44 @@
     repeat_row{ "each request opens a connection", { 5, 6 }, 1 },
     repeat_row{ "requests without repeats open connections", { 0, 0 }, 1 }));
 
+TEST(http_pool, ClosesTheConnectionWithMostIncompleteBytes)
+{
+  // Guards against a server that stalls in large replies, for which the replies of sound servers
+  // are cut: they arrive in parts and exceed the common limit, too.
+  io_loop loop(2);
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 90000\r\n\r\n";
+  scripted_server stalling(loop,
+                           { head + std::string(9000, 'x'), head + std::string(10'900, 'x') });
+  scripted_server sound(loop, { Reply(3, "Content-Length: 12\r\n\r\n1234") });
+  http_pool pool(loop, { .mIncompleteBytes = 20'000 });
+  loop.Start();
+  std::array<std::promise<pool_outcome>, 3> done;
+  const auto start = [&](std::uint64_t aId, const std::string& aAddress) {
+    pool.Start(
+      { .mId = aId,
+        .mAddress = aAddress,
+        .mText = FormatRequest("GET", "/", "h", ""),
+        .mReplyTimeout = milliseconds(400) },
+      [&done, aId](const pool_result& aResult) { done[aId - 1].set_value(aResult.mOutcome); });
+  };
+  const auto wait = [&loop] {
+    std::promise<void> elapsed;
+    loop.After(milliseconds(50), [&elapsed] { elapsed.set_value(); });
+    elapsed.get_future().wait();
+  };
+  start(1, stalling.Address());
+  wait();
+  start(2, stalling.Address());
+  wait();
+  start(3, sound.Address()); // exceeds the limit with its first part
+  wait();
+  sound.SendToAll("56789012");
+  EXPECT_EQ(done[2].get_future().get(), kAnswered) << "the reply of a sound server is cut";
+  EXPECT_EQ(done[1].get_future().get(), kBroken) << "the largest reply is kept";
+  EXPECT_EQ(done[0].get_future().get(), pool_outcome::Expired) << "more than one reply is cut";
+  loop.Stop();
+}
+
 TEST(http_pool, UnresponsiveServerEndsTheRequest)
 {
   // Guards against a request that waits forever for an incomplete reply.
