--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -1,5 +1,6 @@
 #include "daemon/http_text.h"
 
+#include <algorithm>
 #include <gtest/gtest.h>
 
 namespace redwingdock {
@@ -92,5 +93,65 @@
                  "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n4;a=",
                  "b" }));
 
+struct cut_row
+{
+  const char* mGuardsAgainst;
+  std::string mHead;
+  std::string mBody;
+  bool mEndsWithConnection; // the body has no length
+};
+
+class cut_test : public testing::TestWithParam<cut_row>
+{};
+
+TEST_P(cut_test, IsCompleteOnlyAsAWhole)
+{
+  const std::string whole = GetParam().mHead + GetParam().mBody;
+  const std::size_t least = GetParam().mEndsWithConnection ? GetParam().mHead.size() : whole.size();
+  for (const std::size_t step : { std::size_t{ 1 }, std::size_t{ 7 }, whole.size() }) {
+    for (std::size_t size = 0; size <= whole.size(); ++size) {
+      http_reader reader(http_side::Client, { kBodyLimit, kHeaderLimit });
+      http_read_status status = http_read_status::NeedMore;
+      for (std::size_t at = 0; at < size; at += step) {
+        status = reader.Feed(std::string_view(whole).substr(at, std::min(step, size - at)));
+      }
+      if (status == http_read_status::NeedMore) {
+        status = reader.FeedEof();
+      }
+      EXPECT_EQ(status == http_read_status::Complete, size >= least)
+        << GetParam().mGuardsAgainst << ", cut after " << size << " bytes";
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  cut_test,
+  testing::Values(cut_row{ "a reply that is cut in its head counts as an empty one",
+                           "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nContent-Length: 12\r\n\r\n",
+                           "abcdefghijkl",
+                           false },
+                  cut_row{ "a reply that is cut in its last chunk counts as a whole one",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                           "4\r\nabcd\r\n3\r\nefg\r\n0\r\n\r\n",
+                           false },
+                  cut_row{ "a reply that is cut in its trailer counts as a whole one",
+                           "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                           "4\r\nabcd\r\n0\r\nX-Sum: 7\r\n\r\n",
+                           false },
+                  cut_row{ "a reply without length that is cut in its head counts as an empty one",
+                           "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\n\r\n",
+                           "abcd",
+                           true },
+                  cut_row{
+                    "an old reply without length that is cut in its head counts as an empty one",
+                    "HTTP/1.0 200 OK\r\nX-Response-Stamp: s\r\n\r\n",
+                    "abcd",
+                    true },
+                  cut_row{ "a reply without a body that is cut in its head counts as complete",
+                           "HTTP/1.1 204 No Content\r\nX-Response-Stamp: s\r\n\r\n",
+                           "",
+                           false }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -336,6 +336,72 @@
   fixture.mLoop.Stop();
 }
 
+// A replica that answers each request with the first bytes of a reply and closes the connection in
+// order: one byte more with each request.
+class cut_server
+{
+public:
+  cut_server(io_loop& aLoop, std::string aReply)
+    : mReply(std::move(aReply))
+  {
+    auto listener =
+      Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        tcp_hooks hooks;
+        hooks.mOnBytes = [this, weak = std::weak_ptr(aConnection)](std::string_view) {
+          if (const auto connection = weak.lock()) {
+            connection->Send(mReply.substr(0, ++mSize));
+            connection->CloseAfterSend("cut");
+          }
+        };
+        const std::lock_guard lock(mLock);
+        mAccepted.push_back(aConnection);
+        aConnection->Start(std::move(hooks));
+      });
+    mListener = *listener;
+  }
+
+  std::string Address() const { return mListener->Address(); }
+  std::size_t Size() const { return mSize; }
+
+private:
+  const std::string mReply;
+  std::atomic<std::size_t> mSize{ 0 };
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+TEST(edge_daemon, DoesNotRelayAReplyThatIsCut)
+{
+  // Guards against a reply that is cut in its head or body, by a connection that is closed in
+  // order, and is relayed as a whole one with an empty or short body.
+  edge_fixture fixture;
+  const std::string reply =
+    "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nContent-Length: 12\r\n\r\nabcdefghijkl";
+  cut_server server(fixture.mLoop, reply);
+  fixture.Publish();
+  fixture.mStore.Put("servers/i-a",
+                     R"({"service":"a","address":")" + server.Address() +
+                       R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
+                       R"("warmupRemainingMs":0,"sequence":9,"born":2})");
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  for (int i = 0; server.Size() < reply.size() && i < 1000; ++i) {
+    // Each request differs, so that none of them is taken for one that crashes its replicas.
+    const http_message got =
+      fixture.Exchange(fixture.mBound.mCallers, EdgeRequest("/p/" + std::to_string(i)));
+    if (server.Size() > 0 && server.Size() < reply.size()) {
+      EXPECT_EQ(got.mStatus, 502U) << "cut after " << server.Size() << " bytes";
+      EXPECT_EQ(got.mBody, "") << "cut after " << server.Size() << " bytes";
+    } else if (server.Size() == reply.size()) {
+      EXPECT_EQ(got.mStatus, 200U);
+      EXPECT_EQ(got.mBody, "abcdefghijkl");
+    }
+  }
+  EXPECT_EQ(server.Size(), reply.size());
+  fixture.mDaemon.reset();
+  fixture.mLoop.Stop();
+}
+
 TEST(edge_daemon, RefusesAndIsNotReadyWithoutConfiguration)
 {
   // Guards against a daemon that answers 404 or reports that it is ready before it has read the
