Require all fields of a replica's entry

An entry without version or warmupRemainingMs is unreadable now (entries of the deployments lack born, so it is not required). The replica is not used until it writes its entry again, which then counts.

--- a/src/platform/store_codec.cc
+++ b/src/platform/store_codec.cc
@@ -304,9 +304,11 @@
   entry.mAddress = reader.String("address");
   entry.mZone = reader.Name("zone");
   entry.mSlots = reader.Count("slots", 1, true);
-  entry.mWarmupRemaining = reader.Milliseconds("warmupRemainingMs", micros(0));
+  entry.mWarmupRemaining = reader.Milliseconds("warmupRemainingMs", micros(0), true);
   entry.mSequence = reader.UnsignedInteger("sequence", 0, true);
   entry.mBornMs = static_cast<std::int64_t>(reader.UnsignedInteger("born", 0));
+  // Not used, but an entry without it is not from a replica: its sequence must not count.
+  reader.String("version");
   const std::string state = reader.String("state");
   entry.mDraining = state == "draining";
   if (state != "ready" && state != "draining") {
--- a/src/platform/store_codec_test.cc
+++ b/src/platform/store_codec_test.cc
@@ -56,6 +56,12 @@
     replica_row{ "a sequence with a fraction",
                  WithReplaced(kReplica, R"("sequence":4)", R"("sequence":4.5)") },
     replica_row{ "a start time as a string", WithReplaced(kReplica, "1775133628009", R"("now")") },
+    // Overwritten entries that lack these fields had a higher sequence than the replica's own ones,
+    // which then did not count (review/5).
+    replica_row{ "a missing version", WithReplaced(kReplica, R"("version":"v1",)", "") },
+    replica_row{ "a version of another type", WithReplaced(kReplica, R"("v1")", "1") },
+    replica_row{ "a missing warm-up", WithReplaced(kReplica, R"("warmupRemainingMs":1500,)", "") },
+    replica_row{ "a missing sequence", WithReplaced(kReplica, R"("sequence":4,)", "") },
     replica_row{ "a missing zone", WithReplaced(kReplica, R"("zone":"z",)", "") },
     replica_row{ "a deeply nested value", Nested(100'000) },
     replica_row{ "a deeply nested field",
