Read a state before it is moved from in the same call

Two calls in the follow controller moved the state in one argument and read it in another; the order of evaluation is not defined, and differs between compilers.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -259,7 +259,8 @@
   if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Watching) {
     return;
   }
-  state = WithAnswer(aContext, std::move(state), std::max(state.mAsOf, aFact.mAsOf));
+  const std::uint64_t asOf = std::max(state.mAsOf, aFact.mAsOf);
+  state = WithAnswer(aContext, std::move(state), asOf);
   if (!aFact.mItems.empty()) {
     item_map items = ItemsOf(aContext);
     for (const store_item_pointer& item : aFact.mItems) {
@@ -358,9 +359,10 @@
     return;
   }
   if (!aFact.mAsOf) {
+    const std::uint64_t readNumber = state.mReadNumber;
     // The watch waits for a store that does not answer. Listing replaces it.
     RetryLater(
-      aContext, std::move(state), { state.mReadNumber, store_failure::Unavailable, aFact.mReason });
+      aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
     return;
   }
   if (*aFact.mAsOf > state.mAsOf) {
