Keep the copy of each other daemon under a key of its own

A heartbeat replaced one map with the copies of all daemons, which grows with the fleet. Each copy is an entry of its own now; silent ones are removed when the store is checked.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -28,7 +28,7 @@
 constexpr micros kBehindDelay = std::chrono::milliseconds(500);
 // Part of the bound on changes that is left to put a delayed deletion into effect.
 constexpr micros kDeletionMargin = std::chrono::milliseconds(500);
-// Copies of other daemons from which nothing was heard for this long are forgotten.
+// Copies of other daemons that were not heard from for this long are forgotten.
 constexpr micros kPeerCopyTtl = std::chrono::seconds(60);
 
 // Timer: starts the next read unless a later read has started.
@@ -324,6 +324,15 @@
   }
 }
 
+void ForgetSilentPeers(core_context& aContext)
+{
+  for (const auto& [key, copy] : aContext.mBoard.List<peer_copy>()) {
+    if (aContext.Now() - copy->mReceivedAt > kPeerCopyTtl) {
+      aContext.mBoard.Erase<peer_copy>(key);
+    }
+  }
+}
+
 // Reads the revision of the store when the copy has not been confirmed for some time: the watch may
 // wait on a connection that no longer delivers data.
 void OnCheckDue(core_context& aContext)
@@ -333,6 +342,7 @@
   if (IsWatching(state) && aContext.Now() - confirmedAt >= state.mCheckAge) {
     aContext.Count("follow.checks");
     aContext.Emit(check_store{ ++state.mCheckNumber });
+    ForgetSilentPeers(aContext);
     confirmedAt = aContext.Now(); // if the check succeeds
   }
   ScheduleCheck(aContext, state, confirmedAt);
@@ -402,18 +412,6 @@
   }
 }
 
-peer_copies WithCopy(const peer_copies* aKnown, const std::string& aVm, const peer_copy& aCopy)
-{
-  peer_copies next = aKnown != nullptr ? *aKnown : peer_copies{};
-  if (!next.mCopies.contains(aVm)) {
-    std::erase_if(next.mCopies, [&aCopy](const auto& aEach) {
-      return aCopy.mReceivedAt - aEach.second.mReceivedAt > kPeerCopyTtl;
-    });
-  }
-  next.mCopies.insert_or_assign(aVm, aCopy);
-  return next;
-}
-
 // A confirmation of another daemon counts from its previous heartbeat on. Only the clock of this
 // daemon tells when that was, so a daemon that was suspended cannot make an old copy look current.
 void OnHeartbeat(core_context& aContext, const heartbeat& aHeartbeat)
@@ -423,23 +421,13 @@
     return;
   }
   const peer_copy received{ aHeartbeat.mSender.mIncarnation, aHeartbeat.mStore, aContext.Now() };
-  std::optional<peer_copy> before;
-  const bool overtaken = !aContext.mBoard.Update<peer_copies>(
-    kFleetKey, [&](const peer_copies* aKnown) -> std::optional<peer_copies> {
-      if (aKnown != nullptr && aKnown->mCopies.contains(vm)) {
-        before = aKnown->mCopies.at(vm);
-      }
-      if (before && before->mIncarnation == received.mIncarnation &&
-          before->mCopy.mConfirmations > received.mCopy.mConfirmations) {
-        return std::nullopt;
-      }
-      return WithCopy(aKnown, vm, received);
-    });
-  if (overtaken) {
-    return;
+  const auto before = aContext.mBoard.Read<peer_copy>(PeerCopyKey(vm));
+  const bool sameStart = before && before->mIncarnation == received.mIncarnation;
+  if (sameStart && before->mCopy.mConfirmations > received.mCopy.mConfirmations) {
+    return; // a later heartbeat has overtaken this one
   }
-  const bool confirmed = before && before->mIncarnation == received.mIncarnation &&
-                         before->mCopy.mConfirmations < received.mCopy.mConfirmations;
+  const bool confirmed = sameStart && before->mCopy.mConfirmations < received.mCopy.mConfirmations;
+  aContext.mBoard.Write(PeerCopyKey(vm), received);
   aContext.mBoard.Post(kStoreKey,
                        peer_copy_received{ vm,
                                            received.mCopy.mRevision,
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -53,7 +53,7 @@
   auto operator<=>(const follow_state&) const = default;
 };
 
-// The state of another daemon's copy in its latest heartbeat.
+// The state of another daemon's copy in its latest heartbeat. Entry key: PeerCopyKey of its VM.
 struct peer_copy
 {
   std::uint64_t mIncarnation = 0; // of the daemon
@@ -63,13 +63,10 @@
   auto operator<=>(const peer_copy&) const = default;
 };
 
-// Entry key: kFleetKey.
-struct peer_copies
+inline std::string PeerCopyKey(const std::string& aVm)
 {
-  std::map<std::string, peer_copy> mCopies; // by VM
-
-  auto operator<=>(const peer_copies&) const = default;
-};
+  return "copy/" + aVm;
+}
 
 } // namespace redwingdock
 
