Lengthen a refusal only for crashes after it

Runs of a crashing request that were sent before it was refused lengthened the first refusal from 60 s to 240 s when their replicas turned out to have crashed, and so did a crash seen here when another daemon's refusal arrived. Losses during a refusal are not evidence, and an adopted refusal replaces the evidence collected here.

--- a/src/forward/crash_controller.cc
+++ b/src/forward/crash_controller.cc
@@ -157,6 +157,9 @@
 void OnRunLost(core_context& aContext, const run_lost& aFact)
 {
   const auto known = FindRecord(aContext, aFact.mFingerprint);
+  if (known && known->mRefusedUntil > aContext.Now()) {
+    return; // sent before the refusal, which must last longer only for crashes after it
+  }
   const replica_entry& replica = *aFact.mReplica;
   Store(aContext,
         WithLoss(known ? *known : crash_record{ aFact.mFingerprint },
--- a/src/forward/crash_controller_test.cc
+++ b/src/forward/crash_controller_test.cc
@@ -242,6 +242,70 @@
   EXPECT_EQ(service.mCrashes, 3);
 }
 
+struct refusal_length_row
+{
+  const char* mGuardsAgainst;
+  int mAtOnce;         // requests that are sent at the same time
+  milliseconds mApart; // time between the crashes that become known
+  bool mLearnt;        // another daemon's refusal arrives after the first crash
+};
+
+class refusal_length_test : public ::testing::TestWithParam<refusal_length_row>
+{};
+
+TEST_P(refusal_length_test, CountsTheCrashesOfOneWaveOnce)
+{
+  const refusal_length_row& row = GetParam();
+  forwarding_rig rig({});
+  rig.Post(heartbeat_received{ HeartbeatOf("vm-2") });
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = "a-" + std::to_string(i);
+    rig.Publish(ReplicaItem(id, "a", "zone-1"));
+    rig.Script(id, [&row, i](int) {
+      return replica_action{ attempt_end::Lost, milliseconds(2) + i * row.mApart };
+    });
+    rig.ScriptCheck(id, [] { return replica_status::Ended; });
+  }
+  route_rule route = PlainRoute("a", true);
+  route.mMaxAttempts = 1;
+  rig.Publish(ConfigurationItem(7, { route }));
+  rig.RunFor(seconds(1));
+  for (int i = 1; i <= row.mAtOnce; ++i) {
+    rig.Post(request_arrived{ static_cast<std::uint64_t>(i),
+                              { "id", "search.example", "/q/x", micros(0), kCrashing } });
+  }
+  if (row.mLearnt) {
+    rig.RunFor(milliseconds(200));
+    heartbeat refusal = HeartbeatOf("vm-2");
+    refusal.mRefused = { { kCrashing, seconds(50) } };
+    rig.Post(heartbeat_received{ refusal });
+  }
+  rig.RunFor(seconds(5));
+  rig.mHeartbeats.clear();
+  rig.RunFor(seconds(1));
+  ASSERT_FALSE(rig.mHeartbeats.empty());
+  ASSERT_EQ(rig.mHeartbeats.front().mRefused.size(), 1U) << row.mGuardsAgainst;
+  EXPECT_LE(rig.mHeartbeats.front().mRefused.front().mTimeLeft, kCrashRecordTtl)
+    << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  refusal_length_test,
+  ::testing::Values(
+    refusal_length_row{ "each crash of several runs at the same time lengthens the refusal",
+                        6,
+                        milliseconds(0),
+                        false },
+    refusal_length_row{ "crashes that become known during a refusal lengthen it",
+                        6,
+                        milliseconds(120),
+                        false },
+    refusal_length_row{ "a crash seen here lengthens the refusal of another daemon",
+                        1,
+                        milliseconds(0),
+                        true }));
+
 TEST(crash, AnAnsweredTrialEndsTheSuspicion)
 {
   // Guards against a harmless request that is refused again after its refusal has ended.
--- a/src/forward/crash_record.cc
+++ b/src/forward/crash_record.cc
@@ -114,6 +114,7 @@
   crash_record next = aRecord;
   next.mRefusals = std::max<std::uint32_t>(next.mRefusals, 1);
   next.mRefusedUntil = std::max(next.mRefusedUntil, aUntil);
+  next.mLost.clear();
   return next;
 }
 
--- a/src/forward/crash_record.h
+++ b/src/forward/crash_record.h
@@ -104,7 +104,7 @@
 bool IsRefusalDue(const crash_record& aRecord);
 // Starts a refusal; its evidence is used up.
 crash_record WithRefusal(const crash_record& aRecord, instant aNow);
-// Adopts a refusal of another daemon that ends at aUntil.
+// Adopts a refusal of another daemon that ends at aUntil, in place of the evidence collected here.
 crash_record WithRefusalUntil(const crash_record& aRecord, instant aUntil);
 // Duration of the refusal with this number, counted from 1.
 micros RefusalTime(std::uint32_t aNumber);
