--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -222,10 +222,7 @@
   edge_fixture fixture;
   endless_server server(fixture.mLoop, GetParam().mStart, GetParam().mRepeated);
   fixture.Publish();
-  fixture.mStore.Put("servers/i-a",
-                     R"({"service":"a","address":")" + server.Address() +
-                       R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
-                       R"("warmupRemainingMs":0,"sequence":9,"born":2})");
+  fixture.mStore.Put("servers/i-a", EntryAt("a", server.Address()));
   ASSERT_TRUE(fixture.WaitUntilReady());
   // The daemon may still know the earlier entry; then another request meets the endless server.
   unsigned status = 200;
@@ -287,12 +284,7 @@
     mAddress = mListener->Address();
   }
 
-  std::string Entry(const std::string& aService) const
-  {
-    return R"({"service":")" + aService + R"(","address":")" + mAddress +
-           R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
-           R"("warmupRemainingMs":0,"sequence":9,"born":2})";
-  }
+  std::string Address() const { return mAddress; }
 
   bool HasCrashed() const
   {
@@ -316,7 +308,7 @@
   fixture.Publish();
   for (int i = 0; i < 6; ++i) {
     servers.push_back(std::make_unique<crashing_server>(fixture.mLoop));
-    fixture.mStore.Put("servers/i-x" + std::to_string(i), servers.back()->Entry("b"));
+    fixture.mStore.Put("servers/i-x" + std::to_string(i), EntryAt("b", servers.back()->Address()));
   }
   fixture.mStore.Delete("servers/i-b");
   ASSERT_TRUE(fixture.WaitUntilReady());
@@ -380,10 +372,7 @@
     "HTTP/1.1 200 OK\r\nX-Response-Stamp: s\r\nContent-Length: 12\r\n\r\nabcdefghijkl";
   cut_server server(fixture.mLoop, reply);
   fixture.Publish();
-  fixture.mStore.Put("servers/i-a",
-                     R"({"service":"a","address":")" + server.Address() +
-                       R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
-                       R"("warmupRemainingMs":0,"sequence":9,"born":2})");
+  fixture.mStore.Put("servers/i-a", EntryAt("a", server.Address()));
   ASSERT_TRUE(fixture.WaitUntilReady());
   for (int i = 0; server.Size() < reply.size() && i < 1000; ++i) {
     // Each request differs, so that none of them is taken for one that crashes its replicas.
--- a/src/platform/edge_fixture.h
+++ b/src/platform/edge_fixture.h
@@ -36,6 +36,14 @@
   R"("limits":{"maxHeaderBytes":4096,"maxBodyBytes":1000,"headerTimeoutMs":300,)"
   R"("idleTimeoutMs":2000}})";
 
+// The store's entry of a ready replica.
+inline std::string EntryAt(const std::string& aService, const std::string& aAddress)
+{
+  return R"({"service":")" + aService + R"(","address":")" + aAddress +
+         R"(","zone":"zone-1","version":"v1","slots":3,"state":"ready",)"
+         R"("warmupRemainingMs":0,"sequence":9,"born":2})";
+}
+
 // One daemon with a store and one replica for each of the services a, b and c.
 class edge_fixture
 {
