Count a failed check of the store as an outage

A store that does not answer a check, on a new connection, is unavailable: entries that lapsed meanwhile are written again within 2 s of its return. A single failed check counted like a cut connection, so their deletion took effect at once. The new row of follow_test fails without the change.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -136,16 +136,15 @@
   StartNextRead(aContext, std::move(aState), true);
 }
 
-// After failed reads: resets their count and sets until when deletions are delayed. A single failed
-// read, such as a watch whose connection was cut, does not show that the store was unavailable. The
-// delay then ends within the bound on changes, counted from the earliest time at which a deletion
-// may have been made.
+// After failed reads: resets their count and sets until when deletions are delayed. The failure of
+// an open connection alone does not show that the store was unavailable. The delay then ends within
+// the bound on changes, counted from the earliest time at which a deletion may have been made.
 follow_state WithStoreRegained(core_context& aContext, follow_state aState)
 {
   const auto config = aContext.ForwardConfig();
   const instant now = aContext.Now();
   aState.mDelayDeletionsUntil = now + config->mDeletionDelay;
-  if (aState.mFailures == 1) {
+  if (!aState.mUnavailable) {
     aState.mDelayDeletionsUntil = std::min(
       aState.mDelayDeletionsUntil, aState.mConfirmedAt + config->mChangeBound - kDeletionMargin);
   }
@@ -154,6 +153,7 @@
                  " unconfirmed_ms=" + MsText(now - aState.mConfirmedAt) + " delay_deletions_ms=" +
                  MsText(std::max(aState.mDelayDeletionsUntil - now, micros(0))));
   aState.mFailures = 0;
+  aState.mUnavailable = false;
   return aState;
 }
 
@@ -296,6 +296,7 @@
                  log_level::Warning);
   }
   aContext.Count("follow.failures");
+  aState.mUnavailable = aState.mUnavailable || aState.mFailures > 0; // retries open new connections
   ++aState.mFailures;
   // A new watch may miss changes while the store drops its history. A listing returns the current
   // items.
@@ -370,6 +371,7 @@
   }
   if (!aFact.mAsOf) {
     const std::uint64_t readNumber = state.mReadNumber;
+    state.mUnavailable = true;
     // The watch waits for a store that does not answer. Listing replaces it.
     RetryLater(
       aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -122,6 +122,22 @@
                 },
                 7,
                 2 },
+    follow_row{ "entries that expired during an outage that only a check of the store noticed are "
+                "removed before they can be renewed",
+                [](forwarding_rig& aRig) {
+                  aRig.SilenceWatch();
+                  aRig.FailStore(true);
+                  aRig.Delete("replicas/a-1");
+                  const int before = aRig.mChecks;
+                  while (aRig.mChecks == before) {
+                    aRig.RunFor(milliseconds(1));
+                  }
+                  aRig.RunFor(milliseconds(6)); // the check has failed
+                  aRig.FailStore(false);
+                  aRig.RunFor(milliseconds(1500));
+                },
+                7,
+                2 },
     follow_row{ "entries that expired during an outage are never removed",
                 [](forwarding_rig& aRig) {
                   aRig.FailStore(true);
