--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -107,9 +107,10 @@
                         std::vector<member_report> aMembers = {})
 {
   const auto random = [&aContext](std::uint64_t aBelow) { return aContext.Random(aBelow); };
-  heartbeat sent{ aView.mSelf, RandomSample(LivePeers(aView, aContext.Now()), aPeers, random),
-                  {},          std::move(aMembers),
-                  {},          {} };
+  heartbeat sent;
+  sent.mSender = aView.mSelf;
+  sent.mPeers = RandomSample(LivePeers(aView, aContext.Now()), aPeers, random);
+  sent.mMembers = std::move(aMembers);
   AddCrashEvidence(aContext, sent);
   if (const auto copy = aContext.mBoard.Read<follow_state>(kStoreKey)) {
     sent.mStore = { copy->mAsOf, copy->mConfirmations };
--- a/src/forward/crash_record.h
+++ b/src/forward/crash_record.h
@@ -102,7 +102,7 @@
 std::size_t CountEnded(const crash_record& aRecord);
 // Whether enough replicas have ended. After a refusal a single one is enough.
 bool IsRefusalDue(const crash_record& aRecord);
-// Starts a refusal; its evidence is used up.
+// Starts a refusal and drops the evidence that led to it.
 crash_record WithRefusal(const crash_record& aRecord, instant aNow);
 // Adopts a refusal of another daemon that ends at aUntil, in place of the evidence collected here.
 crash_record WithRefusalUntil(const crash_record& aRecord, instant aUntil);
