State what bounds the memory of crash records

A comment gave a size of a record that was not measured and that a record with many lost replicas exceeds; it names the bounds now.

--- a/src/forward/crash_record.cc
+++ b/src/forward/crash_record.cc
@@ -8,7 +8,7 @@
 
 namespace {
 
-// With kMaxRecords for each key these bound the memory of records: 4096 of about 300 bytes.
+// These and kMaxLost bound the memory of the records: at most 4096 with 32 replicas each.
 constexpr std::uint64_t kCrashKeys = 64;
 constexpr std::size_t kMaxRecords = 64;
 constexpr std::uint64_t kAnsweredKeys = 256;
