Let a connection pause reading

A server or client that must not take more bytes can only close the connection today, whatever request is open on it. PauseReading leaves the bytes to the kernel, which makes the peer wait. paused_test (two rows) passes.

--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -226,9 +226,19 @@
   void WaitForBytes()
   {
     const std::lock_guard lock(mLock);
+    WaitForBytesLocked();
+  }
+
+  void WaitForBytesLocked()
+  {
+    mWaitingToRead = false;
     if (mClosed) {
       return;
     }
+    if (mReadingPaused) {
+      mWaitingToRead = true; // until ResumeReading
+      return;
+    }
     // Waiting for readiness, instead of starting a read, means that idle connections need no
     // buffer.
     mSocket.async_wait(tcp::socket::wait_read,
@@ -276,6 +286,26 @@
     WaitForBytes();
   }
 
+  void PauseReading()
+  {
+    const std::lock_guard lock(mLock);
+    mReadingPaused = !mClosing;
+  }
+
+  void ResumeReading()
+  {
+    const std::lock_guard lock(mLock);
+    ResumeReadingLocked();
+  }
+
+  void ResumeReadingLocked()
+  {
+    mReadingPaused = false;
+    if (mWaitingToRead) {
+      WaitForBytesLocked();
+    }
+  }
+
   void Send(std::string aBytes)
   {
     const std::lock_guard lock(mLock);
@@ -342,6 +372,7 @@
     }
     mClosing = true;
     mCloseReason = std::move(aReason);
+    ResumeReadingLocked(); // the end of the connection is read
     WriteLocked();
   }
 
@@ -435,6 +466,8 @@
   bool mSendShutDown = false;
   bool mClosed = false;
   bool mWaitingToWrite = false;
+  bool mReadingPaused = false;
+  bool mWaitingToRead = false; // reading continues with ResumeReading
 };
 
 struct listener_state : std::enable_shared_from_this<listener_state>
@@ -693,6 +726,16 @@
   mState->CloseAfterSend(std::move(aReason));
 }
 
+void tcp_connection::PauseReading()
+{
+  mState->PauseReading();
+}
+
+void tcp_connection::ResumeReading()
+{
+  mState->ResumeReading();
+}
+
 void tcp_connection::ExpireAfter(micros aDelay)
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -116,6 +116,10 @@
   // Sends the queued bytes, ignores further Send calls and received bytes, and closes once the peer
   // has closed or after one second.
   void CloseAfterSend(std::string aReason);
+  // Stops reading, so that the kernel makes the peer wait once its buffers are full. One more call
+  // of mOnBytes may follow, and the end of the connection is noticed only after ResumeReading.
+  void PauseReading();
+  void ResumeReading();
   // Sets a time limit from now, which replaces the previous one; kNoLimit removes it.
   void ExpireAfter(micros aDelay);
   std::size_t UnsentBytes() const;
--- a/src/daemon/tcp_test.cc
+++ b/src/daemon/tcp_test.cc
@@ -116,5 +116,58 @@
                 return called;
               } }));
 
+struct paused_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(tcp_connection&)> mEndPause;
+  std::size_t mBytes; // that arrive after the pause
+};
+
+class paused_test : public testing::TestWithParam<paused_row>
+{};
+
+TEST_P(paused_test, ReadsNothingUntilThePauseEnds)
+{
+  const paused_row& row = GetParam();
+  constexpr std::size_t kSent = 3;
+  std::atomic<std::size_t> received{ 0 };
+  std::atomic<bool> closed{ false };
+  std::promise<std::shared_ptr<tcp_connection>> accepted;
+  io_loop loop(2);
+  const auto listener =
+    Listen(loop, "127.0.0.1:0", [&](const std::shared_ptr<tcp_connection>& aConnection) {
+      aConnection->PauseReading();
+      tcp_hooks hooks;
+      hooks.mOnBytes = [&received](std::string_view aBytes) { received += aBytes.size(); };
+      hooks.mOnClosed = [&closed](const tcp_close_info&) { closed = true; };
+      aConnection->Start(std::move(hooks));
+      accepted.set_value(aConnection);
+    });
+  loop.Start();
+  const auto client = Connect(loop, (*listener)->Address(), seconds(1), {});
+  client->Send(std::string(kSent, 'x'));
+  const std::shared_ptr<tcp_connection> server = accepted.get_future().get();
+  std::promise<void> elapsed;
+  loop.After(milliseconds(100), [&elapsed] { elapsed.set_value(); });
+  elapsed.get_future().wait();
+  EXPECT_EQ(received, 0U) << row.mGuardsAgainst;
+  row.mEndPause(*server);
+  EXPECT_TRUE(Eventually(loop, [&] { return received == row.mBytes; })) << row.mGuardsAgainst;
+  client->Close("test done");
+  EXPECT_TRUE(Eventually(loop, [&closed] { return closed.load(); })) << row.mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  paused_test,
+  testing::Values(paused_row{ "bytes that arrived during the pause are lost",
+                              [](tcp_connection& aConnection) { aConnection.ResumeReading(); },
+                              3 },
+                  paused_row{
+                    "the end of the peer is never read, and the connection stays open",
+                    [](tcp_connection& aConnection) { aConnection.CloseAfterSend("done"); },
+                    0 }));
+
 } // namespace
 } // namespace redwingdock
