Record when stand-in replicas start and end their runs

Judging a cut request needs to know whether a replica ran it, when it ended, and whether the replica itself broke off. A hook chooses the behaviour for each request, and a replica may close the connection instead of a reply. A silent replica runs the request and loses the reply, as before.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -197,6 +197,14 @@
   }
 }
 
+void http_server::Disconnect(std::uint64_t aRequestId)
+{
+  if (const std::optional<std::uint64_t> id = mSessionByRequest.Take(aRequestId)) {
+    mSessions.With(*id,
+                   [](session& aSession) { aSession.mConnection->Close("no reply will follow"); });
+  }
+}
+
 micros http_server::RoundTrip(std::uint64_t aRequestId)
 {
   std::uint64_t id = 0;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -63,6 +63,9 @@
   // Replies to a request. Does nothing when its connection was closed or it was already answered.
   void Reply(std::uint64_t aRequestId, const http_response& aReply);
 
+  // Closes the connection of an unanswered request without a reply.
+  void Disconnect(std::uint64_t aRequestId);
+
   // Round-trip time of the connection of an unanswered request; 0 when not known.
   micros RoundTrip(std::uint64_t aRequestId);
 
--- a/src/platform/standin.cc
+++ b/src/platform/standin.cc
@@ -25,6 +25,15 @@
            : std::stoull(text);
 }
 
+// A replica may work longer than the daemons' servers would wait for a reply.
+http_limits ReplicaLimits()
+{
+  http_limits limits;
+  limits.mRead.mBody = std::size_t{ 4 } * 1024 * 1024;
+  limits.mReplyTimeout = std::chrono::minutes(1);
+  return limits;
+}
+
 } // namespace
 
 store_standin::store_standin(io_loop& aLoop)
@@ -169,8 +178,9 @@
             { [this](std::uint64_t aRequestId, const http_message& aMessage) {
                OnRequest(aRequestId, aMessage);
              },
-              nullptr,
-              nullptr })
+              [this](std::uint64_t aRequestId) { OnDisconnected(aRequestId); },
+              nullptr },
+            ReplicaLimits())
 {
 }
 
@@ -205,7 +215,43 @@
 std::map<std::string, int> replica_standin::RunCounts() const
 {
   const std::lock_guard lock(mLock);
-  return mRunCounts;
+  std::map<std::string, int> counts;
+  for (const auto& [request, run] : mRuns) {
+    ++counts[run.mRequestId];
+  }
+  return counts;
+}
+
+std::vector<replica_run> replica_standin::Runs() const
+{
+  const std::lock_guard lock(mLock);
+  std::vector<replica_run> runs;
+  runs.reserve(mRuns.size());
+  for (const auto& [request, run] : mRuns) {
+    runs.push_back(run);
+  }
+  return runs;
+}
+
+bool replica_standin::EndRun(std::uint64_t aRequestId,
+                             const std::function<void(replica_run&)>& aSetEnd)
+{
+  const std::lock_guard lock(mLock);
+  const auto found = mRuns.find(aRequestId);
+  if (found == mRuns.end()) {
+    return true; // the request was not run
+  }
+  if (found->second.mEndedAt != kNever) {
+    return false;
+  }
+  found->second.mEndedAt = SteadyNow();
+  aSetEnd(found->second);
+  return true;
+}
+
+void replica_standin::OnDisconnected(std::uint64_t aRequestId)
+{
+  EndRun(aRequestId, [](replica_run& aRun) { aRun.mAborted = true; });
 }
 
 void replica_standin::OnRequest(std::uint64_t aRequestId, const http_message& aMessage)
@@ -214,16 +260,30 @@
   const std::string* id = aMessage.Find(kAttemptIdHeader);
   replica_behaviour behaviour;
   http_response response{ 200, "", "", {} };
+  if (mChooseBehaviour) {
+    behaviour = mChooseBehaviour(aMessage);
+  }
   {
     const std::lock_guard lock(mLock);
-    behaviour = mBehaviour;
+    behaviour = mChooseBehaviour ? std::move(behaviour) : mBehaviour;
     if (id == nullptr || (expected != nullptr && *expected != mId)) {
       behaviour = { micros(0), id == nullptr ? 400U : 421U, "", false, true };
     } else if (!behaviour.mNotRun) {
-      ++mRunCounts[*id];
+      mRuns.emplace(aRequestId, replica_run{ *id, mId, SteadyNow() });
     }
   }
+  if (behaviour.mDisconnects) {
+    mLoop.After(behaviour.mDelay, [this, aRequestId] {
+      if (EndRun(aRequestId, [](replica_run& aRun) { aRun.mDisconnected = true; })) {
+        mServer.Disconnect(aRequestId);
+      }
+    });
+    return;
+  }
   if (behaviour.mSilent) {
+    mLoop.After(behaviour.mDelay, [this, aRequestId, status = behaviour.mStatus] {
+      EndRun(aRequestId, [status](replica_run& aRun) { aRun.mStatus = status; });
+    });
     return;
   }
   response.mStatus = behaviour.mStatus;
@@ -237,8 +297,11 @@
   } else {
     response.mFields.push_back({ kResponseStampHeader, mId + "." + (id != nullptr ? *id : "") });
   }
-  mLoop.After(behaviour.mDelay,
-              [this, aRequestId, response] { mServer.Reply(aRequestId, response); });
+  mLoop.After(behaviour.mDelay, [this, aRequestId, response] {
+    if (EndRun(aRequestId, [&](replica_run& aRun) { aRun.mStatus = response.mStatus; })) {
+      mServer.Reply(aRequestId, response);
+    }
+  });
 }
 
 } // namespace redwingdock::platform
--- a/src/platform/standin.h
+++ b/src/platform/standin.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <deque>
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -68,13 +69,31 @@
 {
   micros mDelay = std::chrono::milliseconds(2);
   unsigned mStatus = 200;
-  std::string mBody; // if empty, the reply has the path of the request as its body
-  bool mSilent = false;
+  std::string mBody;    // if empty, the reply has the path of the request as its body
+  bool mSilent = false; // runs the request and loses the reply
   bool mNotRun = false;
+  bool mDisconnects = false; // instead of the reply
 
   auto operator<=>(const replica_behaviour&) const = default;
 };
 
+// Chooses the behaviour for a request.
+using behaviour_hook = std::function<replica_behaviour(const http_message&)>;
+
+// A run of a request by a replica.
+struct replica_run
+{
+  std::string mRequestId; // of the client's attempt
+  std::string mReplica;
+  instant mStartedAt{};
+  instant mEndedAt = kNever;  // kNever while the replica is at work
+  unsigned mStatus = 0;       // of the reply
+  bool mAborted = false;      // the caller closed the connection first
+  bool mDisconnected = false; // the replica closed the connection instead of a reply
+
+  auto operator<=>(const replica_run&) const = default;
+};
+
 // One replica. It answers requests for another replica with status 421.
 class replica_standin
 {
@@ -87,19 +106,26 @@
                              const std::string& aZone,
                              bool aDraining) const;
   void SetBehaviour(const replica_behaviour& aBehaviour);
+  // Chooses the behaviour for each request instead of SetBehaviour. Call before ListenOn.
+  void ChooseBehaviour(behaviour_hook aHook) { mChooseBehaviour = std::move(aHook); }
   // How often the replica ran each request, by attempt ID.
   std::map<std::string, int> RunCounts() const;
+  std::vector<replica_run> Runs() const;
 
 private:
   void OnRequest(std::uint64_t aRequestId, const http_message& aMessage);
+  void OnDisconnected(std::uint64_t aRequestId);
+  // Records the end of a run; false if it had ended before.
+  bool EndRun(std::uint64_t aRequestId, const std::function<void(replica_run&)>& aSetEnd);
 
   io_loop& mLoop;
   const std::string mId;
   std::string mAddress;
   request_id_source mRequestIds{ 0 };
+  behaviour_hook mChooseBehaviour;
   mutable std::mutex mLock;
   replica_behaviour mBehaviour;
-  std::map<std::string, int> mRunCounts;
+  std::map<std::uint64_t, replica_run> mRuns; // by the server's request ID
   http_server mServer;
 };
 
