Add a soak of real daemon processes under planned work and faults

The existing rigs play one daemon, or simulate processes. redwingdock_edge_soak starts real ones with stand-ins for the store and the replicas and clients that keep their connections, plays stops, restarts, reloads, configurations, drains and kills from a seed, and judges what clients and replicas saw by the rule on lost requests.

--- /dev/null
+++ b/src/platform/soak/soak_client.cc
@@ -0,0 +1,214 @@
+#include "platform/soak/soak_client.h"
+
+#include <algorithm>
+
+namespace redwingdock::platform {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr http_read_limits kAnswerLimits{ std::size_t{ 4 } * 1024 * 1024 };
+constexpr micros kConnectTimeout = std::chrono::seconds(1);
+constexpr micros kRetryDelay = milliseconds(50);
+// Beyond its deadline a client waits for an answer that is on its way; a slow reader waits longer.
+constexpr micros kPatience = milliseconds(1500);
+constexpr micros kSlowReaderPatience = std::chrono::seconds(30);
+
+} // namespace
+
+soak_client::soak_client(io_loop& aLoop, soak_client_profile aProfile, soak_client_hooks aHooks)
+  : mLoop(aLoop)
+  , mProfile(aProfile)
+  , mHooks(std::move(aHooks))
+  , mReader(http_side::Client, kAnswerLimits)
+{
+}
+
+void soak_client::Start()
+{
+  Open();
+}
+
+void soak_client::Stop()
+{
+  const std::lock_guard lock(mLock);
+  mStopped = true;
+}
+
+std::size_t soak_client::OpenRequests() const
+{
+  const std::lock_guard lock(mLock);
+  return mOpen.size();
+}
+
+void soak_client::After(micros aDelay, work aWork)
+{
+  mLoop.After(aDelay, [self = shared_from_this(), run = std::move(aWork)] { run(); });
+}
+
+void soak_client::Open()
+{
+  const std::lock_guard lock(mLock);
+  if (mStopped) {
+    return;
+  }
+  const std::optional<soak_target> target = mHooks.mChooseTarget();
+  if (!target) {
+    After(kRetryDelay, [this] { Open(); });
+    return;
+  }
+  const std::uint64_t id = ++mConnection;
+  mDaemon = target->mDaemon;
+  mReader = http_reader(http_side::Client, kAnswerLimits);
+  mCloseAnnounced = false;
+  mSending = false;
+  tcp_hooks hooks;
+  hooks.mOnOpen = [self = shared_from_this(), id] { self->OnOpen(id); };
+  hooks.mOnBytes = [self = shared_from_this(), id](std::string_view aBytes) {
+    self->OnBytes(id, aBytes);
+  };
+  hooks.mOnClosed = [self = shared_from_this(), id](const tcp_close_info& aInfo) {
+    self->OnClosed(id, aInfo);
+  };
+  // The hooks wait for the lock until mTcp is set.
+  mTcp = Connect(mLoop, target->mAddress, kConnectTimeout, std::move(hooks));
+}
+
+void soak_client::OnOpen(std::uint64_t aConnection)
+{
+  After(mProfile.mFirstUse, [this, aConnection] { SendNext(aConnection); });
+}
+
+void soak_client::SendNext(std::uint64_t aConnection)
+{
+  const std::lock_guard lock(mLock);
+  if (aConnection != mConnection || !mTcp || mStopped) {
+    return;
+  }
+  std::string bytes;
+  // A pipelined request is answered after those ahead of it.
+  micros patience =
+    mProfile.mHalfDelay + (mProfile.mReadBytesPerS > 0 ? kSlowReaderPatience : kPatience);
+  for (std::uint32_t i = 0; i < mProfile.mPipelined; ++i) {
+    soak_request request = mHooks.mMakeRequest();
+    request.mRecord.mDaemon = mDaemon;
+    request.mRecord.mSentAt = SteadyNow();
+    bytes += request.mBytes;
+    patience += request.mRecord.mTimeout;
+    After(patience, [this, aConnection, id = request.mRecord.mId] { GiveUp(aConnection, id); });
+    mOpen.push_back(std::move(request.mRecord));
+  }
+  if (mProfile.mHalfDelay == micros(0)) {
+    mTcp->Send(std::move(bytes));
+    return;
+  }
+  mSending = true;
+  const std::size_t half = bytes.size() / 2;
+  mTcp->Send(bytes.substr(0, half));
+  After(mProfile.mHalfDelay,
+        [this, aConnection, rest = bytes.substr(half)] { SendRest(aConnection, rest); });
+}
+
+void soak_client::SendRest(std::uint64_t aConnection, const std::string& aBytes)
+{
+  const std::lock_guard lock(mLock);
+  if (aConnection != mConnection || !mTcp || !mSending) {
+    return;
+  }
+  mSending = false;
+  for (request_record& each : mOpen) {
+    each.mSentAt = SteadyNow();
+  }
+  mTcp->Send(aBytes);
+}
+
+void soak_client::GiveUp(std::uint64_t aConnection, const std::string& aId)
+{
+  const std::lock_guard lock(mLock);
+  const bool open = std::any_of(
+    mOpen.begin(), mOpen.end(), [&aId](const request_record& aEach) { return aEach.mId == aId; });
+  if (aConnection != mConnection || !mTcp || !open) {
+    return;
+  }
+  EndOpen(request_end::GaveUp, "no answer in time");
+  mTcp->Close("the client gave up");
+}
+
+void soak_client::OnBytes(std::uint64_t aConnection, std::string_view aBytes)
+{
+  const std::lock_guard lock(mLock);
+  if (aConnection != mConnection || !mTcp) {
+    return;
+  }
+  if (mProfile.mReadBytesPerS > 0) {
+    mTcp->PauseReading();
+    After(micros(1'000'000 * aBytes.size() / mProfile.mReadBytesPerS), [this, aConnection] {
+      const std::lock_guard relock(mLock);
+      if (aConnection == mConnection && mTcp) {
+        mTcp->ResumeReading();
+      }
+    });
+  }
+  http_read_status status = mReader.Feed(aBytes);
+  while (status == http_read_status::Complete) {
+    Answered(mReader.Take());
+    status = mReader.Feed({});
+  }
+  if (status == http_read_status::Failed) {
+    mTcp->Close("the answer is not HTTP");
+    return;
+  }
+  if (!mOpen.empty() || mReader.Started()) {
+    return;
+  }
+  if (mCloseAnnounced) {
+    mTcp->Close("the daemon announced the close");
+    return;
+  }
+  After(mProfile.mPause, [this, aConnection] { SendNext(aConnection); });
+}
+
+void soak_client::Answered(const http_message& aAnswer)
+{
+  mCloseAnnounced = mCloseAnnounced || !aAnswer.mKeepAlive;
+  if (mOpen.empty()) {
+    return;
+  }
+  request_record record = std::move(mOpen.front());
+  mOpen.pop_front();
+  record.mEndedAt = SteadyNow();
+  record.mEnd = request_end::Answered;
+  record.mStatus = aAnswer.mStatus;
+  const bool success = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
+  record.mIsReply = !success || mHooks.mIsReply(record, aAnswer);
+  mHooks.mRecord(std::move(record));
+}
+
+void soak_client::EndOpen(request_end aEnd, const std::string& aReason)
+{
+  for (request_record& each : mOpen) {
+    each.mEndedAt = SteadyNow();
+    each.mEnd = aEnd;
+    each.mCloseAnnounced = mCloseAnnounced;
+    each.mCloseReason = aReason;
+    // A request of which only the first half was sent has not been read by the daemon.
+    if (!mSending) {
+      mHooks.mRecord(std::move(each));
+    }
+  }
+  mOpen.clear();
+}
+
+void soak_client::OnClosed(std::uint64_t aConnection, const tcp_close_info& aInfo)
+{
+  const std::lock_guard lock(mLock);
+  if (aConnection != mConnection) {
+    return;
+  }
+  EndOpen(request_end::Closed, aInfo.mDescription);
+  mTcp.reset();
+  After(kRetryDelay, [this] { Open(); });
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/soak/soak_ledger.cc
@@ -0,0 +1,205 @@
+#include "platform/soak/soak_ledger.h"
+
+#include "base/log_text.h"
+
+#include <algorithm>
+
+namespace redwingdock::platform {
+
+namespace {
+
+constexpr unsigned kNotRunStatuses[] = { 408, 421, 429, 503 };
+
+bool IsNotRun(unsigned aStatus)
+{
+  return std::find(std::begin(kNotRunStatuses), std::end(kNotRunStatuses), aStatus) !=
+         std::end(kNotRunStatuses);
+}
+
+bool IsAtWorkLate(const request_record& aRequest,
+                  const std::vector<replica_run>& aRuns,
+                  const daemon_life& aLife,
+                  const soak_bounds& aBounds)
+{
+  if (aLife.mStopAt == kNever || aRequest.mSentAt > aLife.mStopAt + aBounds.mLateRequest) {
+    return false;
+  }
+  const instant lastPart =
+    aLife.mStopAt + aBounds.mGrace * (aBounds.mLastPart - 1) / aBounds.mLastPart;
+  return std::any_of(aRuns.begin(), aRuns.end(), [lastPart](const replica_run& aRun) {
+    return aRun.mEndedAt >= lastPart && (aRun.mAborted || aRun.mEndedAt == kNever);
+  });
+}
+
+bool IsExcused(const request_record& aRequest,
+               const std::vector<replica_run>& aRuns,
+               const daemon_life& aLife,
+               const soak_bounds& aBounds)
+{
+  const bool killed = aLife.mKillPlanned && aRequest.mEndedAt >= aLife.mKilledAt;
+  const bool deadlineReached = aRequest.mEndedAt - aRequest.mSentAt >= aRequest.mTimeout;
+  const bool brokeOff = std::any_of(
+    aRuns.begin(), aRuns.end(), [](const replica_run& aRun) { return aRun.mDisconnected; });
+  return killed || deadlineReached || brokeOff || IsAtWorkLate(aRequest, aRuns, aLife, aBounds);
+}
+
+finding JudgeClosed(const request_record& aRequest,
+                    const std::vector<replica_run>& aRuns,
+                    const daemon_life& aLife,
+                    const soak_bounds& aBounds)
+{
+  const bool forwarded = !aRuns.empty();
+  // A client that was told that its connection closes must expect that requests it had sent ahead
+  // are not processed (RFC 9112, section 9.3.2).
+  if (!forwarded &&
+      (aRequest.mCloseAnnounced || aRequest.mEndedAt - aRequest.mSentAt <= aBounds.mLossSlack)) {
+    return finding::Crossed;
+  }
+  if (IsExcused(aRequest, aRuns, aLife, aBounds)) {
+    return finding::Excused;
+  }
+  const bool stopping =
+    aLife.mStopAt != kNever && aRequest.mEndedAt >= aLife.mStopAt &&
+    aRequest.mEndedAt <= aLife.mStopAt + aBounds.mGrace + std::chrono::seconds(1);
+  return stopping ? finding::LostAtStop : finding::Lost;
+}
+
+std::string Since(instant aTime, instant aFrom)
+{
+  return aTime == kNever || aFrom == kNever ? "-" : MsText(aTime - aFrom);
+}
+
+std::string Describe(finding aFinding,
+                     const request_record& aRequest,
+                     const std::vector<replica_run>& aRuns,
+                     const daemon_life& aLife)
+{
+  const instant from = aLife.mStopAt != kNever ? aLife.mStopAt : aLife.mStartedAt;
+  std::string line =
+    std::string(ToString(aFinding)) + " request=" + aRequest.mId + " route=" + aRequest.mRoute +
+    " daemon=" + std::to_string(aRequest.mDaemon) + " since_" +
+    (aLife.mStopAt != kNever ? "stop" : "start") + "_ms: sent=" + Since(aRequest.mSentAt, from) +
+    " ended=" + Since(aRequest.mEndedAt, from) + " process_ended=" + Since(aLife.mEndedAt, from) +
+    " status=" + std::to_string(aRequest.mStatus) + " close=\"" + aRequest.mCloseReason + "\"";
+  for (const replica_run& run : aRuns) {
+    line += " run=" + run.mReplica + " from=" + Since(run.mStartedAt, from) +
+            " to=" + Since(run.mEndedAt, from) + " status=" + std::to_string(run.mStatus) +
+            (run.mAborted ? " aborted" : "") + (run.mDisconnected ? " disconnected" : "");
+  }
+  return line;
+}
+
+const daemon_life& LifeOf(const request_record& aRequest, const std::vector<daemon_life>& aLives)
+{
+  static const daemon_life kUnknown;
+  const daemon_life* found = &kUnknown;
+  for (const daemon_life& each : aLives) {
+    if (each.mDaemon == aRequest.mDaemon && each.mStartedAt <= aRequest.mSentAt) {
+      found = &each; // lives are in the order of their starts
+    }
+  }
+  return *found;
+}
+
+} // namespace
+
+const char* ToString(finding aFinding)
+{
+  switch (aFinding) {
+    case finding::Kept:
+      return "kept";
+    case finding::Crossed:
+      return "crossed";
+    case finding::Excused:
+      return "excused";
+    case finding::LostAtStop:
+      return "lost_at_stop";
+    case finding::Lost:
+      return "lost";
+    case finding::RanTwice:
+      return "ran_twice";
+    case finding::RefusedButRan:
+      return "refused_but_ran";
+    case finding::WrongAnswer:
+      return "wrong_answer";
+  }
+  return "";
+}
+
+finding Judge(const request_record& aRequest,
+              const std::vector<replica_run>& aRuns,
+              const daemon_life& aLife,
+              const soak_bounds& aBounds)
+{
+  if (!aRequest.mIdempotent && aRuns.size() > 1) {
+    return finding::RanTwice;
+  }
+  if (aRequest.mEnd == request_end::Answered) {
+    if (!aRequest.mIsReply) {
+      return finding::WrongAnswer;
+    }
+    return !aRequest.mIdempotent && IsNotRun(aRequest.mStatus) && !aRuns.empty()
+             ? finding::RefusedButRan
+             : finding::Kept;
+  }
+  // A client that gave up had waited beyond its deadline for an answer that was due before it.
+  return aRequest.mEnd == request_end::Closed ? JudgeClosed(aRequest, aRuns, aLife, aBounds)
+         : aLife.mKillPlanned                 ? finding::Excused
+                                              : finding::Lost;
+}
+
+bool EndedByItself(const daemon_life& aLife)
+{
+  return aLife.mEndedAt != kNever && aLife.mStopAt == kNever && aLife.mKilledAt == kNever;
+}
+
+bool ExceededItsGrace(const daemon_life& aLife)
+{
+  return aLife.mKilledAt != kNever && !aLife.mKillPlanned;
+}
+
+std::size_t soak_result::Count(finding aFinding) const
+{
+  const auto found = mCounts.find(aFinding);
+  return found == mCounts.end() ? 0 : found->second;
+}
+
+bool soak_result::IsClean() const
+{
+  return mEndedByThemselves == 0 && mExceededGrace == 0 && Count(finding::LostAtStop) == 0 &&
+         Count(finding::Lost) == 0 && Count(finding::RanTwice) == 0 &&
+         Count(finding::RefusedButRan) == 0 && Count(finding::WrongAnswer) == 0;
+}
+
+soak_result JudgeAll(const soak_ledger& aLedger, const soak_bounds& aBounds)
+{
+  std::map<std::string, std::vector<replica_run>> runs;
+  for (const replica_run& run : aLedger.mRuns) {
+    runs[run.mRequestId].push_back(run);
+  }
+  soak_result result;
+  for (const request_record& request : aLedger.mRequests) {
+    const std::vector<replica_run>& own = runs[request.mId];
+    const daemon_life& life = LifeOf(request, aLedger.mLives);
+    const finding found = Judge(request, own, life, aBounds);
+    ++result.mCounts[found];
+    result.mRefused += request.mEnd == request_end::Answered && request.mStatus == 503 ? 1 : 0;
+    if (found != finding::Kept && found != finding::Crossed && found != finding::Excused) {
+      result.mLines.push_back(Describe(found, request, own, life));
+    }
+  }
+  for (const daemon_life& life : aLedger.mLives) {
+    if (EndedByItself(life)) {
+      ++result.mEndedByThemselves;
+      result.mLines.push_back("ended_by_itself daemon=" + std::to_string(life.mDaemon) +
+                              " after_ms=" + MsText(life.mEndedAt - life.mStartedAt));
+    }
+    if (ExceededItsGrace(life)) {
+      ++result.mExceededGrace;
+      result.mLines.push_back("exceeded_its_grace daemon=" + std::to_string(life.mDaemon));
+    }
+  }
+  return result;
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/soak/soak_ledger.h
@@ -0,0 +1,120 @@
+#ifndef REDWINGDOCK_PLATFORM_SOAK_SOAK_LEDGER_H
+#define REDWINGDOCK_PLATFORM_SOAK_SOAK_LEDGER_H
+
+#include "platform/standin.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+// What clients, replicas and the operator of a soak saw, and which promises that breaks. Nothing
+// here knows what the daemons say of themselves.
+
+namespace redwingdock::platform {
+
+enum class request_end
+{
+  Answered, // the whole answer arrived
+  Closed,   // the connection ended first
+  GaveUp,   // the client stopped waiting after its deadline
+};
+
+// One attempt of a client.
+struct request_record
+{
+  std::string mId;
+  std::string mRoute;
+  bool mIdempotent = true;
+  std::size_t mDaemon = 0;
+  instant mSentAt{}; // last byte
+  instant mEndedAt{};
+  micros mTimeout{ 0 }; // that the client stated
+  request_end mEnd = request_end::Answered;
+  unsigned mStatus = 0;
+  bool mIsReply = true; // a 2xx answer has the body and the stamp of a reply to this request
+  // An earlier answer on the connection said that the connection closes.
+  bool mCloseAnnounced = false;
+  std::string mCloseReason;
+
+  auto operator<=>(const request_record&) const = default;
+};
+
+// One process of a daemon, from its start to its end. Times are kNever while they have not come.
+struct daemon_life
+{
+  std::size_t mDaemon = 0;
+  instant mStartedAt{};
+  instant mStopAt = kNever; // the first SIGTERM
+  instant mKilledAt = kNever;
+  instant mEndedAt = kNever;
+  bool mKillPlanned = false; // killed as a fault, not because it was still running after its grace
+
+  auto operator<=>(const daemon_life&) const = default;
+};
+
+// Bounds of the rules of a deployment.
+struct soak_bounds
+{
+  micros mGrace = std::chrono::seconds(6);
+  micros mLossSlack = std::chrono::milliseconds(200);
+  // A replica that is still at work in the last part of the grace, on a request that was sent
+  // before mLateRequest after the signal, excuses a cut.
+  int mLastPart = 6;
+  micros mLateRequest = std::chrono::seconds(3);
+
+  auto operator<=>(const soak_bounds&) const = default;
+};
+
+enum class finding
+{
+  Kept,       // no promise is broken
+  Crossed,    // closed without an answer, but not forwarded and soon after it was sent
+  Excused,    // cut, in a case that the rules leave out
+  LostAtStop, // cut around a planned stop
+  Lost,       // cut at another time
+  RanTwice,
+  RefusedButRan,
+  WrongAnswer,
+};
+
+const char* ToString(finding aFinding);
+
+// Judges a request. aRuns are its runs; aLife is the process that took it.
+finding Judge(const request_record& aRequest,
+              const std::vector<replica_run>& aRuns,
+              const daemon_life& aLife,
+              const soak_bounds& aBounds);
+
+// Whether the process ended without a signal, or had to be killed after its grace.
+bool EndedByItself(const daemon_life& aLife);
+bool ExceededItsGrace(const daemon_life& aLife);
+
+struct soak_ledger
+{
+  std::vector<request_record> mRequests;
+  std::vector<replica_run> mRuns;
+  std::vector<daemon_life> mLives;
+
+  bool operator==(const soak_ledger&) const = default;
+};
+
+struct soak_result
+{
+  std::map<finding, std::size_t> mCounts;
+  std::size_t mRefused = 0; // answered 503
+  std::size_t mEndedByThemselves = 0;
+  std::size_t mExceededGrace = 0;
+  std::vector<std::string> mLines; // one for each broken promise
+
+  bool operator==(const soak_result&) const = default;
+
+  std::size_t Count(finding aFinding) const;
+  bool IsClean() const;
+};
+
+soak_result JudgeAll(const soak_ledger& aLedger, const soak_bounds& aBounds);
+
+} // namespace redwingdock::platform
+
+#endif
