Judge LOST in the soak as strictly as the rule is worded

What callers could see: nothing; the soak could pass over a broken promise.

Cause: the judge excused more than the rule does. A replica that was silent in the last sixth of the grace excused a cut at any earlier time; one replica that broke off excused a cut while another replica's answer was due; a kill excused a client that had given up before it; an earlier "Connection: close" excused requests that had been read and were not answered. Bytes that are no answer were judged as a closed connection, and a success that nobody had asked for was not judged.

Change: each excuse holds only for the case that the rule names. Requests behind an announced close count once the loss slack has passed. The client records garbled answers and successes without a request as wrong answers.

Where the judge stays stricter than the rule: cuts at other times than planned work count too, and a kill of another daemon or a failure of the store excuses nothing.

--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -156,6 +156,7 @@
     status = mReader.Feed({});
   }
   if (status == http_read_status::Failed) {
+    EndOpen(request_end::Garbled, "the answer is not HTTP");
     mTcp->Close("the answer is not HTTP");
     return;
   }
@@ -172,7 +173,16 @@
 void soak_client::Answered(const http_message& aAnswer)
 {
   mCloseAnnounced = mCloseAnnounced || !aAnswer.mKeepAlive;
+  const bool success = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
   if (mOpen.empty()) {
+    if (success) {
+      mHooks.mRecord({ .mId = "none",
+                       .mDaemon = mDaemon,
+                       .mSentAt = SteadyNow(),
+                       .mEndedAt = SteadyNow(),
+                       .mEnd = request_end::Unasked,
+                       .mStatus = aAnswer.mStatus });
+    }
     return;
   }
   request_record record = std::move(mOpen.front());
@@ -180,7 +190,6 @@
   record.mEndedAt = SteadyNow();
   record.mEnd = request_end::Answered;
   record.mStatus = aAnswer.mStatus;
-  const bool success = aAnswer.mStatus >= 200 && aAnswer.mStatus < 300;
   record.mIsReply = !success || mHooks.mIsReply(record, aAnswer);
   mHooks.mRecord(std::move(record));
 }
@@ -190,7 +199,6 @@
   for (request_record& each : mOpen) {
     each.mEndedAt = SteadyNow();
     each.mEnd = aEnd;
-    each.mCloseAnnounced = mCloseAnnounced;
     each.mCloseReason = aReason;
     // A request of which only the first half was sent has not been read by the daemon.
     if (!mSending) {
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -26,9 +26,17 @@
   }
   const instant lastPart =
     aLife.mStopAt + aBounds.mGrace * (aBounds.mLastPart - 1) / aBounds.mLastPart;
-  return std::any_of(aRuns.begin(), aRuns.end(), [lastPart](const replica_run& aRun) {
-    return aRun.mEndedAt >= lastPart && (aRun.mAborted || aRun.mEndedAt == kNever);
-  });
+  // A replica's silence is no reason to end an answer before that part.
+  return aRequest.mEndedAt >= lastPart &&
+         std::any_of(aRuns.begin(), aRuns.end(), [lastPart](const replica_run& aRun) {
+           return aRun.mEndedAt >= lastPart && (aRun.mAborted || aRun.mEndedAt == kNever);
+         });
+}
+
+// A client sees no reset of its connection earlier than the kill that caused it.
+bool WasKilledBefore(const daemon_life& aLife, instant aTime)
+{
+  return aLife.mKillPlanned && aTime >= aLife.mKilledAt;
 }
 
 bool IsExcused(const request_record& aRequest,
@@ -36,11 +44,14 @@
                const daemon_life& aLife,
                const soak_bounds& aBounds)
 {
-  const bool killed = aLife.mKillPlanned && aRequest.mEndedAt >= aLife.mKilledAt;
   const bool deadlineReached = aRequest.mEndedAt - aRequest.mSentAt >= aRequest.mTimeout;
-  const bool brokeOff = std::any_of(
-    aRuns.begin(), aRuns.end(), [](const replica_run& aRun) { return aRun.mDisconnected; });
-  return killed || deadlineReached || brokeOff || IsAtWorkLate(aRequest, aRuns, aLife, aBounds);
+  // While one replica of several has not broken off, its answer, or a failure, is due.
+  const bool brokeOff =
+    !aRuns.empty() && std::all_of(aRuns.begin(), aRuns.end(), [](const replica_run& aRun) {
+      return aRun.mDisconnected;
+    });
+  return WasKilledBefore(aLife, aRequest.mEndedAt) || deadlineReached || brokeOff ||
+         IsAtWorkLate(aRequest, aRuns, aLife, aBounds);
 }
 
 finding JudgeClosed(const request_record& aRequest,
@@ -48,11 +59,7 @@
                     const daemon_life& aLife,
                     const soak_bounds& aBounds)
 {
-  const bool forwarded = !aRuns.empty();
-  // A client that was told that its connection closes must expect that requests it had sent ahead
-  // are not processed (RFC 9112, section 9.3.2).
-  if (!forwarded &&
-      (aRequest.mCloseAnnounced || aRequest.mEndedAt - aRequest.mSentAt <= aBounds.mLossSlack)) {
+  if (aRuns.empty() && aRequest.mEndedAt - aRequest.mSentAt <= aBounds.mLossSlack) {
     return finding::Crossed;
   }
   if (IsExcused(aRequest, aRuns, aLife, aBounds)) {
@@ -134,18 +141,24 @@
   if (!aRequest.mIdempotent && aRuns.size() > 1) {
     return finding::RanTwice;
   }
-  if (aRequest.mEnd == request_end::Answered) {
-    if (!aRequest.mIsReply) {
+  switch (aRequest.mEnd) {
+    case request_end::Answered:
+      if (!aRequest.mIsReply) {
+        return finding::WrongAnswer;
+      }
+      return !aRequest.mIdempotent && IsNotRun(aRequest.mStatus) && !aRuns.empty()
+               ? finding::RefusedButRan
+               : finding::Kept;
+    case request_end::Closed:
+      return JudgeClosed(aRequest, aRuns, aLife, aBounds);
+    case request_end::GaveUp:
+      // The client had waited beyond its deadline for an answer that was due before it.
+      return WasKilledBefore(aLife, aRequest.mEndedAt) ? finding::Excused : finding::Lost;
+    case request_end::Garbled:
+    case request_end::Unasked:
       return finding::WrongAnswer;
-    }
-    return !aRequest.mIdempotent && IsNotRun(aRequest.mStatus) && !aRuns.empty()
-             ? finding::RefusedButRan
-             : finding::Kept;
   }
-  // A client that gave up had waited beyond its deadline for an answer that was due before it.
-  return aRequest.mEnd == request_end::Closed ? JudgeClosed(aRequest, aRuns, aLife, aBounds)
-         : aLife.mKillPlanned                 ? finding::Excused
-                                              : finding::Lost;
+  return finding::WrongAnswer;
 }
 
 bool EndedByItself(const daemon_life& aLife)
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -18,6 +18,8 @@
   Answered, // the whole answer arrived
   Closed,   // the connection ended first
   GaveUp,   // the client stopped waiting after its deadline
+  Garbled,  // bytes that are no answer in the protocol arrived
+  Unasked,  // a success arrived while no request was waiting
 };
 
 // One attempt of a client.
@@ -33,8 +35,6 @@
   request_end mEnd = request_end::Answered;
   unsigned mStatus = 0;
   bool mIsReply = true; // a 2xx answer has the body and the stamp of a reply to this request
-  // An earlier answer on the connection said that the connection closes.
-  bool mCloseAnnounced = false;
   std::string mCloseReason;
 
   auto operator<=>(const request_record&) const = default;
@@ -58,8 +58,8 @@
 {
   micros mGrace = std::chrono::seconds(6);
   micros mLossSlack = std::chrono::milliseconds(200);
-  // A replica that is still at work in the last part of the grace, on a request that was sent
-  // before mLateRequest after the signal, excuses a cut.
+  // A replica that is still at work in the last part of the grace, on a request that was sent no
+  // later than mLateRequest after the signal, excuses a cut in that part.
   int mLastPart = 6;
   micros mLateRequest = std::chrono::seconds(3);
 
--- /dev/null
+++ b/src/platform/soak/soak_ledger_test.cc
@@ -0,0 +1,107 @@
+#include "platform/soak/soak_ledger.h"
+
+#include <gtest/gtest.h>
+
+namespace redwingdock::platform {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr instant kStop{ seconds(100) };
+
+instant At(int aMs)
+{
+  return kStop + milliseconds(aMs);
+}
+
+struct life_row
+{
+  const char* mName;
+  daemon_life mLife;
+  bool mEndedByItself;
+  bool mExceededItsGrace;
+};
+
+class life_test : public testing::TestWithParam<life_row>
+{};
+
+TEST_P(life_test, TellsHowAProcessEnded)
+{
+  EXPECT_EQ(EndedByItself(GetParam().mLife), GetParam().mEndedByItself);
+  EXPECT_EQ(ExceededItsGrace(GetParam().mLife), GetParam().mExceededItsGrace);
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  life_test,
+  testing::Values(
+    life_row{ "running", { .mStartedAt = At(0) }, false, false },
+    life_row{ "stopped",
+              { .mStartedAt = At(-20'000), .mStopAt = kStop, .mEndedAt = At(5900) },
+              false,
+              false },
+    life_row{
+      "killed",
+      { .mStartedAt = At(0), .mKilledAt = At(90), .mEndedAt = At(90), .mKillPlanned = true },
+      false,
+      false },
+    life_row{ "ended", { .mStartedAt = At(0), .mEndedAt = At(300) }, true, false },
+    life_row{
+      "after_its_grace",
+      { .mStartedAt = At(-20'000), .mStopAt = kStop, .mKilledAt = At(6000), .mEndedAt = At(6001) },
+      false,
+      true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
+// Guards against runs or processes that are counted for another request.
+TEST(judge_all_test, JoinsRequestsRunsAndProcesses)
+{
+  const daemon_life first{ .mDaemon = 1, .mStopAt = At(0), .mEndedAt = At(5000) };
+  const daemon_life second{ .mDaemon = 1, .mStartedAt = At(5500), .mEndedAt = At(9000) };
+  request_record cut{ .mId = "r-1", .mDaemon = 1, .mSentAt = At(6000), .mEndedAt = At(6090) };
+  cut.mTimeout = seconds(6);
+  cut.mEnd = request_end::Closed;
+  request_record refused = cut;
+  refused.mId = "r-2";
+  refused.mEnd = request_end::Answered;
+  refused.mStatus = 503;
+  const replica_run ran{ .mRequestId = "r-1", .mStartedAt = At(6010), .mEndedAt = At(6080) };
+  const soak_result result = JudgeAll({ { cut, refused }, { ran }, { first, second } }, {});
+  EXPECT_EQ(result.Count(finding::Lost), 1U);
+  EXPECT_EQ(result.Count(finding::LostAtStop), 0U);
+  EXPECT_EQ(result.Count(finding::Kept), 1U);
+  EXPECT_EQ(result.mRefused, 1U);
+  EXPECT_EQ(result.mEndedByThemselves, 1U);
+  EXPECT_FALSE(result.IsClean());
+}
+
+struct clean_row
+{
+  finding mFound;
+  bool mClean;
+};
+
+class clean_test : public testing::TestWithParam<clean_row>
+{};
+
+TEST_P(clean_test, FailsForEachBrokenPromise)
+{
+  soak_result result;
+  result.mCounts[GetParam().mFound] = 1;
+  EXPECT_EQ(result.IsClean(), GetParam().mClean) << ToString(GetParam().mFound);
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         clean_test,
+                         testing::Values(clean_row{ finding::Kept, true },
+                                         clean_row{ finding::Crossed, true },
+                                         clean_row{ finding::Excused, true },
+                                         clean_row{ finding::LostAtStop, false },
+                                         clean_row{ finding::Lost, false },
+                                         clean_row{ finding::RanTwice, false },
+                                         clean_row{ finding::RefusedButRan, false },
+                                         clean_row{ finding::WrongAnswer, false }));
+
+} // namespace
+} // namespace redwingdock::platform
