Split the program of the soak by concern

The state of the configuration is one value under one lock, so that a change and its version are published together. No other behaviour changes.

--- /dev/null
+++ b/src/platform/soak/soak_configuration.cc
@@ -0,0 +1,84 @@
+#include "platform/soak/soak_configuration.h"
+
+#include "base/log_text.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+namespace redwingdock::platform {
+
+namespace {
+
+constexpr std::size_t kZones = 4;
+// Both are above the body of every request.
+constexpr std::uint64_t kMaxBodyBytes = 20'000;
+constexpr std::uint64_t kLowMaxBodyBytes = 5'000;
+
+} // namespace
+
+std::string ShardName(std::size_t aShard)
+{
+  return "shard-" + std::to_string(aShard);
+}
+
+std::string ZoneName(std::size_t aNumber)
+{
+  return "zone-" + std::to_string(aNumber % kZones);
+}
+
+const soak_route* RouteOf(const soak_deployment& aDeployment, std::string_view aTarget)
+{
+  for (const soak_route& each : aDeployment.mRoutes) {
+    if (aTarget.substr(1, each.mName.size() + 1) == each.mName + "/") {
+      return &each;
+    }
+  }
+  return nullptr;
+}
+
+std::string FormatConfiguration(const soak_deployment& aDeployment,
+                                const configuration_state& aState)
+{
+  namespace json = boost::json;
+  json::array shards;
+  json::array services;
+  for (std::size_t i = 0; i < kSoakShards; ++i) {
+    shards.emplace_back(ShardName(i));
+    services.push_back(json::object{ { "name", ShardName(i) }, { "connectionLimit", 64 } });
+  }
+  json::array routes;
+  for (const soak_route& each : aDeployment.mRoutes) {
+    if (!aState.mLastRoute && &each == &aDeployment.mRoutes.back()) {
+      continue;
+    }
+    json::object route{ { "name", each.mName },
+                        { "host", kSoakHost },
+                        { "prefix", "/" + each.mName + "/" },
+                        { "kind", each.mKind },
+                        { "timeoutMs", ToMs(each.mTimeout) },
+                        { "targetLatencyMs", ToMs(each.mTarget) },
+                        { "maxAttempts", 2 },
+                        { "priority", 1 } };
+    if (each.mGathers) {
+      route["gather"] = shards;
+      route["topK"] = 5;
+      route["minimumSuccessShare"] = 0.6;
+    } else {
+      route["service"] = each.mName;
+      services.push_back(json::object{ { "name", each.mName }, { "connectionLimit", 200 } });
+    }
+    routes.push_back(std::move(route));
+  }
+  return json::serialize(json::object{
+    { "version", aState.mVersion },
+    { "routes", std::move(routes) },
+    { "services", std::move(services) },
+    { "limits",
+      json::object{ { "maxHeaderBytes", 8192 },
+                    { "maxBodyBytes", aState.mLowLimits ? kLowMaxBodyBytes : kMaxBodyBytes },
+                    { "headerTimeoutMs", aState.mLowLimits ? 1500 : 4000 },
+                    { "idleTimeoutMs", aState.mLowLimits ? 400 : 10'000 } } } });
+}
+
+} // namespace redwingdock::platform
--- /dev/null
+++ b/src/platform/soak/soak_replicas.h
@@ -0,0 +1,52 @@
+#ifndef REDWINGDOCK_PLATFORM_SOAK_SOAK_REPLICAS_H
+#define REDWINGDOCK_PLATFORM_SOAK_SOAK_REPLICAS_H
+
+#include "platform/soak/soak_plan.h"
+#include "platform/standin.h"
+
+#include <memory>
+#include <string>
+#include <vector>
+
+// The replicas of all services of a soak, and what they do with requests.
+
+namespace redwingdock::platform {
+
+class soak_replicas
+{
+public:
+  soak_replicas(io_loop& aLoop, const soak_plan& aPlan);
+
+  // Opens the addresses of the replicas and publishes them.
+  bool Listen(store_standin& aStore);
+  void Publish(store_standin& aStore, std::size_t aReplica, bool aDraining);
+  void Remove(store_standin& aStore, std::size_t aReplica);
+  std::vector<replica_run> Runs() const;
+
+  // Whether the answer to an attempt is a reply of these replicas to it.
+  bool IsReply(const std::string& aRoute,
+               const std::string& aAttemptId,
+               const http_message& aAnswer) const;
+
+private:
+  struct entry
+  {
+    std::string mId;
+    std::string mService;
+    std::string mZone;
+    std::unique_ptr<replica_standin> mReplica;
+  };
+
+  void Add(io_loop& aLoop, const std::string& aService, std::size_t aCount);
+  replica_behaviour Choose(const std::string& aService,
+                           const std::string& aReplica,
+                           const http_message& aMessage) const;
+
+  const soak_plan& mPlan;
+  const std::string mBody;
+  std::vector<entry> mReplicas;
+};
+
+} // namespace redwingdock::platform
+
+#endif
--- /dev/null
+++ b/src/platform/soak/soak_run.h
@@ -0,0 +1,69 @@
+#ifndef REDWINGDOCK_PLATFORM_SOAK_SOAK_RUN_H
+#define REDWINGDOCK_PLATFORM_SOAK_SOAK_RUN_H
+
+#include "platform/soak/soak_addresses.h"
+#include "platform/soak/soak_configuration.h"
+#include "platform/soak/soak_replicas.h"
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+// One seed of the soak: a deployment of real daemons, its clients and its plan.
+
+namespace redwingdock::platform {
+
+struct soak_place
+{
+  std::string mProgram; // path of redwingdock_edge
+  std::string mFolder;  // of settings and logs
+  std::string mNetwork; // first three numbers of the loopback addresses
+
+  auto operator<=>(const soak_place&) const = default;
+};
+
+class soak_run
+{
+public:
+  soak_run(const soak_plan& aPlan, const soak_place& aPlace);
+  ~soak_run();
+  soak_run(const soak_run&) = delete;
+  soak_run& operator=(const soak_run&) = delete;
+
+  // Without a value when the deployment did not start.
+  std::optional<soak_result> Run();
+
+private:
+  bool WaitUntil(micros aLongest, const std::function<bool()>& aCondition);
+  void PublishConfiguration(const std::function<void(configuration_state&)>& aChange);
+  void Apply(const soak_event& aEvent);
+  void StartClients();
+  std::uint64_t Random(std::uint64_t aBound);
+  std::optional<soak_target> ChooseTarget(const soak_client_profile& aProfile);
+  soak_request MakeRequest();
+
+  const soak_plan& mPlan;
+  io_loop mLoop;
+  store_standin mStore;
+  const std::string mStoreAddress;
+  soak_replicas mReplicas;
+  soak_daemons mDaemons;
+  address_lists mLists;
+  std::vector<std::shared_ptr<soak_client>> mClients;
+  std::atomic<std::uint64_t> mRequests{ 0 };
+  std::mutex mConfigurationLock;
+  configuration_state mConfiguration;
+  std::mutex mRandomLock;
+  std::mt19937_64 mRandom;
+  std::mutex mRecordsLock;
+  std::vector<request_record> mRecords;
+};
+
+} // namespace redwingdock::platform
+
+#endif
