Widen what the soak plays

The soak played signals only to processes that had started, bodies of at most 3 KB, whole requests, one configuration at a time, and logs in files.

Added, each drawn from the seed after the draws that were there, so that a seed keeps them: SIGTERM or SIGHUP in the first 300 ms of a first or second start; a second configuration within 200 ms of the first; bodies of 200 KB pipelined behind an open request (the limit of bodies is 1 MB now); clients that connect to a daemon that is stopping; clients that disconnect after a request or in the middle of one, whose requests are not judged; an evacuated zone; logs to a pipe that nobody reads or whose reader goes away after 1.5 s; counts of clients.

A request is judged from when its last byte is with the kernel, and not at all when it never was: the daemon cannot have read it.

--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -11,6 +11,7 @@
 constexpr http_read_limits kAnswerLimits{ std::size_t{ 4 } * 1024 * 1024 };
 constexpr micros kConnectTimeout = std::chrono::seconds(1);
 constexpr micros kRetryDelay = milliseconds(50);
+constexpr micros kSentInterval = milliseconds(5);
 // Beyond its deadline a client waits for an answer that is on its way; a slow reader waits longer.
 constexpr micros kPatience = milliseconds(1500);
 constexpr micros kSlowReaderPatience = std::chrono::seconds(30);
@@ -62,7 +63,7 @@
   mDaemon = target->mDaemon;
   mReader = http_reader(http_side::Client, kAnswerLimits);
   mCloseAnnounced = false;
-  mSending = false;
+  mHeldBack = 0;
   tcp_hooks hooks;
   hooks.mOnOpen = [self = shared_from_this(), id] { self->OnOpen(id); };
   hooks.mOnBytes = [self = shared_from_this(), id](std::string_view aBytes) {
@@ -87,47 +88,84 @@
     return;
   }
   std::string bytes;
+  std::vector<std::size_t> ends;
   // A pipelined request is answered after those ahead of it.
   micros patience =
     mProfile.mHalfDelay + (mProfile.mReadBytesPerS > 0 ? kSlowReaderPatience : kPatience);
   for (std::uint32_t i = 0; i < mProfile.mPipelined; ++i) {
-    soak_request request = mHooks.mMakeRequest();
+    soak_request request = mHooks.mMakeRequest(i == 0 ? 0 : mProfile.mBodyBytesBehind);
     request.mRecord.mDaemon = mDaemon;
     request.mRecord.mSentAt = SteadyNow();
     bytes += request.mBytes;
+    ends.push_back(bytes.size());
     patience += request.mRecord.mTimeout;
     After(patience, [this, aConnection, id = request.mRecord.mId] { GiveUp(aConnection, id); });
-    mOpen.push_back(std::move(request.mRecord));
+    mOpen.push_back({ std::move(request.mRecord) });
+  }
+  for (std::size_t i = 0; i < ends.size(); ++i) {
+    mOpen[i].mBytesAfter = bytes.size() - ends[i];
+  }
+  if (mProfile.mLeaveAfter > micros(0)) {
+    After(mProfile.mLeaveAfter, [this, aConnection] { Leave(aConnection); });
   }
   if (mProfile.mHalfDelay == micros(0)) {
     mTcp->Send(std::move(bytes));
-    return;
+  } else {
+    const std::size_t half = bytes.size() / 2;
+    mHeldBack = bytes.size() - half;
+    mTcp->Send(bytes.substr(0, half));
+    After(mProfile.mHalfDelay,
+          [this, aConnection, rest = bytes.substr(half)] { SendRest(aConnection, rest); });
   }
-  mSending = true;
-  const std::size_t half = bytes.size() / 2;
-  mTcp->Send(bytes.substr(0, half));
-  After(mProfile.mHalfDelay,
-        [this, aConnection, rest = bytes.substr(half)] { SendRest(aConnection, rest); });
+  NoteSentLocked();
 }
 
 void soak_client::SendRest(std::uint64_t aConnection, const std::string& aBytes)
 {
   const std::lock_guard lock(mLock);
-  if (aConnection != mConnection || !mTcp || !mSending) {
+  if (aConnection != mConnection || !mTcp || mHeldBack == 0) {
     return;
   }
-  mSending = false;
-  for (request_record& each : mOpen) {
-    each.mSentAt = SteadyNow();
-  }
+  mHeldBack = 0;
   mTcp->Send(aBytes);
+  NoteSentLocked();
+}
+
+void soak_client::NoteSentLocked()
+{
+  const std::size_t unsent = mHeldBack + mTcp->UnsentBytes();
+  for (open_request& each : mOpen) {
+    if (!each.mSent && each.mBytesAfter >= unsent) {
+      each.mSent = true;
+      each.mRecord.mSentAt = SteadyNow();
+    }
+  }
+  if (unsent > 0) {
+    After(kSentInterval, [this, connection = mConnection] {
+      const std::lock_guard lock(mLock);
+      if (connection == mConnection && mTcp) {
+        NoteSentLocked();
+      }
+    });
+  }
+}
+
+void soak_client::Leave(std::uint64_t aConnection)
+{
+  const std::lock_guard lock(mLock);
+  if (aConnection != mConnection || !mTcp || mOpen.empty()) {
+    return;
+  }
+  mOpen.clear();
+  mTcp->Close("the client left");
 }
 
 void soak_client::GiveUp(std::uint64_t aConnection, const std::string& aId)
 {
   const std::lock_guard lock(mLock);
-  const bool open = std::any_of(
-    mOpen.begin(), mOpen.end(), [&aId](const request_record& aEach) { return aEach.mId == aId; });
+  const bool open = std::any_of(mOpen.begin(), mOpen.end(), [&aId](const open_request& aEach) {
+    return aEach.mRecord.mId == aId;
+  });
   if (aConnection != mConnection || !mTcp || !open) {
     return;
   }
@@ -185,7 +223,7 @@
     }
     return;
   }
-  request_record record = std::move(mOpen.front());
+  request_record record = std::move(mOpen.front().mRecord);
   mOpen.pop_front();
   record.mEndedAt = SteadyNow();
   record.mEnd = request_end::Answered;
@@ -196,13 +234,13 @@
 
 void soak_client::EndOpen(request_end aEnd, const std::string& aReason)
 {
-  for (request_record& each : mOpen) {
-    each.mEndedAt = SteadyNow();
-    each.mEnd = aEnd;
-    each.mCloseReason = aReason;
-    // A request of which only the first half was sent has not been read by the daemon.
-    if (!mSending) {
-      mHooks.mRecord(std::move(each));
+  for (open_request& each : mOpen) {
+    // The daemon cannot have read a request whose last byte was not sent.
+    if (each.mSent) {
+      each.mRecord.mEndedAt = SteadyNow();
+      each.mRecord.mEnd = aEnd;
+      each.mRecord.mCloseReason = aReason;
+      mHooks.mRecord(std::move(each.mRecord));
     }
   }
   mOpen.clear();
--- a/src/platform/soak/soak_client.h
+++ b/src/platform/soak/soak_client.h
@@ -36,7 +36,8 @@
 struct soak_client_hooks
 {
   std::function<std::optional<soak_target>()> mChooseTarget;
-  std::function<soak_request()> mMakeRequest;
+  // With a body of the given size; 0: of the size that the route has.
+  std::function<soak_request(std::size_t)> mMakeRequest;
   // Whether a 2xx answer is the reply to the request.
   std::function<bool(const request_record&, const http_message&)> mIsReply;
   std::function<void(request_record)> mRecord;
@@ -55,6 +56,13 @@
 private:
   using work = std::function<void()>;
 
+  struct open_request
+  {
+    request_record mRecord;
+    std::size_t mBytesAfter = 0; // that were queued behind its last byte
+    bool mSent = false;
+  };
+
   void After(micros aDelay, work aWork);
   void Open();
   void OnOpen(std::uint64_t aConnection);
@@ -62,9 +70,13 @@
   void OnClosed(std::uint64_t aConnection, const tcp_close_info& aInfo);
   void SendNext(std::uint64_t aConnection);
   void SendRest(std::uint64_t aConnection, const std::string& aBytes);
+  // Marks requests whose last byte is with the kernel, until all are. mLock is held.
+  void NoteSentLocked();
+  // Ends the connection with requests open, which are not recorded.
+  void Leave(std::uint64_t aConnection);
   void GiveUp(std::uint64_t aConnection, const std::string& aId);
   void Answered(const http_message& aAnswer);
-  // Records all open requests as ended without an answer.
+  // Records the open requests that have been sent as ended without an answer.
   void EndOpen(request_end aEnd, const std::string& aReason);
 
   io_loop& mLoop;
@@ -75,9 +87,9 @@
   std::uint64_t mConnection = 0; // number of the open connection
   std::size_t mDaemon = 0;
   http_reader mReader;
-  std::deque<request_record> mOpen;
+  std::deque<open_request> mOpen;
   bool mCloseAnnounced = false;
-  bool mSending = false; // the second half of the requests is to be sent
+  std::size_t mHeldBack = 0; // bytes of the second half, before it is sent
   bool mStopped = false;
 };
 
--- a/src/platform/soak/soak_configuration.cc
+++ b/src/platform/soak/soak_configuration.cc
@@ -12,8 +12,8 @@
 
 constexpr std::size_t kZones = 4;
 // Both are above the body of every request.
-constexpr std::uint64_t kMaxBodyBytes = 20'000;
-constexpr std::uint64_t kLowMaxBodyBytes = 5'000;
+constexpr std::uint64_t kMaxBodyBytes = 1'000'000;
+constexpr std::uint64_t kLowMaxBodyBytes = 250'000;
 
 } // namespace
 
--- a/src/platform/soak/soak_daemons.cc
+++ b/src/platform/soak/soak_daemons.cc
@@ -1,13 +1,12 @@
 #include "platform/soak/soak_daemons.h"
 
 #include "base/command_line.h"
+#include "platform/soak/soak_process.h"
 
-#include <array>
 #include <csignal>
 #include <cstdio>
-#include <fcntl.h>
-#include <spawn.h>
 #include <sys/wait.h>
+#include <unistd.h>
 
 namespace redwingdock::platform {
 
@@ -15,35 +14,14 @@
 
 constexpr micros kQuotaPeriod = std::chrono::milliseconds(100);
 constexpr std::size_t kFirstHost = 10;
-
-pid_t Spawn(const std::string& aProgram,
-            std::vector<std::string> aArguments,
-            const std::string& aLog)
-{
-  std::vector<char*> arguments;
-  arguments.reserve(aArguments.size() + 1);
-  for (std::string& each : aArguments) {
-    arguments.push_back(each.data());
-  }
-  arguments.push_back(nullptr);
-  posix_spawn_file_actions_t actions;
-  posix_spawn_file_actions_init(&actions);
-  posix_spawn_file_actions_addopen(
-    &actions, STDOUT_FILENO, aLog.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-  posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
-  pid_t pid = 0;
-  std::array<char*, 1> environment{ nullptr };
-  const int failed =
-    posix_spawn(&pid, aProgram.c_str(), &actions, nullptr, arguments.data(), environment.data());
-  posix_spawn_file_actions_destroy(&actions);
-  return failed == 0 ? pid : 0;
-}
+constexpr micros kLogReaderTime = std::chrono::milliseconds(1500); // until it goes away
 
 } // namespace
 
-soak_daemons::soak_daemons(io_loop& aLoop, soak_process_options aOptions)
+soak_daemons::soak_daemons(io_loop& aLoop, soak_process_options aOptions, start_hook aOnStart)
   : mLoop(aLoop)
   , mOptions(std::move(aOptions))
+  , mOnStart(std::move(aOnStart))
   , mProcesses(mOptions.mDaemons)
 {
 }
@@ -129,32 +107,66 @@
 }
 
 void soak_daemons::Start(std::size_t aDaemon)
+{
+  if (Launch(aDaemon)) {
+    std::size_t earlier = 0;
+    {
+      const std::lock_guard lock(mLock);
+      earlier = mProcesses[aDaemon].mStarts - 1;
+    }
+    mOnStart(aDaemon, earlier);
+  }
+}
+
+bool soak_daemons::Launch(std::size_t aDaemon)
 {
   const std::lock_guard lock(mLock);
   if (mEnding) {
-    return;
+    return false;
   }
   process& started = mProcesses[aDaemon];
   const std::string file = mOptions.mFolder + "/" + std::to_string(aDaemon);
   const double grace = std::chrono::duration<double>(mOptions.mGrace).count();
-  started.mPid =
-    Spawn(mOptions.mProgram,
-          { "redwingdock_edge", "--settings", file + ".yaml", "--grace", std::to_string(grace) },
-          file + ".log");
+  const log_output log = OpenLog(mOptions.mLogSink, file + ".log");
+  started.mPid = SpawnProcess(
+    mOptions.mProgram,
+    { "redwingdock_edge", "--settings", file + ".yaml", "--grace", std::to_string(grace) },
+    log.mDescriptor);
+  ::close(log.mDescriptor);
+  started.mLogReader = log.mReader;
   started.mLife = mLives.size();
+  ++started.mStarts;
   mLives.push_back({ aDaemon, SteadyNow() });
   if (started.mPid == 0) {
+    CloseLogReader(started);
     mLives.back().mEndedAt = SteadyNow();
-    return;
+    return false;
   }
   started.mWaiter = std::thread([this, aDaemon, pid = started.mPid] {
     int status = 0;
     ::waitpid(pid, &status, 0);
-    Ended(aDaemon, pid);
+    Ended(aDaemon, pid, status);
   });
+  if (mOptions.mLogSink == log_sink::ClosedPipe) {
+    mLoop.After(kLogReaderTime, [this, aDaemon, pid = started.mPid] {
+      const std::lock_guard relock(mLock);
+      if (mProcesses[aDaemon].mPid == pid) {
+        CloseLogReader(mProcesses[aDaemon]);
+      }
+    });
+  }
+  return true;
+}
+
+void soak_daemons::CloseLogReader(process& aProcess)
+{
+  if (aProcess.mLogReader >= 0) {
+    ::close(aProcess.mLogReader);
+    aProcess.mLogReader = -1;
+  }
 }
 
-void soak_daemons::Ended(std::size_t aDaemon, pid_t aPid)
+void soak_daemons::Ended(std::size_t aDaemon, pid_t aPid, int aStatus)
 {
   const std::lock_guard lock(mLock);
   process& ended = mProcesses[aDaemon];
@@ -162,7 +174,9 @@
     return;
   }
   ended.mPid = 0;
+  CloseLogReader(ended);
   mLives[ended.mLife].mEndedAt = SteadyNow();
+  mLives[ended.mLife].mEndSignal = WIFSIGNALED(aStatus) ? WTERMSIG(aStatus) : 0;
   if (mEnding) {
     return;
   }
@@ -238,6 +252,18 @@
   return true;
 }
 
+std::vector<std::size_t> soak_daemons::Stopping() const
+{
+  const std::lock_guard lock(mLock);
+  std::vector<std::size_t> stopping;
+  for (std::size_t i = 0; i < mProcesses.size(); ++i) {
+    if (mProcesses[i].mPid != 0 && mLives[mProcesses[i].mLife].mStopAt != kNever) {
+      stopping.push_back(i);
+    }
+  }
+  return stopping;
+}
+
 std::vector<daemon_life> soak_daemons::Lives() const
 {
   const std::lock_guard lock(mLock);
--- a/src/platform/soak/soak_daemons.h
+++ b/src/platform/soak/soak_daemons.h
@@ -3,7 +3,9 @@
 
 #include "daemon/tcp.h"
 #include "platform/soak/soak_ledger.h"
+#include "platform/soak/soak_plan.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -28,14 +30,18 @@
   micros mGrace = std::chrono::seconds(6);
   micros mRestartDelay = std::chrono::milliseconds(500);
   micros mQuota{ 0 }; // running time in each 100 ms; 0: no limit
+  log_sink mLogSink = log_sink::File;
 
   auto operator<=>(const soak_process_options&) const = default;
 };
 
+// Called after each start of a daemon, with the daemon and the number of its earlier starts.
+using start_hook = std::function<void(std::size_t, std::size_t)>;
+
 class soak_daemons
 {
 public:
-  soak_daemons(io_loop& aLoop, soak_process_options aOptions);
+  soak_daemons(io_loop& aLoop, soak_process_options aOptions, start_hook aOnStart);
   // Kills what still runs.
   ~soak_daemons();
   soak_daemons(const soak_daemons&) = delete;
@@ -53,6 +59,8 @@
   // Terminates all daemons, which do not start again.
   void TerminateAll();
   bool AllEnded() const;
+  // The daemons that run and have got SIGTERM.
+  std::vector<std::size_t> Stopping() const;
 
   std::vector<daemon_life> Lives() const;
 
@@ -63,17 +71,22 @@
     std::size_t mLife = 0;
     std::thread mWaiter;
     std::uint32_t mReloads = 0;
+    std::size_t mStarts = 0;
+    int mLogReader = -1; // descriptor of the reading end of its log, or -1
   };
 
   std::string Ip(std::size_t aDaemon) const;
   void WriteSettings(std::size_t aDaemon, std::uint32_t aReloads) const;
   void Start(std::size_t aDaemon);
-  void Ended(std::size_t aDaemon, pid_t aPid);
+  bool Launch(std::size_t aDaemon);
+  void Ended(std::size_t aDaemon, pid_t aPid, int aStatus);
+  static void CloseLogReader(process& aProcess);
   void Signal(std::size_t aDaemon, int aSignal);
   void ApplyQuota(bool aRun);
 
   io_loop& mLoop;
   const soak_process_options mOptions;
+  const start_hook mOnStart;
   mutable std::mutex mLock;
   std::vector<process> mProcesses;
   std::vector<daemon_life> mLives; // in the order of their starts
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -205,7 +205,8 @@
     if (EndedByItself(life)) {
       ++result.mEndedByThemselves;
       result.mLines.push_back("ended_by_itself daemon=" + std::to_string(life.mDaemon) +
-                              " after_ms=" + MsText(life.mEndedAt - life.mStartedAt));
+                              " after_ms=" + MsText(life.mEndedAt - life.mStartedAt) +
+                              " signal=" + std::to_string(life.mEndSignal));
     }
     if (ExceededItsGrace(life)) {
       ++result.mExceededGrace;
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -49,6 +49,7 @@
   instant mKilledAt = kNever;
   instant mEndedAt = kNever;
   bool mKillPlanned = false; // killed as a fault, not because it was still running after its grace
+  int mEndSignal = 0;        // the signal that ended it, if one did
 
   auto operator<=>(const daemon_life&) const = default;
 };
--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -17,7 +17,7 @@
 
 Usage:
   redwingdock_edge_soak --edge PROGRAM [--first SEED] [--count N] [--daemons N] [--seconds S]
-                        [--reply-bytes N] [--keep-logs FOLDER]
+                        [--reply-bytes N] [--keep-logs FOLDER] [--plan-only]
   redwingdock_edge_soak --help
   redwingdock_edge_soak --version
 
@@ -30,6 +30,7 @@
   --reply-bytes N     Size of the replies that are not parts of a gather; 0 draws it from the seed
                       [default: 0].
   --keep-logs FOLDER  Keep the daemons' logs of the seeds that fail in this folder.
+  --plan-only         Print the plans and exit.
   --help              Show this text.
   --version           Show the version.
 
@@ -74,6 +75,10 @@
   for (std::uint64_t seed = *first; seed < *first + *count; ++seed) {
     const soak_plan plan =
       MakeSoakPlan({ seed, *daemons, seconds(static_cast<int>(*duration)), *replyBytes });
+    if (aArguments.Has("--plan-only")) {
+      std::printf("%s\n", Describe(plan).c_str());
+      continue;
+    }
     const std::filesystem::path folder =
       std::filesystem::temp_directory_path() /
       ("redwingdock-soak-" + std::to_string(::getpid()) + "-" + std::to_string(seed));
--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -1,7 +1,5 @@
 #include "platform/soak/soak_plan.h"
 
-#include "base/log_text.h"
-
 #include <algorithm>
 #include <random>
 
@@ -14,6 +12,7 @@
 
 constexpr milliseconds kFirstEvent{ 800 };
 constexpr std::size_t kReplicas = 8; // that events drain or remove
+constexpr std::size_t kZones = 4;
 
 // std::uniform_int_distribution differs between standard libraries, and the plan of a seed must
 // not.
@@ -122,35 +121,84 @@
   }
 }
 
-const char* ToString(soak_action aAction)
+// Two configurations that are in force for different times, the second soon after the first.
+void AddOverlappingConfigurations(plan_random& aRandom,
+                                  const soak_options& aOptions,
+                                  std::vector<soak_event>& aEvents)
 {
-  switch (aAction) {
-    case soak_action::Terminate:
-      return "terminate";
-    case soak_action::TerminateTwice:
-      return "terminate_twice";
-    case soak_action::Kill:
-      return "kill";
-    case soak_action::Reload:
-      return "reload";
-    case soak_action::LowerLimits:
-      return "lower_limits";
-    case soak_action::RaiseLimits:
-      return "raise_limits";
-    case soak_action::DropRoute:
-      return "drop_route";
-    case soak_action::RestoreRoute:
-      return "restore_route";
-    case soak_action::DrainReplica:
-      return "drain_replica";
-    case soak_action::RemoveReplica:
-      return "remove_replica";
-    case soak_action::StoreDown:
-      return "store_down";
-    case soak_action::StoreUp:
-      return "store_up";
-  }
-  return "";
+  micros at =
+    aRandom.Between(kFirstEvent, std::chrono::duration_cast<milliseconds>(aOptions.mDuration));
+  for (const soak_action action : { soak_action::LowerLimits, soak_action::DropRoute }) {
+    aEvents.push_back({ at, action });
+    at += aRandom.Between(milliseconds(0), milliseconds(200));
+  }
+  at += milliseconds(2500);
+  for (const soak_action action : { soak_action::RestoreRoute, soak_action::RaiseLimits }) {
+    aEvents.push_back({ at, action });
+    at += aRandom.Between(milliseconds(0), milliseconds(200));
+  }
+}
+
+// Half of them come in the first 30 ms, while a daemon without load still opens its addresses.
+std::vector<early_signal> DrawEarlySignals(plan_random& aRandom, const soak_options& aOptions)
+{
+  std::vector<early_signal> signals;
+  for (std::uint64_t i = aRandom.Below(4); i > 0; --i) {
+    signals.push_back({ aRandom.Below(aOptions.mDaemons - 1),
+                        aRandom.Below(2),
+                        aRandom.Between(milliseconds(0), milliseconds(aRandom.OneIn(2) ? 30 : 300)),
+                        aRandom.OneIn(2) ? soak_action::Terminate : soak_action::Reload });
+  }
+  return signals;
+}
+
+void AddProfiles(plan_random& aRandom, std::vector<soak_client_profile>& aProfiles)
+{
+  if (aRandom.OneIn(2)) {
+    aProfiles.push_back({ .mName = "large_behind",
+                          .mCount = 3,
+                          .mPipelined = 3,
+                          .mPause = milliseconds(300),
+                          .mBodyBytesBehind = 200'000 });
+  }
+  if (aRandom.OneIn(2)) {
+    aProfiles.push_back({ .mName = "leaves",
+                          .mCount = 4,
+                          .mPipelined = 2,
+                          .mPause = milliseconds(200),
+                          .mLeaveAfter = aRandom.Between(milliseconds(5), milliseconds(300)) });
+    aProfiles.push_back({ .mName = "leaves_in_request",
+                          .mCount = 2,
+                          .mHalfDelay = milliseconds(400),
+                          .mPause = milliseconds(200),
+                          .mLeaveAfter = aRandom.Between(milliseconds(5), milliseconds(300)) });
+  }
+  aProfiles.push_back(
+    { .mName = "during_stop", .mCount = 6, .mPause = milliseconds(250), .mSeeksStopping = true });
+  for (soak_client_profile& each : aProfiles) {
+    each.mCount += static_cast<std::uint32_t>(aRandom.Below(each.mCount / 3 + 2));
+  }
+}
+
+// Draws what no earlier plan had; the draws before it stay as they were, so that a seed keeps them.
+void Widen(plan_random& aRandom, soak_plan& aPlan)
+{
+  const soak_options& options = aPlan.mOptions;
+  if (aRandom.OneIn(2)) {
+    AddOverlappingConfigurations(aRandom, options, aPlan.mEvents);
+  }
+  if (aRandom.OneIn(3)) {
+    const micros at = aRandom.Between(
+      kFirstEvent, std::chrono::duration_cast<milliseconds>(options.mDuration) - milliseconds(800));
+    const std::size_t zone = aRandom.Below(kZones);
+    aPlan.mEvents.push_back({ at, soak_action::EvacuateZone, zone });
+    aPlan.mEvents.push_back({ at + milliseconds(4000), soak_action::TakeZoneBack, zone });
+  }
+  aPlan.mEarlySignals = DrawEarlySignals(aRandom, options);
+  constexpr log_sink kSinks[] = { log_sink::File, log_sink::File,       log_sink::File,
+                                  log_sink::File, log_sink::UnreadPipe, log_sink::ClosedPipe };
+  aPlan.mLogSink = kSinks[aRandom.Below(std::size(kSinks))];
+  AddProfiles(aRandom, aPlan.mClients);
 }
 
 } // namespace
@@ -208,6 +256,7 @@
   plan.mClients = Profiles(plan.mReplyBytes);
   AddStops(random, aOptions, plan.mEvents);
   AddOthers(random, aOptions, plan.mEvents);
+  Widen(random, plan);
   std::stable_sort(
     plan.mEvents.begin(),
     plan.mEvents.end(),
@@ -215,21 +264,4 @@
   return plan;
 }
 
-std::string Describe(const soak_plan& aPlan)
-{
-  std::string text =
-    "seed=" + std::to_string(aPlan.mOptions.mSeed) + " deployment=" + aPlan.mDeployment.mName +
-    " daemons=" + std::to_string(aPlan.mOptions.mDaemons) +
-    " reply_bytes=" + std::to_string(aPlan.mReplyBytes) + " quota_ms=" + MsText(aPlan.mQuota) +
-    " lost_replies=" + std::to_string(aPlan.mFaults.mLostReplies) +
-    " stalls=" + std::to_string(aPlan.mFaults.mStalls) +
-    " resets=" + std::to_string(aPlan.mFaults.mResets) +
-    " slow=" + std::to_string(aPlan.mFaults.mSlow) + " events=";
-  for (const soak_event& each : aPlan.mEvents) {
-    text += std::string(ToString(each.mAction)) + ":" + std::to_string(each.mTarget) + "@" +
-            MsText(each.mAt) + ",";
-  }
-  return text;
-}
-
 } // namespace redwingdock::platform
--- a/src/platform/soak/soak_plan.h
+++ b/src/platform/soak/soak_plan.h
@@ -57,6 +57,9 @@
   micros mFirstUse{ 0 };            // from the opening of a connection to its first request
   micros mPause{ 0 };               // between an answer and the next request
   micros mDirectoryAge{ 0 };        // of the list of addresses that it uses
+  std::size_t mBodyBytesBehind = 0; // of the pipelined requests behind the first; 0: as the route
+  micros mLeaveAfter{ 0 };          // disconnects so long after it has sent; 0: never
+  bool mSeeksStopping = false;      // connects to daemons that have got SIGTERM
 
   auto operator<=>(const soak_client_profile&) const = default;
 };
@@ -75,17 +78,38 @@
   RemoveReplica,
   StoreDown,
   StoreUp,
+  EvacuateZone,
+  TakeZoneBack,
 };
 
 struct soak_event
 {
   micros mAt{ 0 }; // from the start of the traffic
   soak_action mAction = soak_action::Terminate;
-  std::size_t mTarget = 0; // daemon or replica
+  std::size_t mTarget = 0; // daemon, replica or zone
 
   auto operator<=>(const soak_event&) const = default;
 };
 
+// A signal shortly after a start of a daemon, while it may not be ready to handle it.
+struct early_signal
+{
+  std::size_t mDaemon = 0;
+  std::size_t mStart = 0; // 0: the first start
+  micros mAfter{ 0 };
+  soak_action mAction = soak_action::Terminate; // or Reload
+
+  auto operator<=>(const early_signal&) const = default;
+};
+
+// Where the daemons' standard output goes.
+enum class log_sink
+{
+  File,
+  UnreadPipe, // a pipe that nobody reads
+  ClosedPipe, // a pipe whose reader goes away
+};
+
 struct soak_options
 {
   std::uint64_t mSeed = 1;
@@ -107,6 +131,8 @@
   micros mQuota{ 0 };
   std::vector<soak_client_profile> mClients;
   std::vector<soak_event> mEvents; // by time
+  std::vector<early_signal> mEarlySignals;
+  log_sink mLogSink = log_sink::File;
 
   bool operator==(const soak_plan&) const = default;
 };
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -31,7 +31,9 @@
                .mNetwork = aPlace.mNetwork,
                .mStore = mStoreAddress,
                .mDaemons = aPlan.mOptions.mDaemons,
-               .mQuota = aPlan.mQuota })
+               .mQuota = aPlan.mQuota,
+               .mLogSink = aPlan.mLogSink },
+             [this](std::size_t aDaemon, std::size_t aEarlier) { OnStart(aDaemon, aEarlier); })
   , mLists(mLoop, mDaemons, aPlan.mOptions.mDaemons)
   , mRandom(aPlan.mOptions.mSeed)
 {
@@ -50,6 +52,15 @@
   mStore.Put(kConfigurationKey, FormatConfiguration(mPlan.mDeployment, mConfiguration));
 }
 
+void soak_run::OnStart(std::size_t aDaemon, std::size_t aEarlierStarts)
+{
+  for (const early_signal& each : mPlan.mEarlySignals) {
+    if (each.mDaemon == aDaemon && each.mStart == aEarlierStarts) {
+      mLoop.After(each.mAfter, [this, each] { Apply({ {}, each.mAction, each.mDaemon }); });
+    }
+  }
+}
+
 std::optional<soak_result> soak_run::Run()
 {
   if (!mStore.ListenOn(mStoreAddress) || !mReplicas.Listen(mStore)) {
@@ -135,6 +146,12 @@
     case soak_action::StoreUp:
       mStore.SetDown(aEvent.mAction == soak_action::StoreDown);
       break;
+    case soak_action::EvacuateZone:
+      mStore.Put(kClosedZonePrefix + ZoneName(aEvent.mTarget), "{}");
+      break;
+    case soak_action::TakeZoneBack:
+      mStore.Delete(kClosedZonePrefix + ZoneName(aEvent.mTarget));
+      break;
   }
 }
 
@@ -144,7 +161,7 @@
     for (std::uint32_t i = 0; i < profile.mCount; ++i) {
       soak_client_hooks hooks;
       hooks.mChooseTarget = [this, &profile] { return ChooseTarget(profile); };
-      hooks.mMakeRequest = [this] { return MakeRequest(); };
+      hooks.mMakeRequest = [this](std::size_t aBodyBytes) { return MakeRequest(aBodyBytes); };
       hooks.mIsReply = [this](const request_record& aRequest, const http_message& aAnswer) {
         return mReplicas.IsReply(aRequest.mRoute, aRequest.mId, aAnswer);
       };
@@ -166,15 +183,25 @@
 
 std::optional<soak_target> soak_run::ChooseTarget(const soak_client_profile& aProfile)
 {
-  const std::vector<soak_target> targets = mLists.At(SteadyNow() - aProfile.mDirectoryAge);
+  std::vector<soak_target> targets;
+  if (aProfile.mSeeksStopping) {
+    for (const std::size_t daemon : mDaemons.Stopping()) {
+      targets.push_back({ mDaemons.CallerAddress(daemon), daemon });
+    }
+  } else {
+    targets = mLists.At(SteadyNow() - aProfile.mDirectoryAge);
+  }
   return targets.empty() ? std::nullopt
                          : std::optional<soak_target>(targets[Random(targets.size())]);
 }
 
-soak_request soak_run::MakeRequest()
+soak_request soak_run::MakeRequest(std::size_t aBodyBytes)
 {
   const std::vector<soak_route>& routes = mPlan.mDeployment.mRoutes;
-  const soak_route& route = routes[Random(10) == 0 ? routes.size() - 1 : Random(routes.size() - 1)];
+  const std::size_t drawn = Random(10) == 0 ? routes.size() - 1 : Random(routes.size() - 1);
+  const auto hasBody = [](const soak_route& aRoute) { return aRoute.mBodyBytes > 0; };
+  const soak_route& route =
+    aBodyBytes > 0 ? *std::find_if(routes.begin(), routes.end(), hasBody) : routes[drawn];
   const std::string id = std::to_string(mPlan.mOptions.mSeed) + "-" + std::to_string(++mRequests);
   soak_request request;
   request.mRecord.mId = id;
@@ -187,7 +214,7 @@
   message.mFields = { { "Host", kSoakHost },
                       { kAttemptIdHeader, id },
                       { kDeadlineRemainingHeader, std::to_string(ToMs(route.mTimeout)) } };
-  message.mBody = std::string(route.mBodyBytes, 'q');
+  message.mBody = std::string(aBodyBytes > 0 ? aBodyBytes : route.mBodyBytes, 'q');
   request.mBytes = FormatRequest(message);
   return request;
 }
--- a/src/platform/soak/soak_run.h
+++ b/src/platform/soak/soak_run.h
@@ -41,11 +41,12 @@
 private:
   bool WaitUntil(micros aLongest, const std::function<bool()>& aCondition);
   void PublishConfiguration(const std::function<void(configuration_state&)>& aChange);
+  void OnStart(std::size_t aDaemon, std::size_t aEarlierStarts);
   void Apply(const soak_event& aEvent);
   void StartClients();
   std::uint64_t Random(std::uint64_t aBound);
   std::optional<soak_target> ChooseTarget(const soak_client_profile& aProfile);
-  soak_request MakeRequest();
+  soak_request MakeRequest(std::size_t aBodyBytes);
 
   const soak_plan& mPlan;
   io_loop mLoop;
