End the daemons when the soak is interrupted

A soak that was stopped by SIGTERM left its daemons running. It now ends its run at SIGINT and SIGTERM and kills them.

--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -88,12 +88,15 @@
     const std::string network =
       "127." + std::to_string(2 + pid / 250 % 250) + "." + std::to_string(1 + pid % 250);
     std::optional<soak_result> result;
+    bool interrupted = false;
     {
       soak_run run(plan, { aArguments.Text("--edge"), folder.string(), network });
       result = run.Run();
+      interrupted = run.WasInterrupted();
     }
     if (!result) {
-      std::printf("FAIL %s: the deployment did not start\n", Describe(plan).c_str());
+      std::printf("FAIL %s: the deployment did not start, or the run was interrupted\n",
+                  Describe(plan).c_str());
       ++failed;
     } else {
       Print(plan, *result);
@@ -108,6 +111,9 @@
                             ignored);
     }
     std::filesystem::remove_all(folder, ignored);
+    if (interrupted) {
+      break;
+    }
   }
   std::printf("%zu of %llu seeds failed\n", failed, static_cast<unsigned long long>(*count));
   return failed == 0 ? kExitOk : kExitDifference;
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -67,6 +67,7 @@
     return std::nullopt;
   }
   PublishConfiguration([](configuration_state&) {});
+  mLoop.OnStopSignals([this] { mInterrupted = true; });
   mLoop.Start();
   mDaemons.StartAll();
   mLists.Start();
@@ -91,6 +92,9 @@
       return aClient->OpenRequests() == 0;
     });
   });
+  if (mInterrupted) {
+    return std::nullopt;
+  }
   const std::lock_guard lock(mRecordsLock);
   return JudgeAll({ mRecords, mReplicas.Runs(), mDaemons.Lives() }, soak_bounds{});
 }
@@ -99,7 +103,7 @@
 {
   constexpr micros kInterval = milliseconds(20);
   for (const instant latest = SteadyNow() + aLongest; SteadyNow() < latest;) {
-    if (aCondition()) {
+    if (mInterrupted || aCondition()) {
       return true;
     }
     std::promise<void> elapsed;
--- a/src/platform/soak/soak_run.h
+++ b/src/platform/soak/soak_run.h
@@ -35,8 +35,9 @@
   soak_run(const soak_run&) = delete;
   soak_run& operator=(const soak_run&) = delete;
 
-  // Without a value when the deployment did not start.
+  // Without a value when the deployment did not start or the run was interrupted.
   std::optional<soak_result> Run();
+  bool WasInterrupted() const { return mInterrupted; }
 
 private:
   bool WaitUntil(micros aLongest, const std::function<bool()>& aCondition);
@@ -57,6 +58,7 @@
   address_lists mLists;
   std::vector<std::shared_ptr<soak_client>> mClients;
   std::atomic<std::uint64_t> mRequests{ 0 };
+  std::atomic<bool> mInterrupted{ false }; // by SIGINT or SIGTERM; the daemons are to be killed
   std::mutex mConfigurationLock;
   configuration_state mConfiguration;
   std::mutex mRandomLock;
