--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -94,6 +94,7 @@
     mProfile.mHalfDelay + (mProfile.mReadBytesPerS > 0 ? kSlowReaderPatience : kPatience);
   for (std::uint32_t i = 0; i < mProfile.mPipelined; ++i) {
     soak_request request = mHooks.mMakeRequest(i == 0 ? 0 : mProfile.mBodyBytesBehind);
+    request.mRecord.mClient = mProfile.mName;
     request.mRecord.mDaemon = mDaemon;
     request.mRecord.mSentAt = SteadyNow();
     bytes += request.mBytes;
@@ -215,6 +216,7 @@
   if (mOpen.empty()) {
     if (success) {
       mHooks.mRecord({ .mId = "none",
+                       .mClient = mProfile.mName,
                        .mDaemon = mDaemon,
                        .mSentAt = SteadyNow(),
                        .mEndedAt = SteadyNow(),
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -84,7 +84,7 @@
   const instant from = aLife.mStopAt != kNever ? aLife.mStopAt : aLife.mStartedAt;
   std::string line =
     std::string(ToString(aFinding)) + " request=" + aRequest.mId + " route=" + aRequest.mRoute +
-    " daemon=" + std::to_string(aRequest.mDaemon) + " since_" +
+    " client=" + aRequest.mClient + " daemon=" + std::to_string(aRequest.mDaemon) + " since_" +
     (aLife.mStopAt != kNever ? "stop" : "start") + "_ms: sent=" + Since(aRequest.mSentAt, from) +
     " ended=" + Since(aRequest.mEndedAt, from) + " process_ended=" + Since(aLife.mEndedAt, from) +
     " status=" + std::to_string(aRequest.mStatus) + " close=\"" + aRequest.mCloseReason + "\"";
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -27,6 +27,7 @@
 {
   std::string mId;
   std::string mRoute;
+  std::string mClient; // name of its profile
   bool mIdempotent = true;
   std::size_t mDaemon = 0;
   instant mSentAt{}; // last byte
--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -2,6 +2,7 @@
 #include "base/yaml_reader.h"
 #include "platform/soak/soak_run.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <filesystem>
 #include <unistd.h>
@@ -17,7 +18,8 @@
 
 Usage:
   redwingdock_edge_soak --edge PROGRAM [--first SEED] [--count N] [--daemons N] [--seconds S]
-                        [--reply-bytes N] [--keep-logs FOLDER] [--plan-only]
+                        [--reply-bytes N] [--keep-logs FOLDER] [--without NAME]...
+                        [--plan-only]
   redwingdock_edge_soak --help
   redwingdock_edge_soak --version
 
@@ -30,6 +32,8 @@
   --reply-bytes N     Size of the replies that are not parts of a gather; 0 draws it from the seed
                       [default: 0].
   --keep-logs FOLDER  Keep the daemons' logs of the seeds that fail in this folder.
+  --without NAME      Leave this part out of each plan: a profile of clients, log_pipes or
+                      early_signals.
   --plan-only         Print the plans and exit.
   --help              Show this text.
   --version           Show the version.
@@ -41,6 +45,8 @@
 using namespace redwingdock::platform;
 using std::chrono::seconds;
 
+constexpr std::size_t kMaxLines = 60; // that are printed for a seed
+
 void Print(const soak_plan& aPlan, const soak_result& aResult)
 {
   std::string counts;
@@ -54,8 +60,11 @@
               aResult.mEndedByThemselves,
               aResult.mExceededGrace,
               counts.c_str());
-  for (const std::string& line : aResult.mLines) {
-    std::printf("  %s\n", line.c_str());
+  for (std::size_t i = 0; i < std::min(aResult.mLines.size(), kMaxLines); ++i) {
+    std::printf("  %s\n", aResult.mLines[i].c_str());
+  }
+  if (aResult.mLines.size() > kMaxLines) {
+    std::printf("  and %zu more\n", aResult.mLines.size() - kMaxLines);
   }
   std::fflush(stdout);
 }
@@ -71,10 +80,12 @@
     std::fputs(kUsage, stderr);
     return kExitUsage;
   }
+  const std::vector<std::string> without = aArguments.List("--without");
   std::size_t failed = 0;
   for (std::uint64_t seed = *first; seed < *first + *count; ++seed) {
     const soak_plan plan =
-      MakeSoakPlan({ seed, *daemons, seconds(static_cast<int>(*duration)), *replyBytes });
+      Without(MakeSoakPlan({ seed, *daemons, seconds(static_cast<int>(*duration)), *replyBytes }),
+              { without.begin(), without.end() });
     if (aArguments.Has("--plan-only")) {
       std::printf("%s\n", Describe(plan).c_str());
       continue;
@@ -104,11 +115,10 @@
     }
     std::error_code ignored;
     if (aArguments.Has("--keep-logs") && (!result || !result->IsClean())) {
-      std::filesystem::copy(folder,
-                            std::filesystem::path(aArguments.Text("--keep-logs")) /
-                              ("seed-" + std::to_string(seed)),
-                            std::filesystem::copy_options::recursive,
-                            ignored);
+      const std::filesystem::path kept =
+        std::filesystem::path(aArguments.Text("--keep-logs")) / ("seed-" + std::to_string(seed));
+      std::filesystem::create_directories(kept, ignored);
+      std::filesystem::copy(folder, kept, std::filesystem::copy_options::recursive, ignored);
     }
     std::filesystem::remove_all(folder, ignored);
     if (interrupted) {
--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -264,4 +264,18 @@
   return plan;
 }
 
+soak_plan Without(soak_plan aPlan, const std::set<std::string>& aNames)
+{
+  std::erase_if(aPlan.mClients, [&aNames](const soak_client_profile& aProfile) {
+    return aNames.contains(aProfile.mName);
+  });
+  if (aNames.contains("log_pipes")) {
+    aPlan.mLogSink = log_sink::File;
+  }
+  if (aNames.contains("early_signals")) {
+    aPlan.mEarlySignals.clear();
+  }
+  return aPlan;
+}
+
 } // namespace redwingdock::platform
--- a/src/platform/soak/soak_plan.h
+++ b/src/platform/soak/soak_plan.h
@@ -4,6 +4,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -139,6 +140,9 @@
 
 soak_plan MakeSoakPlan(const soak_options& aOptions);
 
+// The plan without the named profiles of clients, "log_pipes" and "early_signals".
+soak_plan Without(soak_plan aPlan, const std::set<std::string>& aNames);
+
 std::string Describe(const soak_plan& aPlan);
 
 } // namespace redwingdock::platform
--- a/src/platform/soak/soak_plan_test.cc
+++ b/src/platform/soak/soak_plan_test.cc
@@ -155,6 +155,23 @@
   }
 }
 
+// Guards against a smaller case that plays something else than the seed.
+TEST_P(plan_test, LeavesOnlyTheNamedPartsOut)
+{
+  const std::set<std::string> names{ "large_behind", "log_pipes", "early_signals" };
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const soak_plan plan = PlanOf(seed);
+    const soak_plan smaller = Without(plan, names);
+    EXPECT_EQ(smaller.mEvents, plan.mEvents);
+    EXPECT_EQ(smaller.mLogSink, log_sink::File);
+    EXPECT_TRUE(smaller.mEarlySignals.empty());
+    for (const soak_client_profile& each : plan.mClients) {
+      EXPECT_EQ(std::count(smaller.mClients.begin(), smaller.mClients.end(), each),
+                std::string(each.mName) == "large_behind" ? 0 : 1);
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(cases,
                          plan_test,
                          testing::Values(options_row{ "five_daemons", {} },
