Pause reading instead of closing when much is pipelined

Callers saw the connection of an open request close without an answer when more than 128 KiB followed that request; one request with a large body behind another was enough. The work of its replica was dropped.

The limit on pipelined bytes closed the connection, whatever was open on it. Now the connection is not read until the open request is answered. Reading resumes once the rest is under the limit, or no request is open; then the limits on header and body of the next message apply as before. While it is paused, a client that leaves is not noticed; its requests would still have to be answered within their deadline, and no client that waits for a reply before it sends 128 KiB is affected.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-// Most bytes of pipelined requests that are buffered while a connection waits for its reply.
+// Bytes of pipelined requests that are buffered while a connection waits for its reply. Above that,
+// reading pauses until the reply. The end of a paused connection is noticed only then, which the
+// deadline of the open request bounds.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 128 } * 1024;
 
 std::string ReasonJson(const reason& aReason)
@@ -117,7 +119,7 @@
     const http_read_status status = aSession.mReader.Feed(aBytes);
     if (aSession.mRequestId != 0) {
       if (aSession.mReader.Buffered() > kMaxPipelinedBytes) {
-        aSession.mConnection->Close("too many pipelined bytes");
+        aSession.mConnection->PauseReading();
       }
       return;
     }
@@ -189,6 +191,9 @@
       aSession.mConnection->ExpireAfter(aSession.mReader.Started() ? Limits().mRequestTimeout
                                                                    : Limits().mIdleTimeout);
     }
+    if (aSession.mRequestId == 0 || aSession.mReader.Buffered() <= kMaxPipelinedBytes) {
+      aSession.mConnection->ResumeReading();
+    }
   });
   if (next) {
     // Posted instead of called, so that pipelined requests with immediate replies do not recurse.
--- /dev/null
+++ b/src/daemon/http_server_test.cc
@@ -0,0 +1,182 @@
+#include "daemon/http_server.h"
+
+#include "daemon/loopback_test_util.h"
+
+#include <algorithm>
+#include <atomic>
+#include <future>
+#include <gtest/gtest.h>
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test_util::blocking_socket;
+using test_util::WaitUntil;
+
+// Answers each request with the length of its body; one to "/held" waits for ReplyToHeld.
+class counting_server
+{
+public:
+  counting_server(io_loop& aLoop, const http_limits& aLimits)
+    : mServer(aLoop,
+              mRequestIds,
+              { [this](std::uint64_t aId, const http_message& aRequest) { Handle(aId, aRequest); },
+                [this](std::uint64_t) { ++mDisconnected; },
+                [this](std::uint64_t) { ++mTimedOut; } },
+              aLimits)
+    , mAddress(mServer.ListenOn("127.0.0.1:0").mValue.value_or(""))
+  {
+  }
+
+  http_server& Server() { return mServer; }
+  const std::string& Address() const { return mAddress; }
+  std::size_t Disconnected() const { return mDisconnected; }
+  std::size_t TimedOut() const { return mTimedOut; }
+  bool HasHeld() const { return mHeld != 0; }
+  void ReplyToHeld() { mServer.Reply(mHeld, { 200, "", "held", {} }); }
+
+private:
+  void Handle(std::uint64_t aId, const http_message& aRequest)
+  {
+    if (aRequest.mTarget == "/held") {
+      mHeld = aId;
+    } else {
+      mServer.Reply(aId, { 200, "", std::to_string(aRequest.mBody.size()), {} });
+    }
+  }
+
+  request_id_source mRequestIds{ 0 };
+  std::atomic<std::size_t> mDisconnected{ 0 };
+  std::atomic<std::size_t> mTimedOut{ 0 };
+  std::atomic<std::uint64_t> mHeld{ 0 };
+  http_server mServer;
+  const std::string mAddress;
+};
+
+http_limits LimitsWithBody(std::size_t aBody)
+{
+  http_limits limits;
+  limits.mRead.mBody = aBody;
+  return limits;
+}
+
+std::string Post(std::size_t aBody, const std::string& aTarget = "/")
+{
+  return FormatRequest("POST", aTarget, "h", std::string(aBody, 'x'));
+}
+
+// The last request of a connection.
+std::string PostAndClose(std::size_t aBody)
+{
+  return FormatRequest(
+    { "POST", "/", 0, { { "Host", "h" }, { "Connection", "close" } }, std::string(aBody, 'x') });
+}
+
+// A GET request with a header of that many bytes and some more.
+std::string GetWithHeader(std::size_t aBytes)
+{
+  return FormatRequest(
+    { "GET", "/", 0, { { "Host", "h" }, { "Filler", std::string(aBytes, 'x') } }, "" });
+}
+
+// Gives the loop time for what must not happen.
+void WaitFor(io_loop& aLoop, micros aTime)
+{
+  std::promise<void> elapsed;
+  aLoop.After(aTime, [&elapsed] { elapsed.set_value(); });
+  elapsed.get_future().wait();
+}
+
+std::vector<unsigned> Statuses(const std::string& aReplies)
+{
+  const std::string start = "HTTP/1.1 ";
+  std::vector<unsigned> all;
+  for (std::size_t at = aReplies.find(start); at != std::string::npos;
+       at = aReplies.find(start, at + 1)) {
+    all.push_back(test_util::ParseStatus(aReplies.substr(at)));
+  }
+  return all;
+}
+
+std::string Repeated(const std::string& aText, std::size_t aTimes)
+{
+  std::string all;
+  for (std::size_t i = 0; i < aTimes; ++i) {
+    all += aText;
+  }
+  return all;
+}
+
+constexpr std::size_t kBodyLimit = 400'000;
+
+struct pipelined_row
+{
+  const char* mGuardsAgainst;
+  std::string mBehindHeld; // sent while the first request is open
+  std::size_t mAnswered;   // requests with status 200, the first one included
+  unsigned mLastStatus;
+};
+
+class pipelined_test : public testing::TestWithParam<pipelined_row>
+{};
+
+TEST_P(pipelined_test, AnswersWhatFollowsAnOpenRequest)
+{
+  const pipelined_row& row = GetParam();
+  io_loop loop(2);
+  counting_server server(loop, LimitsWithBody(kBodyLimit));
+  loop.Start();
+  blocking_socket client(server.Address());
+  client.Send(Post(0, "/held"));
+  ASSERT_TRUE(WaitUntil([&server] { return server.HasHeld(); }));
+  client.Send(row.mBehindHeld);
+  WaitFor(loop, milliseconds(50));
+  EXPECT_EQ(server.Disconnected(), 0U) << row.mGuardsAgainst;
+  server.ReplyToHeld();
+  const std::vector<unsigned> statuses = Statuses(client.ReadToEnd());
+  EXPECT_EQ(std::count(statuses.begin(), statuses.end(), 200U), row.mAnswered)
+    << row.mGuardsAgainst;
+  EXPECT_EQ(statuses.empty() ? 0U : statuses.back(), row.mLastStatus) << row.mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  pipelined_test,
+  testing::Values(pipelined_row{ "a large request behind an open one closes their connection",
+                                 Post(10) + PostAndClose(300'000),
+                                 3,
+                                 200 },
+                  pipelined_row{ "many small requests behind an open one close their connection",
+                                 Repeated(Post(10), 4000) + PostAndClose(0),
+                                 4002,
+                                 200 },
+                  pipelined_row{ "a pause lifts the limit on the body of the next request",
+                                 Post(10) + Post(kBodyLimit + 1),
+                                 2,
+                                 413 },
+                  pipelined_row{ "a pause lifts the limit on the header of the next request",
+                                 Post(10) + GetWithHeader(200'000),
+                                 2,
+                                 431 }));
+
+TEST(http_server, PausesAClientThatPipelinesWithoutLimit)
+{
+  // Guards against memory that grows with what a client sends behind an open request.
+  constexpr std::size_t kMoreThanTheKernelBuffers = std::size_t{ 64 } * 1024 * 1024;
+  io_loop loop(2);
+  counting_server server(loop, LimitsWithBody(kBodyLimit));
+  loop.Start();
+  const auto client = Connect(loop, server.Address(), seconds(1), {});
+  client->Send(Post(0, "/held") + Post(0) + std::string(kMoreThanTheKernelBuffers, 'x'));
+  ASSERT_TRUE(WaitUntil([&server] { return server.HasHeld(); }));
+  WaitFor(loop, milliseconds(200));
+  EXPECT_GT(client->UnsentBytes(), kMoreThanTheKernelBuffers / 2);
+  EXPECT_EQ(server.Disconnected(), 0U);
+  loop.Stop();
+}
+
+} // namespace
+} // namespace redwingdock
