Read each request with the limits at its first byte

Callers saw a proper request on a kept connection refused with 413 after a configuration had raised maxBodyBytes, and one over the limit accepted after a configuration had lowered it.

The reader of a connection got new limits only when a request was complete, so the next one was read with the limits of that moment, however long the connection had been idle. It now gets them when the first byte of a message arrives. Bytes that were pipelined in one read with the request before are read with the limits at its end, as before.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -115,6 +115,9 @@
       return; // a request that is read now could not be answered
     }
     const bool started = aSession.mReader.Started();
+    if (!started && aSession.mReader.Buffered() == 0) {
+      aSession.mReader.SetLimits(Limits().mRead);
+    }
     const bool headerDone = aSession.mReader.HeaderDone();
     const http_read_status status = aSession.mReader.Feed(aBytes);
     if (aSession.mRequestId != 0) {
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -69,7 +69,7 @@
   // Round-trip time of the connection of an unanswered request; 0 when not known.
   micros RoundTrip(std::uint64_t aRequestId);
 
-  // Replaces the limits. A message that is already being read keeps the previous ones.
+  // Replaces the limits. A message whose first byte was read keeps the previous ones.
   void SetLimits(const http_limits& aLimits);
 
   // Makes each connection close after its next reply, which says "Connection: close", unless a
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -178,5 +178,42 @@
   loop.Stop();
 }
 
+struct limits_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mLimitBefore; // on the body
+  std::size_t mLimitAfter;
+  std::size_t mBytesBefore; // of the second request, sent before the change
+  unsigned mStatus;         // of the second request
+};
+
+class limits_test : public testing::TestWithParam<limits_row>
+{};
+
+TEST_P(limits_test, ThoseAtTheFirstByteOfARequestHold)
+{
+  const limits_row& row = GetParam();
+  const std::string second = Post(50);
+  io_loop loop(2);
+  counting_server server(loop, LimitsWithBody(row.mLimitBefore));
+  loop.Start();
+  blocking_socket client(server.Address());
+  client.Send(Post(0) + second.substr(0, row.mBytesBefore));
+  EXPECT_EQ(test_util::ParseStatus(client.ReadReply()), 200U) << row.mGuardsAgainst;
+  server.Server().SetLimits(LimitsWithBody(row.mLimitAfter));
+  client.Send(second.substr(row.mBytesBefore));
+  EXPECT_EQ(test_util::ParseStatus(client.ReadReply()), row.mStatus) << row.mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  limits_test,
+  testing::Values(
+    limits_row{ "an idle connection refuses what a new limit allows", 10, 100, 0, 200 },
+    limits_row{ "an idle connection accepts what a new limit refuses", 100, 10, 0, 413 },
+    limits_row{ "a new limit refuses a request that has begun", 100, 10, 5, 200 },
+    limits_row{ "a new limit accepts more of a request that has begun", 10, 100, 5, 413 }));
+
 } // namespace
 } // namespace redwingdock
