Let the idle limit leave a request that has just arrived

The timer of a connection decides under the lock of the connection, and http_server acts on it later under the lock of the session. A request that was read between the two was taken for the one that was late. The hook now asks the connection whether a new limit was set since; then there is nothing to do, as the timer runs for it.

crossing_test sends 60 requests around the idle limit.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -227,6 +227,9 @@
 {
   std::uint64_t lateRequest = 0;
   mSessions.With(aSessionId, [&](session& aSession) {
+    if (!aSession.mConnection->LimitPassed()) {
+      return; // bytes that arrived meanwhile began another state with its own limit
+    }
     lateRequest = aSession.mRequestId;
     if (lateRequest == 0 && aSession.mReader.Started()) {
       // The request is incomplete, so it had no effect and the client may repeat it.
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -215,5 +215,64 @@
     limits_row{ "a new limit refuses a request that has begun", 100, 10, 5, 200 },
     limits_row{ "a new limit accepts more of a request that has begun", 10, 100, 5, 413 }));
 
+// A request with a body in chunks of one byte, which take long to read.
+std::string SlowToRead()
+{
+  return "POST /held HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+         Repeated("1\r\nx\r\n", 10'000) + "0\r\n\r\n";
+}
+
+struct crossing_row
+{
+  const char* mGuardsAgainst;
+  std::string mBytes; // arrive when the idle limit passes
+};
+
+class crossing_test : public testing::TestWithParam<crossing_row>
+{};
+
+TEST_P(crossing_test, IdleLimitLeavesWhatHasJustArrived)
+{
+  const crossing_row& row = GetParam();
+  constexpr std::size_t kClients = 60;
+  http_limits limits = LimitsWithBody(kBodyLimit);
+  limits.mIdleTimeout = milliseconds(20);
+  io_loop serverLoop(2);
+  io_loop clientLoop(2);
+  counting_server server(serverLoop, limits);
+  serverLoop.Start();
+  clientLoop.Start();
+  std::atomic<std::size_t> refused{ 0 };
+  for (std::size_t i = 0; i < kClients; ++i) {
+    std::promise<void> opened;
+    std::promise<void> sent;
+    tcp_hooks hooks;
+    hooks.mOnOpen = [&opened] { opened.set_value(); };
+    hooks.mOnBytes = [&refused](std::string_view) { ++refused; };
+    const auto client = Connect(clientLoop, server.Address(), seconds(1), std::move(hooks));
+    opened.get_future().wait();
+    // From 1.5 ms before the limit on, in steps of 25 us.
+    clientLoop.After(limits.mIdleTimeout - micros(1500) + micros(25) * i, [&] {
+      client->Send(row.mBytes);
+      sent.set_value();
+    });
+    sent.get_future().wait();
+    WaitFor(clientLoop, milliseconds(5));
+    client->Close("test done");
+  }
+  clientLoop.Stop();
+  serverLoop.Stop();
+  EXPECT_EQ(server.TimedOut(), 0U) << row.mGuardsAgainst;
+  EXPECT_EQ(refused, 0U) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  crossing_test,
+  testing::Values(crossing_row{ "a request that has just arrived is reported as late",
+                                SlowToRead() },
+                  crossing_row{ "a request that has just begun is answered 408",
+                                SlowToRead().substr(0, 50'000) }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -405,6 +405,7 @@
     if (mClosed) {
       return;
     }
+    mLimitPassed = false;
     mExpiry = aDelay == tcp_connection::kNoLimit ? kNever : SteadyNow() + aDelay;
     if (mExpiry < mTimerDue) {
       StartTimerLocked();
@@ -439,6 +440,7 @@
         return;
       }
       mExpiry = kNever;
+      mLimitPassed = true;
       if (mClosing || !mOpen || !mHooks.mOnExpired) {
         CloseLocked(tcp_close_info{ .mDescription = mClosing ? mCloseReason
                                                     : mOpen  ? "timed out"
@@ -458,6 +460,7 @@
   asio::steady_timer mTimer;
   instant mExpiry = kNever;
   instant mTimerDue = kNever;
+  bool mLimitPassed = false;
   std::string mSendBuffer;
   std::size_t mSentBytes = 0;
   std::string mCloseReason;
@@ -742,6 +745,12 @@
   mState->ExpireAfterLocked(aDelay);
 }
 
+bool tcp_connection::LimitPassed() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->mLimitPassed;
+}
+
 std::size_t tcp_connection::UnsentBytes() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -122,6 +122,9 @@
   void ResumeReading();
   // Sets a time limit from now, which replaces the previous one; kNoLimit removes it.
   void ExpireAfter(micros aDelay);
+  // Whether the latest time limit has passed. While mOnExpired is called, another thread may have
+  // set a new one.
+  bool LimitPassed() const;
   std::size_t UnsentBytes() const;
   // The smoothed round-trip time that the kernel measured; 0 when it is not available.
   micros RoundTrip() const;
