Send a request elsewhere when its idle connection is closed

Callers of requests that may run once got 502 or 504 although nothing had been sent to a replica, and the idle connection's remaining time limit was spent on waiting for a reply.

An idle connection that its limit or its peer closes stays in the pool until its hook has run. A request that took it in between was dropped by tcp_connection::Send without notice, and ended as Broken or Expired, which means that it may have run. Send now says whether the connection accepted the bytes: not when it was closed before, nor when its first write fails. The pool then tries the next connection and no longer counts the closed one against the limit. A first write that fails on a new connection ends as NotSent.

closed_idle_test starts a request in each turn of the loop around the close.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -119,15 +119,30 @@
 bool http_pool::SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange)
 {
   const std::uint64_t id = aExchange->mRequest.mId;
-  return mConnections.With(aConnection, [&](connection& aState) {
+  bool sent = false;
+  bool cancelled = false;
+  bool counted = false;
+  mConnections.With(aConnection, [&](connection& aState) {
     mConnectionByRequest.Insert(id, aConnection);
     aState.mReader.SetLimits({ aExchange->mRequest.mReplyLimit });
-    aState.mRequestSent = true;
     aState.mSkippedReplies = 0;
     aState.mTcp->ExpireAfter(aExchange->mRequest.mReplyTimeout);
-    aState.mTcp->Send(std::move(aExchange->mRequest.mText));
-    aState.mExchange = std::move(aExchange);
+    sent = aState.mTcp->Send(aExchange->mRequest.mText); // a copy; the text may be needed again
+    if (sent) {
+      aExchange->mRequest.mText = std::string();
+      aState.mExchange = std::move(aExchange);
+      return;
+    }
+    cancelled = !mConnectionByRequest.Take(id);
+    counted = std::exchange(aState.mCounted, false);
   });
+  if (counted) {
+    Release(aExchange->mRequest.mAddress, aConnection);
+  }
+  if (cancelled) {
+    aExchange.reset();
+  }
+  return sent || cancelled;
 }
 
 void http_pool::Open(std::unique_ptr<exchange> aExchange)
@@ -161,9 +176,8 @@
 {
   mConnections.With(aConnection, [](connection& aState) {
     if (aState.mExchange) {
-      aState.mRequestSent = true;
       aState.mTcp->ExpireAfter(aState.mExchange->mRequest.mReplyTimeout);
-      aState.mTcp->Send(std::move(aState.mExchange->mRequest.mText));
+      aState.mRequestSent = aState.mTcp->Send(std::move(aState.mExchange->mRequest.mText));
     }
   });
 }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -108,7 +108,7 @@
     std::shared_ptr<tcp_connection> mTcp;
     http_reader mReader;
     std::unique_ptr<exchange> mExchange; // null while idle
-    bool mRequestSent = false;           // the request was passed to an established connection
+    bool mRequestSent = false;           // an established connection accepted the request
     bool mUnexpectedBytes = false;       // other bytes than the expected reply arrived; no reuse
     bool mAnsweredBefore = false;        // an earlier request was answered
     bool mCounted = true;                // included in peer::mCount
@@ -141,8 +141,8 @@
   // Counts a new connection to the address; false when aLimit connections exist.
   bool Reserve(const std::string& aAddress, std::uint32_t aLimit);
   void Release(const std::string& aAddress, std::uint64_t aConnection);
-  // Sends the request on an idle connection. Returns false when that was closed meanwhile;
-  // aExchange then stays with the caller.
+  // Sends the request on an idle connection. Returns false when that was closed before; aExchange
+  // then stays with the caller, unless the request was cancelled meanwhile.
   bool SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange);
   void Open(std::unique_ptr<exchange> aExchange);
   void Opened(std::uint64_t aConnection);
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -309,6 +309,74 @@
   loop.Stop();
 }
 
+// Calls the work after others have run on the loop, aTurns times.
+void AfterTurns(io_loop& aLoop, std::size_t aTurns, std::function<void()> aWork)
+{
+  if (aTurns == 0) {
+    aWork();
+    return;
+  }
+  aLoop.Post([&aLoop, aTurns, work = std::move(aWork)]() mutable {
+    AfterTurns(aLoop, aTurns - 1, std::move(work));
+  });
+}
+
+struct closed_idle_row
+{
+  const char* mGuardsAgainst;
+  std::uint32_t mConnections; // limit
+  std::uint64_t mRepeatKey;
+};
+
+class closed_idle_test : public testing::TestWithParam<closed_idle_row>
+{};
+
+TEST_P(closed_idle_test, RequestGoesToAnotherConnection)
+{
+  const closed_idle_row& row = GetParam();
+  const std::string reply = Reply(1, "Keep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok");
+  // The turn of the loop at which the idle limit has closed the connection, and its hook has not
+  // been called, depends on the order of the loop.
+  for (std::size_t turns = 0; turns < 6; ++turns) {
+    io_loop serverLoop(1);
+    io_loop loop(1);
+    scripted_server server(serverLoop, { reply, reply });
+    http_pool pool(loop);
+    serverLoop.Start();
+    loop.Start();
+    const auto start = [&](std::uint64_t aId, std::promise<pool_outcome>& aDone) {
+      pool.Start({ .mId = aId,
+                   .mAddress = server.Address(),
+                   .mText = FormatRequest("GET", "/", "h", ""),
+                   .mConnections = row.mConnections,
+                   .mReplyTimeout = milliseconds(600),
+                   .mRepeatKey = aId * row.mRepeatKey },
+                 [&aDone](const pool_result& aResult) { aDone.set_value(aResult.mOutcome); });
+    };
+    std::array<std::promise<pool_outcome>, 2> done;
+    start(1, done[0]);
+    ASSERT_EQ(done[0].get_future().get(), kAnswered);
+    loop.Post([&] {
+      std::promise<void> limitPassed;
+      serverLoop.After(milliseconds(250), [&limitPassed] { limitPassed.set_value(); });
+      limitPassed.get_future().wait();
+      AfterTurns(loop, turns, [&] { start(2, done[1]); });
+    });
+    EXPECT_EQ(done[1].get_future().get(), kAnswered)
+      << row.mGuardsAgainst << ", after " << turns << " turns";
+    loop.Stop();
+    serverLoop.Stop();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  closed_idle_test,
+  testing::Values(
+    closed_idle_row{ "a request is lost on a connection that was closed before", 8, 0 },
+    closed_idle_row{ "a request that may be repeated is lost on a closed connection", 8, 7 },
+    closed_idle_row{ "a closed connection counts against the limit", 1, 0 }));
+
 TEST(http_pool, RefusedConnectionIsNotSent)
 {
   // Guards against a request that is reported as sent although nothing was written.
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -306,18 +306,20 @@
     }
   }
 
-  void Send(std::string aBytes)
+  bool Send(std::string aBytes)
   {
     const std::lock_guard lock(mLock);
-    if (mClosed || mClosing || aBytes.empty()) {
-      return;
+    if (mClosed || mClosing) {
+      return false;
     }
-    if (mSendBuffer.empty()) {
+    const bool first = mSendBuffer.empty();
+    if (first) {
       mSendBuffer = std::move(aBytes);
     } else {
       mSendBuffer += aBytes;
     }
-    WriteLocked();
+    const std::size_t written = WriteLocked();
+    return !mClosed || !first || written > 0;
   }
 
   void Write()
@@ -326,15 +328,19 @@
     WriteLocked();
   }
 
-  void WriteLocked()
+  // Returns the number of bytes that were passed to the kernel.
+  std::size_t WriteLocked()
   {
     if (!mOpen || mClosed || mWaitingToWrite) {
-      return;
+      return 0;
     }
+    std::size_t written = 0;
     while (mSentBytes < mSendBuffer.size()) {
       error_code error;
-      mSentBytes += mSocket.write_some(
+      const std::size_t size = mSocket.write_some(
         asio::buffer(mSendBuffer.data() + mSentBytes, mSendBuffer.size() - mSentBytes), error);
+      mSentBytes += size;
+      written += size;
       if (error == asio::error::would_block || error == asio::error::try_again) {
         mWaitingToWrite = true;
         mSocket.async_wait(tcp::socket::wait_write,
@@ -345,11 +351,11 @@
                                self->WriteLocked();
                              }
                            });
-        return;
+        return written;
       }
       if (error) {
         CloseLocked(error.message());
-        return;
+        return written;
       }
     }
     mSendBuffer.clear();
@@ -362,6 +368,7 @@
       mSocket.shutdown(tcp::socket::shutdown_send, ignored);
       ExpireAfterLocked(kCloseTimeout);
     }
+    return written;
   }
 
   void CloseAfterSend(std::string aReason)
@@ -713,9 +720,9 @@
   mState->WaitForBytes();
 }
 
-void tcp_connection::Send(std::string aBytes)
+bool tcp_connection::Send(std::string aBytes)
 {
-  mState->Send(std::move(aBytes));
+  return mState->Send(std::move(aBytes));
 }
 
 void tcp_connection::Close(std::string aReason)
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -111,7 +111,8 @@
 
   // Sets the hooks of an accepted connection and starts to read.
   void Start(tcp_hooks aHooks);
-  void Send(std::string aBytes);
+  // Returns false when the connection was closed before any of the bytes was passed to the kernel.
+  bool Send(std::string aBytes);
   void Close(std::string aReason);
   // Sends the queued bytes, ignores further Send calls and received bytes, and closes once the peer
   // has closed or after one second.
