--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -274,5 +274,42 @@
                   crossing_row{ "a request that has just begun is answered 408",
                                 SlowToRead().substr(0, 50'000) }));
 
+struct announced_row
+{
+  const char* mGuardsAgainst;
+  std::string mWithHeld;   // sent in one piece with the open request
+  std::string mBehindHeld; // sent after it was read
+  std::size_t mAnswered;
+};
+
+class announced_test : public testing::TestWithParam<announced_row>
+{};
+
+TEST_P(announced_test, AnswersWhatWasReadBeforeTheClose)
+{
+  const announced_row& row = GetParam();
+  io_loop loop(2);
+  counting_server server(loop, LimitsWithBody(kBodyLimit));
+  loop.Start();
+  blocking_socket client(server.Address());
+  client.Send(Post(0, "/held") + row.mWithHeld);
+  ASSERT_TRUE(WaitUntil([&server] { return server.HasHeld(); }));
+  client.Send(row.mBehindHeld);
+  WaitFor(loop, milliseconds(50));
+  server.Server().AnnounceClose();
+  server.ReplyToHeld();
+  EXPECT_EQ(Statuses(client.ReadToEnd()).size(), row.mAnswered) << row.mGuardsAgainst;
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  announced_test,
+  testing::Values(
+    announced_row{ "a connection without further requests stays open", "", "", 1 },
+    announced_row{ "a request in one piece with the open one is lost", Post(1), "", 2 },
+    announced_row{ "a request that was read behind the open one is lost", "", Post(1), 2 },
+    announced_row{ "the last of several requests is lost", Post(1), Post(2), 3 }));
+
 } // namespace
 } // namespace redwingdock
