Let no limit cut a reply that its client is reading

Callers that read a large reply slowly saw it end early: a kept connection closed when the idle limit had passed since the reply was handed over, and a connection that was to close did so at the limit on replies, counted from the start of the request, however little was left.

A time limit looked only at the time since the state began. At the limit, bytes that wait to be sent are now given the same time again if some were sent since. A connection that closes after its reply gets the idle limit for it, not the rest of the limit of its request. A client that takes nothing for one limit is closed as before.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -181,6 +181,7 @@
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.mConnection->Send(FormatReply(aReply, keepAlive));
     if (!keepAlive) {
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
       aSession.CloseAfterSend("reply sent");
       return;
     }
@@ -235,6 +236,8 @@
       // The request is incomplete, so it had no effect and the client may repeat it.
       aSession.mConnection->Send(FormatReply({ 408, "", "", {} }, false));
       aSession.CloseAfterSend("request timed out");
+    } else if (lateRequest == 0 && aSession.mConnection->Sending()) {
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
     } else if (lateRequest == 0) {
       aSession.mConnection->Close("timed out");
     }
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -311,5 +311,84 @@
     announced_row{ "a request that was read behind the open one is lost", "", Post(1), 2 },
     announced_row{ "the last of several requests is lost", Post(1), Post(2), 3 }));
 
+constexpr std::size_t kMoreThanKernelBuffers = std::size_t{ 32 } * 1024 * 1024;
+
+struct slow_reader_row
+{
+  const char* mGuardsAgainst;
+  http_limits mLimits;
+  std::string mRequest;
+  bool mReads; // slowly, but all the time
+};
+
+class slow_reader_test : public testing::TestWithParam<slow_reader_row>
+{};
+
+TEST_P(slow_reader_test, LimitsCutOnlyAReplyThatMakesNoProgress)
+{
+  const slow_reader_row& row = GetParam();
+  request_id_source requestIds{ 0 };
+  io_loop serverLoop(2);
+  io_loop clientLoop(1);
+  http_server* replies = nullptr;
+  const std::string body(kMoreThanKernelBuffers, 'x');
+  http_server server(serverLoop,
+                     requestIds,
+                     { [&](std::uint64_t aId, const http_message&) {
+                        replies->Reply(aId, { 200, "", body, {} });
+                      },
+                       nullptr,
+                       nullptr },
+                     row.mLimits);
+  replies = &server;
+  const std::string address = *server.ListenOn("127.0.0.1:0");
+  serverLoop.Start();
+  clientLoop.Start();
+  blocking_socket client(address);
+  client.Send(row.mRequest);
+  std::size_t received = client.ReadSome().size();
+  ASSERT_GT(received, 0U);
+  if (row.mReads) {
+    for (std::string part = client.ReadSome(); !part.empty() && received < body.size();
+         part = client.ReadSome()) {
+      received += part.size();
+      WaitFor(clientLoop, micros(500));
+    }
+    EXPECT_GT(received, body.size()) << row.mGuardsAgainst;
+  }
+  EXPECT_TRUE(WaitUntil([&server] { return server.Connections() == 0; })) << row.mGuardsAgainst;
+  serverLoop.Stop();
+  clientLoop.Stop();
+}
+
+http_limits ShortLimits()
+{
+  http_limits limits;
+  limits.mIdleTimeout = milliseconds(500);
+  limits.mReplyTimeout = milliseconds(500);
+  return limits;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  slow_reader_test,
+  testing::Values(slow_reader_row{ "the idle limit cuts a reply that is being sent",
+                                   ShortLimits(),
+                                   Post(0),
+                                   true },
+                  slow_reader_row{
+                    "the limit on a reply cuts one that is being sent before the close",
+                    ShortLimits(),
+                    PostAndClose(0),
+                    true },
+                  slow_reader_row{ "a reply that is not read keeps its connection open",
+                                   ShortLimits(),
+                                   Post(0),
+                                   false },
+                  slow_reader_row{ "a last reply that is not read keeps its connection open",
+                                   ShortLimits(),
+                                   PostAndClose(0),
+                                   false }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -341,6 +341,7 @@
         asio::buffer(mSendBuffer.data() + mSentBytes, mSendBuffer.size() - mSentBytes), error);
       mSentBytes += size;
       written += size;
+      mSentSinceLimit = mSentSinceLimit || size > 0;
       if (error == asio::error::would_block || error == asio::error::try_again) {
         mWaitingToWrite = true;
         mSocket.async_wait(tcp::socket::wait_write,
@@ -412,13 +413,17 @@
     if (mClosed) {
       return;
     }
+    mLimit = aDelay;
     mLimitPassed = false;
+    mSentSinceLimit = false;
     mExpiry = aDelay == tcp_connection::kNoLimit ? kNever : SteadyNow() + aDelay;
     if (mExpiry < mTimerDue) {
       StartTimerLocked();
     }
   }
 
+  bool SendingLocked() const { return mSentSinceLimit && mSentBytes < mSendBuffer.size(); }
+
   // The timer is restarted only for an earlier limit. A limit that each request moves to a later
   // time leaves the timer alone; Expired() then starts it again for the rest.
   void StartTimerLocked()
@@ -447,6 +452,10 @@
         return;
       }
       mExpiry = kNever;
+      if (mClosing && SendingLocked()) {
+        ExpireAfterLocked(mLimit); // the peer reads slowly
+        return;
+      }
       mLimitPassed = true;
       if (mClosing || !mOpen || !mHooks.mOnExpired) {
         CloseLocked(tcp_close_info{ .mDescription = mClosing ? mCloseReason
@@ -467,7 +476,9 @@
   asio::steady_timer mTimer;
   instant mExpiry = kNever;
   instant mTimerDue = kNever;
+  micros mLimit = tcp_connection::kNoLimit;
   bool mLimitPassed = false;
+  bool mSentSinceLimit = false;
   std::string mSendBuffer;
   std::size_t mSentBytes = 0;
   std::string mCloseReason;
@@ -758,6 +769,12 @@
   return mState->mLimitPassed;
 }
 
+bool tcp_connection::Sending() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->SendingLocked();
+}
+
 std::size_t tcp_connection::UnsentBytes() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -115,7 +115,7 @@
   bool Send(std::string aBytes);
   void Close(std::string aReason);
   // Sends the queued bytes, ignores further Send calls and received bytes, and closes once the peer
-  // has closed or after one second.
+  // has closed or after one second. The time limit in force applies to each part of the bytes.
   void CloseAfterSend(std::string aReason);
   // Stops reading, so that the kernel makes the peer wait once its buffers are full. One more call
   // of mOnBytes may follow, and the end of the connection is noticed only after ResumeReading.
@@ -126,6 +126,8 @@
   // Whether the latest time limit has passed. While mOnExpired is called, another thread may have
   // set a new one.
   bool LimitPassed() const;
+  // Whether bytes wait to be sent and some were sent since the time limit was set.
+  bool Sending() const;
   std::size_t UnsentBytes() const;
   // The smoothed round-trip time that the kernel measured; 0 when it is not available.
   micros RoundTrip() const;
