Send no request on a connection that has ended while idle

Callers of requests that may run once got 502 when the replica had closed the idle connection that the request took: the request was written although the close had arrived, and could then only be reported as one that may have run. A busy daemon, or one whose share of the processor is used up, reads such a close late.

The pool now asks the kernel before it sends on an idle connection, which costs one system call, and takes another connection when an end or bytes of no request have arrived.

arrived_test: both rows ended as Broken before, in two runs, and pass now, three runs.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -127,12 +127,14 @@
     aState.mReader.SetLimits({ aExchange->mRequest.mReplyLimit });
     aState.mSkippedReplies = 0;
     aState.mTcp->ExpireAfter(aExchange->mRequest.mReplyTimeout);
-    sent = aState.mTcp->Send(aExchange->mRequest.mText); // a copy; the text may be needed again
+    // The text is copied, since it is needed again when the connection does not accept it.
+    sent = !aState.mTcp->HasUnread() && aState.mTcp->Send(aExchange->mRequest.mText);
     if (sent) {
       aExchange->mRequest.mText = std::string();
       aState.mExchange = std::move(aExchange);
       return;
     }
+    aState.mTcp->Close("ended while idle");
     cancelled = !mConnectionByRequest.Take(id);
     counted = std::exchange(aState.mCounted, false);
   });
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -141,8 +141,9 @@
   // Counts a new connection to the address; false when aLimit connections exist.
   bool Reserve(const std::string& aAddress, std::uint32_t aLimit);
   void Release(const std::string& aAddress, std::uint64_t aConnection);
-  // Sends the request on an idle connection. Returns false when that was closed before; aExchange
-  // then stays with the caller, unless the request was cancelled meanwhile.
+  // Sends the request on an idle connection. Returns false when that was closed before, by either
+  // side, or has received bytes; aExchange then stays with the caller, unless the request was
+  // cancelled meanwhile.
   bool SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange);
   void Open(std::unique_ptr<exchange> aExchange);
   void Opened(std::uint64_t aConnection);
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -377,6 +377,53 @@
     closed_idle_row{ "a request that may be repeated is lost on a closed connection", 8, 7 },
     closed_idle_row{ "a closed connection counts against the limit", 1, 0 }));
 
+struct arrived_row
+{
+  const char* mGuardsAgainst;
+  std::string mFirstReply;
+};
+
+class arrived_test : public testing::TestWithParam<arrived_row>
+{};
+
+TEST_P(arrived_test, RequestGoesToAnotherConnection)
+{
+  const arrived_row& row = GetParam();
+  io_loop serverLoop(1);
+  io_loop loop(1);
+  scripted_server server(serverLoop, { row.mFirstReply, Reply(2) });
+  http_pool pool(loop);
+  serverLoop.Start();
+  loop.Start();
+  std::promise<pool_outcome> second;
+  const auto start = [&](std::uint64_t aId, std::function<void(const pool_result&)> aDone) {
+    pool.Start({ .mId = aId,
+                 .mAddress = server.Address(),
+                 .mText = FormatRequest("GET", "/", "h", ""),
+                 .mReplyTimeout = milliseconds(600) },
+               std::move(aDone));
+  };
+  // The loop reads nothing more until the hook returns.
+  start(1, [&](const pool_result&) {
+    std::promise<void> arrived;
+    serverLoop.After(milliseconds(100), [&arrived] { arrived.set_value(); });
+    server.SendToAll("x");
+    arrived.get_future().wait();
+    start(2, [&second](const pool_result& aResult) { second.set_value(aResult.mOutcome); });
+  });
+  EXPECT_EQ(second.get_future().get(), kAnswered) << row.mGuardsAgainst;
+  EXPECT_EQ(server.Connections(), 2U) << row.mGuardsAgainst;
+  loop.Stop();
+  serverLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  arrived_test,
+  testing::Values(
+    arrived_row{ "a request is sent after the server has closed the connection", Reply(1) + "$" },
+    arrived_row{ "a request is sent after bytes that belong to no request", Reply(1) }));
+
 TEST(http_pool, RefusedConnectionIsNotSent)
 {
   // Guards against a request that is reported as sent although nothing was written.
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cerrno>
 #include <charconv>
 #include <csignal>
 #include <initializer_list>
@@ -769,6 +770,16 @@
   return mState->mLimitPassed;
 }
 
+bool tcp_connection::HasUnread() const
+{
+  const std::lock_guard lock(mState->mLock);
+  char byte = 0;
+  // Errors other than these are an end of the connection, too.
+  return mState->mOpen && !mState->mClosed &&
+         (recv(mState->mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+          (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR));
+}
+
 bool tcp_connection::Sending() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -126,6 +126,8 @@
   // Whether the latest time limit has passed. While mOnExpired is called, another thread may have
   // set a new one.
   bool LimitPassed() const;
+  // Whether bytes or the end of the connection have arrived and were not read yet.
+  bool HasUnread() const;
   // Whether bytes wait to be sent and some were sent since the time limit was set.
   bool Sending() const;
   std::size_t UnsentBytes() const;
