Let the idle limit leave a request that waits to be read

Callers saw a connection reset right after they had sent a request on it, when the daemon was busy: the idle limit had passed, and the loop acted on it before it read the request that had arrived meanwhile.

At the idle limit, the server now asks the kernel for unread bytes and gives them the time of a header. A session that the idle limit closes takes no further bytes, so that a request that another thread has just read is not forwarded with nowhere to answer it; that window is read in the code and has no test.

AfterTurns, which both tests of connections use, moves to the test library.

--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -1,5 +1,7 @@
 #include "daemon/http_pool.h"
 
+#include "daemon/loopback_test_util.h"
+
 #include <array>
 #include <future>
 #include <gtest/gtest.h>
@@ -8,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using test_util::AfterTurns;
 
 // A server that sends the nth entry as the reply to the nth request, counted over all connections.
 // For an empty entry it closes the connection; for one that ends in '$' it sends the rest first.
@@ -309,18 +312,6 @@
   loop.Stop();
 }
 
-// Calls the work after others have run on the loop, aTurns times.
-void AfterTurns(io_loop& aLoop, std::size_t aTurns, std::function<void()> aWork)
-{
-  if (aTurns == 0) {
-    aWork();
-    return;
-  }
-  aLoop.Post([&aLoop, aTurns, work = std::move(aWork)]() mutable {
-    AfterTurns(aLoop, aTurns - 1, std::move(work));
-  });
-}
-
 struct closed_idle_row
 {
   const char* mGuardsAgainst;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -238,7 +238,10 @@
       aSession.CloseAfterSend("request timed out");
     } else if (lateRequest == 0 && aSession.mConnection->Sending()) {
       aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
+    } else if (lateRequest == 0 && aSession.mConnection->HasUnread()) {
+      aSession.mConnection->ExpireAfter(Limits().mHeaderTimeout);
     } else if (lateRequest == 0) {
+      aSession.mClosing = true;
       aSession.mConnection->Close("timed out");
     }
   });
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -12,6 +12,7 @@
 
 using std::chrono::milliseconds;
 using std::chrono::seconds;
+using test_util::AfterTurns;
 using test_util::blocking_socket;
 using test_util::WaitUntil;
 
@@ -311,6 +312,46 @@
     announced_row{ "a request that was read behind the open one is lost", "", Post(1), 2 },
     announced_row{ "the last of several requests is lost", Post(1), Post(2), 3 }));
 
+TEST(http_server, IdleLimitLeavesARequestThatWaitsToBeRead)
+{
+  // Guards against a busy loop that closes a connection whose request the kernel has accepted.
+  constexpr milliseconds kIdle{ 100 };
+  http_limits limits;
+  limits.mIdleTimeout = kIdle;
+  // The turn of the loop at which the limit has passed and is acted on depends on its order.
+  for (std::size_t turns = 0; turns < 6; ++turns) {
+    io_loop serverLoop(1);
+    io_loop clientLoop(1);
+    counting_server server(serverLoop, limits);
+    serverLoop.Start();
+    clientLoop.Start();
+    std::atomic<bool> answered{ false };
+    std::atomic<bool> closed{ false };
+    tcp_hooks hooks;
+    hooks.mOnBytes = [&answered](std::string_view) { answered = true; };
+    hooks.mOnClosed = [&closed](const tcp_close_info&) { closed = true; };
+    const auto client = Connect(clientLoop, server.Address(), seconds(1), std::move(hooks));
+    ASSERT_TRUE(WaitUntil([&server] { return server.Server().Connections() == 1; }));
+    std::promise<bool> sent;
+    serverLoop.Post([&] {
+      WaitFor(clientLoop, kIdle + milliseconds(20));
+      AfterTurns(serverLoop, turns, [&] {
+        WaitFor(clientLoop, milliseconds(20));
+        const bool open = !closed;
+        client->Send(Post(0));
+        WaitFor(clientLoop, milliseconds(20));
+        sent.set_value(open);
+      });
+    });
+    if (sent.get_future().get()) {
+      EXPECT_TRUE(WaitUntil([&] { return answered || closed; }));
+      EXPECT_TRUE(answered) << "after " << turns << " turns";
+    }
+    clientLoop.Stop();
+    serverLoop.Stop();
+  }
+}
+
 constexpr std::size_t kMoreThanKernelBuffers = std::size_t{ 32 } * 1024 * 1024;
 
 struct slow_reader_row
--- a/src/daemon/loopback_test_util.cc
+++ b/src/daemon/loopback_test_util.cc
@@ -168,6 +168,17 @@
   return false;
 }
 
+void AfterTurns(io_loop& aLoop, std::size_t aTurns, std::function<void()> aWork)
+{
+  if (aTurns == 0) {
+    aWork();
+    return;
+  }
+  aLoop.Post([&aLoop, aTurns, work = std::move(aWork)]() mutable {
+    AfterTurns(aLoop, aTurns - 1, std::move(work));
+  });
+}
+
 scripted_server::scripted_server(io_loop& aLoop, script aScript, const std::string& aAddress)
 {
   auto listener = Listen(
--- a/src/daemon/loopback_test_util.h
+++ b/src/daemon/loopback_test_util.h
@@ -102,6 +102,9 @@
 // does not notify of its changes, such as a page of the daemon.
 bool WaitUntil(const std::function<bool()>& aCondition);
 
+// Calls the work after others have run on the loop, aTurns times.
+void AfterTurns(io_loop& aLoop, std::size_t aTurns, std::function<void()> aWork);
+
 // Reaction of a scripted server to a batch of received bytes.
 struct scripted_reply
 {
