Send no part on a connection that has ended while idle

A part of a query that a server could not have read was reported as one that may have run, and was not sent to another server for that reason.

The client of record search wrote parts to a connection whose close had arrived, or that was closed and whose hook had not run yet; the bytes were dropped. Such a part is now reported as not sent.

--- a/src/daemon/backend_client.cc
+++ b/src/daemon/backend_client.cc
@@ -106,12 +106,14 @@
         text = "the connection is not open";
       } else if (aState.mPart) {
         text = "a part is in flight on the connection";
+      } else if (aState.mConnection->HasUnread() ||
+                 !aState.mConnection->Send(FormatRequest(
+                   "POST", "/v1/part", aState.mAddress, FormatPartRequest(request, remaining)))) {
+        text = "the connection has ended";
       } else {
         text.clear();
         aState.mPart = part_in_flight{ request, now };
         aState.mConnection->ExpireAfter(remaining + kReplySlack);
-        aState.mConnection->Send(FormatRequest(
-          "POST", "/v1/part", aState.mAddress, FormatPartRequest(request, remaining)));
       }
     });
     refusal = text;
--- a/src/daemon/backend_client_test.cc
+++ b/src/daemon/backend_client_test.cc
@@ -3,6 +3,8 @@
 #include "codec/server_json.h"
 #include "daemon/loopback_test_util.h"
 
+#include <atomic>
+#include <future>
 #include <gtest/gtest.h>
 
 namespace redwingdock {
@@ -266,6 +268,49 @@
               part_failure::DeadlinePassed },
     send_row{ "a connection that has been closed", kSecond, kSecond, 99, part_failure::NotSent }));
 
+// Guards against a part that is written to a connection whose end has arrived, and can then only be
+// reported as one that may have run.
+TEST(backend_client_test, PartIsNotSentAfterTheServerClosed)
+{
+  io_loop serverLoop(1);
+  io_loop loop(1);
+  std::atomic<int> received{ 0 };
+  scripted_server server(serverLoop, [&received](const std::string&) {
+    ++received;
+    return scripted_reply{ ReplyBytes(200, PartReplyBody()), true };
+  });
+  fact_log facts;
+  backend_client* backends = nullptr;
+  backend_client client(loop,
+                        { [&](fact aFact) {
+                           const bool first = std::holds_alternative<part_replied>(aFact) &&
+                                              facts.Of<part_replied>().empty();
+                           facts.Add(std::move(aFact));
+                           if (first) {
+                             // The loop reads nothing more until this hook returns.
+                             std::promise<void> arrived;
+                             serverLoop.After(std::chrono::milliseconds(100),
+                                              [&arrived] { arrived.set_value(); });
+                             arrived.get_future().wait();
+                             backends->Send({ kConnection, Request(2), SteadyNow() + kSecond });
+                           }
+                         },
+                          nullptr });
+  backends = &client;
+  serverLoop.Start();
+  loop.Start();
+  client.Open({ "cw-03a", server.Address(), kConnection });
+  ASSERT_TRUE(facts.WaitForType<connection_changed>());
+  client.Send({ kConnection, Request(1), SteadyNow() + kSecond });
+  ASSERT_TRUE(facts.WaitForType<part_replied>(2));
+  loop.Stop();
+  serverLoop.Stop();
+  const part_reply second = facts.Of<part_replied>()[1].mReply;
+  EXPECT_EQ(second.mResult, part_result::NotRun);
+  EXPECT_EQ(second.mFailure, part_failure::NotSent);
+  EXPECT_EQ(received, 1);
+}
+
 // Guards against two parts on one connection, where the second waits for the first one's reply.
 TEST(backend_client_test, SecondPartIsRefused)
 {
