--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -1,5 +1,7 @@
 #include "daemon/http_pool.h"
 
+#include "daemon/loopback_test_util.h"
+
 #include <array>
 #include <future>
 #include <gtest/gtest.h>
@@ -8,6 +10,7 @@
 namespace {
 
 using std::chrono::milliseconds;
+using test_util::AfterTurns;
 
 // A server that sends the nth entry as the reply to the nth request, counted over all connections.
 // For an empty entry it closes the connection; for one that ends in '$' it sends the rest first.
@@ -309,6 +312,109 @@
   loop.Stop();
 }
 
+struct closed_idle_row
+{
+  const char* mGuardsAgainst;
+  std::uint32_t mConnections; // limit
+  std::uint64_t mRepeatKey;
+};
+
+class closed_idle_test : public testing::TestWithParam<closed_idle_row>
+{};
+
+TEST_P(closed_idle_test, RequestGoesToAnotherConnection)
+{
+  const closed_idle_row& row = GetParam();
+  const std::string reply = Reply(1, "Keep-Alive: timeout=0\r\nContent-Length: 2\r\n\r\nok");
+  // The turn of the loop at which the idle limit has closed the connection, and its hook has not
+  // been called, depends on the order of the loop.
+  for (std::size_t turns = 0; turns < 6; ++turns) {
+    io_loop serverLoop(1);
+    io_loop loop(1);
+    scripted_server server(serverLoop, { reply, reply });
+    http_pool pool(loop);
+    serverLoop.Start();
+    loop.Start();
+    const auto start = [&](std::uint64_t aId, std::promise<pool_outcome>& aDone) {
+      pool.Start({ .mId = aId,
+                   .mAddress = server.Address(),
+                   .mText = FormatRequest("GET", "/", "h", ""),
+                   .mConnections = row.mConnections,
+                   .mReplyTimeout = milliseconds(600),
+                   .mRepeatKey = aId * row.mRepeatKey },
+                 [&aDone](const pool_result& aResult) { aDone.set_value(aResult.mOutcome); });
+    };
+    std::array<std::promise<pool_outcome>, 2> done;
+    start(1, done[0]);
+    ASSERT_EQ(done[0].get_future().get(), kAnswered);
+    loop.Post([&] {
+      std::promise<void> limitPassed;
+      serverLoop.After(milliseconds(250), [&limitPassed] { limitPassed.set_value(); });
+      limitPassed.get_future().wait();
+      AfterTurns(loop, turns, [&] { start(2, done[1]); });
+    });
+    EXPECT_EQ(done[1].get_future().get(), kAnswered)
+      << row.mGuardsAgainst << ", after " << turns << " turns";
+    loop.Stop();
+    serverLoop.Stop();
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  closed_idle_test,
+  testing::Values(
+    closed_idle_row{ "a request is lost on a connection that was closed before", 8, 0 },
+    closed_idle_row{ "a request that may be repeated is lost on a closed connection", 8, 7 },
+    closed_idle_row{ "a closed connection counts against the limit", 1, 0 }));
+
+struct arrived_row
+{
+  const char* mGuardsAgainst;
+  std::string mFirstReply;
+};
+
+class arrived_test : public testing::TestWithParam<arrived_row>
+{};
+
+TEST_P(arrived_test, RequestGoesToAnotherConnection)
+{
+  const arrived_row& row = GetParam();
+  io_loop serverLoop(1);
+  io_loop loop(1);
+  scripted_server server(serverLoop, { row.mFirstReply, Reply(2) });
+  http_pool pool(loop);
+  serverLoop.Start();
+  loop.Start();
+  std::promise<pool_outcome> second;
+  const auto start = [&](std::uint64_t aId, std::function<void(const pool_result&)> aDone) {
+    pool.Start({ .mId = aId,
+                 .mAddress = server.Address(),
+                 .mText = FormatRequest("GET", "/", "h", ""),
+                 .mReplyTimeout = milliseconds(600) },
+               std::move(aDone));
+  };
+  // The loop reads nothing more until the hook returns.
+  start(1, [&](const pool_result&) {
+    std::promise<void> arrived;
+    serverLoop.After(milliseconds(100), [&arrived] { arrived.set_value(); });
+    server.SendToAll("x");
+    arrived.get_future().wait();
+    start(2, [&second](const pool_result& aResult) { second.set_value(aResult.mOutcome); });
+  });
+  EXPECT_EQ(second.get_future().get(), kAnswered) << row.mGuardsAgainst;
+  EXPECT_EQ(server.Connections(), 2U) << row.mGuardsAgainst;
+  loop.Stop();
+  serverLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  arrived_test,
+  testing::Values(
+    arrived_row{ "a request is sent after the server has closed the connection", Reply(1) + "$" },
+    arrived_row{ "a request is sent after bytes that belong to no request", Reply(1) }));
+
 TEST(http_pool, RefusedConnectionIsNotSent)
 {
   // Guards against a request that is reported as sent although nothing was written.
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -7,7 +7,9 @@
 
 namespace {
 
-// Most bytes of pipelined requests that are buffered while a connection waits for its reply.
+// Bytes of pipelined requests that are buffered while a connection waits for its reply. Above that,
+// reading pauses until the reply. The end of a paused connection is noticed only then, which the
+// deadline of the open request bounds.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 128 } * 1024;
 
 std::string ReasonJson(const reason& aReason)
@@ -113,11 +115,14 @@
       return; // a request that is read now could not be answered
     }
     const bool started = aSession.mReader.Started();
+    if (!started && aSession.mReader.Buffered() == 0) {
+      aSession.mReader.SetLimits(Limits().mRead);
+    }
     const bool headerDone = aSession.mReader.HeaderDone();
     const http_read_status status = aSession.mReader.Feed(aBytes);
     if (aSession.mRequestId != 0) {
       if (aSession.mReader.Buffered() > kMaxPipelinedBytes) {
-        aSession.mConnection->Close("too many pipelined bytes");
+        aSession.mConnection->PauseReading();
       }
       return;
     }
@@ -172,10 +177,11 @@
     aSession.mRequestId = 0;
     // The client may have pipelined its next request, which is answered before the connection
     // closes.
-    const bool pipelined = aSession.mReader.Buffered() > 0;
+    const bool pipelined = aSession.mReader.Started() || aSession.mReader.Buffered() > 0;
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.mConnection->Send(FormatReply(aReply, keepAlive));
     if (!keepAlive) {
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
       aSession.CloseAfterSend("reply sent");
       return;
     }
@@ -189,6 +195,9 @@
       aSession.mConnection->ExpireAfter(aSession.mReader.Started() ? Limits().mRequestTimeout
                                                                    : Limits().mIdleTimeout);
     }
+    if (aSession.mRequestId == 0 || aSession.mReader.Buffered() <= kMaxPipelinedBytes) {
+      aSession.mConnection->ResumeReading();
+    }
   });
   if (next) {
     // Posted instead of called, so that pipelined requests with immediate replies do not recurse.
@@ -219,12 +228,20 @@
 {
   std::uint64_t lateRequest = 0;
   mSessions.With(aSessionId, [&](session& aSession) {
+    if (!aSession.mConnection->LimitPassed()) {
+      return; // bytes that arrived meanwhile began another state with its own limit
+    }
     lateRequest = aSession.mRequestId;
     if (lateRequest == 0 && aSession.mReader.Started()) {
       // The request is incomplete, so it had no effect and the client may repeat it.
       aSession.mConnection->Send(FormatReply({ 408, "", "", {} }, false));
       aSession.CloseAfterSend("request timed out");
+    } else if (lateRequest == 0 && aSession.mConnection->Sending()) {
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
+    } else if (lateRequest == 0 && aSession.mConnection->HasUnread()) {
+      aSession.mConnection->ExpireAfter(Limits().mHeaderTimeout);
     } else if (lateRequest == 0) {
+      aSession.mClosing = true;
       aSession.mConnection->Close("timed out");
     }
   });
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -10,6 +10,7 @@
 #include <boost/asio/post.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <boost/asio/steady_timer.hpp>
+#include <cerrno>
 #include <charconv>
 #include <csignal>
 #include <initializer_list>
@@ -306,18 +307,20 @@
     }
   }
 
-  void Send(std::string aBytes)
+  bool Send(std::string aBytes)
   {
     const std::lock_guard lock(mLock);
-    if (mClosed || mClosing || aBytes.empty()) {
-      return;
+    if (mClosed || mClosing) {
+      return false;
     }
-    if (mSendBuffer.empty()) {
+    const bool first = mSendBuffer.empty();
+    if (first) {
       mSendBuffer = std::move(aBytes);
     } else {
       mSendBuffer += aBytes;
     }
-    WriteLocked();
+    const std::size_t written = WriteLocked();
+    return !mClosed || !first || written > 0;
   }
 
   void Write()
@@ -326,15 +329,20 @@
     WriteLocked();
   }
 
-  void WriteLocked()
+  // Returns the number of bytes that were passed to the kernel.
+  std::size_t WriteLocked()
   {
     if (!mOpen || mClosed || mWaitingToWrite) {
-      return;
+      return 0;
     }
+    std::size_t written = 0;
     while (mSentBytes < mSendBuffer.size()) {
       error_code error;
-      mSentBytes += mSocket.write_some(
+      const std::size_t size = mSocket.write_some(
         asio::buffer(mSendBuffer.data() + mSentBytes, mSendBuffer.size() - mSentBytes), error);
+      mSentBytes += size;
+      written += size;
+      mSentSinceLimit = mSentSinceLimit || size > 0;
       if (error == asio::error::would_block || error == asio::error::try_again) {
         mWaitingToWrite = true;
         mSocket.async_wait(tcp::socket::wait_write,
@@ -345,11 +353,11 @@
                                self->WriteLocked();
                              }
                            });
-        return;
+        return written;
       }
       if (error) {
         CloseLocked(error.message());
-        return;
+        return written;
       }
     }
     mSendBuffer.clear();
@@ -362,6 +370,7 @@
       mSocket.shutdown(tcp::socket::shutdown_send, ignored);
       ExpireAfterLocked(kCloseTimeout);
     }
+    return written;
   }
 
   void CloseAfterSend(std::string aReason)
@@ -405,12 +414,17 @@
     if (mClosed) {
       return;
     }
+    mLimit = aDelay;
+    mLimitPassed = false;
+    mSentSinceLimit = false;
     mExpiry = aDelay == tcp_connection::kNoLimit ? kNever : SteadyNow() + aDelay;
     if (mExpiry < mTimerDue) {
       StartTimerLocked();
     }
   }
 
+  bool SendingLocked() const { return mSentSinceLimit && mSentBytes < mSendBuffer.size(); }
+
   // The timer is restarted only for an earlier limit. A limit that each request moves to a later
   // time leaves the timer alone; Expired() then starts it again for the rest.
   void StartTimerLocked()
@@ -439,6 +453,11 @@
         return;
       }
       mExpiry = kNever;
+      if (mClosing && SendingLocked()) {
+        ExpireAfterLocked(mLimit); // the peer reads slowly
+        return;
+      }
+      mLimitPassed = true;
       if (mClosing || !mOpen || !mHooks.mOnExpired) {
         CloseLocked(tcp_close_info{ .mDescription = mClosing ? mCloseReason
                                                     : mOpen  ? "timed out"
@@ -458,6 +477,9 @@
   asio::steady_timer mTimer;
   instant mExpiry = kNever;
   instant mTimerDue = kNever;
+  micros mLimit = tcp_connection::kNoLimit;
+  bool mLimitPassed = false;
+  bool mSentSinceLimit = false;
   std::string mSendBuffer;
   std::size_t mSentBytes = 0;
   std::string mCloseReason;
@@ -710,9 +732,9 @@
   mState->WaitForBytes();
 }
 
-void tcp_connection::Send(std::string aBytes)
+bool tcp_connection::Send(std::string aBytes)
 {
-  mState->Send(std::move(aBytes));
+  return mState->Send(std::move(aBytes));
 }
 
 void tcp_connection::Close(std::string aReason)
@@ -742,6 +764,28 @@
   mState->ExpireAfterLocked(aDelay);
 }
 
+bool tcp_connection::LimitPassed() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->mLimitPassed;
+}
+
+bool tcp_connection::HasUnread() const
+{
+  const std::lock_guard lock(mState->mLock);
+  char byte = 0;
+  // Errors other than these are an end of the connection, too.
+  return mState->mOpen && !mState->mClosed &&
+         (recv(mState->mSocket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) >= 0 ||
+          (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR));
+}
+
+bool tcp_connection::Sending() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->SendingLocked();
+}
+
 std::size_t tcp_connection::UnsentBytes() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -111,10 +111,11 @@
 
   // Sets the hooks of an accepted connection and starts to read.
   void Start(tcp_hooks aHooks);
-  void Send(std::string aBytes);
+  // Returns false when the connection was closed before any of the bytes was passed to the kernel.
+  bool Send(std::string aBytes);
   void Close(std::string aReason);
   // Sends the queued bytes, ignores further Send calls and received bytes, and closes once the peer
-  // has closed or after one second.
+  // has closed or after one second. The time limit in force applies to each part of the bytes.
   void CloseAfterSend(std::string aReason);
   // Stops reading, so that the kernel makes the peer wait once its buffers are full. One more call
   // of mOnBytes may follow, and the end of the connection is noticed only after ResumeReading.
@@ -122,6 +123,13 @@
   void ResumeReading();
   // Sets a time limit from now, which replaces the previous one; kNoLimit removes it.
   void ExpireAfter(micros aDelay);
+  // Whether the latest time limit has passed. While mOnExpired is called, another thread may have
+  // set a new one.
+  bool LimitPassed() const;
+  // Whether bytes or the end of the connection have arrived and were not read yet.
+  bool HasUnread() const;
+  // Whether bytes wait to be sent and some were sent since the time limit was set.
+  bool Sending() const;
   std::size_t UnsentBytes() const;
   // The smoothed round-trip time that the kernel measured; 0 when it is not available.
   micros RoundTrip() const;
