Log what is unfinished when a stopping process ends

Callers saw connections that ended without an answer around a planned stop. The log could not tell a request whose reply never came from one whose reply was handed to the socket and not sent, a second signal, or a process that was killed before it had ended by itself.

Each stop signal now has a line, also one that is ignored. At the end of the process each unanswered request, each reply that was not sent (with the bytes left and the time since it was handed over) and each request that was read in part has a line, 20 at most, and a last line has the counts and why the process ended. The server keeps the names of replies that the kernel has not taken. Gauges tell unsent bytes and signals of a running process.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -50,6 +50,17 @@
   mConnection->CloseAfterSend(aReason);
 }
 
+void http_server::session::SendReply(std::string aText)
+{
+  const std::size_t size = aText.size();
+  mConnection->Send(std::move(aText));
+  mDelivery = WithReply(std::move(mDelivery),
+                        std::exchange(mRequestName, {}),
+                        size,
+                        mConnection->UnsentBytes(),
+                        SteadyNow());
+}
+
 void http_server::CloseIdle(bool aUnused)
 {
   mClosing = true;
@@ -144,6 +155,7 @@
   aSession.mRequestId = ++mRequestIds;
   aSession.mUsed = true;
   aSession.mKeepAlive = request.mKeepAlive;
+  aSession.mRequestName = mHooks.mNameOf ? mHooks.mNameOf(request) : std::string();
   const http_limits limits = Limits();
   aSession.mReader.SetLimits(limits.mRead);
   aSession.mConnection->ExpireAfter(limits.mReplyTimeout);
@@ -156,7 +168,7 @@
   const http_response refusal{
     aSession.mReader.ErrorStatus(), "application/json", ReasonJson(aSession.mReader.Error()), {}
   };
-  aSession.mConnection->Send(FormatReply(refusal, false));
+  aSession.SendReply(FormatReply(refusal, false));
   aSession.CloseAfterSend("invalid request");
 }
 
@@ -174,7 +186,7 @@
     // closes.
     const bool pipelined = aSession.mReader.Buffered() > 0;
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
-    aSession.mConnection->Send(FormatReply(aReply, keepAlive));
+    aSession.SendReply(FormatReply(aReply, keepAlive));
     if (!keepAlive) {
       aSession.CloseAfterSend("reply sent");
       return;
@@ -253,4 +265,21 @@
   return bytes;
 }
 
+std::vector<unfinished_connection> http_server::UnfinishedConnections() const
+{
+  std::vector<unfinished_connection> open;
+  mSessions.ForEach([&open](std::uint64_t, const session& aSession) {
+    unfinished_connection each;
+    each.mUnanswered = aSession.mRequestId != 0;
+    each.mRequest = aSession.mRequestName;
+    each.mPartlyRead = !each.mUnanswered && aSession.mReader.Started();
+    each.mPipelinedBytes = each.mUnanswered ? aSession.mReader.Buffered() : 0;
+    each.mUnsentReplies = UnsentReplies(aSession.mDelivery, aSession.mConnection->UnsentBytes());
+    if (each != unfinished_connection{}) {
+      open.push_back(std::move(each));
+    }
+  });
+  return open;
+}
+
 } // namespace redwingdock
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -3,6 +3,7 @@
 
 #include "base/sharded_map.h"
 #include "daemon/http_text.h"
+#include "daemon/reply_delivery.h"
 #include "daemon/tcp.h"
 
 #include <atomic>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 // Asynchronous HTTP/1.1 server: each request has an ID, and any thread may reply to it later.
 //
@@ -29,6 +31,20 @@
   std::function<void(std::uint64_t)> mOnDisconnected;
   // A request was not answered within http_limits::mReplyTimeout; Reply() still works.
   std::function<void(std::uint64_t)> mOnTimeout;
+  // Names a request in UnfinishedConnections().
+  std::function<std::string(const http_message&)> mNameOf = nullptr;
+};
+
+// What is unfinished on a connection.
+struct unfinished_connection
+{
+  bool mUnanswered = false;
+  std::string mRequest;            // the name of the unanswered request
+  bool mPartlyRead = false;        // the beginning of a request has arrived
+  std::size_t mPipelinedBytes = 0; // that arrived behind the unanswered request
+  std::vector<unsent_reply> mUnsentReplies;
+
+  auto operator<=>(const unfinished_connection&) const = default;
 };
 
 struct http_limits
@@ -85,6 +101,8 @@
   std::size_t PendingRequests() const { return mSessionByRequest.Size(); }
   std::size_t UnsentBytes() const;
   std::size_t Connections() const { return mSessions.Size(); }
+  // The connections on which something is unfinished.
+  std::vector<unfinished_connection> UnfinishedConnections() const;
 
 private:
   struct session
@@ -93,9 +111,12 @@
     http_reader mReader;
     std::uint64_t mRequestId = 0; // the unanswered request, 0 when there is none
     bool mKeepAlive = true;
-    bool mUsed = false;    // a request was read
-    bool mClosing = false; // closes after its last reply; what arrives from now on is ignored
+    bool mUsed = false;       // a request was read
+    bool mClosing = false;    // closes after its last reply; what arrives from now on is ignored
+    std::string mRequestName; // of the unanswered request
+    reply_delivery mDelivery{};
 
+    void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
   };
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -6,6 +6,7 @@
 #include "daemon/port_check.h"
 #include "platform/protocol_names.h"
 #include "platform/request_codec.h"
+#include "platform/stop_report.h"
 
 #include <chrono>
 #include <random>
@@ -77,6 +78,12 @@
   return replica_status::Unknown;
 }
 
+std::string AttemptIdOf(const http_message& aMessage)
+{
+  const std::string* id = aMessage.Find(kAttemptIdHeader);
+  return id != nullptr ? *id : std::string();
+}
+
 http_limits ToHttpLimits(const client_limits& aLimits)
 {
   http_limits limits;
@@ -107,7 +114,8 @@
                      OnRequest(aRequestId, aMessage);
                    },
                     [this](std::uint64_t aRequestId) { OnClientDisconnected(aRequestId); },
-                    nullptr },
+                    nullptr,
+                    AttemptIdOf },
                   ToHttpLimits(client_limits{}))
   , mReadinessServer(mLoop,
                      mRequestIds,
@@ -195,6 +203,9 @@
 
 void edge_daemon::RequestStop()
 {
+  instant unset = kNever;
+  mStopRequestedAt.compare_exchange_strong(unset, SteadyNow());
+  Log(StopSignalLine(++mStopSignals));
   mCallerServer.AnnounceClose();
   mDriver.Post(stop_requested{});
 }
@@ -214,6 +225,18 @@
     mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
     return;
   }
+  End(mCallerServer.Connections() > 0);
+}
+
+void edge_daemon::End(bool aTimeLimit)
+{
+  const instant now = SteadyNow();
+  const stop_summary summary{ now - mStopRequestedAt.load(),
+                              aTimeLimit,
+                              mCallerServer.Connections() };
+  for (const log_line& line : StopReport(summary, mCallerServer.UnfinishedConnections(), now)) {
+    Log(line);
+  }
   {
     const std::lock_guard lock(mEndLock);
     mHasEnded = true;
@@ -345,9 +368,7 @@
   request.mConnectTimeout = kConnectTimeout;
   request.mReplyTimeout = left;
   request.mRepeatKey = aCommand.mKey.mRequest;
-  const std::string* id = message->Find(kAttemptIdHeader);
-  request.mMatchesReply = [requestId =
-                             id != nullptr ? *id : std::string()](const http_message& aReply) {
+  request.mMatchesReply = [requestId = AttemptIdOf(*message)](const http_message& aReply) {
     return MatchesRequestId(aReply, requestId);
   };
   mReplicaPool.Start(std::move(request),
@@ -390,6 +411,8 @@
     Core().Board(),
     { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
       { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.PendingRequests()) },
+      { "redwingdock_unsent_reply_bytes", static_cast<double>(mCallerServer.UnsentBytes()) },
+      { "redwingdock_stop_signals", static_cast<double>(mStopSignals) },
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
       { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -79,6 +79,7 @@
   void Execute(const check_replica& aCommand);
   void Execute(const apply_client_limits& aCommand);
   void EndWhenFlushed(instant aLatest);
+  void End(bool aTimeLimit);
   bool IsReady() const;
   std::string MetricsText() const;
 
@@ -98,6 +99,8 @@
   std::unique_ptr<settings_reloader> mSettingsReloader;
 
   std::atomic<std::uint64_t> mUnexpectedErrors{ 0 };
+  std::atomic<std::size_t> mStopSignals{ 0 };
+  std::atomic<instant> mStopRequestedAt{ kNever }; // the first time
   std::mutex mEndLock;
   std::condition_variable mEndCondition;
   bool mHasEnded = false;
