Divide the grace of a stop by one budget with named parts

With a silent replica the process ended 5.9 to 6.0 s after the stop signal, of a grace of 6 s: the final answers were due at 5.6 s and were sent for up to 0.3 s, so that the kill raced the end of the process, and a reply to a slow client had 0.3 s.

stop_budget is a value made from the grace: end of accepting callers, last forward, final answers, end of sending, end of the grace.

The rows of late_test state their limit (5.6 s) instead of using the default; their times and bounds are the same.

--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -123,6 +123,8 @@
 // exits.
 struct exit_process
 {
+  instant mFlushUntil{}; // the latest time to send replies
+
   auto operator<=>(const exit_process&) const = default;
 };
 
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -137,8 +137,11 @@
 struct fleet_view
 {
   daemon_state mSelf;
-  bool mLeaving = false;    // this daemon is shutting down
-  instant mStopAt = kNever; // when leaving: unanswered requests get their final answer then
+  bool mLeaving = false; // this daemon is shutting down
+  // When leaving, the times of the stop_budget.
+  instant mLastForwardAt = kNever;
+  instant mFinalAnswersAt = kNever;
+  instant mFlushUntil = kNever;
   std::map<std::string, fleet_member> mMembers; // other daemons, by VM
   // Peer addresses to send heartbeats to, with the time of the last heartbeat from each, or the
   // time when it became known if there was none.
--- a/src/core/forward_config.h
+++ b/src/core/forward_config.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_CORE_FORWARD_CONFIG_H
 
 #include "base/time.h"
+#include "core/stop_budget.h"
 
 #include <cstdint>
 #include <string>
@@ -39,9 +40,7 @@
   int mMissedHeartbeats = 4; // a daemon that missed this many is not named to callers
   micros mAddressTtl = std::chrono::seconds(60);   // heartbeats to a silent address stop after it
   micros mEntryLifetime = std::chrono::seconds(2); // of an answer that lists addresses
-  // A stopping daemon accepts callers for mLingerTime, and exits after mStopLimit at the latest.
-  micros mLingerTime = std::chrono::milliseconds(2300);
-  micros mStopLimit = std::chrono::milliseconds(5600);
+  stop_budget mStop = StopBudget(kDefaultGrace);
 
   // Limits on repeats, over all daemons: sends of a request to a service after the first one.
   double mRepeatRatio = 0.2; // fraction of the requests for the service
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -258,11 +258,15 @@
     return;
   }
   view.mLeaving = true;
-  view.mStopAt = aContext.Now() + aContext.ForwardConfig()->mStopLimit;
+  const stop_budget budget = aContext.ForwardConfig()->mStop;
+  view.mLastForwardAt = aContext.Now() + budget.mLastForward;
+  view.mFinalAnswersAt = aContext.Now() + budget.mFinalAnswers;
+  view.mFlushUntil = aContext.Now() + budget.mFlush;
   view = WithUpdatedSelf(aContext, std::move(view));
   aContext.Log("entry",
                "event=stop_begun open_requests=" + std::to_string(OpenRequests(aContext.mBoard)) +
-                 " limit_ms=" + MsText(aContext.ForwardConfig()->mStopLimit));
+                 " limit_ms=" + MsText(budget.mFinalAnswers) +
+                 " flush_ms=" + MsText(budget.mFlush) + " grace_ms=" + MsText(budget.mGrace));
   ++view.mSelf.mBeat;
   SendToAll(aContext, view);
   aContext.mBoard.Write(kFleetKey, std::move(view));
@@ -274,31 +278,32 @@
 {
   aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(aOpenRequests));
   fleet_view view = ReadView(aContext);
-  view.mStopAt = std::min(view.mStopAt, aContext.Now());
+  view.mLastForwardAt = std::min(view.mLastForwardAt, aContext.Now());
+  const instant flushUntil = view.mFlushUntil;
   aContext.mBoard.Write(kFleetKey, std::move(view));
   for (const auto& [key, state] : aContext.mBoard.List<forward_state>()) {
     aContext.mBoard.Post(key, answer_now{});
   }
-  aContext.Emit(exit_process{});
+  aContext.Emit(exit_process{ flushUntil });
 }
 
 void OnStopCheck(core_context& aContext, stop_check aFact)
 {
   const auto config = aContext.ForwardConfig();
   const micros elapsed = aContext.Now() - aFact.mStopRequestedAt;
-  if (elapsed >= config->mLingerTime && !aFact.mCallersClosed) {
+  if (elapsed >= config->mStop.mLinger && !aFact.mCallersClosed) {
     aFact.mCallersClosed = true;
     aContext.Log("entry", "event=callers_closed");
     aContext.Emit(close_callers{});
   }
   // Requests that were read before their connection was closed have arrived by the next check.
   const bool settled = aFact.mUnusedClosed;
-  if (!settled && elapsed >= config->mLingerTime + kReadGrace) {
+  if (!settled && elapsed >= config->mStop.mLinger + kReadGrace) {
     aFact.mUnusedClosed = true;
     aContext.Emit(close_callers{ true });
   }
   const std::size_t open = OpenRequests(aContext.mBoard);
-  if ((settled && open == 0) || aContext.Now() >= ReadView(aContext).mStopAt) {
+  if ((settled && open == 0) || aContext.Now() >= ReadView(aContext).mFinalAnswersAt) {
     EndStop(aContext, open);
     return;
   }
--- a/src/fleet/fleet_controller_test.cc
+++ b/src/fleet/fleet_controller_test.cc
@@ -162,6 +162,9 @@
   rig.Publish(ReplicaItem("a-1", "a", "zone-1"));
   rig.Publish(ConfigurationItem(7, { PlainRoute("a", false) }));
   rig.Script("a-1", [&row](int) { return row.mAction; });
+  forward_config config;
+  config.mStop = WithFinalAnswers(config.mStop, milliseconds(5600));
+  rig.Post(settings_changed{ config });
   rig.RunFor(seconds(1));
   rig.Post(stop_requested{});
   // Keeps the daemon running until its limit.
@@ -187,7 +190,7 @@
 
 const replica_action kNoReply{ attempt_end::Answered, milliseconds(0), 200, "", true };
 
-// The limit of a stop is 5.6 s, the target of the route 200 ms and its timeout 1.2 s.
+// The final answers are due after 5.6 s, the target of the route 200 ms and its timeout 1.2 s.
 INSTANTIATE_TEST_SUITE_P(
   cases,
   late_test,
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -190,7 +190,9 @@
     return true;
   }
   const auto recent = aContext.mBoard.Read<latency_record>(LatencyKey(aRoute));
-  return aContext.Now() + LongLatency(aRoute, recent ? *recent : latency_record{}) <= view->mStopAt;
+  const instant likelyAnswer =
+    aContext.Now() + LongLatency(aRoute, recent ? *recent : latency_record{});
+  return aContext.Now() < view->mLastForwardAt && likelyAnswer <= view->mFinalAnswersAt;
 }
 
 void OnArrived(core_context& aContext, const forward_hooks& aHooks, const request_arrived& aFact)
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -18,8 +18,8 @@
 
 namespace {
 
-// Time to send the remaining answers to clients once the core has answered the last request.
-constexpr micros kFlushTimeout = std::chrono::milliseconds(300);
+// How long the process waits for clients to close once all answers were sent.
+constexpr micros kCloseTimeout = std::chrono::milliseconds(300);
 constexpr micros kFlushCheckInterval = std::chrono::milliseconds(5);
 // Connecting to a replica takes milliseconds, even in another zone.
 constexpr micros kConnectTimeout = std::chrono::milliseconds(400);
@@ -325,7 +325,7 @@
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
       } else if constexpr (std::is_same_v<type, exit_process>) {
-        EndWhenFlushed(SteadyNow() + kFlushTimeout);
+        EndWhenFlushed(std::min(aEach.mFlushUntil, SteadyNow() + kCloseTimeout));
       }
     },
     aCommand);
--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -52,14 +52,17 @@
 
 void ReadStop(yaml_mapping& aMapping, micros aGrace, forward_config& aForward)
 {
-  // Time to send the last answers and to end, before the platform ends the process.
-  constexpr micros kEndTime = std::chrono::milliseconds(400);
   if (aGrace > micros(0)) {
-    aForward.mStopLimit = aGrace - kEndTime;
+    aForward.mStop = StopBudget(aGrace);
   }
-  ReadMilliseconds(aMapping, "linger_ms", kMinuteMs, aForward.mLingerTime);
-  ReadMilliseconds(aMapping, "limit_ms", kMaxStopMs, aForward.mStopLimit);
-  aForward.mLingerTime = std::min(aForward.mLingerTime, aForward.mStopLimit / 2);
+  micros finalAnswers = aForward.mStop.mFinalAnswers;
+  ReadMilliseconds(aMapping, "limit_ms", kMaxStopMs, finalAnswers);
+  if (finalAnswers != aForward.mStop.mFinalAnswers) {
+    aForward.mStop = WithFinalAnswers(aForward.mStop, finalAnswers);
+  }
+  micros linger = aForward.mStop.mLinger;
+  ReadMilliseconds(aMapping, "linger_ms", kMinuteMs, linger);
+  aForward.mStop = WithLinger(aForward.mStop, linger);
 }
 
 } // namespace
