Send replies to slow clients until the grace is nearly over

Callers that read slowly saw replies cut at a planned stop although most of the grace was left: the process ended 0.3 s after the last request was answered, also 1.2 s after the signal, however much of a reply was still to be sent.

The process now sends until the end of sending of the stop budget while any reply has unsent bytes, and ends 0.3 s after the last byte is taken.

--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -18,7 +18,7 @@
 
 namespace {
 
-// How long the process waits for clients to close once all answers were sent.
+// How long the process waits for clients to close once all replies were sent.
 constexpr micros kCloseTimeout = std::chrono::milliseconds(300);
 constexpr micros kFlushCheckInterval = std::chrono::milliseconds(5);
 // Connecting to a replica takes milliseconds, even in another zone.
@@ -216,16 +216,20 @@
   mEndCondition.wait(lock, [this] { return mHasEnded; });
 }
 
-void edge_daemon::EndWhenFlushed(instant aLatest)
+void edge_daemon::EndWhenFlushed(const exit_process& aCommand, instant aCloseUntil)
 {
   // Waits until the clients have closed: ending the process with received bytes unread would reset
   // their connections, and a reply that is on the way could be lost.
   mCallerServer.CloseAll();
-  if (SteadyNow() < aLatest && mCallerServer.Connections() > 0) {
-    mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
+  const instant now = SteadyNow();
+  const instant closeUntil = mCallerServer.UnsentBytes() > 0 ? now + kCloseTimeout : aCloseUntil;
+  const bool connected = mCallerServer.Connections() > 0;
+  if (connected && now < std::min(closeUntil, aCommand.mFlushUntil)) {
+    mLoop.After(kFlushCheckInterval,
+                [this, aCommand, closeUntil] { EndWhenFlushed(aCommand, closeUntil); });
     return;
   }
-  End(mCallerServer.Connections() > 0);
+  End(connected);
 }
 
 void edge_daemon::End(bool aTimeLimit)
@@ -325,7 +329,7 @@
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
       } else if constexpr (std::is_same_v<type, exit_process>) {
-        EndWhenFlushed(std::min(aEach.mFlushUntil, SteadyNow() + kCloseTimeout));
+        EndWhenFlushed(aEach, SteadyNow() + kCloseTimeout);
       }
     },
     aCommand);
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -78,7 +78,8 @@
   void Execute(const answer_request& aCommand);
   void Execute(const check_replica& aCommand);
   void Execute(const apply_client_limits& aCommand);
-  void EndWhenFlushed(instant aLatest);
+  // Clients that have their replies get until aCloseUntil to close.
+  void EndWhenFlushed(const exit_process& aCommand, instant aCloseUntil);
   void End(bool aTimeLimit);
   bool IsReady() const;
   std::string MetricsText() const;
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -8,17 +8,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A client's connection that keeps the replies it gets.
+// A client's connection that keeps the replies it gets. Without a rate it reads at once.
 class raw_client
 {
 public:
-  raw_client(io_loop& aLoop, const std::string& aAddress)
+  raw_client(io_loop& aLoop, const std::string& aAddress, std::size_t aBytesPerS = 0)
     : mState(std::make_shared<state>())
   {
     tcp_hooks hooks;
     hooks.mOnOpen = [shared = mState] { shared->Change([&] { shared->mOpened = true; }); };
-    hooks.mOnBytes = [shared = mState](std::string_view aBytes) {
+    hooks.mOnBytes = [shared = mState, &aLoop, aBytesPerS](std::string_view aBytes) {
       shared->Change([&] {
+        if (aBytesPerS > 0) {
+          shared->mConnection->PauseReading();
+          aLoop.After(micros(1'000'000 * aBytes.size() / aBytesPerS),
+                      [shared] { shared->Change([&] { shared->mConnection->ResumeReading(); }); });
+        }
         http_read_status status = shared->mReader.Feed(aBytes);
         while (status == http_read_status::Complete) {
           shared->mReplies.push_back(shared->mReader.Take());
@@ -29,10 +34,12 @@
     hooks.mOnClosed = [shared = mState](const tcp_close_info&) {
       shared->Change([&] { shared->mClosedAt = SteadyNow(); });
     };
-    mConnection = Connect(aLoop, aAddress, seconds(1), std::move(hooks));
+    // The hooks wait for the lock until the connection is set.
+    mState->Change(
+      [&] { mState->mConnection = Connect(aLoop, aAddress, seconds(1), std::move(hooks)); });
   }
 
-  void Send(const std::string& aBytes) { mConnection->Send(aBytes); }
+  void Send(const std::string& aBytes) { mState->mConnection->Send(aBytes); }
   bool WaitUntilOpen()
   {
     return mState->Wait([this] { return mState->mOpened; });
@@ -55,7 +62,8 @@
   {
     std::mutex mLock;
     std::condition_variable mChanged;
-    http_reader mReader{ http_side::Client, http_read_limits{ 100'000 } };
+    std::shared_ptr<tcp_connection> mConnection;
+    http_reader mReader{ http_side::Client, http_read_limits{ 10'000'000 } };
     std::vector<http_message> mReplies;
     bool mOpened = false;
     instant mClosedAt{};
@@ -75,7 +83,6 @@
   };
 
   std::shared_ptr<state> mState;
-  std::shared_ptr<tcp_connection> mConnection;
 };
 
 // The stop closes callers after 0.4 s and ends after 1.5 s at the latest.
@@ -274,6 +281,72 @@
                          grace_test,
                          testing::Values(milliseconds(1500), seconds(3), kDefaultGrace));
 
+struct slow_reader_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mReplyBytes;
+  int mRequests;        // sent before the stop
+  milliseconds mNextAt; // one more request, after the stop signal; 0 for none
+  std::vector<unsigned> mStatuses;
+  int mMaxRuns;
+};
+
+class slow_reader_test : public testing::TestWithParam<slow_reader_row>
+{};
+
+TEST_P(slow_reader_test, GetsWholeAnswers)
+{
+  // The kernel buffers up to about 3 MB of a connection of the loopback interface.
+  constexpr std::size_t kBytesPerS = 2'500'000;
+  const slow_reader_row& row = GetParam();
+  forward_config config;
+  config.mStop = WithLinger(StopBudget(seconds(3)), milliseconds(400));
+  edge_fixture fixture(config);
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  fixture.mReplicas.at("b")->SetBehaviour(
+    { milliseconds(2), 200, std::string(row.mReplyBytes, 'x') });
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers, kBytesPerS);
+  std::string bytes;
+  for (int i = 0; i < row.mRequests; ++i) {
+    bytes += RequestWithId("/long/x", "id-" + std::to_string(i));
+  }
+  client.Send(bytes);
+  fixture.WaitFor(milliseconds(200));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  if (row.mNextAt > milliseconds(0)) {
+    fixture.WaitFor(row.mNextAt);
+    client.Send(RequestWithId("/long/x", "next"));
+  }
+  fixture.mDaemon->WaitForEnd();
+  EXPECT_LE(SteadyNow() - stopAt, config.mStop.mFlush + milliseconds(50)) << row.mGuardsAgainst;
+  fixture.mDaemon.reset();
+  std::vector<unsigned> statuses;
+  for (const http_message& reply : client.WaitUntilClosed()) {
+    statuses.push_back(reply.mStatus);
+  }
+  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  slow_reader_test,
+  testing::Values(slow_reader_row{ "replies are cut while there is time to send them",
+                                   4'000'000,
+                                   2,
+                                   milliseconds(0),
+                                   { 200, 200 },
+                                   2 },
+                  slow_reader_row{ "a request is refused although its reply can be sent",
+                                   100'000,
+                                   2,
+                                   milliseconds(200),
+                                   { 200, 200, 200 },
+                                   3 }));
+
 TEST(planned_stop, ForwardsNothingThatCrossesTheClose)
 {
   // Guards against a request that is read while its idle connection is being closed: it was
