Refuse requests whose replies cannot be sent before a stop ends

Callers that read slowly saw requests cut that had run: a request that came during a stop was forwarded when its replica was likely to answer in time, however long the client would need for the reply, or for those before it on the connection.

The server follows the unsent bytes of each connection whose client does not take a reply at once, and learns how fast it reads. A request carries the time that its reply is likely to wait; during a stop it is refused with 503 before it is forwarded if the reply could not be sent before the end of sending. The first reply of a connection is taken for a fast one. Connections without unsent bytes cost nothing.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -17,6 +17,7 @@
   micros mClientTimeout{ 0 };     // time the client still waits for the answer; 0 when not given
   std::uint64_t mFingerprint = 0; // hash; equal when the client repeats a request
   micros mRoundTrip{ 0 };         // between client and daemon; 0 when not known
+  micros mDeliveryTime{ 0 };      // to hand the reply to the client; 0 when not known
 
   auto operator<=>(const forward_request&) const = default;
 };
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -1,5 +1,6 @@
 #include "daemon/http_server.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -10,6 +11,12 @@
 // Most bytes of pipelined requests that are buffered while a connection waits for its reply.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 128 } * 1024;
 
+// Between looks at the unsent bytes of a connection: an eighth of the time for which they have
+// waited, so that the measured time is as precise and slow clients cost little.
+constexpr int kFollowDivisor = 8;
+constexpr micros kMinFollowInterval = std::chrono::milliseconds(10);
+constexpr micros kMaxFollowInterval = std::chrono::milliseconds(250);
+
 std::string ReasonJson(const reason& aReason)
 {
   // These texts are constants of this program and need no JSON escaping.
@@ -187,6 +194,10 @@
     const bool pipelined = aSession.mReader.Buffered() > 0;
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.SendReply(FormatReply(aReply, keepAlive));
+    if (!aSession.mFollowed && aSession.mDelivery.mUnsent > 0) {
+      aSession.mFollowed = true;
+      mLoop.After(kMinFollowInterval, [this, session = *id] { FollowDelivery(session); });
+    }
     if (!keepAlive) {
       aSession.CloseAfterSend("reply sent");
       return;
@@ -227,6 +238,38 @@
   return roundTrip;
 }
 
+micros http_server::DeliveryTime(std::uint64_t aRequestId)
+{
+  std::uint64_t id = 0;
+  mSessionByRequest.With(aRequestId, [&id](std::uint64_t aSessionId) { id = aSessionId; });
+  micros expected{ 0 };
+  mSessions.With(id, [&expected](session& aSession) {
+    aSession.mDelivery =
+      WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), SteadyNow());
+    expected = ExpectedDelivery(aSession.mDelivery);
+  });
+  return expected;
+}
+
+void http_server::FollowDelivery(std::uint64_t aSessionId)
+{
+  std::optional<micros> next;
+  mSessions.With(aSessionId, [&next](session& aSession) {
+    const instant now = SteadyNow();
+    aSession.mDelivery =
+      WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), now);
+    aSession.mFollowed = aSession.mDelivery.mUnsent > 0;
+    if (aSession.mFollowed) {
+      next = std::clamp((now - aSession.mDelivery.mWaitingSince) / kFollowDivisor,
+                        kMinFollowInterval,
+                        kMaxFollowInterval);
+    }
+  });
+  if (next) {
+    mLoop.After(*next, [this, aSessionId] { FollowDelivery(aSessionId); });
+  }
+}
+
 void http_server::Expired(std::uint64_t aSessionId)
 {
   std::uint64_t lateRequest = 0;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -85,6 +85,10 @@
   // Round-trip time of the connection of an unanswered request; 0 when not known.
   micros RoundTrip(std::uint64_t aRequestId);
 
+  // How long a reply to an unanswered request is likely to wait, when it is handed over, until the
+  // kernel has taken it; 0 when no reply on its connection has waited.
+  micros DeliveryTime(std::uint64_t aRequestId);
+
   // Replaces the limits. A message that is already being read keeps the previous ones.
   void SetLimits(const http_limits& aLimits);
 
@@ -116,6 +120,8 @@
     std::string mRequestName; // of the unanswered request
     reply_delivery mDelivery{};
 
+    bool mFollowed = false; // FollowDelivery is due
+
     void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
   };
@@ -124,6 +130,8 @@
   void Received(std::uint64_t aSessionId, std::string_view aBytes);
   void Expired(std::uint64_t aSessionId);
   void Closed(std::uint64_t aSessionId);
+  // Looks at unsent bytes from time to time until there are none.
+  void FollowDelivery(std::uint64_t aSessionId);
   http_message BeginRequest(std::uint64_t aSessionId, session& aSession);
   void RejectRequest(session& aSession);
 
--- a/src/daemon/reply_delivery.cc
+++ b/src/daemon/reply_delivery.cc
@@ -7,6 +7,13 @@
 
 namespace {
 
+// A shorter time shows what the kernel buffers, not how fast the client reads.
+constexpr micros kMinMeasuredTime = std::chrono::milliseconds(20);
+// Until a rate is measured.
+constexpr double kAssumedBytesPerS = 1e6;
+// For a client that has stopped reading.
+constexpr micros kMaxDelivery = std::chrono::hours(1);
+
 std::uint64_t TakenBytes(const reply_delivery& aDelivery, std::size_t aUnsent)
 {
   return aDelivery.mHandedBytes - std::min<std::uint64_t>(aDelivery.mHandedBytes, aUnsent);
@@ -22,12 +29,50 @@
 {
   aDelivery.mHandedBytes += aBytes;
   aDelivery.mReplies.push_back({ std::move(aRequest), aDelivery.mHandedBytes, aNow });
+  aDelivery.mLastBytes = aBytes;
+  if (aDelivery.mWaitingSince == kNever && aUnsent == 0) {
+    aDelivery.mBytesPerS.reset();
+    aDelivery.mLastWait = micros(0);
+  }
+  return WithUnsent(std::move(aDelivery), aUnsent, aNow);
+}
+
+reply_delivery WithUnsent(reply_delivery aDelivery, std::size_t aUnsent, instant aNow)
+{
   const std::uint64_t taken = TakenBytes(aDelivery, aUnsent);
   std::erase_if(aDelivery.mReplies,
                 [taken](const handed_reply& aReply) { return aReply.mEnd <= taken; });
+  aDelivery.mUnsent = aUnsent;
+  if (aDelivery.mWaitingSince == kNever) {
+    if (aUnsent > 0) {
+      aDelivery.mWaitingSince = aNow;
+      aDelivery.mTakenThen = taken;
+    }
+    return aDelivery;
+  }
+  const micros waited = aNow - aDelivery.mWaitingSince;
+  if (waited >= kMinMeasuredTime) {
+    aDelivery.mBytesPerS = static_cast<double>(taken - std::min(taken, aDelivery.mTakenThen)) /
+                           std::chrono::duration<double>(waited).count();
+  }
+  if (aUnsent == 0) {
+    aDelivery.mWaitingSince = kNever;
+    aDelivery.mLastWait = waited;
+  }
   return aDelivery;
 }
 
+micros ExpectedDelivery(const reply_delivery& aDelivery)
+{
+  if (aDelivery.mUnsent == 0) {
+    return aDelivery.mLastWait;
+  }
+  const double bytes = static_cast<double>(aDelivery.mUnsent + aDelivery.mLastBytes);
+  const std::chrono::duration<double> expected(
+    bytes / std::max(aDelivery.mBytesPerS.value_or(kAssumedBytesPerS), 1.0));
+  return expected >= kMaxDelivery ? kMaxDelivery : std::chrono::duration_cast<micros>(expected);
+}
+
 std::vector<unsent_reply> UnsentReplies(const reply_delivery& aDelivery, std::size_t aUnsent)
 {
   std::vector<unsent_reply> unsent;
--- a/src/daemon/reply_delivery.h
+++ b/src/daemon/reply_delivery.h
@@ -6,13 +6,16 @@
 #include <compare>
 #include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
-// Follows the replies of one connection until the kernel has taken all their bytes.
+// Follows the replies of one connection until the kernel has taken all their bytes, which tells how
+// fast the client reads.
 //
 //   delivery = WithReply(delivery, "id-1", text.size(), connection.UnsentBytes(), SteadyNow());
-//   std::vector<unsent_reply> waiting = UnsentReplies(delivery, connection.UnsentBytes());
+//   delivery = WithUnsent(delivery, connection.UnsentBytes(), SteadyNow());
+//   micros wait = ExpectedDelivery(delivery);
 
 namespace redwingdock {
 
@@ -40,6 +43,12 @@
 {
   std::uint64_t mHandedBytes = 0;
   std::vector<handed_reply> mReplies; // those that may be unsent, oldest first
+  std::size_t mUnsent = 0;            // when last looked at
+  instant mWaitingSince = kNever;     // bytes have been unsent since then
+  std::uint64_t mTakenThen = 0;       // bytes that the kernel had taken by mWaitingSince
+  std::optional<double> mBytesPerS;   // measured while bytes were unsent
+  std::size_t mLastBytes = 0;         // of the last reply
+  micros mLastWait{ 0 };              // for the last replies to be taken
 
   auto operator<=>(const reply_delivery&) const = default;
 };
@@ -51,6 +60,13 @@
                          std::size_t aUnsent,
                          instant aNow);
 
+// aUnsent bytes wait now.
+reply_delivery WithUnsent(reply_delivery aDelivery, std::size_t aUnsent, instant aNow);
+
+// How long a next reply like the last one is likely to wait until the kernel has taken it, if it is
+// handed over now.
+micros ExpectedDelivery(const reply_delivery& aDelivery);
+
 // The replies that are not sent while aUnsent bytes wait, oldest first.
 std::vector<unsent_reply> UnsentReplies(const reply_delivery& aDelivery, std::size_t aUnsent);
 
--- a/src/fleet/fleet_controller_test.cc
+++ b/src/fleet/fleet_controller_test.cc
@@ -150,6 +150,7 @@
   answer_kind mKind;
   milliseconds mMaxTime; // until the answer
   std::size_t mMaxSends;
+  milliseconds mDeliveryTime{ 0 };
 };
 
 class late_test : public ::testing::TestWithParam<late_row>
@@ -175,7 +176,8 @@
   }
   const std::size_t before = rig.mSent.size();
   const instant sentAt = rig.Now();
-  rig.SendRequest(1, "/q/x");
+  rig.Post(request_arrived{
+    1, { "id-1", "search.example", "/q/x", micros(0), 0, micros(0), row.mDeliveryTime } });
   EXPECT_LE(rig.mSent.size() - before, row.mMaxSends) << row.mGuardsAgainst;
   rig.RunFor(seconds(3));
   ASSERT_TRUE(rig.mStoppedAt);
@@ -190,7 +192,8 @@
 
 const replica_action kNoReply{ attempt_end::Answered, milliseconds(0), 200, "", true };
 
-// The final answers are due after 5.6 s, the target of the route 200 ms and its timeout 1.2 s.
+// The final answers are due after 5.6 s and replies are sent until 5.8 s, the target of the route
+// 200 ms and its timeout 1.2 s.
 INSTANTIATE_TEST_SUITE_P(
   cases,
   late_test,
@@ -217,7 +220,21 @@
                               milliseconds(5300),
                               answer_kind::Relayed,
                               milliseconds(110),
-                              1 }));
+                              1 },
+                    late_row{ "a request is run although its reply cannot be sent before the end",
+                              { attempt_end::Answered, milliseconds(100) },
+                              milliseconds(5300),
+                              answer_kind::NotRun,
+                              milliseconds(0),
+                              0,
+                              milliseconds(400) },
+                    late_row{ "a request is refused although its reply can be sent",
+                              { attempt_end::Answered, milliseconds(100) },
+                              milliseconds(5300),
+                              answer_kind::Relayed,
+                              milliseconds(110),
+                              1,
+                              milliseconds(200) }));
 
 TEST(settings, ChangedSeedsReceiveHeartbeats)
 {
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -182,8 +182,11 @@
 }
 
 // Whether a request that arrives now is likely to be answered before a stopping daemon answers all
-// requests that are left. Other daemons can run one that is not.
-bool CanFinishBeforeStop(core_context& aContext, const route_rule& aRoute)
+// requests that are left, and its reply to be sent before the process ends. Other daemons can run
+// one that is not.
+bool CanFinishBeforeStop(core_context& aContext,
+                         const route_rule& aRoute,
+                         const forward_request& aContent)
 {
   const auto view = aContext.mBoard.Read<fleet_view>(kFleetKey);
   if (!view || !view->mLeaving) {
@@ -192,7 +195,8 @@
   const auto recent = aContext.mBoard.Read<latency_record>(LatencyKey(aRoute));
   const instant likelyAnswer =
     aContext.Now() + LongLatency(aRoute, recent ? *recent : latency_record{});
-  return aContext.Now() < view->mLastForwardAt && likelyAnswer <= view->mFinalAnswersAt;
+  return aContext.Now() < view->mLastForwardAt && likelyAnswer <= view->mFinalAnswersAt &&
+         likelyAnswer + aContent.mDeliveryTime <= view->mFlushUntil;
 }
 
 void OnArrived(core_context& aContext, const forward_hooks& aHooks, const request_arrived& aFact)
@@ -218,7 +222,7 @@
                       kRetryAfterCrash);
     return;
   }
-  if (!CanFinishBeforeStop(aContext, *route)) {
+  if (!CanFinishBeforeStop(aContext, *route, aFact.mContent)) {
     aContext.Count("forward.refused_at_stop");
     AnswerImmediately(aContext, aFact, answer_kind::NotRun, "the daemon is stopping", micros(0));
     return;
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -258,6 +258,7 @@
 {
   forward_request content = DecodeRequest(aMessage);
   content.mRoundTrip = mCallerServer.RoundTrip(aRequestId);
+  content.mDeliveryTime = mCallerServer.DeliveryTime(aRequestId);
   mRequests.Insert(aRequestId, { std::make_shared<const http_message>(aMessage), SteadyNow() });
   mDriver.Post(request_arrived{ aRequestId, std::move(content) });
 }
