Answer requests that a stop has read in part

Callers that were still sending a request when a stop ended saw their connection close without an answer: CloseAll closed every connection without a whole request, 0.9 s after the signal in an idle daemon.

A connection whose request was read in part now stays open until the final answers are due. A request that is complete by then is answered by the usual rules (503 once the stop has settled); the others get 503 with Connection: close, which says that they have not run, and are counted in event=partly_read_refused. The price is that a client that stalls within a request holds the stop until the final answers.

--- a/src/core/commands.h
+++ b/src/core/commands.h
@@ -123,6 +123,7 @@
 // exits.
 struct exit_process
 {
+  instant mReadUntil{};  // the latest time to read the rest of requests
   instant mFlushUntil{}; // the latest time to send replies
 
   auto operator<=>(const exit_process&) const = default;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -85,12 +85,25 @@
 void http_server::CloseAll()
 {
   mSessions.ForEach([](std::uint64_t, session& aSession) {
-    if (aSession.mRequestId == 0) {
+    if (aSession.mRequestId == 0 && !aSession.IsPartlyRead()) {
       aSession.CloseAfterSend("daemon is shutting down");
     }
   });
 }
 
+std::size_t http_server::RefusePartlyRead(const http_response& aReply)
+{
+  std::size_t count = 0;
+  mSessions.ForEach([&aReply, &count](std::uint64_t, session& aSession) {
+    if (aSession.IsPartlyRead()) {
+      ++count;
+      aSession.SendReply(FormatReply(aReply, false));
+      aSession.CloseAfterSend("daemon is shutting down");
+    }
+  });
+  return count;
+}
+
 result<std::string> http_server::ListenOn(const std::string& aAddress)
 {
   auto listener =
@@ -308,6 +321,14 @@
   return bytes;
 }
 
+std::size_t http_server::PartlyReadRequests() const
+{
+  std::size_t count = 0;
+  mSessions.ForEach(
+    [&count](std::uint64_t, const session& aSession) { count += aSession.IsPartlyRead() ? 1 : 0; });
+  return count;
+}
+
 std::vector<unfinished_connection> http_server::UnfinishedConnections() const
 {
   std::vector<unfinished_connection> open;
@@ -315,7 +336,7 @@
     unfinished_connection each;
     each.mUnanswered = aSession.mRequestId != 0;
     each.mRequest = aSession.mRequestName;
-    each.mPartlyRead = !each.mUnanswered && aSession.mReader.Started();
+    each.mPartlyRead = aSession.IsPartlyRead();
     each.mPipelinedBytes = each.mUnanswered ? aSession.mReader.Buffered() : 0;
     each.mUnsentReplies = UnsentReplies(aSession.mDelivery, aSession.mConnection->UnsentBytes());
     if (each != unfinished_connection{}) {
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -98,12 +98,16 @@
   // Stops accepting connections and closes the idle ones that have had a request. With aUnused,
   // also those whose first request may be on the way. Calls AnnounceClose as well.
   void CloseIdle(bool aUnused);
-  // Closes all connections that have no unanswered request, after their replies have been sent.
+  // Closes all connections that have no request, after their replies have been sent.
   void CloseAll();
+  // Replies to the requests that were read in part, and closes their connections. Returns their
+  // number.
+  std::size_t RefusePartlyRead(const http_response& aReply);
 
   // Unanswered requests, and bytes of replies that the kernel has not accepted yet.
   std::size_t PendingRequests() const { return mSessionByRequest.Size(); }
   std::size_t UnsentBytes() const;
+  std::size_t PartlyReadRequests() const;
   std::size_t Connections() const { return mSessions.Size(); }
   // The connections on which something is unfinished.
   std::vector<unfinished_connection> UnfinishedConnections() const;
@@ -122,6 +126,7 @@
 
     bool mFollowed = false; // FollowDelivery is due
 
+    bool IsPartlyRead() const { return mRequestId == 0 && !mClosing && mReader.Started(); }
     void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
   };
--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -279,12 +279,12 @@
   aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(aOpenRequests));
   fleet_view view = ReadView(aContext);
   view.mLastForwardAt = std::min(view.mLastForwardAt, aContext.Now());
-  const instant flushUntil = view.mFlushUntil;
+  const exit_process exit{ view.mFinalAnswersAt, view.mFlushUntil };
   aContext.mBoard.Write(kFleetKey, std::move(view));
   for (const auto& [key, state] : aContext.mBoard.List<forward_state>()) {
     aContext.mBoard.Post(key, answer_now{});
   }
-  aContext.Emit(exit_process{ flushUntil });
+  aContext.Emit(exit);
 }
 
 void OnStopCheck(core_context& aContext, stop_check aFact)
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -222,7 +222,13 @@
   // their connections, and a reply that is on the way could be lost.
   mCallerServer.CloseAll();
   const instant now = SteadyNow();
-  const instant closeUntil = mCallerServer.UnsentBytes() > 0 ? now + kCloseTimeout : aCloseUntil;
+  if (now >= aCommand.mReadUntil) {
+    RefusePartlyRead();
+  }
+  const bool unfinished = mCallerServer.UnsentBytes() > 0 ||
+                          mCallerServer.PartlyReadRequests() > 0 ||
+                          mCallerServer.PendingRequests() > 0;
+  const instant closeUntil = unfinished ? now + kCloseTimeout : aCloseUntil;
   const bool connected = mCallerServer.Connections() > 0;
   if (connected && now < std::min(closeUntil, aCommand.mFlushUntil)) {
     mLoop.After(kFlushCheckInterval,
@@ -232,6 +238,16 @@
   End(connected);
 }
 
+void edge_daemon::RefusePartlyRead()
+{
+  forward_answer refusal;
+  refusal.mKind = answer_kind::NotRun;
+  const std::size_t count = mCallerServer.RefusePartlyRead(EncodeAnswer(refusal));
+  if (count > 0) {
+    Log({ log_level::Info, "entry", "event=partly_read_refused count=" + std::to_string(count) });
+  }
+}
+
 void edge_daemon::End(bool aTimeLimit)
 {
   const instant now = SteadyNow();
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -80,6 +80,7 @@
   void Execute(const apply_client_limits& aCommand);
   // Clients that have their replies get until aCloseUntil to close.
   void EndWhenFlushed(const exit_process& aCommand, instant aCloseUntil);
+  void RefusePartlyRead();
   void End(bool aTimeLimit);
   bool IsReady() const;
   std::string MetricsText() const;
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -353,6 +353,70 @@
                                    { 200, 200, 200 },
                                    3 }));
 
+struct partly_read_row
+{
+  const char* mGuardsAgainst;
+  milliseconds mRestAt; // after the stop signal; 0 when the rest is never sent
+  std::vector<unsigned> mStatuses;
+  int mMaxRuns;
+  micros mMinTime; // of the stop
+};
+
+class partly_read_test : public testing::TestWithParam<partly_read_row>
+{};
+
+TEST_P(partly_read_test, IsAnswered)
+{
+  const partly_read_row& row = GetParam();
+  edge_fixture fixture(ShortStop());
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers);
+  client.Send("POST /long/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\n"
+              "Content-Length: 10\r\n\r\n01234");
+  fixture.WaitFor(milliseconds(100));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  if (row.mRestAt > milliseconds(0)) {
+    fixture.WaitFor(row.mRestAt);
+    client.Send("56789");
+  }
+  fixture.mDaemon->WaitForEnd();
+  const micros took = SteadyNow() - stopAt;
+  fixture.mDaemon.reset();
+  const std::vector<http_message> replies = client.WaitUntilClosed();
+  std::vector<unsigned> statuses;
+  statuses.reserve(replies.size());
+  for (const http_message& reply : replies) {
+    statuses.push_back(reply.mStatus);
+    EXPECT_FALSE(reply.mKeepAlive) << row.mGuardsAgainst;
+  }
+  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
+  EXPECT_GE(took, row.mMinTime) << row.mGuardsAgainst;
+  EXPECT_LE(took, ShortStop().mStop.mFinalAnswers + milliseconds(400)) << row.mGuardsAgainst;
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  partly_read_test,
+  testing::Values(partly_read_row{ "a request whose body never ends is cut without an answer",
+                                   milliseconds(0),
+                                   { 503 },
+                                   0,
+                                   ShortStop().mStop.mFinalAnswers },
+                  partly_read_row{ "a request whose body comes late in the stop is cut",
+                                   milliseconds(1100),
+                                   { 503 },
+                                   0,
+                                   milliseconds(1100) },
+                  partly_read_row{ "a request whose body comes early in the stop is refused",
+                                   milliseconds(200),
+                                   { 200 },
+                                   1,
+                                   milliseconds(200) }));
+
 TEST(planned_stop, ForwardsNothingThatCrossesTheClose)
 {
   // Guards against a request that is read while its idle connection is being closed: it was
