--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -1,5 +1,6 @@
 #include "daemon/http_server.h"
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 
@@ -12,6 +13,12 @@
 // deadline of the open request bounds.
 constexpr std::size_t kMaxPipelinedBytes = std::size_t{ 128 } * 1024;
 
+// Between looks at the unsent bytes of a connection: an eighth of the time for which they have
+// waited, so that the measured time is as precise and slow clients cost little.
+constexpr int kFollowDivisor = 8;
+constexpr micros kMinFollowInterval = std::chrono::milliseconds(10);
+constexpr micros kMaxFollowInterval = std::chrono::milliseconds(250);
+
 std::string ReasonJson(const reason& aReason)
 {
   // These texts are constants of this program and need no JSON escaping.
@@ -52,6 +59,17 @@
   mConnection->CloseAfterSend(aReason);
 }
 
+void http_server::session::SendReply(std::string aText)
+{
+  const std::size_t size = aText.size();
+  mConnection->Send(std::move(aText));
+  mDelivery = WithReply(std::move(mDelivery),
+                        std::exchange(mRequestName, {}),
+                        size,
+                        mConnection->UnsentBytes(),
+                        SteadyNow());
+}
+
 void http_server::CloseIdle(bool aUnused)
 {
   mClosing = true;
@@ -69,10 +87,23 @@
 void http_server::CloseAll()
 {
   mSessions.ForEach([](std::uint64_t, session& aSession) {
-    if (aSession.mRequestId == 0) {
+    if (aSession.mRequestId == 0 && !aSession.IsPartlyRead()) {
+      aSession.CloseAfterSend("daemon is shutting down");
+    }
+  });
+}
+
+std::size_t http_server::RefusePartlyRead(const http_response& aReply)
+{
+  std::size_t count = 0;
+  mSessions.ForEach([&aReply, &count](std::uint64_t, session& aSession) {
+    if (aSession.IsPartlyRead()) {
+      ++count;
+      aSession.SendReply(FormatReply(aReply, false));
       aSession.CloseAfterSend("daemon is shutting down");
     }
   });
+  return count;
 }
 
 result<std::string> http_server::ListenOn(const std::string& aAddress)
@@ -149,6 +180,7 @@
   aSession.mRequestId = ++mRequestIds;
   aSession.mUsed = true;
   aSession.mKeepAlive = request.mKeepAlive;
+  aSession.mRequestName = mHooks.mNameOf ? mHooks.mNameOf(request) : std::string();
   const http_limits limits = Limits();
   aSession.mReader.SetLimits(limits.mRead);
   aSession.mConnection->ExpireAfter(limits.mReplyTimeout);
@@ -161,7 +193,7 @@
   const http_response refusal{
     aSession.mReader.ErrorStatus(), "application/json", ReasonJson(aSession.mReader.Error()), {}
   };
-  aSession.mConnection->Send(FormatReply(refusal, false));
+  aSession.SendReply(FormatReply(refusal, false));
   aSession.CloseAfterSend("invalid request");
 }
 
@@ -179,7 +211,11 @@
     // closes.
     const bool pipelined = aSession.mReader.Started() || aSession.mReader.Buffered() > 0;
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
-    aSession.mConnection->Send(FormatReply(aReply, keepAlive));
+    aSession.SendReply(FormatReply(aReply, keepAlive));
+    if (!aSession.mFollowed && aSession.mDelivery.mUnsent > 0) {
+      aSession.mFollowed = true;
+      mLoop.After(kMinFollowInterval, [this, session = *id] { FollowDelivery(session); });
+    }
     if (!keepAlive) {
       aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
       aSession.CloseAfterSend("reply sent");
@@ -224,6 +260,38 @@
   return roundTrip;
 }
 
+micros http_server::DeliveryTime(std::uint64_t aRequestId)
+{
+  std::uint64_t id = 0;
+  mSessionByRequest.With(aRequestId, [&id](std::uint64_t aSessionId) { id = aSessionId; });
+  micros expected{ 0 };
+  mSessions.With(id, [&expected](session& aSession) {
+    aSession.mDelivery =
+      WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), SteadyNow());
+    expected = ExpectedDelivery(aSession.mDelivery);
+  });
+  return expected;
+}
+
+void http_server::FollowDelivery(std::uint64_t aSessionId)
+{
+  std::optional<micros> next;
+  mSessions.With(aSessionId, [&next](session& aSession) {
+    const instant now = SteadyNow();
+    aSession.mDelivery =
+      WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), now);
+    aSession.mFollowed = aSession.mDelivery.mUnsent > 0;
+    if (aSession.mFollowed) {
+      next = std::clamp((now - aSession.mDelivery.mWaitingSince) / kFollowDivisor,
+                        kMinFollowInterval,
+                        kMaxFollowInterval);
+    }
+  });
+  if (next) {
+    mLoop.After(*next, [this, aSessionId] { FollowDelivery(aSessionId); });
+  }
+}
+
 void http_server::Expired(std::uint64_t aSessionId)
 {
   std::uint64_t lateRequest = 0;
@@ -270,4 +338,29 @@
   return bytes;
 }
 
+std::size_t http_server::PartlyReadRequests() const
+{
+  std::size_t count = 0;
+  mSessions.ForEach(
+    [&count](std::uint64_t, const session& aSession) { count += aSession.IsPartlyRead() ? 1 : 0; });
+  return count;
+}
+
+std::vector<unfinished_connection> http_server::UnfinishedConnections() const
+{
+  std::vector<unfinished_connection> open;
+  mSessions.ForEach([&open](std::uint64_t, const session& aSession) {
+    unfinished_connection each;
+    each.mUnanswered = aSession.mRequestId != 0;
+    each.mRequest = aSession.mRequestName;
+    each.mPartlyRead = aSession.IsPartlyRead();
+    each.mPipelinedBytes = each.mUnanswered ? aSession.mReader.Buffered() : 0;
+    each.mUnsentReplies = UnsentReplies(aSession.mDelivery, aSession.mConnection->UnsentBytes());
+    if (each != unfinished_connection{}) {
+      open.push_back(std::move(each));
+    }
+  });
+  return open;
+}
+
 } // namespace redwingdock
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -3,6 +3,7 @@
 
 #include "base/sharded_map.h"
 #include "daemon/http_text.h"
+#include "daemon/reply_delivery.h"
 #include "daemon/tcp.h"
 
 #include <atomic>
@@ -11,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <string>
+#include <vector>
 
 // Asynchronous HTTP/1.1 server: each request has an ID, and any thread may reply to it later.
 //
@@ -29,6 +31,20 @@
   std::function<void(std::uint64_t)> mOnDisconnected;
   // A request was not answered within http_limits::mReplyTimeout; Reply() still works.
   std::function<void(std::uint64_t)> mOnTimeout;
+  // Names a request in UnfinishedConnections().
+  std::function<std::string(const http_message&)> mNameOf = nullptr;
+};
+
+// What is unfinished on a connection.
+struct unfinished_connection
+{
+  bool mUnanswered = false;
+  std::string mRequest;            // the name of the unanswered request
+  bool mPartlyRead = false;        // the beginning of a request has arrived
+  std::size_t mPipelinedBytes = 0; // that arrived behind the unanswered request
+  std::vector<unsent_reply> mUnsentReplies;
+
+  auto operator<=>(const unfinished_connection&) const = default;
 };
 
 struct http_limits
@@ -69,6 +85,10 @@
   // Round-trip time of the connection of an unanswered request; 0 when not known.
   micros RoundTrip(std::uint64_t aRequestId);
 
+  // How long a reply to an unanswered request is likely to wait, when it is handed over, until the
+  // kernel has taken it; 0 when no reply on its connection has waited.
+  micros DeliveryTime(std::uint64_t aRequestId);
+
   // Replaces the limits. A message whose first byte was read keeps the previous ones.
   void SetLimits(const http_limits& aLimits);
 
@@ -78,13 +98,19 @@
   // Stops accepting connections and closes the idle ones that have had a request. With aUnused,
   // also those whose first request may be on the way. Calls AnnounceClose as well.
   void CloseIdle(bool aUnused);
-  // Closes all connections that have no unanswered request, after their replies have been sent.
+  // Closes all connections that have no request, after their replies have been sent.
   void CloseAll();
+  // Replies to the requests that were read in part, and closes their connections. Returns their
+  // number.
+  std::size_t RefusePartlyRead(const http_response& aReply);
 
   // Unanswered requests, and bytes of replies that the kernel has not accepted yet.
   std::size_t PendingRequests() const { return mSessionByRequest.Size(); }
   std::size_t UnsentBytes() const;
+  std::size_t PartlyReadRequests() const;
   std::size_t Connections() const { return mSessions.Size(); }
+  // The connections on which something is unfinished.
+  std::vector<unfinished_connection> UnfinishedConnections() const;
 
 private:
   struct session
@@ -93,9 +119,15 @@
     http_reader mReader;
     std::uint64_t mRequestId = 0; // the unanswered request, 0 when there is none
     bool mKeepAlive = true;
-    bool mUsed = false;    // a request was read
-    bool mClosing = false; // closes after its last reply; what arrives from now on is ignored
+    bool mUsed = false;       // a request was read
+    bool mClosing = false;    // closes after its last reply; what arrives from now on is ignored
+    std::string mRequestName; // of the unanswered request
+    reply_delivery mDelivery{};
+
+    bool mFollowed = false; // FollowDelivery is due
 
+    bool IsPartlyRead() const { return mRequestId == 0 && !mClosing && mReader.Started(); }
+    void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
   };
 
@@ -103,6 +135,8 @@
   void Received(std::uint64_t aSessionId, std::string_view aBytes);
   void Expired(std::uint64_t aSessionId);
   void Closed(std::uint64_t aSessionId);
+  // Looks at unsent bytes from time to time until there are none.
+  void FollowDelivery(std::uint64_t aSessionId);
   http_message BeginRequest(std::uint64_t aSessionId, session& aSession);
   void RejectRequest(session& aSession);
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -6,6 +6,7 @@
 #include "daemon/port_check.h"
 #include "platform/protocol_names.h"
 #include "platform/request_codec.h"
+#include "platform/stop_report.h"
 
 #include <chrono>
 #include <random>
@@ -17,8 +18,8 @@
 
 namespace {
 
-// Time to send the remaining answers to clients once the core has answered the last request.
-constexpr micros kFlushTimeout = std::chrono::milliseconds(300);
+// How long the process waits for clients to close once all replies were sent.
+constexpr micros kCloseTimeout = std::chrono::milliseconds(300);
 constexpr micros kFlushCheckInterval = std::chrono::milliseconds(5);
 // Connecting to a replica takes milliseconds, even in another zone.
 constexpr micros kConnectTimeout = std::chrono::milliseconds(400);
@@ -77,6 +78,12 @@
   return replica_status::Unknown;
 }
 
+std::string AttemptIdOf(const http_message& aMessage)
+{
+  const std::string* id = aMessage.Find(kAttemptIdHeader);
+  return id != nullptr ? *id : std::string();
+}
+
 http_limits ToHttpLimits(const client_limits& aLimits)
 {
   http_limits limits;
@@ -107,7 +114,8 @@
                      OnRequest(aRequestId, aMessage);
                    },
                     [this](std::uint64_t aRequestId) { OnClientDisconnected(aRequestId); },
-                    nullptr },
+                    nullptr,
+                    AttemptIdOf },
                   ToHttpLimits(client_limits{}))
   , mReadinessServer(mLoop,
                      mRequestIds,
@@ -195,6 +203,9 @@
 
 void edge_daemon::RequestStop()
 {
+  instant unset = kNever;
+  mStopRequestedAt.compare_exchange_strong(unset, SteadyNow());
+  Log(StopSignalLine(++mStopSignals));
   mCallerServer.AnnounceClose();
   mDriver.Post(stop_requested{});
 }
@@ -205,15 +216,47 @@
   mEndCondition.wait(lock, [this] { return mHasEnded; });
 }
 
-void edge_daemon::EndWhenFlushed(instant aLatest)
+void edge_daemon::EndWhenFlushed(const exit_process& aCommand, instant aCloseUntil)
 {
   // Waits until the clients have closed: ending the process with received bytes unread would reset
   // their connections, and a reply that is on the way could be lost.
   mCallerServer.CloseAll();
-  if (SteadyNow() < aLatest && mCallerServer.Connections() > 0) {
-    mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
+  const instant now = SteadyNow();
+  if (now >= aCommand.mReadUntil) {
+    RefusePartlyRead();
+  }
+  const bool unfinished = mCallerServer.UnsentBytes() > 0 ||
+                          mCallerServer.PartlyReadRequests() > 0 ||
+                          mCallerServer.PendingRequests() > 0;
+  const instant closeUntil = unfinished ? now + kCloseTimeout : aCloseUntil;
+  const bool connected = mCallerServer.Connections() > 0;
+  if (connected && now < std::min(closeUntil, aCommand.mFlushUntil)) {
+    mLoop.After(kFlushCheckInterval,
+                [this, aCommand, closeUntil] { EndWhenFlushed(aCommand, closeUntil); });
     return;
   }
+  End(connected);
+}
+
+void edge_daemon::RefusePartlyRead()
+{
+  forward_answer refusal;
+  refusal.mKind = answer_kind::NotRun;
+  const std::size_t count = mCallerServer.RefusePartlyRead(EncodeAnswer(refusal));
+  if (count > 0) {
+    Log({ log_level::Info, "entry", "event=partly_read_refused count=" + std::to_string(count) });
+  }
+}
+
+void edge_daemon::End(bool aTimeLimit)
+{
+  const instant now = SteadyNow();
+  const stop_summary summary{ now - mStopRequestedAt.load(),
+                              aTimeLimit,
+                              mCallerServer.Connections() };
+  for (const log_line& line : StopReport(summary, mCallerServer.UnfinishedConnections(), now)) {
+    Log(line);
+  }
   {
     const std::lock_guard lock(mEndLock);
     mHasEnded = true;
@@ -231,6 +274,7 @@
 {
   forward_request content = DecodeRequest(aMessage);
   content.mRoundTrip = mCallerServer.RoundTrip(aRequestId);
+  content.mDeliveryTime = mCallerServer.DeliveryTime(aRequestId);
   mRequests.Insert(aRequestId, { std::make_shared<const http_message>(aMessage), SteadyNow() });
   mDriver.Post(request_arrived{ aRequestId, std::move(content) });
 }
@@ -302,7 +346,7 @@
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
       } else if constexpr (std::is_same_v<type, exit_process>) {
-        EndWhenFlushed(SteadyNow() + kFlushTimeout);
+        EndWhenFlushed(aEach, SteadyNow() + kCloseTimeout);
       }
     },
     aCommand);
@@ -345,9 +389,7 @@
   request.mConnectTimeout = kConnectTimeout;
   request.mReplyTimeout = left;
   request.mRepeatKey = aCommand.mKey.mRequest;
-  const std::string* id = message->Find(kAttemptIdHeader);
-  request.mMatchesReply = [requestId =
-                             id != nullptr ? *id : std::string()](const http_message& aReply) {
+  request.mMatchesReply = [requestId = AttemptIdOf(*message)](const http_message& aReply) {
     return MatchesRequestId(aReply, requestId);
   };
   mReplicaPool.Start(std::move(request),
@@ -390,6 +432,8 @@
     Core().Board(),
     { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
       { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.PendingRequests()) },
+      { "redwingdock_unsent_reply_bytes", static_cast<double>(mCallerServer.UnsentBytes()) },
+      { "redwingdock_stop_signals", static_cast<double>(mStopSignals) },
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
       { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -78,7 +78,10 @@
   void Execute(const answer_request& aCommand);
   void Execute(const check_replica& aCommand);
   void Execute(const apply_client_limits& aCommand);
-  void EndWhenFlushed(instant aLatest);
+  // Clients that have their replies get until aCloseUntil to close.
+  void EndWhenFlushed(const exit_process& aCommand, instant aCloseUntil);
+  void RefusePartlyRead();
+  void End(bool aTimeLimit);
   bool IsReady() const;
   std::string MetricsText() const;
 
@@ -98,6 +101,8 @@
   std::unique_ptr<settings_reloader> mSettingsReloader;
 
   std::atomic<std::uint64_t> mUnexpectedErrors{ 0 };
+  std::atomic<std::size_t> mStopSignals{ 0 };
+  std::atomic<instant> mStopRequestedAt{ kNever }; // the first time
   std::mutex mEndLock;
   std::condition_variable mEndCondition;
   bool mHasEnded = false;
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -8,17 +8,22 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-// A client's connection that keeps the replies it gets.
+// A client's connection that keeps the replies it gets. Without a rate it reads at once.
 class raw_client
 {
 public:
-  raw_client(io_loop& aLoop, const std::string& aAddress)
+  raw_client(io_loop& aLoop, const std::string& aAddress, std::size_t aBytesPerS = 0)
     : mState(std::make_shared<state>())
   {
     tcp_hooks hooks;
     hooks.mOnOpen = [shared = mState] { shared->Change([&] { shared->mOpened = true; }); };
-    hooks.mOnBytes = [shared = mState](std::string_view aBytes) {
+    hooks.mOnBytes = [shared = mState, &aLoop, aBytesPerS](std::string_view aBytes) {
       shared->Change([&] {
+        if (aBytesPerS > 0) {
+          shared->mConnection->PauseReading();
+          aLoop.After(micros(1'000'000 * aBytes.size() / aBytesPerS),
+                      [shared] { shared->Change([&] { shared->mConnection->ResumeReading(); }); });
+        }
         http_read_status status = shared->mReader.Feed(aBytes);
         while (status == http_read_status::Complete) {
           shared->mReplies.push_back(shared->mReader.Take());
@@ -29,10 +34,12 @@
     hooks.mOnClosed = [shared = mState](const tcp_close_info&) {
       shared->Change([&] { shared->mClosedAt = SteadyNow(); });
     };
-    mConnection = Connect(aLoop, aAddress, seconds(1), std::move(hooks));
+    // The hooks wait for the lock until the connection is set.
+    mState->Change(
+      [&] { mState->mConnection = Connect(aLoop, aAddress, seconds(1), std::move(hooks)); });
   }
 
-  void Send(const std::string& aBytes) { mConnection->Send(aBytes); }
+  void Send(const std::string& aBytes) { mState->mConnection->Send(aBytes); }
   bool WaitUntilOpen()
   {
     return mState->Wait([this] { return mState->mOpened; });
@@ -55,7 +62,8 @@
   {
     std::mutex mLock;
     std::condition_variable mChanged;
-    http_reader mReader{ http_side::Client, http_read_limits{ 100'000 } };
+    std::shared_ptr<tcp_connection> mConnection;
+    http_reader mReader{ http_side::Client, http_read_limits{ 10'000'000 } };
     std::vector<http_message> mReplies;
     bool mOpened = false;
     instant mClosedAt{};
@@ -75,15 +83,13 @@
   };
 
   std::shared_ptr<state> mState;
-  std::shared_ptr<tcp_connection> mConnection;
 };
 
 // The stop closes callers after 0.4 s and ends after 1.5 s at the latest.
 forward_config ShortStop()
 {
   forward_config config;
-  config.mLingerTime = milliseconds(400);
-  config.mStopLimit = milliseconds(1500);
+  config.mStop = WithLinger(WithFinalAnswers(config.mStop, milliseconds(1500)), milliseconds(400));
   return config;
 }
 
@@ -169,7 +175,7 @@
   }
   EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
   // The platform ends the process 0.4 s after the limit.
-  EXPECT_LE(endedAt - stopAt, ShortStop().mStopLimit + milliseconds(400));
+  EXPECT_LE(endedAt - stopAt, ShortStop().mStop.mFinalAnswers + milliseconds(400));
   fixture.mLoop.Stop();
 }
 
@@ -242,6 +248,175 @@
               { 200, 503, 503, 503, 503 },
               1 }));
 
+class grace_test : public testing::TestWithParam<micros>
+{};
+
+TEST_P(grace_test, EndsWellBeforeIt)
+{
+  // Guards against a process that still sends its final answers when it is killed.
+  const stop_budget budget = StopBudget(GetParam());
+  forward_config config;
+  config.mStop = budget;
+  edge_fixture fixture(config);
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  fixture.mReplicas.at("b")->SetBehaviour(kSilentReplica);
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers);
+  client.Send(RequestWithId("/long/x", "id"));
+  fixture.WaitFor(milliseconds(100));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  fixture.mDaemon->WaitForEnd();
+  const micros took = SteadyNow() - stopAt;
+  fixture.mDaemon.reset();
+  const std::vector<http_message> replies = client.WaitUntilClosed();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies.front().mStatus, 504U);
+  EXPECT_GE(client.ClosedAt() - stopAt, budget.mFinalAnswers) << "answered sooner than it must be";
+  EXPECT_LE(took, budget.mFlush);
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(cases,
+                         grace_test,
+                         testing::Values(milliseconds(1500), seconds(3), kDefaultGrace));
+
+struct slow_reader_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mReplyBytes;
+  int mRequests;        // sent before the stop
+  milliseconds mNextAt; // one more request, after the stop signal; 0 for none
+  std::vector<unsigned> mStatuses;
+  int mMaxRuns;
+};
+
+class slow_reader_test : public testing::TestWithParam<slow_reader_row>
+{};
+
+TEST_P(slow_reader_test, GetsWholeAnswers)
+{
+  // The kernel buffers up to about 3 MB of a connection of the loopback interface.
+  constexpr std::size_t kBytesPerS = 2'500'000;
+  const slow_reader_row& row = GetParam();
+  forward_config config;
+  config.mStop = WithLinger(StopBudget(seconds(3)), milliseconds(400));
+  edge_fixture fixture(config);
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  fixture.mReplicas.at("b")->SetBehaviour(
+    { milliseconds(2), 200, std::string(row.mReplyBytes, 'x') });
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers, kBytesPerS);
+  std::string bytes;
+  for (int i = 0; i < row.mRequests; ++i) {
+    bytes += RequestWithId("/long/x", "id-" + std::to_string(i));
+  }
+  client.Send(bytes);
+  fixture.WaitFor(milliseconds(200));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  if (row.mNextAt > milliseconds(0)) {
+    fixture.WaitFor(row.mNextAt);
+    client.Send(RequestWithId("/long/x", "next"));
+  }
+  fixture.mDaemon->WaitForEnd();
+  EXPECT_LE(SteadyNow() - stopAt, config.mStop.mFlush + milliseconds(50)) << row.mGuardsAgainst;
+  fixture.mDaemon.reset();
+  std::vector<unsigned> statuses;
+  for (const http_message& reply : client.WaitUntilClosed()) {
+    statuses.push_back(reply.mStatus);
+  }
+  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  slow_reader_test,
+  testing::Values(slow_reader_row{ "replies are cut while there is time to send them",
+                                   4'000'000,
+                                   2,
+                                   milliseconds(0),
+                                   { 200, 200 },
+                                   2 },
+                  slow_reader_row{ "a request is run although its reply cannot be sent in time",
+                                   4'000'000,
+                                   2,
+                                   milliseconds(200),
+                                   { 200, 200, 503 },
+                                   2 },
+                  slow_reader_row{ "a request is refused although its reply can be sent",
+                                   100'000,
+                                   2,
+                                   milliseconds(200),
+                                   { 200, 200, 200 },
+                                   3 }));
+
+struct partly_read_row
+{
+  const char* mGuardsAgainst;
+  milliseconds mRestAt; // after the stop signal; 0 when the rest is never sent
+  std::vector<unsigned> mStatuses;
+  int mMaxRuns;
+  micros mMinTime; // of the stop
+};
+
+class partly_read_test : public testing::TestWithParam<partly_read_row>
+{};
+
+TEST_P(partly_read_test, IsAnswered)
+{
+  const partly_read_row& row = GetParam();
+  edge_fixture fixture(ShortStop());
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers);
+  client.Send("POST /long/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id\r\n"
+              "Content-Length: 10\r\n\r\n01234");
+  fixture.WaitFor(milliseconds(100));
+  const instant stopAt = SteadyNow();
+  fixture.mDaemon->RequestStop();
+  if (row.mRestAt > milliseconds(0)) {
+    fixture.WaitFor(row.mRestAt);
+    client.Send("56789");
+  }
+  fixture.mDaemon->WaitForEnd();
+  const micros took = SteadyNow() - stopAt;
+  fixture.mDaemon.reset();
+  const std::vector<http_message> replies = client.WaitUntilClosed();
+  std::vector<unsigned> statuses;
+  statuses.reserve(replies.size());
+  for (const http_message& reply : replies) {
+    statuses.push_back(reply.mStatus);
+    EXPECT_FALSE(reply.mKeepAlive) << row.mGuardsAgainst;
+  }
+  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
+  EXPECT_GE(took, row.mMinTime) << row.mGuardsAgainst;
+  EXPECT_LE(took, ShortStop().mStop.mFinalAnswers + milliseconds(400)) << row.mGuardsAgainst;
+  fixture.mLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  partly_read_test,
+  testing::Values(partly_read_row{ "a request whose body never ends is cut without an answer",
+                                   milliseconds(0),
+                                   { 503 },
+                                   0,
+                                   ShortStop().mStop.mFinalAnswers },
+                  partly_read_row{ "a request whose body comes late in the stop is cut",
+                                   milliseconds(1100),
+                                   { 503 },
+                                   0,
+                                   milliseconds(1100) },
+                  partly_read_row{ "a request whose body comes early in the stop is refused",
+                                   milliseconds(200),
+                                   { 200 },
+                                   1,
+                                   milliseconds(200) }));
+
 TEST(planned_stop, ForwardsNothingThatCrossesTheClose)
 {
   // Guards against a request that is read while its idle connection is being closed: it was
@@ -260,7 +435,7 @@
   fixture.mDaemon->RequestStop();
   // The idle connections are closed at one moment in the 60 ms after the linger time.
   for (int i = 0; i < kClients; ++i) {
-    const instant at = stopAt + ShortStop().mLingerTime + micros(200) * i;
+    const instant at = stopAt + ShortStop().mStop.mLinger + micros(200) * i;
     fixture.WaitFor(std::max(at - SteadyNow(), micros(0)));
     clients[static_cast<std::size_t>(i)]->Send(RequestWithId("/u/x", "id-" + std::to_string(i)));
   }
