Let no program end by SIGPIPE when the reader of its log has gone

What callers saw: a daemon whose standard output is a pipe ended at its next log line after the reader of the pipe had gone, also in a planned stop. Its open requests ended without an answer, and its log named none of them.

Cause: nothing ignored SIGPIPE. Sockets are written with MSG_NOSIGNAL, standard output is not.

Change: IgnoreBrokenPipes() is the first statement of the four programs that serve requests (redwingdock_edge, redwingdockd and both stand-ins). redwingdockctl keeps the default, as a filter should.

program_end_test starts the real programs.

--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "daemon/query_daemon.h"
 
@@ -67,6 +68,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  redwingdock::IgnoreBrokenPipes();
   const redwingdock::parsed_arguments arguments =
     redwingdock::ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "platform/edge_daemon.h"
 
@@ -78,6 +79,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  IgnoreBrokenPipes();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
--- a/src/platform/standin_main.cc
+++ b/src/platform/standin_main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/process_signals.h"
 #include "base/yaml_reader.h"
 #include "platform/standin.h"
 
@@ -113,6 +114,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  IgnoreBrokenPipes();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -1,3 +1,4 @@
+#include "base/process_signals.h"
 #include "standin/frontend.h"
 #include "standin/scan.h"
 
@@ -74,6 +75,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  redwingdock::IgnoreBrokenPipes();
   auto options = docopt::docopt(kUsage, { aArguments + 1, aArguments + aCount });
   if (options["serve"].asBool()) {
     return Serve(options["CONFIG"].asString());
--- /dev/null
+++ b/tests/process/program_end_test.cc
@@ -0,0 +1,238 @@
+#include "daemon/loopback_test_util.h"
+#include "platform/edge_fixture.h"
+#include "testing/child_process.h"
+
+#include <csignal>
+#include <fcntl.h>
+#include <filesystem>
+#include <fstream>
+#include <gtest/gtest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+// Starts the programs as processes, and checks that log readers and signals make none of them end
+// with a request unanswered.
+
+namespace redwingdock {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+using test_util::blocking_socket;
+using test_util::ParseStatus;
+using test_util::SendRequest;
+using test_util::WaitUntil;
+using testing_support::child_process;
+using testing_support::process_end;
+
+// The grace of the platform's daemon; record search has no longer stop in these tests.
+constexpr seconds kStopLimit{ 6 };
+
+// A loopback address of its own for each test process, so that tests can run at the same time.
+std::string LoopbackIp()
+{
+  const int id = getpid();
+  return "127." + std::to_string(2 + id / 62'500 % 60) + "." + std::to_string(1 + id / 250 % 250) +
+         "." + std::to_string(1 + id % 250);
+}
+
+class temporary_folder
+{
+public:
+  temporary_folder()
+  {
+    std::string path = testing::TempDir() + "program_end_XXXXXX";
+    EXPECT_NE(mkdtemp(path.data()), nullptr);
+    mPath = path;
+  }
+  ~temporary_folder() { std::filesystem::remove_all(mPath); }
+  temporary_folder(const temporary_folder&) = delete;
+  temporary_folder& operator=(const temporary_folder&) = delete;
+
+  std::string Write(const std::string& aName, const std::string& aText) const
+  {
+    std::ofstream(mPath / aName) << aText;
+    return mPath / aName;
+  }
+
+private:
+  std::filesystem::path mPath;
+};
+
+std::string Program(const std::string& aName)
+{
+  return std::string(REDWINGDOCK_BIN) + "/" + aName;
+}
+
+// The platform's daemon as a process, with a store and one replica for each of three services.
+class edge_deployment
+{
+public:
+  edge_deployment()
+  {
+    const result<std::string> store = mStore.ListenOn("127.0.0.1:0");
+    EXPECT_TRUE(store);
+    for (const char* service : { "a", "b", "c" }) {
+      const std::string id = std::string("i-") + service;
+      auto replica = std::make_unique<platform::replica_standin>(
+        mLoop, id, platform::replica_behaviour{ milliseconds(2), 200, "" });
+      EXPECT_TRUE(replica->ListenOn("127.0.0.1:0"));
+      mStore.Put("servers/" + id, replica->PublishedEntry(service, "zone-1", false));
+      mReplicas.emplace(service, std::move(replica));
+    }
+    mStore.Put("op/config", platform::kConfiguration);
+    mSettings = "vm: vm-1\nzone: zone-1\nlisten: {callers: \"" + mIp + ":8104\", readiness: \"" +
+                mIp + ":8108\", addresses: \"" + mIp + ":8100\", peers: \"" + mIp +
+                ":7380\", metrics: \"" + mIp + ":9464\"}\nstore: \"" + (store ? *store : "") +
+                "\"\nseeds: [\"" + mIp + ":8106\"]\n";
+    mFile = mFolder.Write("edge.yaml", mSettings);
+    mLoop.Start();
+  }
+
+  ~edge_deployment() { mLoop.Stop(); }
+
+  void StartProgram()
+  {
+    mProgram = std::make_unique<child_process>(
+      std::vector<std::string>{ Program("redwingdock_edge"), "--settings", mFile });
+  }
+
+  bool WaitUntilReady() const
+  {
+    return WaitUntil(
+      [this] { return ParseStatus(SendRequest(mIp + ":8108", "GET", "/readiness")) == 200; });
+  }
+
+  std::string Callers() const { return mIp + ":8104"; }
+
+  void WaitFor(micros aTime)
+  {
+    std::promise<void> elapsed;
+    mLoop.After(aTime, [&elapsed] { elapsed.set_value(); });
+    elapsed.get_future().wait();
+  }
+
+  const std::string mIp = LoopbackIp();
+  const temporary_folder mFolder;
+  io_loop mLoop{ 2 };
+  platform::store_standin mStore{ mLoop };
+  std::map<std::string, std::unique_ptr<platform::replica_standin>> mReplicas;
+  std::string mSettings;
+  std::string mFile;
+  std::unique_ptr<child_process> mProgram;
+};
+
+enum class log_reader
+{
+  Reads,
+  Gone,
+};
+
+struct log_reader_row
+{
+  const char* mGuardsAgainst;
+  log_reader mReader;
+};
+
+class log_reader_test : public testing::TestWithParam<log_reader_row>
+{};
+
+TEST_P(log_reader_test, EdgeDaemonAnswersAndEnds)
+{
+  edge_deployment tested;
+  tested.mReplicas["b"]->SetBehaviour({ seconds(1), 200, "" });
+  tested.StartProgram();
+  ASSERT_TRUE(tested.WaitUntilReady());
+  blocking_socket client(tested.Callers());
+  client.Send("GET /slow/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: open-1\r\n\r\n");
+  ASSERT_TRUE(WaitUntil([&] { return tested.mReplicas["b"]->RunCounts().contains("open-1"); }));
+  if (GetParam().mReader == log_reader::Gone) {
+    tested.mProgram->CloseOutput();
+  }
+  tested.mProgram->Signal(SIGTERM);
+  EXPECT_EQ(ParseStatus(client.ReadReply()), 200U) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(tested.mProgram->WaitForEnd(kStopLimit), (process_end{ 0, 0 }))
+    << GetParam().mGuardsAgainst;
+}
+
+TEST_P(log_reader_test, RecordSearchAnswersAndEnds)
+{
+  const temporary_folder folder;
+  const std::string ip = LoopbackIp();
+  const std::string file =
+    folder.Write("daemon.yaml",
+                 "vm: vm-1\nzone: xela\nlisten: {callers: \"" + ip + ":7001\", peers: \"" + ip +
+                   ":7101\", operators: \"" + ip + ":7201\"}\nconfiguration_service: [\"" + ip +
+                   ":9\"]\nentry: {lifetime_ms: 100}\ntables: {read_retry_ms: 10}\n");
+  child_process program({ Program("redwingdockd"), "--settings", file });
+  const auto isServing = [&] {
+    return ParseStatus(SendRequest(ip + ":7001", "POST", "/v1/query", R"({"route":"r"})")) != 0;
+  };
+  ASSERT_TRUE(WaitUntil(isServing));
+  if (GetParam().mReader == log_reader::Gone) {
+    program.CloseOutput();
+  }
+  program.Signal(SIGTERM);
+  EXPECT_TRUE(isServing()) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(program.WaitForEnd(kStopLimit), (process_end{ 0, 0 })) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  log_reader_test,
+  testing::Values(log_reader_row{ "a check that passes only with a fault", log_reader::Reads },
+                  log_reader_row{ "a process ended by SIGPIPE when the reader of its log has gone",
+                                  log_reader::Gone }));
+
+struct standin_row
+{
+  const char* mProgram;
+  std::vector<std::string> mArguments;
+};
+
+class standin_program_test : public testing::TestWithParam<standin_row>
+{};
+
+// Guards against a stand-in that SIGPIPE ends when the reader of its output has gone.
+TEST_P(standin_program_test, OutlivesTheReaderOfItsOutput)
+{
+  const temporary_folder folder;
+  const std::string ip = LoopbackIp();
+  folder.Write("records.jsonl", "");
+  folder.Write("routes.yaml", "revision: 1\nroutes: [{name: r, pools: [p], deadline_ms: 300}]\n");
+  folder.Write("vms.yaml",
+               "revision: 1\nvms: [{name: vm-1, zone: xela, address: \"" + ip +
+                 ":7101\", call_address: \"" + ip + ":7001\", state: live}]\n");
+  folder.Write(
+    "pools.yaml",
+    "revision: 1\npools:\n  - name: p\n    slots: 1\n    connections: 2\n    shards: [{name: s, "
+    "ranges: {3: [[0, 4096]]}, servers: [{name: s-a, zone: xela, address: \"" +
+      ip + ":8104\"}]}]\n");
+  const std::map<std::string, std::string> values{
+    { "STORE", ip + ":8102" },
+    { "CONFIG",
+      folder.Write("standin.yaml",
+                   "platform: \"" + ip + ":8102\"\nadmin: \"" + ip +
+                     ":8103\"\ndatasets: [{name: d, file: records.jsonl, pools: [p]}]\n") }
+  };
+  std::vector<std::string> command{ Program(GetParam().mProgram) };
+  for (const std::string& each : GetParam().mArguments) {
+    const auto value = values.find(each);
+    command.push_back(value == values.end() ? each : value->second);
+  }
+  child_process program(command);
+  program.CloseOutput();
+  EXPECT_TRUE(WaitUntil([&] { return blocking_socket(ip + ":8102").Connected(); }));
+  program.Signal(SIGTERM);
+  EXPECT_EQ(program.WaitForEnd(kStopLimit), (process_end{ 0, 0 }));
+}
+
+INSTANTIATE_TEST_SUITE_P(rows,
+                         standin_program_test,
+                         testing::Values(standin_row{ "redwingdock_edge_standin",
+                                                      { "--store", "STORE", "--services", "1" } },
+                                         standin_row{ "redwingdock_standin",
+                                                      { "serve", "CONFIG" } }));
+
+} // namespace
+} // namespace redwingdock
