Let a log reader that stalls not keep a process from ending

What callers saw: nothing, answers never waited for the log. But a daemon whose log nobody read any more did not end after a planned stop; the platform had to kill it, and after a restart the address would have been in use.

Cause: the log's thread pool was a static object. Its destructor waits until the terminate message is taken and the thread has ended, and the thread is blocked in a write to the full pipe. The C library would then write its buffer of standard output once more.

Change: lines are written to the descriptor without a buffer, the output is not destroyed at exit, and main waits 50 ms at most for the last lines (FlushLog). Lines that were discarded or could not be written are counted in the metric redwingdock_log_lines_lost and in the log once it can be written again (event=lines_lost). A failed write reports nothing on standard error and throws nothing.

--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -3,15 +3,23 @@
 #include "daemon/line_limiter.h"
 
 #include <algorithm>
+#include <atomic>
+#include <cerrno>
 #include <chrono>
+#include <condition_variable>
+#include <cstring>
+#include <fcntl.h>
+#include <filesystem>
+#include <functional>
 #include <memory>
 #include <mutex>
+#include <poll.h>
 #include <spdlog/async_logger.h>
 #include <spdlog/details/thread_pool.h>
 #include <spdlog/pattern_formatter.h>
-#include <spdlog/sinks/basic_file_sink.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <unistd.h>
 #include <utility>
 
 namespace redwingdock {
@@ -23,22 +31,136 @@
 constexpr std::size_t kMaxQueuedLines = 1024;
 constexpr std::uint32_t kMaxLinesPerSecond = 1000;
 
-std::shared_ptr<spdlog::logger> MakeLogger(spdlog::sink_ptr aSink)
+constexpr mode_t kLogFileMode = 0666; // less the umask
+
+// Writes all bytes, and blocks while the reader stalls. Returns false when they cannot be written.
+bool WriteAll(int aDescriptor, const char* aBytes, std::size_t aSize)
 {
-  static const auto kWriter = std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1);
-  auto made = std::make_shared<spdlog::async_logger>(
-    "redwingdock", std::move(aSink), kWriter, spdlog::async_overflow_policy::overrun_oldest);
-  made->set_formatter(std::make_unique<spdlog::pattern_formatter>("%Y-%m-%dT%H:%M:%S.%eZ %l %v",
-                                                                  spdlog::pattern_time_type::utc));
-  return made;
+  while (aSize > 0) {
+    const ssize_t written = ::write(aDescriptor, aBytes, aSize);
+    if (written >= 0) {
+      aBytes += written;
+      aSize -= static_cast<std::size_t>(written);
+    } else if (errno == EAGAIN) {
+      pollfd writable{ aDescriptor, POLLOUT, 0 };
+      ::poll(&writable, 1, -1);
+    } else if (errno != EINTR) {
+      return false;
+    }
+  }
+  return true;
 }
 
-// StartLogging replaces it before other threads start.
-std::shared_ptr<spdlog::logger>& Logger()
+// Writes each line by itself: a buffer of the C library would be written again at exit, which could
+// block. Lines that cannot be written are counted, and the count precedes the next line.
+class line_sink : public spdlog::sinks::base_sink<std::mutex>
+{
+public:
+  // aDiscarded returns the number of lines that were discarded before they reached the sink.
+  line_sink(int aDescriptor, std::function<std::uint64_t()> aDiscarded)
+    : mDescriptor(aDescriptor)
+    , mDiscarded(std::move(aDiscarded))
+  {
+  }
+
+  std::uint64_t LostLines() const
+  {
+    const std::lock_guard lock(mProgressLock);
+    return mFailed + mDiscarded();
+  }
+
+  // Waits until that many lines have been written or lost.
+  bool WaitForLines(std::uint64_t aLines, micros aLimit)
+  {
+    std::unique_lock lock(mProgressLock);
+    return mProgress.wait_for(lock, aLimit, [&] { return mTaken + mDiscarded() >= aLines; });
+  }
+
+protected:
+  void sink_it_(const spdlog::details::log_msg& aMessage) override
+  {
+    const std::uint64_t lost = LostLines();
+    bool written = true;
+    if (lost > mReported) {
+      const std::string text = "log: event=lines_lost count=" + std::to_string(lost - mReported);
+      spdlog::details::log_msg report = aMessage;
+      report.level = spdlog::level::warn;
+      report.payload = text;
+      written = Write(report);
+      mReported = written ? lost : mReported;
+    }
+    written = written && Write(aMessage);
+    const std::lock_guard lock(mProgressLock);
+    ++mTaken;
+    mFailed += written ? 0 : 1;
+    mProgress.notify_all();
+  }
+
+  void flush_() override {}
+
+private:
+  bool Write(const spdlog::details::log_msg& aMessage)
+  {
+    spdlog::memory_buf_t text;
+    formatter_->format(aMessage, text);
+    return WriteAll(mDescriptor, text.data(), text.size());
+  }
+
+  const int mDescriptor;
+  const std::function<std::uint64_t()> mDiscarded;
+  std::uint64_t mReported = 0;
+
+  mutable std::mutex mProgressLock;
+  std::condition_variable mProgress;
+  std::uint64_t mTaken = 0;  // lines that reached the sink
+  std::uint64_t mFailed = 0; // of these, lines that could not be written
+};
+
+// A thread that writes the lines to a descriptor, and the queue before it.
+class log_output
+{
+public:
+  explicit log_output(int aDescriptor)
+    : mWriter(std::make_shared<spdlog::details::thread_pool>(kMaxQueuedLines, 1))
+    , mSink(std::make_shared<line_sink>(
+        aDescriptor,
+        [writer = mWriter.get()] { return std::uint64_t{ writer->overrun_counter() }; }))
+    , mLogger(std::make_shared<spdlog::async_logger>("redwingdock",
+                                                     mSink,
+                                                     mWriter,
+                                                     spdlog::async_overflow_policy::overrun_oldest))
+  {
+    mLogger->set_formatter(std::make_unique<spdlog::pattern_formatter>(
+      "%Y-%m-%dT%H:%M:%S.%eZ %l %v", spdlog::pattern_time_type::utc));
+  }
+
+  void SetLevel(spdlog::level::level_enum aLevel) { mLogger->set_level(aLevel); }
+
+  void Write(spdlog::level::level_enum aLevel, const std::string& aText)
+  {
+    if (mLogger->should_log(aLevel)) {
+      ++mLines;
+      mLogger->log(aLevel, aText);
+    }
+  }
+
+  bool Flush(micros aLimit) { return mSink->WaitForLines(mLines, aLimit); }
+  std::uint64_t LostLines() const { return mSink->LostLines(); }
+
+private:
+  std::shared_ptr<spdlog::details::thread_pool> mWriter;
+  std::shared_ptr<line_sink> mSink;
+  std::shared_ptr<spdlog::async_logger> mLogger;
+  std::atomic<std::uint64_t> mLines{ 0 };
+};
+
+// StartLogging replaces the output before other threads start. It is not destroyed at exit, because
+// that would wait for its thread, which a reader that stalls can block for ever.
+std::unique_ptr<log_output>& Output()
 {
-  static std::shared_ptr<spdlog::logger> logger =
-    MakeLogger(std::make_shared<spdlog::sinks::stdout_sink_mt>());
-  return logger;
+  static auto& output =
+    *new std::unique_ptr<log_output>(std::make_unique<log_output>(STDOUT_FILENO));
+  return output;
 }
 
 spdlog::level::level_enum LevelOf(log_level aLevel)
@@ -66,18 +188,29 @@
 result<bool> StartLogging(log_threshold aThreshold, const std::string& aFile)
 {
   if (aFile != "-") {
-    try {
-      Logger() = MakeLogger(std::make_shared<spdlog::sinks::basic_file_sink_mt>(aFile));
-    } catch (const spdlog::spdlog_ex& error) {
-      return Failure<bool>("open log", aFile, error.what());
+    std::error_code ignored; // a folder that is missing makes the open fail
+    std::filesystem::create_directories(std::filesystem::path(aFile).parent_path(), ignored);
+    const int descriptor =
+      ::open(aFile.c_str(), O_WRONLY | O_APPEND | O_CREAT | O_CLOEXEC, kLogFileMode);
+    if (descriptor < 0) {
+      return Failure<bool>("open log", aFile, std::strerror(errno));
     }
+    Output() = std::make_unique<log_output>(descriptor);
   }
-  // Every line is flushed, so that the last lines survive when the daemon is killed.
-  Logger()->flush_on(spdlog::level::debug);
-  Logger()->set_level(LevelOf(aThreshold));
+  Output()->SetLevel(LevelOf(aThreshold));
   return Success(true);
 }
 
+bool FlushLog(micros aLimit)
+{
+  return Output()->Flush(aLimit);
+}
+
+std::uint64_t LostLogLines()
+{
+  return Output()->LostLines();
+}
+
 std::string FormatLine(const log_line& aLine)
 {
   std::string text = aLine.mText;
@@ -99,11 +232,11 @@
     decision = limiter.Admit(std::chrono::steady_clock::now().time_since_epoch());
   }
   if (decision.mOmitted > 0) {
-    Logger()->log(spdlog::level::warn,
-                  "log: event=lines_omitted count=" + std::to_string(decision.mOmitted));
+    Output()->Write(spdlog::level::warn,
+                    "log: event=lines_omitted count=" + std::to_string(decision.mOmitted));
   }
   if (decision.mAdmitted) {
-    Logger()->log(LevelOf(aLine.mLevel), FormatLine(aLine));
+    Output()->Write(LevelOf(aLine.mLevel), FormatLine(aLine));
   }
 }
 
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -3,6 +3,7 @@
 #include "daemon/logging.h"
 #include "daemon/query_daemon.h"
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 
@@ -28,6 +29,8 @@
 )";
 
 constexpr int kExitInternalError = 70; // from sysexits.h, like the codes in command_line.h
+// The last log lines are written within this time, unless their reader stalls.
+constexpr auto kLogFlushTime = std::chrono::milliseconds(50);
 
 int Fail(int aCode, const redwingdock::reason& aReason)
 {
@@ -75,7 +78,9 @@
     return *arguments.mExitCode;
   }
   try {
-    return Run(arguments.Text("--settings"), arguments.Has("--check"));
+    const int code = Run(arguments.Text("--settings"), arguments.Has("--check"));
+    redwingdock::FlushLog(kLogFlushTime);
+    return code;
   } catch (const std::exception& error) {
     return Fail(kExitInternalError, { "run", "", error.what() });
   }
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -249,6 +249,7 @@
       { "redwingdock_backend_connections", static_cast<double>(mBackends.Connections()) },
       { "redwingdock_peer_messages_dropped", static_cast<double>(mPeers.DroppedMessages()) },
       { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) },
+      { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
 }
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -392,6 +392,7 @@
       { "redwingdock_requests_waiting", static_cast<double>(mCallerServer.PendingRequests()) },
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
       { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
+      { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
 }
 
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -3,6 +3,7 @@
 #include "daemon/logging.h"
 #include "platform/edge_daemon.h"
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 
@@ -29,6 +30,8 @@
 )";
 
 constexpr int kExitInternalError = 70; // from sysexits.h, like the codes in command_line.h
+// The last log lines are written within this time, unless their reader stalls.
+constexpr auto kLogFlushTime = std::chrono::milliseconds(50);
 
 using namespace redwingdock;
 
@@ -85,7 +88,10 @@
     return *arguments.mExitCode;
   }
   try {
-    return Run(arguments.Text("--settings"), arguments.Text("--grace"), arguments.Has("--check"));
+    const int code =
+      Run(arguments.Text("--settings"), arguments.Text("--grace"), arguments.Has("--check"));
+    FlushLog(kLogFlushTime);
+    return code;
   } catch (const std::exception& error) {
     return Fail(kExitInternalError, { "run", "", error.what() });
   }
--- a/tests/process/program_end_test.cc
+++ b/tests/process/program_end_test.cc
@@ -126,6 +126,7 @@
 {
   Reads,
   Gone,
+  Stalled,
 };
 
 struct log_reader_row
@@ -134,6 +135,22 @@
   log_reader mReader;
 };
 
+// Fills the pipe of a program with log lines that nobody reads.
+void StallOutput(child_process& aProgram, const std::function<void()>& aMakeLine)
+{
+  const std::size_t size = aProgram.ShrinkOutput();
+  constexpr int kLines = 10; // that did not get into the pipe
+  std::size_t before = 0;
+  int same = 0;
+  EXPECT_TRUE(WaitUntil([&] {
+    aMakeLine();
+    const std::size_t unread = aProgram.UnreadOutput();
+    same = unread == before && unread >= size / 2 ? same + 1 : 0;
+    before = unread;
+    return same == kLines;
+  }));
+}
+
 class log_reader_test : public testing::TestWithParam<log_reader_row>
 {};
 
@@ -143,6 +160,15 @@
   tested.mReplicas["b"]->SetBehaviour({ seconds(1), 200, "" });
   tested.StartProgram();
   ASSERT_TRUE(tested.WaitUntilReady());
+  if (GetParam().mReader == log_reader::Stalled) {
+    int number = 0;
+    StallOutput(*tested.mProgram, [&] {
+      blocking_socket socket(tested.Callers());
+      socket.Send("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: stall-" +
+                  std::to_string(++number) + "\r\n\r\n");
+      EXPECT_EQ(ParseStatus(socket.ReadReply()), 200U);
+    });
+  }
   blocking_socket client(tested.Callers());
   client.Send("GET /slow/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: open-1\r\n\r\n");
   ASSERT_TRUE(WaitUntil([&] { return tested.mReplicas["b"]->RunCounts().contains("open-1"); }));
@@ -171,6 +197,8 @@
   ASSERT_TRUE(WaitUntil(isServing));
   if (GetParam().mReader == log_reader::Gone) {
     program.CloseOutput();
+  } else if (GetParam().mReader == log_reader::Stalled) {
+    StallOutput(program, [&] { EXPECT_TRUE(isServing()); });
   }
   program.Signal(SIGTERM);
   EXPECT_TRUE(isServing()) << GetParam().mGuardsAgainst;
@@ -182,7 +210,9 @@
   log_reader_test,
   testing::Values(log_reader_row{ "a check that passes only with a fault", log_reader::Reads },
                   log_reader_row{ "a process ended by SIGPIPE when the reader of its log has gone",
-                                  log_reader::Gone }));
+                                  log_reader::Gone },
+                  log_reader_row{ "a process that cannot end because nobody reads its log",
+                                  log_reader::Stalled }));
 
 struct standin_row
 {
