Hold back signals until a program has started

What callers saw: a SIGHUP that came before the daemon had read its settings ended it; callers of the machine found no daemon until the next start.

Cause: until its handlers are installed, SIGHUP ends a process by default. A stop signal between the start of the event loop and that of the core reached a core that had not started.

Change: main blocks SIGHUP, SIGINT and SIGTERM first and delivers them when the daemon has started. The threads inherit the block, so the handlers run in the main thread only. What remains is the time from exec to main.

program_end_test.signal_at_start_test starts redwingdock_edge with its settings in a named pipe and sends SIGHUP or SIGTERM while it reads them and 0, 1, 5, 20, 50, 100 and 300 ms later, with a client that sends a request as soon as the daemon listens. Before: SIGHUP during the read ends it (1 of 16 rows fails, two runs of two). After: 16 of 16 rows. That a stop signal between the two starts did harm was not seen in the rows.

--- a/src/base/process_signals.h
+++ b/src/base/process_signals.h
@@ -3,7 +3,13 @@
 
 // Signals of a program that serves requests.
 //
-//   int main() { IgnoreBrokenPipes(); ... }
+//   int main()
+//   {
+//     IgnoreBrokenPipes();
+//     HoldSignals();
+//     ... // installs the handlers, then starts to serve
+//     DeliverSignals();
+//   }
 
 namespace redwingdock {
 
@@ -11,6 +17,13 @@
 // main.
 void IgnoreBrokenPipes();
 
+// Holds back SIGHUP, SIGINT and SIGTERM, which would end a process that has not installed its
+// handlers, or reach them before the daemon can act on them. Call at the start of main: threads
+// inherit it.
+void HoldSignals();
+// Delivers the signals that were held back, and later ones, to this thread.
+void DeliverSignals();
+
 } // namespace redwingdock
 
 #endif
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -63,6 +63,7 @@
   if (!bound) {
     return Fail(kExitUnreachable, bound.mReason);
   }
+  DeliverSignals();
   daemon.WaitForEnd();
   return 0;
 }
@@ -72,6 +73,7 @@
 int main(int aCount, char** aArguments)
 {
   redwingdock::IgnoreBrokenPipes();
+  redwingdock::HoldSignals();
   const redwingdock::parsed_arguments arguments =
     redwingdock::ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -74,6 +74,7 @@
   if (!bound) {
     return Fail(kExitUnreachable, bound.mReason);
   }
+  DeliverSignals();
   daemon.WaitForEnd();
   return 0;
 }
@@ -83,6 +84,7 @@
 int main(int aCount, char** aArguments)
 {
   IgnoreBrokenPipes();
+  HoldSignals();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
--- a/src/platform/standin_main.cc
+++ b/src/platform/standin_main.cc
@@ -103,6 +103,7 @@
     ended.notify_all();
   });
   loop.Start();
+  DeliverSignals();
   std::unique_lock waiting(lock);
   ended.wait(waiting, [&end] { return end; });
   waiting.unlock();
@@ -115,6 +116,7 @@
 int main(int aCount, char** aArguments)
 {
   IgnoreBrokenPipes();
+  HoldSignals();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -44,6 +44,7 @@
   boost::asio::signal_set signals(io, SIGINT, SIGTERM);
   signals.async_wait(
     [&](const boost::system::error_code& /*aError*/, int /*aSignal*/) { io.stop(); });
+  redwingdock::DeliverSignals();
   std::cout << "ready" << std::endl;
   io.run();
   return 0;
@@ -76,6 +77,7 @@
 int main(int aCount, char** aArguments)
 {
   redwingdock::IgnoreBrokenPipes();
+  redwingdock::HoldSignals();
   auto options = docopt::docopt(kUsage, { aArguments + 1, aArguments + aCount });
   if (options["serve"].asBool()) {
     return Serve(options["CONFIG"].asString());
--- a/tests/process/program_end_test.cc
+++ b/tests/process/program_end_test.cc
@@ -84,7 +84,7 @@
     mSettings = "vm: vm-1\nzone: zone-1\nlisten: {callers: \"" + mIp + ":8104\", readiness: \"" +
                 mIp + ":8108\", addresses: \"" + mIp + ":8100\", peers: \"" + mIp +
                 ":7380\", metrics: \"" + mIp + ":9464\"}\nstore: \"" + (store ? *store : "") +
-                "\"\nseeds: [\"" + mIp + ":8106\"]\n";
+                "\"\nseeds: [\"" + mIp + ":8106\"]\nstop: {linger_ms: 200}\n";
     mFile = mFolder.Write("edge.yaml", mSettings);
     mLoop.Start();
   }
@@ -214,6 +214,82 @@
                   log_reader_row{ "a process that cannot end because nobody reads its log",
                                   log_reader::Stalled }));
 
+// When a signal arrives, from the read of the settings on.
+struct start_row
+{
+  int mSignal;
+  std::optional<milliseconds> mAfterSettings; // nullopt: while the settings are read
+};
+
+class signal_at_start_test : public testing::TestWithParam<start_row>
+{};
+
+// Guards against a reload signal that ends a process that starts, and against a stop at the start
+// that does not end or leaves a request unanswered.
+TEST_P(signal_at_start_test, EdgeDaemonServesOrEnds)
+{
+  edge_deployment tested;
+  // The program opens the settings as a pipe, later it reads the file that replaces the pipe.
+  const std::string copy = tested.mFolder.Write("copy.yaml", tested.mSettings);
+  std::filesystem::remove(tested.mFile);
+  ASSERT_EQ(mkfifo(tested.mFile.c_str(), 0600), 0);
+  tested.StartProgram();
+  int settings = -1;
+  ASSERT_TRUE(WaitUntil([&] {
+    settings = open(tested.mFile.c_str(), O_WRONLY | O_NONBLOCK);
+    return settings >= 0;
+  }));
+  std::filesystem::rename(copy, tested.mFile);
+  if (!GetParam().mAfterSettings) {
+    tested.mProgram->Signal(GetParam().mSignal);
+  }
+  EXPECT_EQ(write(settings, tested.mSettings.data(), tested.mSettings.size()),
+            static_cast<ssize_t>(tested.mSettings.size()));
+  close(settings);
+  // Sends a request as soon as the program listens; nullopt if it never does.
+  auto reply = std::async(std::launch::async, [&tested]() -> std::optional<std::string> {
+    const instant latest = SteadyNow() + seconds(1);
+    std::unique_ptr<blocking_socket> socket;
+    WaitUntil([&] {
+      socket = std::make_unique<blocking_socket>(tested.Callers());
+      return socket->Connected() || SteadyNow() >= latest;
+    });
+    if (!socket->Connected()) {
+      return std::nullopt;
+    }
+    socket->Send("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: start-1\r\n\r\n");
+    return socket->ReadReply();
+  });
+  if (GetParam().mAfterSettings) {
+    tested.WaitFor(*GetParam().mAfterSettings);
+    tested.mProgram->Signal(GetParam().mSignal);
+  }
+  EXPECT_NE(reply.get(), "");
+  if (GetParam().mSignal == SIGHUP) {
+    EXPECT_TRUE(tested.WaitUntilReady());
+    EXPECT_EQ(tested.mProgram->WaitForEnd(milliseconds(0)), std::nullopt);
+    return;
+  }
+  const std::optional<process_end> end = tested.mProgram->WaitForEnd(kStopLimit);
+  ASSERT_TRUE(end);
+  EXPECT_TRUE(*end == (process_end{ 0, 0 }) || *end == (process_end{ 0, SIGTERM }))
+    << end->mStatus << " " << end->mSignal;
+}
+
+std::vector<start_row> StartRows()
+{
+  std::vector<start_row> rows;
+  for (const int signal : { SIGHUP, SIGTERM }) {
+    rows.push_back({ signal, std::nullopt });
+    for (const int ms : { 0, 1, 5, 20, 50, 100, 300 }) {
+      rows.push_back({ signal, milliseconds(ms) });
+    }
+  }
+  return rows;
+}
+
+INSTANTIATE_TEST_SUITE_P(rows, signal_at_start_test, testing::ValuesIn(StartRows()));
+
 struct standin_row
 {
   const char* mProgram;
