Ignore SIGHUP in record search

What callers saw: redwingdockd ended at once when its terminal hung up, and open queries ended without an answer.

Cause: it had no handler for SIGHUP, which ends a process by default. Its settings are read at the start only, so there is nothing to reload.

Change: SIGHUP is logged and has no other effect.

signal_test.RecordSearchServesOnAfterAHangup: fails with the program of the commit before, passes now.

--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -174,6 +174,9 @@
     Log({ log_level::Info, "entry", "signal, starts a planned stop" });
     mDriver.Post(stop_requested{});
   });
+  mLoop.OnReloadSignals([] {
+    Log({ log_level::Info, "entry", "hangup signal ignored, settings are read at the start only" });
+  });
 }
 
 bool query_daemon::WaitForEnd()
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -52,6 +52,7 @@
   // Starts a planned stop. May be called from any thread.
   void RequestStop();
   // Makes SIGINT and SIGTERM start a planned stop. A second signal stops the daemon immediately.
+  // SIGHUP is ignored.
   void StopOnSignals();
   // Blocks until the daemon stops. Returns true if the planned stop was completed, and false if a
   // second signal aborted it.
--- a/tests/process/program_end_test.cc
+++ b/tests/process/program_end_test.cc
@@ -122,6 +122,29 @@
   std::unique_ptr<child_process> mProgram;
 };
 
+// A record search daemon as a process, without a configuration service.
+struct record_search_program
+{
+  bool IsServing() const
+  {
+    return ParseStatus(SendRequest(mIp + ":7001", "POST", "/v1/query", R"({"route":"r"})")) != 0;
+  }
+
+  bool WaitUntilServing() const
+  {
+    return WaitUntil([this] { return IsServing(); });
+  }
+
+  const std::string mIp = LoopbackIp();
+  const temporary_folder mFolder;
+  const std::string mFile =
+    mFolder.Write("daemon.yaml",
+                  "vm: vm-1\nzone: xela\nlisten: {callers: \"" + mIp + ":7001\", peers: \"" + mIp +
+                    ":7101\", operators: \"" + mIp + ":7201\"}\nconfiguration_service: [\"" + mIp +
+                    ":9\"]\nentry: {lifetime_ms: 100}\ntables: {read_retry_ms: 10}\n");
+  child_process mProgram{ { Program("redwingdockd"), "--settings", mFile } };
+};
+
 enum class log_reader
 {
   Reads,
@@ -183,26 +206,17 @@
 
 TEST_P(log_reader_test, RecordSearchAnswersAndEnds)
 {
-  const temporary_folder folder;
-  const std::string ip = LoopbackIp();
-  const std::string file =
-    folder.Write("daemon.yaml",
-                 "vm: vm-1\nzone: xela\nlisten: {callers: \"" + ip + ":7001\", peers: \"" + ip +
-                   ":7101\", operators: \"" + ip + ":7201\"}\nconfiguration_service: [\"" + ip +
-                   ":9\"]\nentry: {lifetime_ms: 100}\ntables: {read_retry_ms: 10}\n");
-  child_process program({ Program("redwingdockd"), "--settings", file });
-  const auto isServing = [&] {
-    return ParseStatus(SendRequest(ip + ":7001", "POST", "/v1/query", R"({"route":"r"})")) != 0;
-  };
-  ASSERT_TRUE(WaitUntil(isServing));
+  record_search_program tested;
+  ASSERT_TRUE(tested.WaitUntilServing());
   if (GetParam().mReader == log_reader::Gone) {
-    program.CloseOutput();
+    tested.mProgram.CloseOutput();
   } else if (GetParam().mReader == log_reader::Stalled) {
-    StallOutput(program, [&] { EXPECT_TRUE(isServing()); });
+    StallOutput(tested.mProgram, [&] { EXPECT_TRUE(tested.IsServing()); });
   }
-  program.Signal(SIGTERM);
-  EXPECT_TRUE(isServing()) << GetParam().mGuardsAgainst;
-  EXPECT_EQ(program.WaitForEnd(kStopLimit), (process_end{ 0, 0 })) << GetParam().mGuardsAgainst;
+  tested.mProgram.Signal(SIGTERM);
+  EXPECT_TRUE(tested.IsServing()) << GetParam().mGuardsAgainst;
+  EXPECT_EQ(tested.mProgram.WaitForEnd(kStopLimit), (process_end{ 0, 0 }))
+    << GetParam().mGuardsAgainst;
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -290,6 +304,16 @@
 
 INSTANTIATE_TEST_SUITE_P(rows, signal_at_start_test, testing::ValuesIn(StartRows()));
 
+// Guards against a record search daemon that a hangup of its terminal ends.
+TEST(signal_test, RecordSearchServesOnAfterAHangup)
+{
+  record_search_program tested;
+  ASSERT_TRUE(tested.WaitUntilServing());
+  tested.mProgram.Signal(SIGHUP);
+  EXPECT_TRUE(tested.mProgram.WaitForOutput("hangup signal ignored", seconds(2)));
+  EXPECT_TRUE(tested.IsServing());
+}
+
 struct standin_row
 {
   const char* mProgram;
