--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,7 +1,9 @@
 #include "base/command_line.h"
+#include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "daemon/query_daemon.h"
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 
@@ -27,6 +29,8 @@
 )";
 
 constexpr int kExitInternalError = 70; // from sysexits.h, like the codes in command_line.h
+// The last log lines are written within this time, unless their reader stalls.
+constexpr auto kLogFlushTime = std::chrono::milliseconds(50);
 
 int Fail(int aCode, const redwingdock::reason& aReason)
 {
@@ -59,6 +63,7 @@
   if (!bound) {
     return Fail(kExitUnreachable, bound.mReason);
   }
+  DeliverSignals();
   daemon.WaitForEnd();
   return 0;
 }
@@ -67,13 +72,17 @@
 
 int main(int aCount, char** aArguments)
 {
+  redwingdock::IgnoreBrokenPipes();
+  redwingdock::HoldSignals();
   const redwingdock::parsed_arguments arguments =
     redwingdock::ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
   }
   try {
-    return Run(arguments.Text("--settings"), arguments.Has("--check"));
+    const int code = Run(arguments.Text("--settings"), arguments.Has("--check"));
+    redwingdock::FlushLog(kLogFlushTime);
+    return code;
   } catch (const std::exception& error) {
     return Fail(kExitInternalError, { "run", "", error.what() });
   }
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -174,6 +174,9 @@
     Log({ log_level::Info, "entry", "signal, starts a planned stop" });
     mDriver.Post(stop_requested{});
   });
+  mLoop.OnReloadSignals([] {
+    Log({ log_level::Info, "entry", "hangup signal ignored, settings are read at the start only" });
+  });
 }
 
 bool query_daemon::WaitForEnd()
@@ -249,6 +252,7 @@
       { "redwingdock_backend_connections", static_cast<double>(mBackends.Connections()) },
       { "redwingdock_peer_messages_dropped", static_cast<double>(mPeers.DroppedMessages()) },
       { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) },
+      { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
 }
 
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -1,7 +1,9 @@
 #include "base/command_line.h"
+#include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "platform/edge_daemon.h"
 
+#include <chrono>
 #include <cstdio>
 #include <exception>
 
@@ -28,6 +30,8 @@
 )";
 
 constexpr int kExitInternalError = 70; // from sysexits.h, like the codes in command_line.h
+// The last log lines are written within this time, unless their reader stalls.
+constexpr auto kLogFlushTime = std::chrono::milliseconds(50);
 
 using namespace redwingdock;
 
@@ -70,6 +74,7 @@
   if (!bound) {
     return Fail(kExitUnreachable, bound.mReason);
   }
+  DeliverSignals();
   daemon.WaitForEnd();
   return 0;
 }
@@ -78,12 +83,17 @@
 
 int main(int aCount, char** aArguments)
 {
+  IgnoreBrokenPipes();
+  HoldSignals();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
   }
   try {
-    return Run(arguments.Text("--settings"), arguments.Text("--grace"), arguments.Has("--check"));
+    const int code =
+      Run(arguments.Text("--settings"), arguments.Text("--grace"), arguments.Has("--check"));
+    FlushLog(kLogFlushTime);
+    return code;
   } catch (const std::exception& error) {
     return Fail(kExitInternalError, { "run", "", error.what() });
   }
--- a/src/standin/main.cc
+++ b/src/standin/main.cc
@@ -1,3 +1,4 @@
+#include "base/process_signals.h"
 #include "standin/frontend.h"
 #include "standin/scan.h"
 
@@ -43,6 +44,7 @@
   boost::asio::signal_set signals(io, SIGINT, SIGTERM);
   signals.async_wait(
     [&](const boost::system::error_code& /*aError*/, int /*aSignal*/) { io.stop(); });
+  redwingdock::DeliverSignals();
   std::cout << "ready" << std::endl;
   io.run();
   return 0;
@@ -74,6 +76,8 @@
 
 int main(int aCount, char** aArguments)
 {
+  redwingdock::IgnoreBrokenPipes();
+  redwingdock::HoldSignals();
   auto options = docopt::docopt(kUsage, { aArguments + 1, aArguments + aCount });
   if (options["serve"].asBool()) {
     return Serve(options["CONFIG"].asString());
