Answer a request that waits to be read when a reply closes

Callers saw a connection close at a planned stop after an answer, although they had sent their next request before that answer was handed over.

While the daemon closes, a reply now also asks the kernel for unread bytes before it says "Connection: close". What arrives after the reply was handed over is still read and dropped: the client has been told that the connection closes, and unread bytes would reset it and could lose the reply.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -177,7 +177,8 @@
     aSession.mRequestId = 0;
     // The client may have pipelined its next request, which is answered before the connection
     // closes.
-    const bool pipelined = aSession.mReader.Started() || aSession.mReader.Buffered() > 0;
+    const bool pipelined = aSession.mReader.Started() || aSession.mReader.Buffered() > 0 ||
+                           (mClosing && aSession.mConnection->HasUnread());
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.mConnection->Send(FormatReply(aReply, keepAlive));
     if (!keepAlive) {
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -352,6 +352,44 @@
   }
 }
 
+TEST(http_server, AnswersARequestThatWaitsToBeReadAtTheClose)
+{
+  // Guards against a busy loop whose reply closes the connection of a request that the kernel has
+  // accepted. The loop reads nothing more until the hook returns.
+  request_id_source requestIds{ 0 };
+  io_loop serverLoop(1);
+  io_loop clientLoop(1);
+  http_server* replies = nullptr;
+  std::promise<void> firstRead;
+  std::promise<void> secondSent;
+  http_server server(serverLoop,
+                     requestIds,
+                     { [&](std::uint64_t aId, const http_message& aRequest) {
+                        if (aRequest.mTarget == "/held") {
+                          firstRead.set_value();
+                          secondSent.get_future().wait();
+                          replies->AnnounceClose();
+                        }
+                        replies->Reply(aId, { 200, "", "", {} });
+                      },
+                       nullptr,
+                       nullptr },
+                     LimitsWithBody(kBodyLimit));
+  replies = &server;
+  const std::string address = *server.ListenOn("127.0.0.1:0");
+  serverLoop.Start();
+  clientLoop.Start();
+  blocking_socket client(address);
+  client.Send(Post(0, "/held"));
+  firstRead.get_future().wait();
+  client.Send(Post(0));
+  WaitFor(clientLoop, milliseconds(20));
+  secondSent.set_value();
+  EXPECT_EQ(Statuses(client.ReadToEnd()), std::vector<unsigned>({ 200, 200 }));
+  serverLoop.Stop();
+  clientLoop.Stop();
+}
+
 constexpr std::size_t kMoreThanKernelBuffers = std::size_t{ 32 } * 1024 * 1024;
 
 struct slow_reader_row
