Keep a server's connection whose reply crosses the time limit

A connection of record search was closed as silent right after its reply had arrived, and a part that was sent on it meanwhile would have been reported as unanswered.

The hook now asks whether the limit still holds.

LimitLeavesAConnectionThatHasJustReplied sends 64 replies around the limit.

--- a/src/daemon/backend_client.cc
+++ b/src/daemon/backend_client.cc
@@ -180,6 +180,9 @@
 {
   std::optional<part_in_flight> part;
   mConnections.With(aId, [&part](connection& aState) {
+    if (!aState.mConnection->LimitPassed()) {
+      return; // the reply arrived meanwhile
+    }
     part = std::move(aState.mPart);
     aState.mPart.reset();
     aState.mConnection->Close("no reply in time");
--- a/src/daemon/backend_client_test.cc
+++ b/src/daemon/backend_client_test.cc
@@ -3,6 +3,7 @@
 #include "codec/server_json.h"
 #include "daemon/loopback_test_util.h"
 
+#include <algorithm>
 #include <atomic>
 #include <future>
 #include <gtest/gtest.h>
@@ -351,6 +352,64 @@
   EXPECT_EQ(tested.mFacts.Of<part_replied>()[0].mReply.mFailure, part_failure::Silent);
 }
 
+// Guards against a connection that is closed for a late reply which has just arrived. Each reply
+// takes long to read and arrives around the time limit.
+TEST(backend_client_test, LimitLeavesAConnectionThatHasJustReplied)
+{
+  constexpr std::size_t kParts = 64;
+  constexpr std::chrono::milliseconds kDeadline{ 20 };
+  constexpr std::chrono::milliseconds kLimit = kDeadline + std::chrono::seconds(2);
+  std::string reply = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const char each : PartReplyBody() + std::string(15'000, ' ')) {
+    reply += std::string("1\r\n") + each + "\r\n";
+  }
+  reply += "0\r\n\r\n";
+  io_loop serverLoop(2);
+  io_loop loop(4);
+  std::atomic<std::size_t> arrived{ 0 };
+  std::mutex lock;
+  std::vector<std::shared_ptr<tcp_connection>> accepted;
+  const auto listener =
+    Listen(serverLoop, "127.0.0.1:0", [&](const std::shared_ptr<tcp_connection>& aConnection) {
+      tcp_hooks hooks;
+      hooks.mOnBytes = [&, weak = std::weak_ptr(aConnection)](std::string_view) {
+        serverLoop.After(kLimit - micros(16'000) + micros(250) * arrived++, [&reply, weak] {
+          if (const auto connection = weak.lock()) {
+            connection->Send(reply);
+          }
+        });
+      };
+      aConnection->Start(std::move(hooks));
+      const std::lock_guard held(lock);
+      accepted.push_back(aConnection);
+    });
+  client_fixture tested(loop);
+  serverLoop.Start();
+  loop.Start();
+  for (std::uint64_t id = 1; id <= kParts; ++id) {
+    tested.mBackends.Open({ "cw-03a", (*listener)->Address(), id });
+  }
+  ASSERT_TRUE(tested.mFacts.WaitForType<connection_changed>(kParts));
+  for (std::uint64_t id = 1; id <= kParts; ++id) {
+    part_request request = Request();
+    request.mDeadline = SteadyNow() + kDeadline;
+    tested.mBackends.Send({ id, request, SteadyNow() + kSecond });
+  }
+  ASSERT_TRUE(tested.mFacts.WaitForType<part_replied>(kParts));
+  std::promise<void> elapsed;
+  loop.After(std::chrono::milliseconds(50), [&elapsed] { elapsed.set_value(); });
+  elapsed.get_future().wait();
+  const auto replies = tested.mFacts.Of<part_replied>();
+  const std::size_t late =
+    std::count_if(replies.begin(), replies.end(), [](const part_replied& aEach) {
+      return aEach.mReply.mFailure == part_failure::Silent;
+    });
+  WaitUntil([&] { return tested.mBackends.Connections() <= kParts - late; });
+  EXPECT_EQ(tested.mBackends.Connections(), kParts - late);
+  serverLoop.Stop();
+  loop.Stop();
+}
+
 // Guards against an open command that ends without a fact when no connection can be made.
 TEST(backend_client_test, RefusedConnectionIsReported)
 {
