Let the soak run sixty daemons

Each daemon is told how many there may be (most_daemons, as deploy/settings.yaml does), the start may take half a second longer for each, and the soak raises its limit of descriptors.

Sixty were not run.

--- a/src/platform/soak/soak_daemons.cc
+++ b/src/platform/soak/soak_daemons.cc
@@ -3,6 +3,7 @@
 #include "base/command_line.h"
 #include "platform/soak/soak_process.h"
 
+#include <algorithm>
 #include <csignal>
 #include <cstdio>
 #include <sys/wait.h>
@@ -88,7 +89,8 @@
     "\nlisten: {callers: \"" + CallerAddress(aDaemon) + "\", readiness: \"" +
     ReadinessAddress(aDaemon) + "\", addresses: \"" + DirectoryAddress(aDaemon) + "\", peers: \"" +
     ip + ":7380\", metrics: \"" + ip + ":9464\"}\nstore: \"" + mOptions.mStore + "\"\nseeds: [" +
-    seeds + "]\nforwarding: {repeat_slack: " + std::to_string(54 + aReloads) + "}\n";
+    seeds + "]\nforwarding: {repeat_slack: " + std::to_string(54 + aReloads) +
+    ", most_daemons: " + std::to_string(std::max<std::size_t>(10, mOptions.mDaemons)) + "}\n";
   const std::string file = mOptions.mFolder + "/" + std::to_string(aDaemon) + ".yaml";
   if (const auto failed = WriteFile(file, text)) {
     std::fprintf(stderr, "redwingdock_edge_soak: %s\n", redwingdock::Describe(*failed).c_str());
--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <filesystem>
+#include <sys/resource.h>
 #include <unistd.h>
 
 // redwingdock_edge_soak: planned work and faults of real daemons, judged by what their clients and
@@ -45,6 +46,16 @@
 using namespace redwingdock::platform;
 using std::chrono::seconds;
 
+// The replicas of a soak with 60 daemons hold thousands of connections.
+void RaiseDescriptorLimit()
+{
+  rlimit limit{};
+  if (::getrlimit(RLIMIT_NOFILE, &limit) == 0) {
+    limit.rlim_cur = limit.rlim_max;
+    ::setrlimit(RLIMIT_NOFILE, &limit);
+  }
+}
+
 constexpr std::size_t kMaxLines = 60; // that are printed for a seed
 
 void Print(const soak_plan& aPlan, const soak_result& aResult)
@@ -137,5 +148,6 @@
   if (arguments.mExitCode) {
     return *arguments.mExitCode;
   }
+  RaiseDescriptorLimit();
   return Run(arguments);
 }
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -14,8 +14,11 @@
 
 constexpr int kLoopThreads = 3;
 
-// A daemon of a large run under a quota takes seconds to start.
-constexpr micros kStartTime = seconds(20);
+// Daemons of a large run, or under a quota, take seconds to start.
+micros StartTime(std::size_t aDaemons)
+{
+  return seconds(20) + milliseconds(500) * static_cast<int>(aDaemons);
+}
 
 } // namespace
 
@@ -71,7 +74,7 @@
   mLoop.Start();
   mDaemons.StartAll();
   mLists.Start();
-  if (!WaitUntil(kStartTime, [this] {
+  if (!WaitUntil(StartTime(mPlan.mOptions.mDaemons), [this] {
         return mLists.At(SteadyNow()).size() >= std::min<std::size_t>(3, mPlan.mOptions.mDaemons);
       })) {
     return std::nullopt;
