--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -255,6 +255,7 @@
                  (verdict == crash_verdict::Trial ? " trial=yes" : "") + " patience_ms=" +
                  MsText(state.mContent.mClientTimeout) + " spent_ms=" + MsText(state.mSpent) +
                  " round_trip_ms=" + MsText(state.mContent.mRoundTrip) +
+                 " delivery_ms=" + MsText(state.mContent.mDeliveryTime) +
                  " partial_ms=" + MsText(state.mPartialAt - state.mArrivedAt) +
                  " deadline_ms=" + MsText(state.mDeadline - state.mArrivedAt));
   request_step(aContext, aHooks, std::move(state)).Begin();
