Bound the planned stop of record search and answer what is open

What callers saw: a daemon of record search that was told to stop while callers kept sending queries never ended, or as late as its slowest server allowed; its operator had to kill it, or to signal it a second time, and then its open queries ended without an answer.

Cause: the stop waited without a limit until no query and no part was in flight, and served on meanwhile. At its end it closed the callers' connections together with the process, and a request that crossed this could be lost (read in the code).

Change: a daemon that is closing says "Connection: close" in its answers, then closes its listener and the idle connections of callers. After entry.closing_limit_ms (10 s, above the longest deadline) open queries get their final answer by the path of the deadline; queries that still come get "not run". A second stop request does the same at once. The process ends when the callers have closed, 2 s later at the latest.

--- a/src/core/config.h
+++ b/src/core/config.h
@@ -61,6 +61,9 @@
 
   // Entry (question 10).
   micros mEntryLifetime = std::chrono::seconds(10);
+  // Time that open work has once a stopping daemon accepts no more. The default is above the
+  // longest deadline of a query and the slack of its parts.
+  micros mClosingLimit = std::chrono::seconds(10);
 
   forward_config mForward;
 
--- a/src/core/controller_facts.h
+++ b/src/core/controller_facts.h
@@ -98,7 +98,7 @@
 }
 
 // The daemon stops: a request that has not been answered gets its final answer. Key:
-// ForwardRequestKey.
+// ForwardRequestKey, or QueryKey for a query.
 struct answer_now
 {
   auto operator<=>(const answer_now&) const = default;
--- a/src/core/facts.h
+++ b/src/core/facts.h
@@ -124,9 +124,12 @@
   auto operator<=>(const peer_connection_changed&) const = default;
 };
 
-// An operator asks this daemon to stop once its work is done.
+// An operator asks this daemon to stop once its work is done, or at once: open work is then
+// answered with what is known.
 struct stop_requested
 {
+  bool mAtOnce = false;
+
   auto operator<=>(const stop_requested&) const = default;
 };
 
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -15,8 +15,13 @@
 
 // Time to send the remaining answers to callers once the core has finished.
 constexpr micros kFlushTimeout = std::chrono::seconds(2);
+// Requests that were sent before a connection closes have been read after this time.
+constexpr micros kReadGrace = std::chrono::milliseconds(100);
 constexpr micros kFlushCheckInterval = std::chrono::milliseconds(10);
 
+// Time for the last answers after a second stop request, should the core not carry it out.
+constexpr micros kAbortLimit = std::chrono::seconds(3);
+
 std::uint64_t RandomNumber()
 {
   std::random_device source;
@@ -158,21 +163,24 @@
 
 void query_daemon::RequestStop()
 {
-  mStopRequested = true;
-  mDriver.Post(stop_requested{});
+  const bool again = mStopRequested.exchange(true);
+  mDriver.Post(stop_requested{ again });
+  if (again) {
+    mAborted = true;
+    mLoop.After(kAbortLimit, [this] { End(); });
+  }
 }
 
 void query_daemon::StopOnSignals()
 {
   mLoop.OnStopSignals([this] {
-    if (mStopRequested.exchange(true)) {
+    if (mStopRequested) {
       Log(
         { log_level::Warning, "entry", "second signal, stops without waiting for open requests" });
-      End(end_state::Aborted);
-      return;
+    } else {
+      Log({ log_level::Info, "entry", "signal, starts a planned stop" });
     }
-    Log({ log_level::Info, "entry", "signal, starts a planned stop" });
-    mDriver.Post(stop_requested{});
+    RequestStop();
   });
   mLoop.OnReloadSignals([] {
     Log({ log_level::Info, "entry", "hangup signal ignored, settings are read at the start only" });
@@ -182,26 +190,37 @@
 bool query_daemon::WaitForEnd()
 {
   std::unique_lock lock(mEndLock);
-  mEndCondition.wait(lock, [this] { return mEndState != end_state::Running; });
-  return mEndState == end_state::Done;
+  mEndCondition.wait(lock, [this] { return mHasEnded; });
+  return !mAborted;
 }
 
-void query_daemon::End(end_state aHow)
+void query_daemon::End()
 {
   {
     const std::lock_guard lock(mEndLock);
-    if (mEndState == end_state::Running) {
-      mEndState = aHow;
-    }
+    mHasEnded = true;
   }
   mEndCondition.notify_all();
 }
 
+void query_daemon::CloseCallers()
+{
+  if (mCallersClosing.exchange(true)) {
+    return;
+  }
+  // Callers that send one request after the other learn of the end from a reply, so that no request
+  // of theirs crosses the close.
+  mCallerServer.AnnounceClose();
+  mLoop.After(kReadGrace, [this] { mCallerServer.CloseIdle(false); });
+}
+
 void query_daemon::EndWhenFlushed(instant aLatest)
 {
-  if (SteadyNow() >= aLatest ||
-      (mCallerServer.PendingRequests() == 0 && mCallerServer.UnsentBytes() == 0)) {
-    End(end_state::Done);
+  // Waits until the callers have closed: ending the process with received bytes unread would reset
+  // their connections, and an answer that is on the way could be lost.
+  mCallerServer.CloseAll();
+  if (SteadyNow() >= aLatest || mCallerServer.Connections() == 0) {
+    End();
     return;
   }
   mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
@@ -235,9 +254,12 @@
         mConfigurationClient.Read(aEach);
       } else if constexpr (std::is_same_v<type, log_line>) {
         Log(aEach);
+      } else if constexpr (std::is_same_v<type, close_callers>) {
+        CloseCallers();
       } else if constexpr (std::is_same_v<type, exit_process>) {
         Log({ log_level::Info, "entry", "planned stop completed" });
-        EndWhenFlushed(SteadyNow() + kFlushTimeout);
+        CloseCallers();
+        mLoop.After(2 * kReadGrace, [this] { EndWhenFlushed(SteadyNow() + kFlushTimeout); });
       }
     },
     aCommand);
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -49,28 +49,23 @@
   // Binds the addresses and starts the threads. Fails if an address cannot be opened.
   result<daemon_addresses> Start();
 
-  // Starts a planned stop. May be called from any thread.
+  // Starts a planned stop. The second call ends it: open queries are answered at once with what is
+  // known. May be called from any thread.
   void RequestStop();
-  // Makes SIGINT and SIGTERM start a planned stop. A second signal stops the daemon immediately.
+  // Makes SIGINT and SIGTERM call RequestStop().
   // SIGHUP is ignored.
   void StopOnSignals();
   // Blocks until the daemon stops. Returns true if the planned stop was completed, and false if a
-  // second signal aborted it.
+  // second request aborted it.
   bool WaitForEnd();
 
   const core& Core() const { return mDriver.Core(); }
 
 private:
-  enum class end_state
-  {
-    Running,
-    Done,
-    Aborted,
-  };
-
   void Execute(command& aCommand);
+  void CloseCallers();
   void EndWhenFlushed(instant aLatest);
-  void End(end_state aHow);
+  void End();
   void Stop();
   std::string MetricsText() const;
 
@@ -87,10 +82,12 @@
   http_server mOperatorServer;
 
   std::atomic<bool> mStopRequested{ false };
+  std::atomic<bool> mAborted{ false };
+  std::atomic<bool> mCallersClosing{ false };
   std::atomic<std::uint64_t> mUnexpectedErrors{ 0 };
   std::mutex mEndLock;
   std::condition_variable mEndCondition;
-  end_state mEndState = end_state::Running;
+  bool mHasEnded = false;
 };
 
 } // namespace redwingdock
--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -3,6 +3,7 @@
 #include "codec/server_json.h"
 #include "daemon/loopback_test_util.h"
 
+#include <algorithm>
 #include <future>
 #include <gtest/gtest.h>
 
@@ -50,8 +51,9 @@
 // One daemon with two backend servers and a configuration service.
 struct deployment
 {
-  deployment()
-    : mFirstServer(
+  explicit deployment(micros aClosingLimit = core_config{}.mClosingLimit)
+    : mClosingLimit(aClosingLimit)
+    , mFirstServer(
         mLoop,
         [](const http_message& aRequest) { return AnswerPart(aRequest, behaviour::Good); })
     , mSecondServer(
@@ -75,6 +77,7 @@
     settings.mCore.mZone = "xela";
     settings.mCore.mLogDecisions = false;
     settings.mCore.mEntryLifetime = std::chrono::milliseconds(50);
+    settings.mCore.mClosingLimit = mClosingLimit;
     // A short take delay is safe because no earlier process can hold the permits of this
     // deployment. The hold time is long because a single VM has no witnesses, so only the service
     // can confirm its view, and some tests stop the service.
@@ -150,6 +153,7 @@
 
   std::string View() const { return SendRequest(mBound.mOperators, "GET", "/v1/view"); }
 
+  const micros mClosingLimit;
   std::atomic<behaviour> mBehaviour{ behaviour::Good };
   std::atomic<bool> mServiceStale{ false };
   std::atomic<bool> mServiceDown{ false };
@@ -379,6 +383,100 @@
   EXPECT_TRUE(ended.get());
 }
 
+struct stop_row
+{
+  const char* mGuardsAgainst;
+  behaviour mBehaviour; // of the second server
+  bool mTwice;          // the stop is requested again at once
+  std::chrono::milliseconds mLimit;
+};
+
+class stop_test : public testing::TestWithParam<stop_row>
+{};
+
+struct caller_totals
+{
+  int mAnswered = 0;
+  int mUnanswered = 0;
+
+  auto operator<=>(const caller_totals&) const = default;
+};
+
+// Sends one query after the other until the daemon no longer accepts connections.
+caller_totals SendUntilRefused(const std::string& aAddress, const std::atomic<bool>& aEnd)
+{
+  caller_totals totals;
+  for (bool accepted = true; accepted;) {
+    blocking_socket socket(aAddress);
+    accepted = socket.Connected();
+    for (bool kept = accepted; kept;) {
+      socket.Send(FormatPost("/v1/query", R"({"route":"case-search","deadline_ms":5000})"));
+      const std::string reply = socket.ReadReply();
+      const bool answered = ParseStatus(reply) != 0;
+      totals.mAnswered += answered ? 1 : 0;
+      totals.mUnanswered += answered ? 0 : 1;
+      kept = answered && !aEnd && reply.find("Connection: close") == std::string::npos;
+      accepted = !aEnd;
+    }
+  }
+  return totals;
+}
+
+// Guards against a stop that waits for work without a limit, and against queries and connections
+// that it leaves without an answer.
+TEST_P(stop_test, AnswersOpenQueriesAndEnds)
+{
+  constexpr int kCallers = 4;
+  deployment tested(std::chrono::milliseconds(500));
+  ASSERT_TRUE(tested.AnswersCompletely());
+  tested.mBehaviour = GetParam().mBehaviour;
+  const std::size_t before = tested.mSecondServer.Requests();
+  std::atomic<bool> end{ false };
+  std::vector<std::future<caller_totals>> callers;
+  for (int i = 0; i < kCallers; ++i) {
+    callers.push_back(std::async(std::launch::async,
+                                 [&] { return SendUntilRefused(tested.mBound.mCallers, end); }));
+  }
+  EXPECT_TRUE(WaitUntil([&] { return tested.mSecondServer.Requests() > before; }));
+  auto ended = std::async(std::launch::async, [&tested] { return tested.mDaemon.WaitForEnd(); });
+  tested.mDaemon.RequestStop();
+  if (GetParam().mTwice) {
+    tested.mDaemon.RequestStop();
+  }
+  EXPECT_EQ(ended.wait_for(GetParam().mLimit), std::future_status::ready)
+    << GetParam().mGuardsAgainst;
+  end = true;
+  caller_totals totals;
+  for (std::future<caller_totals>& each : callers) {
+    const caller_totals own = each.get();
+    totals.mAnswered += own.mAnswered;
+    totals.mUnanswered += own.mUnanswered;
+  }
+  EXPECT_EQ(totals.mUnanswered, 0) << GetParam().mGuardsAgainst;
+  EXPECT_GE(totals.mAnswered, kCallers);
+  if (ended.wait_for(std::chrono::seconds(0)) == std::future_status::ready) {
+    EXPECT_EQ(ended.get(), !GetParam().mTwice);
+  }
+}
+
+// The daemon serves for 2.05 s after the first request and has 0.5 s to finish; closing takes 0.4 s,
+// and 1 s more for callers that do not close. The rest is for a slow machine.
+INSTANTIATE_TEST_SUITE_P(rows,
+                         stop_test,
+                         testing::Values(stop_row{ "a stop that never ends under load",
+                                                   behaviour::Good,
+                                                   false,
+                                                   std::chrono::milliseconds(6000) },
+                                         stop_row{
+                                           "a stop that waits for a server that does not answer",
+                                           behaviour::Silent,
+                                           false,
+                                           std::chrono::milliseconds(6000) },
+                                         stop_row{ "a second stop request that drops open queries",
+                                                   behaviour::Silent,
+                                                   true,
+                                                   std::chrono::milliseconds(2500) }));
+
 // Guards against an error for an address in use that does not name the address.
 TEST(query_daemon_test, AddressInUseIsReported)
 {
--- a/src/entry/entry_controller.cc
+++ b/src/entry/entry_controller.cc
@@ -1,6 +1,7 @@
 #include "entry/entry_controller.h"
 
 #include "core/controller_facts.h"
+#include "core/fleet.h"
 #include "entry/entry_choice.h"
 #include "query/query_state.h"
 
@@ -68,10 +69,28 @@
   aContext.Emit(answer_entry{ aFact.mEntryRequest, Success(std::move(answer)) });
 }
 
-void OnStopRequested(core_context& aContext)
+// Refuses further queries and has the open ones answered with what is known.
+void EndWork(core_context& aContext, instant aEarliestClosing)
+{
+  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Stopped, aEarliestClosing });
+  for (const auto& [key, state] : aContext.mBoard.List<query_state>()) {
+    aContext.mBoard.Post(key, answer_now{});
+  }
+}
+
+void OnStopRequested(core_context& aContext, const stop_requested& aFact)
 {
   const auto old = aContext.mBoard.Read<drain_state>(kSelfKey);
-  if (old && old->mPhase != drain_phase::Serving) {
+  const drain_phase phase = old ? old->mPhase : drain_phase::Serving;
+  if (aFact.mAtOnce && phase != drain_phase::Stopped) {
+    aContext.Log("entry", "stopping: open queries are answered at once");
+    EndWork(aContext, aContext.Now());
+    if (phase == drain_phase::Serving) {
+      aContext.After(kStopCheck, kSelfKey, stop_check{});
+    }
+    return;
+  }
+  if (phase != drain_phase::Serving) {
     return;
   }
   // A caller that was just directed to this VM may use the answer for its whole lifetime.
@@ -98,22 +117,33 @@
 void OnStopCheck(core_context& aContext)
 {
   const auto state = aContext.mBoard.Read<drain_state>(kSelfKey);
-  if (!state || state->mPhase == drain_phase::Serving || state->mPhase == drain_phase::Stopped) {
+  if (!state || state->mPhase == drain_phase::Serving) {
+    return;
+  }
+  if (state->mPhase == drain_phase::Stopped) {
+    // Queries that were accepted just before the change of the phase are on the board by now.
+    EndWork(aContext, state->mEarliestClosing);
+    aContext.Emit(exit_process{});
     return;
   }
   if (state->mPhase == drain_phase::Draining && aContext.Now() >= state->mEarliestClosing) {
     aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Closing, state->mEarliestClosing });
     aContext.Log("entry", "closing: no new work is accepted, work in flight is finished");
+    aContext.Emit(close_callers{});
     aContext.After(kStopCheck, kSelfKey, stop_check{});
     return;
   }
-  if (state->mPhase == drain_phase::Draining || HasWorkInFlight(aContext)) {
-    aContext.After(kStopCheck, kSelfKey, stop_check{});
+  const bool busy = HasWorkInFlight(aContext);
+  const bool late = aContext.Now() >= state->mEarliestClosing + aContext.mConfig.mClosingLimit;
+  aContext.After(kStopCheck, kSelfKey, stop_check{});
+  if (state->mPhase == drain_phase::Draining || (busy && !late)) {
     return;
   }
-  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Stopped, state->mEarliestClosing });
-  aContext.Log("entry", "stopping: no work is in flight");
-  aContext.Emit(exit_process{});
+  aContext.Log("entry",
+               busy ? "stopping: work is in flight at the limit, open queries are answered"
+                    : "stopping: no work is in flight",
+               busy ? log_level::Warning : log_level::Info);
+  EndWork(aContext, state->mEarliestClosing);
 }
 
 } // namespace
@@ -124,8 +154,9 @@
   board.OnFact<entry_requested>([&aContext](const std::string&, const entry_requested& aFact) {
     OnEntryRequested(aContext, aFact);
   });
-  board.OnFact<stop_requested>(
-    [&aContext](const std::string&, const stop_requested&) { OnStopRequested(aContext); });
+  board.OnFact<stop_requested>([&aContext](const std::string&, const stop_requested& aFact) {
+    OnStopRequested(aContext, aFact);
+  });
   board.OnFact<stop_check>(
     [&aContext](const std::string&, const stop_check&) { OnStopCheck(aContext); });
 }
--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -28,6 +28,8 @@
 // numbers that the front end assigns.
 constexpr std::uint64_t kForwardedQueryBit = 1ULL << 46U;
 
+const reason kStoppedReason{ "plan", "", "the daemon has stopped" };
+
 class query_controller
 {
 public:
@@ -43,6 +45,7 @@
   void OnReply(const std::string& aKey, const part_reply& aReply);
   void OnHedgeDue(const std::string& aKey, const hedge_due& aFact);
   void OnDeadline(const std::string& aKey);
+  void OnAnswerNow(const std::string& aKey);
   void OnRetryPlacement(const std::string& aKey);
   void OnRestart(const std::string& aKey, const restart_query& aFact);
   void OnCallerDisconnected(const std::string& aKey);
@@ -69,6 +72,8 @@
   void CompleteRequestKey(const query_state& aState, const query_answer& aAnswer);
   void ReportRunResult(const query_state& aState, bool aFinished);
   bool IsSuspect(std::uint64_t aFingerprint) const;
+  bool HasStopped() const;
+  void EndQuery(const std::string& aKey, const reason& aReason);
   void Store(query_state aState);
   void Log(const query_state& aState, const std::string& aText, log_level aLevel = log_level::Info);
 
@@ -145,6 +150,10 @@
     Refuse(aState, outcome::Rejected, { "plan", "", "a submit must name its record in filter.id" });
     return;
   }
+  if (!submit && HasStopped()) {
+    Refuse(aState, outcome::NotRun, kStoppedReason);
+    return;
+  }
   mContext.After(aState.mDeadline - mContext.Now(), QueryKey(aState.mNumber), query_deadline{});
   if (submit) {
     BeginSubmit(aState);
@@ -204,6 +213,10 @@
     }
     return;
   }
+  if (HasStopped()) {
+    Refuse(aState, outcome::NotRun, kStoppedReason);
+    return;
+  }
   const auto tables = mBoard.Read<tables_in_force>(kTablesKey);
   const route_spec* route = tables->FindRoute(aState.mRequest.mRoute);
   if (route == nullptr) {
@@ -263,6 +276,12 @@
   return found && found->mUntil > mContext.Now();
 }
 
+bool query_controller::HasStopped() const
+{
+  const auto drain = mBoard.Read<drain_state>(kSelfKey);
+  return drain && drain->mPhase == drain_phase::Stopped;
+}
+
 void query_controller::Serve(query_state aState,
                              const route_spec& aRoute,
                              const tables_in_force& aTables)
@@ -503,12 +522,19 @@
 
 void query_controller::OnDeadline(const std::string& aKey)
 {
-  const auto state = mBoard.Read<query_state>(aKey);
-  if (!state) {
-    return;
+  EndQuery(aKey, { "gather", "", "no reply before the deadline" });
+}
+
+void query_controller::OnAnswerNow(const std::string& aKey)
+{
+  EndQuery(aKey, { "gather", "", "no reply before the daemon stopped" });
+}
+
+void query_controller::EndQuery(const std::string& aKey, const reason& aReason)
+{
+  if (const auto state = mBoard.Read<query_state>(aKey)) {
+    Finish(FailOpenParts(*state, aReason));
   }
-  query_state next = FailOpenParts(*state, { "gather", "", "no reply before the deadline" });
-  Finish(std::move(next));
 }
 
 void query_controller::OnRetryPlacement(const std::string& aKey)
@@ -737,6 +763,8 @@
     [controller](key aKey, const hedge_due& aFact) { controller->OnHedgeDue(aKey, aFact); });
   board.OnFact<query_deadline>(
     [controller](key aKey, const query_deadline&) { controller->OnDeadline(aKey); });
+  board.OnFact<answer_now>(
+    [controller](key aKey, const answer_now&) { controller->OnAnswerNow(aKey); });
   board.OnFact<retry_placement>(
     [controller](key aKey, const retry_placement&) { controller->OnRetryPlacement(aKey); });
   board.OnFact<restart_query>(
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -81,6 +81,7 @@
 void ReadEntry(yaml_mapping& aMapping, core_config& aCore)
 {
   ReadMs(aMapping, "lifetime_ms", 100, kHourMs, aCore.mEntryLifetime);
+  ReadMs(aMapping, "closing_limit_ms", 100, kHourMs, aCore.mClosingLimit);
 }
 
 using section_reader = void (*)(yaml_mapping&, core_config&);
--- a/src/testing/child_process.cc
+++ b/src/testing/child_process.cc
@@ -55,6 +55,7 @@
   posix_spawnattr_setsigdefault(&attributes, &signals);
   posix_spawnattr_setflags(&attributes, POSIX_SPAWN_SETSIGMASK | POSIX_SPAWN_SETSIGDEF);
   std::vector<char*> arguments;
+  arguments.reserve(aCommand.size() + 1);
   for (std::string& each : aCommand) {
     arguments.push_back(each.data());
   }
--- a/src/testing/fake_fleet.cc
+++ b/src/testing/fake_fleet.cc
@@ -400,7 +400,8 @@
       } else if constexpr (std::is_same_v<type, exit_process>) {
         Kill(aDaemon);
         mDaemons[aDaemon].mStopped = true;
-      } else if constexpr (!std::is_same_v<type, answer_entry>) {
+      } else if constexpr (!std::is_same_v<type, answer_entry> &&
+                           !std::is_same_v<type, close_callers>) {
         Execute(aDaemon, aEach);
       }
     },
