--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -433,6 +433,7 @@
   const std::size_t before = tested.mSecondServer.Requests();
   std::atomic<bool> end{ false };
   std::vector<std::future<caller_totals>> callers;
+  callers.reserve(kCallers);
   for (int i = 0; i < kCallers; ++i) {
     callers.push_back(std::async(std::launch::async,
                                  [&] { return SendUntilRefused(tested.mBound.mCallers, end); }));
