Leave a connection whose request waits to be read open at a stop

Callers could lose a request that had arrived on a kept connection: CloseIdle and CloseAll took the connection for idle while the request waited in the kernel, and what was read afterwards was dropped. They now leave such a connection, whose request is answered with the next read and announces the close.

waiting_test (two rows) gets no reply on the code before and one with the change.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -59,6 +59,11 @@
   mConnection->CloseAfterSend(aReason);
 }
 
+bool http_server::session::IsIdle() const
+{
+  return mRequestId == 0 && !mClosing && !mReader.Started() && !mConnection->HasUnread();
+}
+
 void http_server::session::SendReply(std::string aText)
 {
   const std::size_t size = aText.size();
@@ -78,7 +83,7 @@
     mListener.reset();
   }
   mSessions.ForEach([aUnused](std::uint64_t, session& aSession) {
-    if ((aUnused || aSession.mUsed) && aSession.mRequestId == 0 && !aSession.mReader.Started()) {
+    if ((aUnused || aSession.mUsed) && aSession.IsIdle()) {
       aSession.CloseAfterSend("daemon is shutting down");
     }
   });
@@ -87,7 +92,7 @@
 void http_server::CloseAll()
 {
   mSessions.ForEach([](std::uint64_t, session& aSession) {
-    if (aSession.mRequestId == 0 && !aSession.IsPartlyRead()) {
+    if (aSession.IsIdle()) {
       aSession.CloseAfterSend("daemon is shutting down");
     }
   });
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -95,8 +95,9 @@
   // Makes each connection close after its next reply, which says "Connection: close", unless a
   // further request of the connection has arrived by then.
   void AnnounceClose() { mClosing = true; }
-  // Stops accepting connections and closes the idle ones that have had a request. With aUnused,
-  // also those whose first request may be on the way. Calls AnnounceClose as well.
+  // Stops accepting connections and closes the idle ones that have had a request, unless a further
+  // request has arrived. With aUnused, also those whose first request may be on the way. Calls
+  // AnnounceClose as well.
   void CloseIdle(bool aUnused);
   // Closes all connections that have no request, after their replies have been sent.
   void CloseAll();
@@ -126,6 +127,8 @@
 
     bool mFollowed = false; // FollowDelivery is due
 
+    // No request has arrived, also none that waits to be read.
+    bool IsIdle() const;
     bool IsPartlyRead() const { return mRequestId == 0 && !mClosing && mReader.Started(); }
     void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -390,6 +390,63 @@
   clientLoop.Stop();
 }
 
+struct waiting_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(http_server&)> mClose;
+};
+
+class waiting_test : public testing::TestWithParam<waiting_row>
+{};
+
+TEST_P(waiting_test, AnswersARequestOfAnIdleConnectionThatWaitsToBeRead)
+{
+  // The loop reads nothing while the hook holds the request of another connection.
+  request_id_source requestIds{ 0 };
+  io_loop serverLoop(1);
+  io_loop clientLoop(1);
+  http_server* replies = nullptr;
+  std::promise<void> heldRead;
+  std::promise<void> secondSent;
+  http_server server(serverLoop,
+                     requestIds,
+                     { [&](std::uint64_t aId, const http_message& aRequest) {
+                        if (aRequest.mTarget == "/held") {
+                          heldRead.set_value();
+                          secondSent.get_future().wait();
+                          GetParam().mClose(*replies);
+                        }
+                        replies->Reply(aId, { 200, "", "", {} });
+                      },
+                       nullptr,
+                       nullptr },
+                     LimitsWithBody(kBodyLimit));
+  replies = &server;
+  const std::string address = *server.ListenOn("127.0.0.1:0");
+  serverLoop.Start();
+  clientLoop.Start();
+  blocking_socket idle(address);
+  idle.Send(Post(0));
+  EXPECT_EQ(test_util::ParseStatus(idle.ReadReply()), 200U);
+  blocking_socket other(address);
+  other.Send(Post(0, "/held"));
+  heldRead.get_future().wait();
+  idle.Send(PostAndClose(0));
+  WaitFor(clientLoop, milliseconds(20));
+  secondSent.set_value();
+  EXPECT_EQ(Statuses(idle.ReadToEnd()), std::vector<unsigned>{ 200 }) << GetParam().mGuardsAgainst;
+  serverLoop.Stop();
+  clientLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  waiting_test,
+  testing::Values(waiting_row{ "closing the idle connections drops a request that has arrived",
+                               [](http_server& aServer) { aServer.CloseIdle(false); } },
+                  waiting_row{ "closing all connections drops a request that has arrived",
+                               [](http_server& aServer) { aServer.CloseAll(); } }));
+
 constexpr std::size_t kMoreThanKernelBuffers = std::size_t{ 32 } * 1024 * 1024;
 
 struct slow_reader_row
