Begin the sends of the crossing test before the earliest close

planned_stop.ForwardsNothingThatCrossesTheClose failed in 2 of 17 runs on a machine with load 9 to 13, and in 1 of 16 on the code before these changes: no request arrived before the close, because the first send was due only 0 to 60 ms before it. What is expected is unchanged: a request that ran is answered, and requests arrive both before and after the close.

--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -433,9 +433,10 @@
   fixture.WaitFor(milliseconds(300));
   const instant stopAt = SteadyNow();
   fixture.mDaemon->RequestStop();
-  // The idle connections are closed at one moment in the 60 ms after the linger time.
+  // The idle connections are closed at one moment in the 60 ms after the linger time. The first
+  // requests come before it also when the machine is busy.
   for (int i = 0; i < kClients; ++i) {
-    const instant at = stopAt + ShortStop().mStop.mLinger + micros(200) * i;
+    const instant at = stopAt + ShortStop().mStop.mLinger - milliseconds(90) + micros(500) * i;
     fixture.WaitFor(std::max(at - SteadyNow(), micros(0)));
     clients[static_cast<std::size_t>(i)]->Send(RequestWithId("/u/x", "id-" + std::to_string(i)));
   }
