Report the omitted log lines when a process ends

What was seen: a daemon that was stopped under more than 1,000 log lines a second ended without event=stop_done in its log, and without event=lines_omitted for that second (two of four stops of redwingdock_edge under load, exit status 0, no request without an answer). Such a log looks like that of a process that was killed.

Cause: omitted lines are counted in the first line of a later second, and there was none.

Change: FlushLog at the end of main reports them. The lines of the stop are still omitted like all others.

logging_test.FlushReportsOmittedLines fails without the change and passes with it (four runs of the whole program of 3 tests; its first version used up the lines of the other two tests and made them fail).

--- a/src/daemon/line_limiter.h
+++ b/src/daemon/line_limiter.h
@@ -43,6 +43,9 @@
     return given;
   }
 
+  // Lines omitted that Admit has not reported yet.
+  std::uint64_t TakeOmitted() { return std::exchange(mOmitted, 0); }
+
 private:
   std::uint32_t mLimit;
   std::chrono::seconds mSecond{ -1 };
--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -163,6 +163,41 @@
   return output;
 }
 
+// A line_limiter for all threads.
+class shared_limiter
+{
+public:
+  line_limiter::decision Admit()
+  {
+    const std::lock_guard guard(mLock);
+    return mLimiter.Admit(std::chrono::steady_clock::now().time_since_epoch());
+  }
+
+  std::uint64_t TakeOmitted()
+  {
+    const std::lock_guard guard(mLock);
+    return mLimiter.TakeOmitted();
+  }
+
+private:
+  std::mutex mLock;
+  line_limiter mLimiter{ kMaxLinesPerSecond };
+};
+
+shared_limiter& Limiter()
+{
+  static shared_limiter limiter;
+  return limiter;
+}
+
+void ReportOmitted(std::uint64_t aLines)
+{
+  if (aLines > 0) {
+    Output()->Write(spdlog::level::warn,
+                    "log: event=lines_omitted count=" + std::to_string(aLines));
+  }
+}
+
 spdlog::level::level_enum LevelOf(log_level aLevel)
 {
   return aLevel == log_level::Warning ? spdlog::level::warn : spdlog::level::info;
@@ -203,6 +238,7 @@
 
 bool FlushLog(micros aLimit)
 {
+  ReportOmitted(Limiter().TakeOmitted());
   return Output()->Flush(aLimit);
 }
 
@@ -224,17 +260,8 @@
 
 void Log(const log_line& aLine)
 {
-  static std::mutex lock;
-  static line_limiter limiter{ kMaxLinesPerSecond };
-  line_limiter::decision decision;
-  {
-    const std::lock_guard guard(lock);
-    decision = limiter.Admit(std::chrono::steady_clock::now().time_since_epoch());
-  }
-  if (decision.mOmitted > 0) {
-    Output()->Write(spdlog::level::warn,
-                    "log: event=lines_omitted count=" + std::to_string(decision.mOmitted));
-  }
+  const line_limiter::decision decision = Limiter().Admit();
+  ReportOmitted(decision.mOmitted);
   if (decision.mAdmitted) {
     Output()->Write(LevelOf(aLine.mLevel), FormatLine(aLine));
   }
--- a/src/daemon/logging_test.cc
+++ b/src/daemon/logging_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <fcntl.h>
 #include <filesystem>
+#include <future>
 #include <gtest/gtest.h>
 #include <poll.h>
 #include <sys/stat.h>
@@ -42,13 +43,15 @@
   void OpenReader() { mReader = open(Path().c_str(), O_RDONLY | O_NONBLOCK); }
   void CloseReader() { close(mReader); }
 
-  std::string ReadUntil(const std::string& aText) const
+  // The time limit is for each piece of the text.
+  std::string ReadUntil(const std::string& aText,
+                        std::chrono::milliseconds aLimit = kDeadline) const
   {
     std::string text;
     std::array<char, 4096> buffer{};
     while (text.find(aText) == std::string::npos) {
       pollfd readable{ mReader, POLLIN, 0 };
-      if (poll(&readable, 1, static_cast<int>(std::chrono::milliseconds(kDeadline).count())) <= 0) {
+      if (poll(&readable, 1, static_cast<int>(aLimit.count())) <= 0) {
         return text;
       }
       const ssize_t count = read(mReader, buffer.data(), buffer.size());
@@ -115,5 +118,26 @@
                 0,
                 "info test: lost" }));
 
+// Guards against a process that ends without the count of the lines that it omitted in its last
+// second.
+TEST(logging_test, FlushReportsOmittedLines)
+{
+  constexpr int kTooMany = 2500; // more than are written in two seconds
+  log_pipe pipe;
+  ASSERT_TRUE(StartLogging(log_threshold::Info, pipe.Path()));
+  auto text = std::async(std::launch::async, [&] { return pipe.ReadUntil("lines_omitted"); });
+  for (int i = 0; i < kTooMany; ++i) {
+    Log({ log_level::Info, "test", "line" });
+  }
+  FlushLog(kDeadline);
+  EXPECT_NE(text.get().find("lines_omitted"), std::string::npos);
+  // The other tests need lines in the second that this one has used up.
+  for (bool admitted = false; !admitted;) {
+    Log({ log_level::Info, "test", "admitted" });
+    admitted = pipe.ReadUntil("admitted", std::chrono::milliseconds(50)).find("admitted") !=
+               std::string::npos;
+  }
+}
+
 } // namespace
 } // namespace redwingdock
