Limit log lines by component

After two of four stops under load the log had neither event=stop_done nor a sign that lines were missing: the limit of 1,000 lines per second counts the lines of a stop with those of all requests. Each component has a limit of its own now.

logging.LinesOfAStopAreWrittenBesideThoseOfManyRequests fails on the code before.

--- a/src/daemon/logging.cc
+++ b/src/daemon/logging.cc
@@ -11,6 +11,7 @@
 #include <fcntl.h>
 #include <filesystem>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <poll.h>
@@ -19,6 +20,7 @@
 #include <spdlog/pattern_formatter.h>
 #include <spdlog/sinks/base_sink.h>
 #include <spdlog/spdlog.h>
+#include <string_view>
 #include <unistd.h>
 #include <utility>
 
@@ -29,7 +31,7 @@
 // Lines queued for the log file. When the file or pipe stalls, the oldest lines are discarded
 // instead of blocking requests.
 constexpr std::size_t kMaxQueuedLines = 1024;
-constexpr std::uint32_t kMaxLinesPerSecond = 1000;
+constexpr std::uint32_t kMaxLinesPerSecond = 1000; // of a component
 
 constexpr mode_t kLogFileMode = 0666; // less the umask
 
@@ -163,25 +165,31 @@
   return output;
 }
 
-// A line_limiter for all threads.
+// A line_limiter for each component, for all threads. Lines about many requests then leave room for
+// those of a planned stop.
 class shared_limiter
 {
 public:
-  line_limiter::decision Admit()
+  line_limiter::decision Admit(std::string_view aComponent)
   {
     const std::lock_guard guard(mLock);
-    return mLimiter.Admit(std::chrono::steady_clock::now().time_since_epoch());
+    const auto limiter = mLimiters.try_emplace(aComponent, kMaxLinesPerSecond).first;
+    return limiter->second.Admit(std::chrono::steady_clock::now().time_since_epoch());
   }
 
   std::uint64_t TakeOmitted()
   {
     const std::lock_guard guard(mLock);
-    return mLimiter.TakeOmitted();
+    std::uint64_t omitted = 0;
+    for (auto& [component, limiter] : mLimiters) {
+      omitted += limiter.TakeOmitted();
+    }
+    return omitted;
   }
 
 private:
   std::mutex mLock;
-  line_limiter mLimiter{ kMaxLinesPerSecond };
+  std::map<std::string_view, line_limiter> mLimiters; // components are string literals
 };
 
 shared_limiter& Limiter()
@@ -260,7 +268,7 @@
 
 void Log(const log_line& aLine)
 {
-  const line_limiter::decision decision = Limiter().Admit();
+  const line_limiter::decision decision = Limiter().Admit(aLine.mComponent);
   ReportOmitted(decision.mOmitted);
   if (decision.mAdmitted) {
     Output()->Write(LevelOf(aLine.mLevel), FormatLine(aLine));
--- a/src/daemon/logging.h
+++ b/src/daemon/logging.h
@@ -9,9 +9,9 @@
 #include <string>
 
 // Log of the process, in lines "2026-01-31T12:00:00.000Z info prefix: text". Logging never blocks:
-// a separate thread writes the lines, lines over a limit per second are counted and omitted, and
-// when the file cannot keep up, the oldest queued lines are discarded. Lines that were discarded or
-// could not be written are counted, in the log itself when it can be written again.
+// a separate thread writes the lines, lines of a component over a limit per second are counted and
+// omitted, and when the file cannot keep up, the oldest queued lines are discarded. Lines that were
+// discarded or could not be written are counted, in the log itself when it can be written again.
 //
 //   StartLogging(log_threshold::Info, "-");
 //   Log({ log_level::Warning, "peer", "refused input: read envelope: body is over 4 bytes" });
--- a/src/daemon/logging_test.cc
+++ b/src/daemon/logging_test.cc
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <fcntl.h>
 #include <filesystem>
+#include <fstream>
 #include <future>
 #include <gtest/gtest.h>
 #include <poll.h>
@@ -139,5 +140,23 @@
   }
 }
 
+TEST(logging, LinesOfAStopAreWrittenBesideThoseOfManyRequests)
+{
+  // Guards against a stop under load whose own lines exceed the limit of lines per second.
+  constexpr int kMoreThanTheLimit = 1500;
+  const std::string path = testing::TempDir() + "logging_test_stop.log";
+  std::filesystem::remove(path);
+  ASSERT_TRUE(StartLogging(log_threshold::Info, path));
+  for (int i = 0; i < kMoreThanTheLimit; ++i) {
+    Log({ log_level::Info, "forward", "answered" });
+  }
+  EXPECT_TRUE(FlushLog(kDeadline));
+  Log({ log_level::Info, "entry", "event=stop_done" });
+  EXPECT_TRUE(FlushLog(kDeadline));
+  std::ifstream file(path);
+  const std::string text{ std::istreambuf_iterator<char>(file), {} };
+  EXPECT_NE(text.find("info entry: event=stop_done\n"), std::string::npos);
+}
+
 } // namespace
 } // namespace redwingdock
