Count a SIGHUP before main apart from other ends of a process

The soak reads from the signal masks of the process whether it blocked or handled the signal; a process that did neither is counted as ended_before_main.

--- a/src/platform/soak/soak_daemons.cc
+++ b/src/platform/soak/soak_daemons.cc
@@ -5,7 +5,10 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdint>
 #include <cstdio>
+#include <cstdlib>
+#include <fstream>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -17,6 +20,20 @@
 constexpr std::size_t kFirstHost = 10;
 constexpr micros kLogReaderTime = std::chrono::milliseconds(1500); // until it goes away
 
+// Reads the signal masks of a process.
+bool BlocksOrHandles(pid_t aPid, int aSignal)
+{
+  constexpr int kHexadecimal = 16;
+  std::ifstream status("/proc/" + std::to_string(aPid) + "/status");
+  std::uint64_t masks = 0;
+  for (std::string line; std::getline(status, line);) {
+    if (line.starts_with("SigBlk:") || line.starts_with("SigCgt:") || line.starts_with("SigIgn:")) {
+      masks |= std::strtoull(line.c_str() + line.find(':') + 1, nullptr, kHexadecimal);
+    }
+  }
+  return (masks >> static_cast<unsigned>(aSignal - 1) & 1U) != 0;
+}
+
 } // namespace
 
 soak_daemons::soak_daemons(io_loop& aLoop, soak_process_options aOptions, start_hook aOnStart)
@@ -207,6 +224,8 @@
   } else if (aSignal == SIGKILL) {
     life.mKilledAt = SteadyNow();
     life.mKillPlanned = true;
+  } else if (aSignal == SIGHUP && !BlocksOrHandles(target.mPid, SIGHUP)) {
+    life.mReloadedBeforeMain = true;
   }
   ::kill(target.mPid, aSignal);
 }
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -3,6 +3,7 @@
 #include "base/log_text.h"
 
 #include <algorithm>
+#include <csignal>
 
 namespace redwingdock::platform {
 
@@ -163,7 +164,13 @@
 
 bool EndedByItself(const daemon_life& aLife)
 {
-  return aLife.mEndedAt != kNever && aLife.mStopAt == kNever && aLife.mKilledAt == kNever;
+  return aLife.mEndedAt != kNever && aLife.mStopAt == kNever && aLife.mKilledAt == kNever &&
+         !EndedBeforeMain(aLife);
+}
+
+bool EndedBeforeMain(const daemon_life& aLife)
+{
+  return aLife.mReloadedBeforeMain && aLife.mEndSignal == SIGHUP;
 }
 
 bool ExceededItsGrace(const daemon_life& aLife)
@@ -202,6 +209,7 @@
     }
   }
   for (const daemon_life& life : aLedger.mLives) {
+    result.mEndedBeforeMain += EndedBeforeMain(life) ? 1 : 0;
     if (EndedByItself(life)) {
       ++result.mEndedByThemselves;
       result.mLines.push_back("ended_by_itself daemon=" + std::to_string(life.mDaemon) +
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -51,6 +51,8 @@
   instant mEndedAt = kNever;
   bool mKillPlanned = false; // killed as a fault, not because it was still running after its grace
   int mEndSignal = 0;        // the signal that ended it, if one did
+  // SIGHUP was sent while the process neither blocked nor handled it, as before its main function.
+  bool mReloadedBeforeMain = false;
 
   auto operator<=>(const daemon_life&) const = default;
 };
@@ -90,6 +92,8 @@
 
 // Whether the process ended without a signal, or had to be killed after its grace.
 bool EndedByItself(const daemon_life& aLife);
+// Whether a SIGHUP ended the process before it could run any code of the program.
+bool EndedBeforeMain(const daemon_life& aLife);
 bool ExceededItsGrace(const daemon_life& aLife);
 
 struct soak_ledger
@@ -106,6 +110,7 @@
   std::map<finding, std::size_t> mCounts;
   std::size_t mRefused = 0; // answered 503
   std::size_t mEndedByThemselves = 0;
+  std::size_t mEndedBeforeMain = 0; // breaks no promise
   std::size_t mExceededGrace = 0;
   std::vector<std::string> mLines; // one for each broken promise
 
--- a/src/platform/soak/soak_ledger_test.cc
+++ b/src/platform/soak/soak_ledger_test.cc
@@ -1,5 +1,6 @@
 #include "platform/soak/soak_ledger.h"
 
+#include <csignal>
 #include <gtest/gtest.h>
 
 namespace redwingdock::platform {
@@ -46,6 +47,19 @@
       { .mStartedAt = At(0), .mKilledAt = At(90), .mEndedAt = At(90), .mKillPlanned = true },
       false,
       false },
+    life_row{
+      "by_a_reload_before_main",
+      { .mStartedAt = At(0), .mEndedAt = At(4), .mEndSignal = SIGHUP, .mReloadedBeforeMain = true },
+      false,
+      false },
+    life_row{ "by_a_reload_in_main",
+              { .mStartedAt = At(0), .mEndedAt = At(4), .mEndSignal = SIGHUP },
+              true,
+              false },
+    life_row{ "after_a_reload_before_main",
+              { .mStartedAt = At(0), .mEndedAt = At(300), .mReloadedBeforeMain = true },
+              true,
+              false },
     life_row{ "ended", { .mStartedAt = At(0), .mEndedAt = At(300) }, true, false },
     life_row{
       "after_its_grace",
--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -64,11 +64,12 @@
   for (const auto& [found, count] : aResult.mCounts) {
     counts += std::string(" ") + ToString(found) + "=" + std::to_string(count);
   }
-  std::printf("%s%s refused=%zu ended_by_itself=%zu exceeded_grace=%zu %s\n",
+  std::printf("%s%s refused=%zu ended_by_itself=%zu ended_before_main=%zu exceeded_grace=%zu %s\n",
               aResult.IsClean() ? "ok   " : "FAIL ",
               Describe(aPlan).c_str(),
               aResult.mRefused,
               aResult.mEndedByThemselves,
+              aResult.mEndedBeforeMain,
               aResult.mExceededGrace,
               counts.c_str());
   for (std::size_t i = 0; i < std::min(aResult.mLines.size(), kMaxLines); ++i) {
