Wait at the end of a stop until clients have received their answers

Callers that read slowly could lose the rest of an answer: the process ended, and one second after the end of sending the connection was closed, when the kernel had taken the last byte, not when the client had it. A further request of the client then resets the connection. Both now wait as long as the kernel reports that bytes are on the way and the client receives them (SIOCOUTQ); where the kernel does not report it, nothing changes.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -344,6 +344,15 @@
   return bytes;
 }
 
+std::size_t http_server::UndeliveredBytes() const
+{
+  std::size_t bytes = 0;
+  mSessions.ForEach([&bytes](std::uint64_t, const session& aSession) {
+    bytes += aSession.mConnection->UndeliveredBytes();
+  });
+  return bytes;
+}
+
 std::size_t http_server::PartlyReadRequests() const
 {
   std::size_t count = 0;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -108,6 +108,8 @@
   // Unanswered requests, and bytes of replies that the kernel has not accepted yet.
   std::size_t PendingRequests() const { return mSessionByRequest.Size(); }
   std::size_t UnsentBytes() const;
+  // Unsent bytes and those that the clients have not received.
+  std::size_t UndeliveredBytes() const;
   std::size_t PartlyReadRequests() const;
   std::size_t Connections() const { return mSessions.Size(); }
   // The connections on which something is unfinished.
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -14,9 +14,12 @@
 #include <charconv>
 #include <csignal>
 #include <initializer_list>
+#include <limits>
+#include <linux/sockios.h>
 #include <mutex>
 #include <netinet/tcp.h>
 #include <optional>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <thread>
 #include <utility>
@@ -52,7 +55,7 @@
 // Delay before the next accept after an error such as "too many open files", which would otherwise
 // recur in a busy loop.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
-// How long CloseAfterSend waits for the peer to close.
+// How long CloseAfterSend waits for the peer to close, or to receive more of what was sent.
 constexpr std::chrono::seconds kCloseTimeout{ 1 };
 
 } // namespace
@@ -423,6 +426,24 @@
     }
   }
 
+  // Bytes, and the end of the connection, that the kernel has not delivered to the peer yet.
+  std::size_t UnacknowledgedLocked()
+  {
+    int bytes = 0;
+    if (!mOpen || mClosed || ioctl(mSocket.native_handle(), SIOCOUTQ, &bytes) != 0) {
+      return 0;
+    }
+    return static_cast<std::size_t>(std::max(bytes, 0));
+  }
+
+  // Whether the peer has received bytes since the last call, and others are on the way.
+  bool DeliveringLocked()
+  {
+    const std::size_t left = UnacknowledgedLocked();
+    const std::size_t before = std::exchange(mUnacknowledged, left);
+    return left > 0 && left < before;
+  }
+
   bool SendingLocked() const { return mSentSinceLimit && mSentBytes < mSendBuffer.size(); }
 
   // The timer is restarted only for an earlier limit. A limit that each request moves to a later
@@ -453,7 +474,7 @@
         return;
       }
       mExpiry = kNever;
-      if (mClosing && SendingLocked()) {
+      if (mClosing && (SendingLocked() || (mSendShutDown && DeliveringLocked()))) {
         ExpireAfterLocked(mLimit); // the peer reads slowly
         return;
       }
@@ -486,6 +507,7 @@
   bool mOpen = false;
   bool mClosing = false;
   bool mSendShutDown = false;
+  std::size_t mUnacknowledged = std::numeric_limits<std::size_t>::max(); // when last looked at
   bool mClosed = false;
   bool mWaitingToWrite = false;
   bool mReadingPaused = false;
@@ -792,6 +814,12 @@
   return mState->mSendBuffer.size() - mState->mSentBytes;
 }
 
+std::size_t tcp_connection::UndeliveredBytes() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->mSendBuffer.size() - mState->mSentBytes + mState->UnacknowledgedLocked();
+}
+
 micros tcp_connection::RoundTrip() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -115,7 +115,8 @@
   bool Send(std::string aBytes);
   void Close(std::string aReason);
   // Sends the queued bytes, ignores further Send calls and received bytes, and closes once the peer
-  // has closed or after one second. The time limit in force applies to each part of the bytes.
+  // has closed, or one second after it has received the last of them. The time limit in force
+  // applies to each part of the bytes.
   void CloseAfterSend(std::string aReason);
   // Stops reading, so that the kernel makes the peer wait once its buffers are full. One more call
   // of mOnBytes may follow, and the end of the connection is noticed only after ResumeReading.
@@ -131,6 +132,9 @@
   // Whether bytes wait to be sent and some were sent since the time limit was set.
   bool Sending() const;
   std::size_t UnsentBytes() const;
+  // Unsent bytes, and those that the kernel has taken and the peer has not received. The latter
+  // count as 0 where the kernel does not tell.
+  std::size_t UndeliveredBytes() const;
   // The smoothed round-trip time that the kernel measured; 0 when it is not available.
   micros RoundTrip() const;
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -225,7 +225,7 @@
   if (now >= aCommand.mReadUntil) {
     RefusePartlyRead();
   }
-  const bool unfinished = mCallerServer.UnsentBytes() > 0 ||
+  const bool unfinished = mCallerServer.UndeliveredBytes() > 0 ||
                           mCallerServer.PartlyReadRequests() > 0 ||
                           mCallerServer.PendingRequests() > 0;
   const instant closeUntil = unfinished ? now + kCloseTimeout : aCloseUntil;
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -353,6 +353,30 @@
                                    { 200, 200, 200 },
                                    3 }));
 
+TEST(planned_stop, WaitsUntilClientsHaveReceivedTheirAnswers)
+{
+  // Guards against a process that ends while the kernel still holds a reply: the next request of
+  // the client resets the connection, and the rest of the reply is lost.
+  forward_config config;
+  config.mStop = WithLinger(StopBudget(seconds(3)), milliseconds(400));
+  edge_fixture fixture(config);
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  fixture.mReplicas.at("b")->SetBehaviour(
+    { milliseconds(2), 200, std::string(std::size_t{ 1'500'000 }, 'x') });
+  raw_client client(fixture.mLoop, fixture.mBound.mCallers, 700'000);
+  client.Send(RequestWithId("/long/x", "id"));
+  fixture.WaitFor(milliseconds(200));
+  fixture.mDaemon->RequestStop();
+  fixture.mDaemon->WaitForEnd();
+  fixture.mDaemon.reset();
+  client.Send(RequestWithId("/long/x", "next"));
+  const std::vector<http_message> replies = client.WaitUntilClosed();
+  ASSERT_EQ(replies.size(), 1U);
+  EXPECT_EQ(replies.front().mBody.size(), 1'500'000U);
+  fixture.mLoop.Stop();
+}
+
 struct partly_read_row
 {
   const char* mGuardsAgainst;
@@ -424,7 +448,8 @@
   edge_fixture fixture(ShortStop());
   fixture.Publish();
   ASSERT_TRUE(fixture.WaitUntilReady());
-  constexpr int kClients = 300;
+  constexpr int kEarlyClients = 45;
+  constexpr int kClients = kEarlyClients + 300;
   std::vector<std::unique_ptr<raw_client>> clients;
   for (int i = 0; i < kClients; ++i) {
     clients.push_back(std::make_unique<raw_client>(fixture.mLoop, fixture.mBound.mCallers));
@@ -436,7 +461,9 @@
   // The idle connections are closed at one moment in the 60 ms after the linger time. The first
   // requests come before it also when the machine is busy.
   for (int i = 0; i < kClients; ++i) {
-    const instant at = stopAt + ShortStop().mStop.mLinger - milliseconds(90) + micros(500) * i;
+    const micros offset =
+      i < kEarlyClients ? milliseconds(2) * (i - kEarlyClients) : micros(200) * (i - kEarlyClients);
+    const instant at = stopAt + ShortStop().mStop.mLinger + offset;
     fixture.WaitFor(std::max(at - SteadyNow(), micros(0)));
     clients[static_cast<std::size_t>(i)]->Send(RequestWithId("/u/x", "id-" + std::to_string(i)));
   }
