Limit the time of a connection that is answered 408

A client that reads no more of a large reply and has begun its next request got 408 behind that reply, and nothing ended the connection afterwards: it kept its memory, and held up a planned stop. It now has the idle limit.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -308,7 +308,8 @@
     lateRequest = aSession.mRequestId;
     if (lateRequest == 0 && aSession.mReader.Started()) {
       // The request is incomplete, so it had no effect and the client may repeat it.
-      aSession.mConnection->Send(FormatReply({ 408, "", "", {} }, false));
+      aSession.SendReply(FormatReply({ 408, "", "", {} }, false));
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
       aSession.CloseAfterSend("request timed out");
     } else if (lateRequest == 0 && aSession.mConnection->Sending()) {
       aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
