Leave time to send the final answers of a stop whatever the settings say

With stop.limit_ms near or above the end of the grace the process ended at the moment of the final answers. It now has 0.2 s to send them. The row of stop_budget_test that expected none expects 0.2 s.

--- a/src/core/stop_budget.cc
+++ b/src/core/stop_budget.cc
@@ -15,6 +15,8 @@
 // The platform accepts that work which still runs in the last sixth of the grace is not finished.
 constexpr int kFinalDivisor = 6;
 constexpr micros kMaxFinalTime = std::chrono::seconds(10); // sends large replies to slow clients
+// Sends the final answers where a setting moves them to the end of the grace.
+constexpr micros kMinFlushTime = std::chrono::milliseconds(200);
 // Ends the threads and writes the log, also where a quota of the processor delays both.
 constexpr int kExitDivisor = 30;
 constexpr micros kMinExitTime = std::chrono::milliseconds(50);
@@ -50,7 +52,8 @@
   budget.mFinalAnswers = aFinalAnswers;
   budget.mLastForward = aFinalAnswers - std::min(ForwardMargin(budget.mGrace), aFinalAnswers / 2);
   const micros flushTime = aBudget.mFlush - aBudget.mFinalAnswers;
-  budget.mFlush = std::max(aFinalAnswers, std::min(aBudget.mFlush, aFinalAnswers + flushTime));
+  budget.mFlush =
+    std::max(aFinalAnswers + kMinFlushTime, std::min(aBudget.mFlush, aFinalAnswers + flushTime));
   budget.mGrace = std::max(aBudget.mGrace, budget.mFlush);
   return WithLinger(budget, budget.mLinger);
 }
