Answer requests that are stored while the stop ends

A request that passes the check of the stop on one thread while another thread ends the stop is stored after the open requests were answered; a lost reply would leave it unanswered until the process ends. The check of the stop goes on and answers what is open once the final answers are due. Found by reading; no test shows the crossing.

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -30,6 +30,7 @@
   instant mStopRequestedAt{};
   bool mCallersClosed = false; // close_callers has been emitted
   bool mUnusedClosed = false;  // also for connections without a request
+  bool mEnding = false;        // exit_process has been emitted
 
   auto operator<=>(const stop_check&) const = default;
 };
@@ -273,6 +274,13 @@
   aContext.After(kStopCheck, kFleetKey, stop_check{ aContext.Now() });
 }
 
+void AnswerOpenRequests(core_context& aContext)
+{
+  for (const auto& [key, state] : aContext.mBoard.List<forward_state>()) {
+    aContext.mBoard.Post(key, answer_now{});
+  }
+}
+
 // Answers the requests that are left, refuses further ones and ends the process.
 void EndStop(core_context& aContext, std::size_t aOpenRequests)
 {
@@ -281,9 +289,7 @@
   view.mLastForwardAt = std::min(view.mLastForwardAt, aContext.Now());
   const exit_process exit{ view.mFinalAnswersAt, view.mFlushUntil };
   aContext.mBoard.Write(kFleetKey, std::move(view));
-  for (const auto& [key, state] : aContext.mBoard.List<forward_state>()) {
-    aContext.mBoard.Post(key, answer_now{});
-  }
+  AnswerOpenRequests(aContext);
   aContext.Emit(exit);
 }
 
@@ -303,9 +309,13 @@
     aContext.Emit(close_callers{ true });
   }
   const std::size_t open = OpenRequests(aContext.mBoard);
-  if ((settled && open == 0) || aContext.Now() >= ReadView(aContext).mFinalAnswersAt) {
+  const bool due = aContext.Now() >= ReadView(aContext).mFinalAnswersAt;
+  if (!aFact.mEnding && (due || (settled && open == 0))) {
+    aFact.mEnding = true;
     EndStop(aContext, open);
-    return;
+  } else if (due) {
+    // A request that was admitted just before the end may have been written after it.
+    AnswerOpenRequests(aContext);
   }
   aContext.After(kStopCheck, kFleetKey, aFact);
 }
