--- a/src/daemon/reply_delivery.cc
+++ b/src/daemon/reply_delivery.cc
@@ -9,7 +9,7 @@
 
 // A shorter time shows what the kernel buffers, not how fast the client reads.
 constexpr micros kMinMeasuredTime = std::chrono::milliseconds(20);
-// The kernel takes bytes in lumps; a client that has taken none for longer does not read.
+// The kernel takes bytes in batches; a client that has taken none for longer does not read.
 constexpr micros kMaxPause = std::chrono::seconds(1);
 // The kernel's buffers grow while bytes wait, so that a client looks faster than it is.
 constexpr double kRateMargin = 2;
