--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -460,8 +460,8 @@
   }
 }
 
-// The daemon serves for 2.05 s after the first request and has 0.5 s to finish; closing takes 0.4 s,
-// and 1 s more for callers that do not close. The rest is for a slow machine.
+// The daemon serves for 2.05 s after the first request and has 0.5 s to finish; closing takes 0.4
+// s, and 1 s more for callers that do not close. The rest is for a slow machine.
 INSTANTIATE_TEST_SUITE_P(rows,
                          stop_test,
                          testing::Values(stop_row{ "a stop that never ends under load",
