--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -352,100 +352,98 @@
   }
 }
 
-TEST(http_server, AnswersARequestThatWaitsToBeReadAtTheClose)
+// A server whose loop reads nothing between HeldRead and Release, as when it is busy. Then it calls
+// the hook and answers the held request.
+class busy_server
 {
-  // Guards against a busy loop whose reply closes the connection of a request that the kernel has
-  // accepted. The loop reads nothing more until the hook returns.
-  request_id_source requestIds{ 0 };
-  io_loop serverLoop(1);
-  io_loop clientLoop(1);
-  http_server* replies = nullptr;
-  std::promise<void> firstRead;
-  std::promise<void> secondSent;
-  http_server server(serverLoop,
-                     requestIds,
-                     { [&](std::uint64_t aId, const http_message& aRequest) {
-                        if (aRequest.mTarget == "/held") {
-                          firstRead.set_value();
-                          secondSent.get_future().wait();
-                          replies->AnnounceClose();
-                        }
-                        replies->Reply(aId, { 200, "", "", {} });
-                      },
-                       nullptr,
-                       nullptr },
-                     LimitsWithBody(kBodyLimit));
-  replies = &server;
-  const std::string address = *server.ListenOn("127.0.0.1:0");
-  serverLoop.Start();
-  clientLoop.Start();
-  blocking_socket client(address);
-  client.Send(Post(0, "/held"));
-  firstRead.get_future().wait();
-  client.Send(Post(0));
-  WaitFor(clientLoop, milliseconds(20));
-  secondSent.set_value();
-  EXPECT_EQ(Statuses(client.ReadToEnd()), std::vector<unsigned>({ 200, 200 }));
-  serverLoop.Stop();
-  clientLoop.Stop();
-}
+public:
+  explicit busy_server(std::function<void(http_server&)> aAtRelease)
+    : mAtRelease(std::move(aAtRelease))
+    , mServer(mLoop,
+              mRequestIds,
+              { [this](std::uint64_t aId, const http_message& aRequest) { Handle(aId, aRequest); },
+                nullptr,
+                nullptr },
+              LimitsWithBody(kBodyLimit))
+    , mAddress(mServer.ListenOn("127.0.0.1:0").mValue.value_or(""))
+  {
+    mLoop.Start();
+  }
+  ~busy_server() { mLoop.Stop(); }
+  busy_server(const busy_server&) = delete;
+  busy_server& operator=(const busy_server&) = delete;
+
+  const std::string& Address() const { return mAddress; }
+  void WaitUntilHeld() { mHeld.get_future().wait(); }
+  void Release() { mReleased.set_value(); }
+
+private:
+  void Handle(std::uint64_t aId, const http_message& aRequest)
+  {
+    if (aRequest.mTarget == "/held") {
+      mHeld.set_value();
+      mReleased.get_future().wait();
+      mAtRelease(mServer);
+    }
+    mServer.Reply(aId, { 200, "", "", {} });
+  }
+
+  const std::function<void(http_server&)> mAtRelease;
+  io_loop mLoop{ 1 };
+  request_id_source mRequestIds{ 0 };
+  std::promise<void> mHeld;
+  std::promise<void> mReleased;
+  http_server mServer;
+  const std::string mAddress;
+};
 
 struct waiting_row
 {
   const char* mGuardsAgainst;
   std::function<void(http_server&)> mClose;
+  bool mSameConnection; // the waiting request is pipelined behind the held one
+  std::vector<unsigned> mStatuses;
 };
 
 class waiting_test : public testing::TestWithParam<waiting_row>
 {};
 
-TEST_P(waiting_test, AnswersARequestOfAnIdleConnectionThatWaitsToBeRead)
+TEST_P(waiting_test, AnswersARequestThatWaitsToBeRead)
 {
-  // The loop reads nothing while the hook holds the request of another connection.
-  request_id_source requestIds{ 0 };
-  io_loop serverLoop(1);
+  const waiting_row& row = GetParam();
   io_loop clientLoop(1);
-  http_server* replies = nullptr;
-  std::promise<void> heldRead;
-  std::promise<void> secondSent;
-  http_server server(serverLoop,
-                     requestIds,
-                     { [&](std::uint64_t aId, const http_message& aRequest) {
-                        if (aRequest.mTarget == "/held") {
-                          heldRead.set_value();
-                          secondSent.get_future().wait();
-                          GetParam().mClose(*replies);
-                        }
-                        replies->Reply(aId, { 200, "", "", {} });
-                      },
-                       nullptr,
-                       nullptr },
-                     LimitsWithBody(kBodyLimit));
-  replies = &server;
-  const std::string address = *server.ListenOn("127.0.0.1:0");
-  serverLoop.Start();
   clientLoop.Start();
-  blocking_socket idle(address);
-  idle.Send(Post(0));
-  EXPECT_EQ(test_util::ParseStatus(idle.ReadReply()), 200U);
-  blocking_socket other(address);
-  other.Send(Post(0, "/held"));
-  heldRead.get_future().wait();
-  idle.Send(PostAndClose(0));
+  busy_server server(row.mClose);
+  blocking_socket client(server.Address());
+  blocking_socket other(server.Address());
+  if (!row.mSameConnection) {
+    client.Send(Post(0));
+    EXPECT_EQ(test_util::ParseStatus(client.ReadReply()), 200U);
+  }
+  (row.mSameConnection ? client : other).Send(Post(0, "/held"));
+  server.WaitUntilHeld();
+  client.Send(row.mSameConnection ? Post(0) : PostAndClose(0));
   WaitFor(clientLoop, milliseconds(20));
-  secondSent.set_value();
-  EXPECT_EQ(Statuses(idle.ReadToEnd()), std::vector<unsigned>{ 200 }) << GetParam().mGuardsAgainst;
-  serverLoop.Stop();
+  server.Release();
+  EXPECT_EQ(Statuses(client.ReadToEnd()), row.mStatuses) << row.mGuardsAgainst;
   clientLoop.Stop();
 }
 
 INSTANTIATE_TEST_SUITE_P(
   cases,
   waiting_test,
-  testing::Values(waiting_row{ "closing the idle connections drops a request that has arrived",
-                               [](http_server& aServer) { aServer.CloseIdle(false); } },
+  testing::Values(waiting_row{ "a reply that announces the close drops the request behind it",
+                               [](http_server& aServer) { aServer.AnnounceClose(); },
+                               true,
+                               { 200, 200 } },
+                  waiting_row{ "closing the idle connections drops a request that has arrived",
+                               [](http_server& aServer) { aServer.CloseIdle(false); },
+                               false,
+                               { 200 } },
                   waiting_row{ "closing all connections drops a request that has arrived",
-                               [](http_server& aServer) { aServer.CloseAll(); } }));
+                               [](http_server& aServer) { aServer.CloseAll(); },
+                               false,
+                               { 200 } }));
 
 constexpr std::size_t kMoreThanKernelBuffers = std::size_t{ 32 } * 1024 * 1024;
 
