--- a/src/platform/edge_fixture.h
+++ b/src/platform/edge_fixture.h
@@ -157,6 +157,12 @@
   return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n" + aRest;
 }
 
+inline std::string RequestWithId(const std::string& aTarget, const std::string& aId)
+{
+  return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\n" + kAttemptIdHeader + ": " + aId +
+         "\r\n\r\n";
+}
+
 } // namespace redwingdock::platform
 
 #endif
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -93,11 +93,6 @@
   return config;
 }
 
-std::string RequestWithId(const std::string& aTarget, const std::string& aId)
-{
-  return "GET " + aTarget + " HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: " + aId + "\r\n\r\n";
-}
-
 int TotalRuns(const edge_fixture& aFixture)
 {
   int runs = 0;
--- a/tests/process/program_end_test.cc
+++ b/tests/process/program_end_test.cc
@@ -77,10 +77,10 @@
       auto replica = std::make_unique<platform::replica_standin>(
         mLoop, id, platform::replica_behaviour{ milliseconds(2), 200, "" });
       EXPECT_TRUE(replica->ListenOn("127.0.0.1:0"));
-      mStore.Put("servers/" + id, replica->PublishedEntry(service, "zone-1", false));
+      mStore.Put(platform::kReplicaPrefix + id, replica->PublishedEntry(service, "zone-1", false));
       mReplicas.emplace(service, std::move(replica));
     }
-    mStore.Put("op/config", platform::kConfiguration);
+    mStore.Put(platform::kConfigurationKey, platform::kConfiguration);
     mSettings = "vm: vm-1\nzone: zone-1\nlisten: {callers: \"" + mIp + ":8104\", readiness: \"" +
                 mIp + ":8108\", addresses: \"" + mIp + ":8100\", peers: \"" + mIp +
                 ":7380\", metrics: \"" + mIp + ":9464\"}\nstore: \"" + (store ? *store : "") +
@@ -187,13 +187,12 @@
     int number = 0;
     StallOutput(*tested.mProgram, [&] {
       blocking_socket socket(tested.Callers());
-      socket.Send("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: stall-" +
-                  std::to_string(++number) + "\r\n\r\n");
+      socket.Send(platform::RequestWithId("/p/x", "stall-" + std::to_string(++number)));
       EXPECT_EQ(ParseStatus(socket.ReadReply()), 200U);
     });
   }
   blocking_socket client(tested.Callers());
-  client.Send("GET /slow/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: open-1\r\n\r\n");
+  client.Send(platform::RequestWithId("/slow/x", "open-1"));
   ASSERT_TRUE(WaitUntil([&] { return tested.mReplicas["b"]->RunCounts().contains("open-1"); }));
   if (GetParam().mReader == log_reader::Gone) {
     tested.mProgram->CloseOutput();
@@ -271,7 +270,7 @@
     if (!socket->Connected()) {
       return std::nullopt;
     }
-    socket->Send("GET /p/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: start-1\r\n\r\n");
+    socket->Send(platform::RequestWithId("/p/x", "start-1"));
     return socket->ReadReply();
   });
   if (GetParam().mAfterSettings) {
