--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -195,7 +195,7 @@
     status = mReader.Feed({});
   }
   if (status == http_read_status::Failed) {
-    EndOpen(request_end::Garbled, "the answer is not HTTP");
+    EndOpen(request_end::Malformed, "the answer is not HTTP");
     mTcp->Close("the answer is not HTTP");
     return;
   }
@@ -220,7 +220,7 @@
                        .mDaemon = mDaemon,
                        .mSentAt = SteadyNow(),
                        .mEndedAt = SteadyNow(),
-                       .mEnd = request_end::Unasked,
+                       .mEnd = request_end::Unexpected,
                        .mStatus = aAnswer.mStatus });
     }
     return;
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -155,8 +155,8 @@
     case request_end::GaveUp:
       // The client had waited beyond its deadline for an answer that was due before it.
       return WasKilledBefore(aLife, aRequest.mEndedAt) ? finding::Excused : finding::Lost;
-    case request_end::Garbled:
-    case request_end::Unasked:
+    case request_end::Malformed:
+    case request_end::Unexpected:
       return finding::WrongAnswer;
   }
   return finding::WrongAnswer;
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -15,11 +15,11 @@
 
 enum class request_end
 {
-  Answered, // the whole answer arrived
-  Closed,   // the connection ended first
-  GaveUp,   // the client stopped waiting after its deadline
-  Garbled,  // bytes that are no answer in the protocol arrived
-  Unasked,  // a success arrived while no request was waiting
+  Answered,   // the whole answer arrived
+  Closed,     // the connection ended first
+  GaveUp,     // the client stopped waiting after its deadline
+  Malformed,  // bytes that are no answer in the protocol arrived
+  Unexpected, // a success arrived while no request was waiting
 };
 
 // One attempt of a client.
--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -192,7 +192,7 @@
       kFirstEvent, std::chrono::duration_cast<milliseconds>(options.mDuration) - milliseconds(800));
     const std::size_t zone = aRandom.Below(kZones);
     aPlan.mEvents.push_back({ at, soak_action::EvacuateZone, zone });
-    aPlan.mEvents.push_back({ at + milliseconds(4000), soak_action::TakeZoneBack, zone });
+    aPlan.mEvents.push_back({ at + milliseconds(4000), soak_action::RestoreZone, zone });
   }
   aPlan.mEarlySignals = DrawEarlySignals(aRandom, options);
   constexpr log_sink kSinks[] = { log_sink::File, log_sink::File,       log_sink::File,
--- a/src/platform/soak/soak_plan.h
+++ b/src/platform/soak/soak_plan.h
@@ -80,7 +80,7 @@
   StoreDown,
   StoreUp,
   EvacuateZone,
-  TakeZoneBack,
+  RestoreZone,
 };
 
 struct soak_event
--- a/src/platform/soak/soak_plan_test.cc
+++ b/src/platform/soak/soak_plan_test.cc
@@ -94,7 +94,7 @@
   constexpr change kChanges[] = { { soak_action::LowerLimits, soak_action::RaiseLimits },
                                   { soak_action::DropRoute, soak_action::RestoreRoute },
                                   { soak_action::StoreDown, soak_action::StoreUp },
-                                  { soak_action::EvacuateZone, soak_action::TakeZoneBack } };
+                                  { soak_action::EvacuateZone, soak_action::RestoreZone } };
   for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
     const soak_plan plan = PlanOf(seed);
     const auto count = [&plan](soak_action aAction) {
@@ -139,7 +139,7 @@
   EXPECT_EQ(deployments.size(), SoakDeployments().size());
   EXPECT_EQ(quotas.size(), 2U);
   EXPECT_EQ(sinks.size(), 3U);
-  EXPECT_EQ(actions.size(), static_cast<std::size_t>(soak_action::TakeZoneBack) + 1);
+  EXPECT_EQ(actions.size(), static_cast<std::size_t>(soak_action::RestoreZone) + 1);
   EXPECT_EQ(early, (std::set<soak_action>{ soak_action::Terminate, soak_action::Reload }));
   EXPECT_EQ(starts, (std::set<std::size_t>{ 0, 1 }));
   for (const char* each : { "kept",
--- a/src/platform/soak/soak_plan_text.cc
+++ b/src/platform/soak/soak_plan_text.cc
@@ -34,8 +34,8 @@
       return "store_up";
     case soak_action::EvacuateZone:
       return "evacuate_zone";
-    case soak_action::TakeZoneBack:
-      return "take_zone_back";
+    case soak_action::RestoreZone:
+      return "restore_zone";
   }
   return "";
 }
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -156,7 +156,7 @@
     case soak_action::EvacuateZone:
       mStore.Put(kClosedZonePrefix + ZoneName(aEvent.mTarget), "{}");
       break;
-    case soak_action::TakeZoneBack:
+    case soak_action::RestoreZone:
       mStore.Delete(kClosedZonePrefix + ZoneName(aEvent.mTarget));
       break;
   }
