Publish no answering replica in the test of a crashing request

The test published a replica that answers, deleted it, and waited only until the daemon was ready, which it is with the entries from before the deletion. When the first send reaches that replica, its answer clears the request for 10 s (kAnsweredTtl), as intended, and the next five sends end a replica each.

--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -305,12 +305,12 @@
   // replicas (review/1): the daemon does not try a crashed replica again by itself.
   edge_fixture fixture;
   std::vector<std::unique_ptr<crashing_server>> servers;
-  fixture.Publish();
   for (int i = 0; i < 6; ++i) {
     servers.push_back(std::make_unique<crashing_server>(fixture.mLoop));
     fixture.mStore.Put("servers/i-x" + std::to_string(i), EntryAt("b", servers.back()->Address()));
   }
-  fixture.mStore.Delete("servers/i-b");
+  // A replica that answers would clear the request of the suspicion.
+  fixture.Publish("b");
   ASSERT_TRUE(fixture.WaitUntilReady());
   unsigned status = 0;
   const instant latest = SteadyNow() + seconds(3);
--- a/src/platform/edge_fixture.h
+++ b/src/platform/edge_fixture.h
@@ -84,10 +84,13 @@
     mLoop.Stop();
   }
 
-  void Publish()
+  // Publishes the replicas, except that of aWithout, then the configuration.
+  void Publish(const std::string& aWithout = "")
   {
     for (const auto& [service, replica] : mReplicas) {
-      mStore.Put("servers/i-" + service, replica->PublishedEntry(service, "zone-1", false));
+      if (service != aWithout) {
+        mStore.Put("servers/i-" + service, replica->PublishedEntry(service, "zone-1", false));
+      }
     }
     mStore.Put("op/config", kConfiguration);
   }
