Reset no connection that was established as the listener closed

What callers saw: at a planned stop, a caller that had connected and sent its request got a reset, and could not know whether it had run.

Cause: the listener accepted what was established and then closed; the kernel went on to establish connections in between, and closing resets those. Now a socket filter has the kernel drop SYN packets first; handshakes that have begun get 1 ms to end, and are accepted before the close. What needs longer than 1 ms for its handshake is still reset.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -80,7 +80,6 @@
   mClosing = true;
   if (mListener) {
     mListener->AcceptPendingAndStop();
-    mListener.reset();
   }
   mSessions.ForEach([aUnused](std::uint64_t, session& aSession) {
     if ((aUnused || aSession.mUsed) && aSession.IsIdle()) {
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -15,6 +15,7 @@
 #include <csignal>
 #include <initializer_list>
 #include <limits>
+#include <linux/filter.h>
 #include <linux/sockios.h>
 #include <mutex>
 #include <netinet/tcp.h>
@@ -55,6 +56,9 @@
 // Delay before the next accept after an error such as "too many open files", which would otherwise
 // recur in a busy loop.
 constexpr std::chrono::milliseconds kAcceptRetryDelay{ 100 };
+// Handshakes that have begun get this time to end before a listener closes: about a round trip
+// between availability zones. Peers that connect meanwhile lose a second, so it is short.
+constexpr std::chrono::milliseconds kHandshakeTime{ 1 };
 // How long CloseAfterSend waits for the peer to close, or to receive more of what was sent.
 constexpr std::chrono::seconds kCloseTimeout{ 1 };
 
@@ -520,6 +524,7 @@
     : mContext(aContext)
     , mAcceptor(aContext)
     , mAcceptRetryTimer(aContext)
+    , mStopTimer(aContext)
     , mOnAccept(std::move(aOnAccept))
   {
   }
@@ -590,11 +595,43 @@
     error_code ignored;
     mAcceptor.close(ignored);
     mAcceptRetryTimer.cancel();
+    mStopTimer.cancel();
   }
 
   // Closing the acceptor resets connections that the kernel has established and nothing has
-  // accepted yet.
+  // accepted yet. So the kernel establishes no more of them, and what has begun ends first.
   void AcceptPendingAndStop()
+  {
+    const std::lock_guard lock(mLock);
+    if (mStopped || std::exchange(mStopping, true)) {
+      return;
+    }
+    IgnoreNewLocked();
+    mStopTimer.expires_after(kHandshakeTime);
+    mStopTimer.async_wait([self = shared_from_this()](const error_code& aError) {
+      if (!aError) {
+        self->AcceptEstablishedAndStop();
+      }
+    });
+  }
+
+  // Has the kernel drop the first packet of new connections. Their peers repeat it after a second,
+  // and are refused then. A connection could still be reset if this failed.
+  void IgnoreNewLocked()
+  {
+    constexpr std::uint32_t kFlagsOffset = 13; // in the TCP header
+    constexpr std::uint32_t kSynFlag = 0x02;
+    std::array<sock_filter, 4> program{ {
+      BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+      BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSynFlag, 0, 1),
+      BPF_STMT(BPF_RET | BPF_K, 0),
+      BPF_STMT(BPF_RET | BPF_K, std::numeric_limits<std::uint32_t>::max()),
+    } };
+    const sock_fprog filter{ static_cast<unsigned short>(program.size()), program.data() };
+    ::setsockopt(mAcceptor.native_handle(), SOL_SOCKET, SO_ATTACH_FILTER, &filter, sizeof(filter));
+  }
+
+  void AcceptEstablishedAndStop()
   {
     std::vector<std::shared_ptr<connection_state>> pending;
     {
@@ -623,8 +660,10 @@
   asio::io_context& mContext;
   tcp::acceptor mAcceptor;
   asio::steady_timer mAcceptRetryTimer;
+  asio::steady_timer mStopTimer;
   accept_hook mOnAccept;
   tcp::endpoint mBoundEndpoint;
+  bool mStopping = false; // AcceptPendingAndStop was called
   bool mStopped = false;
 };
 
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -158,7 +158,8 @@
   tcp_listener(const tcp_listener&) = delete;
   tcp_listener& operator=(const tcp_listener&) = delete;
 
-  // Accepts the connections that are already established, then no more.
+  // Has the kernel establish no more connections, accepts those that are established, and closes
+  // about a millisecond later, if the loop runs.
   void AcceptPendingAndStop();
 
   // The bound "ip:port"; for a requested port 0, with the port that the kernel assigned.
--- a/src/daemon/tcp_test.cc
+++ b/src/daemon/tcp_test.cc
@@ -1,9 +1,12 @@
 #include "daemon/tcp.h"
+
+#include "daemon/loopback_test_util.h"
 #include "daemon/udp_socket.h"
 
 #include <atomic>
 #include <future>
 #include <gtest/gtest.h>
+#include <utility>
 
 namespace redwingdock {
 namespace {
@@ -169,5 +172,84 @@
                     [](tcp_connection& aConnection) { aConnection.CloseAfterSend("done"); },
                     0 }));
 
+// Answers one byte on each connection until it is stopped.
+class byte_server
+{
+public:
+  explicit byte_server(io_loop& aLoop)
+    : mListener(
+        *Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+          tcp_hooks hooks;
+          hooks.mOnBytes = [weak = std::weak_ptr(aConnection)](std::string_view) {
+            if (const auto connection = weak.lock()) {
+              connection->Send("x");
+            }
+          };
+          {
+            const std::lock_guard lock(mLock);
+            mAccepted.push_back(aConnection);
+          }
+          aConnection->Start(std::move(hooks));
+        }))
+  {
+  }
+
+  std::string Address() const { return mListener->Address(); }
+  void Stop() { mListener->AcceptPendingAndStop(); }
+
+private:
+  std::mutex mLock;
+  std::vector<std::shared_ptr<tcp_connection>> mAccepted;
+  std::shared_ptr<tcp_listener> mListener;
+};
+
+// Connects again and again until it is refused. Counts itself when it has been answered, and
+// returns the number of connections without an answer.
+int ConnectUntilRefused(const std::string& aAddress, std::atomic<int>& aAnswered)
+{
+  bool answered = false;
+  int unanswered = 0;
+  for (bool connected = true; connected;) {
+    test_util::blocking_socket socket(aAddress);
+    connected = socket.Connected();
+    if (connected) {
+      socket.Send("a");
+      const bool complete = !socket.ReadSome().empty();
+      unanswered += complete ? 0 : 1;
+      aAnswered += complete && !std::exchange(answered, true) ? 1 : 0;
+    }
+  }
+  return unanswered;
+}
+
+TEST(tcp_listener, AnswersEachConnectionThatTheKernelEstablished)
+{
+  // Guards against connections that are reset, with a request sent, as the listener is closed.
+  constexpr int kListeners = 60;
+  constexpr int kClients = 3;
+  io_loop loop(2);
+  std::vector<std::unique_ptr<byte_server>> servers;
+  std::vector<std::future<int>> clients;
+  std::atomic<int> answered{ 0 };
+  loop.Start();
+  for (int i = 1; i <= kListeners; ++i) {
+    servers.push_back(std::make_unique<byte_server>(loop));
+    for (int j = 0; j < kClients; ++j) {
+      clients.push_back(
+        std::async(std::launch::async, [&answered, address = servers.back()->Address()] {
+          return ConnectUntilRefused(address, answered);
+        }));
+    }
+    EXPECT_TRUE(test_util::WaitUntil([&answered, i] { return answered == i * kClients; }));
+    servers.back()->Stop();
+  }
+  int unanswered = 0;
+  for (std::future<int>& each : clients) {
+    unanswered += each.get();
+  }
+  EXPECT_EQ(unanswered, 0);
+  loop.Stop();
+}
+
 } // namespace
 } // namespace redwingdock
