Forward a late request while the grace of a stop allows it

A request whose last bytes arrived after the daemon had finished its other work, from 2.8 s on, was answered 503 though 2 s were left to run it. The end of the stop moved the time of the last forward to its own time. It now stays as the budget has it, and the requests that are open at the time of the final answers are answered then and counted in the log. Open requests are no longer answered at an early end, where one that had just been admitted could be cut 2 s too soon (found by reading).

--- a/src/fleet/fleet_controller.cc
+++ b/src/fleet/fleet_controller.cc
@@ -281,16 +281,12 @@
   }
 }
 
-// Answers the requests that are left, refuses further ones and ends the process.
+// Lets the process exit. It waits for what clients are still sending, which is forwarded as before.
 void EndStop(core_context& aContext, std::size_t aOpenRequests)
 {
   aContext.Log("entry", "event=stop_done open_requests=" + std::to_string(aOpenRequests));
-  fleet_view view = ReadView(aContext);
-  view.mLastForwardAt = std::min(view.mLastForwardAt, aContext.Now());
-  const exit_process exit{ view.mFinalAnswersAt, view.mFlushUntil };
-  aContext.mBoard.Write(kFleetKey, std::move(view));
-  AnswerOpenRequests(aContext);
-  aContext.Emit(exit);
+  const fleet_view view = ReadView(aContext);
+  aContext.Emit(exit_process{ view.mFinalAnswersAt, view.mFlushUntil });
 }
 
 void OnStopCheck(core_context& aContext, stop_check aFact)
@@ -310,12 +306,14 @@
   }
   const std::size_t open = OpenRequests(aContext.mBoard);
   const bool due = aContext.Now() >= ReadView(aContext).mFinalAnswersAt;
+  if (due && open > 0) {
+    // Also after the first check: a request that was admitted before it may be written after it.
+    aContext.Log("entry", "event=final_answers open_requests=" + std::to_string(open));
+    AnswerOpenRequests(aContext);
+  }
   if (!aFact.mEnding && (due || (settled && open == 0))) {
     aFact.mEnding = true;
     EndStop(aContext, open);
-  } else if (due) {
-    // A request that was admitted just before the end may have been written after it.
-    AnswerOpenRequests(aContext);
   }
   aContext.After(kStopCheck, kFleetKey, aFact);
 }
