Answer partly read requests at the end of record search

A query of which only a part had been read was closed without an answer when a planned stop ended. It now gets 503 with the outcome not_run, 0.2 s before the end, on a first and on a repeated stop request. Both rows of partly_read_test failed before: no answer by the end of the stop, and in the test, whose process goes on, the 408 of the time limit.

--- a/src/daemon/caller_api.cc
+++ b/src/daemon/caller_api.cc
@@ -166,6 +166,12 @@
   }
 }
 
+http_response caller_api::UnreadReply()
+{
+  return AnswerResponse(MakeFailedAnswer(
+    outcome::NotRun, { "read request", "", "the daemon has stopped before the request was read" }));
+}
+
 void caller_api::OnAnswerTimeout(std::uint64_t aRequestId)
 {
   const std::optional<pending> pendingRequest = mPending.Take(aRequestId);
--- a/src/daemon/caller_api.h
+++ b/src/daemon/caller_api.h
@@ -53,6 +53,8 @@
 
   // The caller closed its connection; its request is dropped.
   void OnCallerDisconnected(std::uint64_t aRequestId);
+  // Reply to a request of which the daemon that stops has read only a part.
+  static http_response UnreadReply();
   // The core has not answered in time. The outcome of a query is unknown because it may have run.
   void OnAnswerTimeout(std::uint64_t aRequestId);
 
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -15,6 +15,8 @@
 
 // Time to send the remaining answers to callers once the core has finished.
 constexpr micros kFlushTimeout = std::chrono::seconds(2);
+// The end of that time, for replies to requests that have been read only in part.
+constexpr micros kRefusalTime = std::chrono::milliseconds(200);
 // Requests that were sent before a connection closes have been read after this time.
 constexpr micros kReadGrace = std::chrono::milliseconds(100);
 constexpr micros kFlushCheckInterval = std::chrono::milliseconds(10);
@@ -219,13 +221,25 @@
   // Waits until the callers have closed: ending the process with received bytes unread would reset
   // their connections, and an answer that is on the way could be lost.
   mCallerServer.CloseAll();
-  if (SteadyNow() >= aLatest || mCallerServer.Connections() == 0) {
+  const instant now = SteadyNow();
+  if (now >= aLatest - kRefusalTime) {
+    RefusePartlyRead();
+  }
+  if (now >= aLatest || mCallerServer.Connections() == 0) {
     End();
     return;
   }
   mLoop.After(kFlushCheckInterval, [this, aLatest] { EndWhenFlushed(aLatest); });
 }
 
+void query_daemon::RefusePartlyRead()
+{
+  const std::size_t count = mCallerServer.RefusePartlyRead(caller_api::UnreadReply());
+  if (count > 0) {
+    Log({ log_level::Info, "entry", "refused " + std::to_string(count) + " partly read requests" });
+  }
+}
+
 void query_daemon::Stop()
 {
   mLoop.Stop();
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -65,6 +65,7 @@
   void Execute(command& aCommand);
   void CloseCallers();
   void EndWhenFlushed(instant aLatest);
+  void RefusePartlyRead();
   void End();
   void Stop();
   std::string MetricsText() const;
--- a/src/daemon/query_daemon_test.cc
+++ b/src/daemon/query_daemon_test.cc
@@ -478,6 +478,31 @@
                                                    true,
                                                    std::chrono::milliseconds(2500) }));
 
+class partly_read_test : public testing::TestWithParam<bool>
+{};
+
+// Guards against a request that has been read in part when the daemon ends and gets no answer.
+TEST_P(partly_read_test, IsAnsweredBeforeTheEnd)
+{
+  deployment tested(std::chrono::milliseconds(500));
+  ASSERT_TRUE(tested.AnswersCompletely());
+  const std::string request = FormatPost("/v1/query", R"({"route":"case-search"})");
+  blocking_socket socket(tested.mBound.mCallers);
+  socket.Send(request.substr(0, request.size() - 5));
+  auto ended = std::async(std::launch::async, [&tested] { return tested.mDaemon.WaitForEnd(); });
+  tested.mDaemon.RequestStop();
+  if (GetParam()) {
+    tested.mDaemon.RequestStop();
+  }
+  const std::string reply = socket.ReadToEnd();
+  EXPECT_EQ(ParseStatus(reply), 503U) << reply;
+  EXPECT_NE(reply.find("\"outcome\":\"not_run\""), std::string::npos) << reply;
+  EXPECT_EQ(ended.wait_for(std::chrono::seconds(6)), std::future_status::ready);
+}
+
+// Whether the stop is requested a second time.
+INSTANTIATE_TEST_SUITE_P(cases, partly_read_test, testing::Values(false, true));
+
 // Guards against an error for an address in use that does not name the address.
 TEST(query_daemon_test, AddressInUseIsReported)
 {
