--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -498,6 +498,8 @@
 http_limits ShortLimits()
 {
   http_limits limits;
+  limits.mHeaderTimeout = milliseconds(500);
+  limits.mRequestTimeout = milliseconds(500);
   limits.mIdleTimeout = milliseconds(500);
   limits.mReplyTimeout = milliseconds(500);
   return limits;
@@ -506,23 +508,27 @@
 INSTANTIATE_TEST_SUITE_P(
   cases,
   slow_reader_test,
-  testing::Values(slow_reader_row{ "the idle limit cuts a reply that is being sent",
-                                   ShortLimits(),
-                                   Post(0),
-                                   true },
-                  slow_reader_row{
-                    "the limit on a reply cuts one that is being sent before the close",
-                    ShortLimits(),
-                    PostAndClose(0),
-                    true },
-                  slow_reader_row{ "a reply that is not read keeps its connection open",
-                                   ShortLimits(),
-                                   Post(0),
-                                   false },
-                  slow_reader_row{ "a last reply that is not read keeps its connection open",
-                                   ShortLimits(),
-                                   PostAndClose(0),
-                                   false }));
+  testing::Values(
+    slow_reader_row{ "the idle limit cuts a reply that is being sent",
+                     ShortLimits(),
+                     Post(0),
+                     true },
+    slow_reader_row{ "the limit on a reply cuts one that is being sent before the close",
+                     ShortLimits(),
+                     PostAndClose(0),
+                     true },
+    slow_reader_row{ "a reply that is not read keeps its connection open",
+                     ShortLimits(),
+                     Post(0),
+                     false },
+    slow_reader_row{ "a last reply that is not read keeps its connection open",
+                     ShortLimits(),
+                     PostAndClose(0),
+                     false },
+    slow_reader_row{ "a 408 behind a reply that is not read keeps its connection open",
+                     ShortLimits(),
+                     Post(0) + Post(0).substr(0, 10),
+                     false }));
 
 } // namespace
 } // namespace redwingdock
