Answer queries that are stored after the end of record search's stop

A query that was admitted just before the phase Stopped could be written more than one check after it, and got no answer before the process ended. The check now goes on until then, as in forwarding. Found by reading; no test shows it.

--- a/src/entry/entry_controller.cc
+++ b/src/entry/entry_controller.cc
@@ -18,6 +18,8 @@
 // Fact: checks whether the drain can go on to its next phase. Key: kSelfKey.
 struct stop_check
 {
+  bool mEnding = false; // exit_process has been emitted
+
   auto operator<=>(const stop_check&) const = default;
 };
 
@@ -69,15 +71,20 @@
   aContext.Emit(answer_entry{ aFact.mEntryRequest, Success(std::move(answer)) });
 }
 
-// Refuses further queries and has the open ones answered with what is known.
-void EndWork(core_context& aContext, instant aEarliestClosing)
+void AnswerOpenQueries(core_context& aContext)
 {
-  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Stopped, aEarliestClosing });
   for (const auto& [key, state] : aContext.mBoard.List<query_state>()) {
     aContext.mBoard.Post(key, answer_now{});
   }
 }
 
+// Refuses further queries and has the open ones answered with what is known.
+void EndWork(core_context& aContext, instant aEarliestClosing)
+{
+  aContext.mBoard.Write(kSelfKey, drain_state{ drain_phase::Stopped, aEarliestClosing });
+  AnswerOpenQueries(aContext);
+}
+
 void OnStopRequested(core_context& aContext, const stop_requested& aFact)
 {
   const auto old = aContext.mBoard.Read<drain_state>(kSelfKey);
@@ -114,16 +121,19 @@
   return false;
 }
 
-void OnStopCheck(core_context& aContext)
+void OnStopCheck(core_context& aContext, const stop_check& aFact)
 {
   const auto state = aContext.mBoard.Read<drain_state>(kSelfKey);
   if (!state || state->mPhase == drain_phase::Serving) {
     return;
   }
   if (state->mPhase == drain_phase::Stopped) {
-    // Queries that were accepted just before the change of the phase are on the board by now.
-    EndWork(aContext, state->mEarliestClosing);
-    aContext.Emit(exit_process{});
+    // A query that was accepted just before the change of the phase may be written after it.
+    AnswerOpenQueries(aContext);
+    if (!aFact.mEnding) {
+      aContext.Emit(exit_process{});
+    }
+    aContext.After(kStopCheck, kSelfKey, stop_check{ true });
     return;
   }
   if (state->mPhase == drain_phase::Draining && aContext.Now() >= state->mEarliestClosing) {
@@ -158,7 +168,7 @@
     OnStopRequested(aContext, aFact);
   });
   board.OnFact<stop_check>(
-    [&aContext](const std::string&, const stop_check&) { OnStopCheck(aContext); });
+    [&aContext](const std::string&, const stop_check& aFact) { OnStopCheck(aContext, aFact); });
 }
 
 } // namespace redwingdock
