Ask another daemon for a key prefix that one does not know

A submit now asks the next daemon, and takes no kept answer without a prefix. Both rows of key_prefix_test failed before.

--- a/src/client/client.cc
+++ b/src/client/client.cc
@@ -103,17 +103,27 @@
 
 namespace {
 
-// Asks the daemons one after the other until one returns a VM that is not avoided.
+// Whether the answer is enough for a call. A daemon that has just started knows no key prefixes
+// yet.
+bool IsSufficient(const entry_answer& aAnswer, bool aNeedsKeyPrefix)
+{
+  return !aNeedsKeyPrefix || !aAnswer.mKeyPrefix.empty();
+}
+
+// Asks the daemons one after the other until one returns a VM that is not avoided, with a key
+// prefix if one is needed.
 template<typename State>
 class entry_lookup : public std::enable_shared_from_this<entry_lookup<State>>
 {
 public:
   entry_lookup(std::shared_ptr<State> aState,
                std::string aCaller,
+               bool aNeedsKeyPrefix,
                instant aDeadline,
                on_entry aOnEntry)
     : mState(std::move(aState))
     , mCaller(std::move(aCaller))
+    , mNeedsKeyPrefix(aNeedsKeyPrefix)
     , mLookupDeadline(aDeadline)
     , mOnEntry(std::move(aOnEntry))
   {
@@ -170,7 +180,13 @@
     }
     if (Now() >= mState->AvoidUntil(answer->mAddress)) {
       mState->mEntries.Set(mCaller, { *answer, Now() + answer->mLifetime });
-      mOnEntry(answer);
+      if (IsSufficient(*answer, mNeedsKeyPrefix)) {
+        mOnEntry(answer);
+        return;
+      }
+      mFallback = *answer;
+      ++mDaemonIndex;
+      SendRequest();
       return;
     }
     // The daemon has not detected the failure yet. Any daemon serves queries, so this one is the
@@ -185,6 +201,7 @@
 
   std::shared_ptr<State> mState;
   std::string mCaller;
+  bool mNeedsKeyPrefix;
   instant mLookupDeadline;
   on_entry mOnEntry;
   std::vector<std::string> mOrder;
@@ -197,15 +214,18 @@
 template<typename State>
 void FindEntry(const std::shared_ptr<State>& aState,
                const std::string& aCaller,
+               bool aNeedsKeyPrefix,
                instant aDeadline,
                on_entry aOnEntry)
 {
   std::optional<cached_entry> cached = aState->mEntries.Get(aCaller);
-  if (cached && IsEntryUsable(cached, Now(), aState->AvoidUntil(cached->mAnswer.mAddress))) {
+  if (cached && IsSufficient(cached->mAnswer, aNeedsKeyPrefix) &&
+      IsEntryUsable(cached, Now(), aState->AvoidUntil(cached->mAnswer.mAddress))) {
     aOnEntry(Success(cached->mAnswer));
     return;
   }
-  std::make_shared<entry_lookup<State>>(aState, aCaller, aDeadline, std::move(aOnEntry))
+  std::make_shared<entry_lookup<State>>(
+    aState, aCaller, aNeedsKeyPrefix, aDeadline, std::move(aOnEntry))
     ->SendRequest();
 }
 
@@ -233,6 +253,7 @@
   {
     FindEntry(mState,
               mRequest.mCaller,
+              NeedsKeyPrefix(),
               mDeadline,
               [self = this->shared_from_this()](const result<entry_answer>& aEntry) {
                 self->SendTo(aEntry);
@@ -240,11 +261,16 @@
   }
 
 private:
+  bool NeedsKeyPrefix() const
+  {
+    return mOperation == operation::Submit && mRequest.mRequestKey.empty();
+  }
+
   void SendTo(const result<entry_answer>& aEntry)
   {
     std::unique_lock lock(mLock);
-    bool needsKey = mOperation == operation::Submit && mRequest.mRequestKey.empty();
-    if (!aEntry || (needsKey && aEntry->mKeyPrefix.empty())) {
+    const bool needsKey = NeedsKeyPrefix();
+    if (!aEntry || !IsSufficient(*aEntry, needsKey)) {
       reason failure = aEntry
                          ? reason{ "request entry VM", aEntry->mAddress, "no key prefix is known" }
                          : aEntry.mReason;
@@ -444,7 +470,7 @@
   std::promise<result<entry_answer>> resultPromise;
   instant until = Now() + mState->mConfig.mEntryTimeout *
                             static_cast<std::int64_t>(mState->mConfig.mDaemons.size() + 1);
-  FindEntry(mState, aCaller, until, [&resultPromise](const result<entry_answer>& aEntry) {
+  FindEntry(mState, aCaller, false, until, [&resultPromise](const result<entry_answer>& aEntry) {
     resultPromise.set_value(aEntry);
   });
   return resultPromise.get_future().get();
--- a/src/client/client_test.cc
+++ b/src/client/client_test.cc
@@ -216,5 +216,55 @@
                          testing::Values(entry_row{ "each call requests an entry VM", 60000, 1 },
                                          entry_row{ "an expired answer is used", 1, 5 }));
 
+struct key_prefix_row
+{
+  const char* mGuardsAgainst;
+  std::vector<operation> mCalls;
+};
+
+class key_prefix_test : public testing::TestWithParam<key_prefix_row>
+{};
+
+// The first answer of a daemon gives no key prefix, as that of a daemon that has just started.
+TEST_P(key_prefix_test, IsRequestedUntilItIsKnown)
+{
+  std::mutex lock;
+  int entryRequests = 0;
+  std::string address;
+  const fake_daemon::handler handler = [&](const std::string& aTarget, const std::string&) {
+    std::lock_guard guard(lock);
+    if (!aTarget.starts_with("/v1/entry")) {
+      return fake_reply{ .mBody = kComplete };
+    }
+    const std::string prefix = ++entryRequests == 1 ? "" : "vm-1.1.";
+    return fake_reply{ .mBody = R"({"vm": "vm-1", "address": ")" + address +
+                                R"(", "lifetime_ms": 60000, "key_prefix": ")" + prefix + "\"}" };
+  };
+  fake_daemon first(handler);
+  fake_daemon second(handler);
+  {
+    std::lock_guard guard(lock);
+    address = first.Address();
+  }
+  client calls({ .mDaemons = { first.Address(), second.Address() } });
+  const query_request request{ .mRoute = "r", .mCaller = "c", .mFilter = { { "id", "x" } } };
+  for (const operation each : GetParam().mCalls) {
+    const call_result done =
+      each == operation::Submit ? calls.Submit(request) : calls.Query(request);
+    EXPECT_EQ(done.mAnswer.mOutcome, outcome::Complete)
+      << GetParam().mGuardsAgainst << ": " << Describe(done.mAnswer.mReason);
+  }
+  std::lock_guard guard(lock);
+  EXPECT_EQ(entryRequests, 2) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  key_prefix_test,
+  testing::Values(key_prefix_row{ "a submit fails since one daemon does not know the prefix",
+                                  { operation::Submit, operation::Submit } },
+                  key_prefix_row{ "submits fail for as long as an answer without prefix is kept",
+                                  { operation::Search, operation::Submit, operation::Submit } }));
+
 } // namespace
 } // namespace redwingdock
