Wait for the directory and for unread requests at the end of a stop

The process ended without telling clients of the directory, whose questions on kept connections could be reset, and counted a request that waits in the kernel as nothing left to do. Connections to the directory are now announced to close from the signal on, closed in order at the end, and open questions are waited for. A stop waits for each caller's connection that is not closing, whatever is open on it.

planned_stop.ClosesConnectionsToTheDirectoryInOrder failed before: the connections were open at the end of the process. Requests that wait in the kernel beyond the wait for clients were found by reading; no test shows one that was lost.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -353,11 +353,11 @@
   return bytes;
 }
 
-std::size_t http_server::PartlyReadRequests() const
+std::size_t http_server::ActiveConnections() const
 {
   std::size_t count = 0;
   mSessions.ForEach(
-    [&count](std::uint64_t, const session& aSession) { count += aSession.IsPartlyRead() ? 1 : 0; });
+    [&count](std::uint64_t, const session& aSession) { count += aSession.mClosing ? 0 : 1; });
   return count;
 }
 
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -110,7 +110,8 @@
   std::size_t UnsentBytes() const;
   // Unsent bytes and those that the clients have not received.
   std::size_t UndeliveredBytes() const;
-  std::size_t PartlyReadRequests() const;
+  // Connections that are not closing: a request is open, read in part, or waits to be read.
+  std::size_t ActiveConnections() const;
   std::size_t Connections() const { return mSessions.Size(); }
   // The connections on which something is unfinished.
   std::vector<unfinished_connection> UnfinishedConnections() const;
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -25,8 +25,7 @@
 constexpr micros kConnectTimeout = std::chrono::milliseconds(400);
 // Only a client that has stopped sending takes longer than this for a request body.
 constexpr micros kRequestBodyTimeout = std::chrono::seconds(20);
-// The controllers answer each request by its deadline. This closes the connection of a request that
-// they failed to answer.
+// The controllers answer each request by its deadline, which is sooner.
 constexpr micros kAnswerTimeout = std::chrono::seconds(60);
 // Widths of the fields of a pool id.
 constexpr std::uint32_t kPartBits = 12;
@@ -207,6 +206,7 @@
   mStopRequestedAt.compare_exchange_strong(unset, SteadyNow());
   Log(StopSignalLine(++mStopSignals));
   mCallerServer.AnnounceClose();
+  mAddressServer.AnnounceClose();
   mDriver.Post(stop_requested{});
 }
 
@@ -221,15 +221,17 @@
   // Waits until the clients have closed: ending the process with received bytes unread would reset
   // their connections, and a reply that is on the way could be lost.
   mCallerServer.CloseAll();
+  mAddressServer.CloseIdle(true);
   const instant now = SteadyNow();
   if (now >= aCommand.mReadUntil) {
     RefusePartlyRead();
   }
-  const bool unfinished = mCallerServer.UndeliveredBytes() > 0 ||
-                          mCallerServer.PartlyReadRequests() > 0 ||
-                          mCallerServer.PendingRequests() > 0;
+  const bool directing =
+    mAddressServer.PendingRequests() > 0 || mAddressServer.UndeliveredBytes() > 0;
+  const bool unfinished =
+    directing || mCallerServer.UndeliveredBytes() > 0 || mCallerServer.ActiveConnections() > 0;
+  const bool connected = directing || mCallerServer.Connections() > 0;
   const instant closeUntil = unfinished ? now + kCloseTimeout : aCloseUntil;
-  const bool connected = mCallerServer.Connections() > 0;
   if (connected && now < std::min(closeUntil, aCommand.mFlushUntil)) {
     mLoop.After(kFlushCheckInterval,
                 [this, aCommand, closeUntil] { EndWhenFlushed(aCommand, closeUntil); });
--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -491,5 +491,32 @@
   fixture.mLoop.Stop();
 }
 
+TEST(planned_stop, ClosesConnectionsToTheDirectoryInOrder)
+{
+  // Guards against questions to the directory that are reset, since the process ends without having
+  // told its clients.
+  edge_fixture fixture(ShortStop());
+  fixture.Publish();
+  ASSERT_TRUE(fixture.WaitUntilReady());
+  const std::string question =
+    "GET /resolution?name=h.example&zone=zone-1 HTTP/1.1\r\nHost: h\r\n\r\n";
+  raw_client idle(fixture.mLoop, fixture.mBound.mAddresses);
+  raw_client asking(fixture.mLoop, fixture.mBound.mAddresses);
+  idle.Send(question);
+  asking.Send(question);
+  fixture.WaitFor(milliseconds(100));
+  fixture.mDaemon->RequestStop();
+  asking.Send(question);
+  fixture.mDaemon->WaitForEnd();
+  const std::vector<http_message> answers = asking.WaitUntilClosed();
+  EXPECT_EQ(idle.WaitUntilClosed().size(), 1U);
+  EXPECT_NE(idle.ClosedAt(), instant{}) << "open at the end of the process";
+  ASSERT_EQ(answers.size(), 2U);
+  EXPECT_TRUE(answers.front().mKeepAlive);
+  EXPECT_FALSE(answers.back().mKeepAlive);
+  fixture.mDaemon.reset();
+  fixture.mLoop.Stop();
+}
+
 } // namespace
 } // namespace redwingdock::platform
