--- a/src/platform/soak/soak_daemons.cc
+++ b/src/platform/soak/soak_daemons.cc
@@ -153,12 +153,12 @@
     log.mDescriptor);
   ::close(log.mDescriptor);
   started.mLogReader = log.mReader;
-  started.mLife = mLives.size();
+  started.mProcessRecord = mProcessRecords.size();
   ++started.mStarts;
-  mLives.push_back({ aDaemon, SteadyNow() });
+  mProcessRecords.push_back({ aDaemon, SteadyNow() });
   if (started.mPid == 0) {
     CloseLogReader(started);
-    mLives.back().mEndedAt = SteadyNow();
+    mProcessRecords.back().mEndedAt = SteadyNow();
     return false;
   }
   started.mWaiter = std::thread([this, aDaemon, pid = started.mPid] {
@@ -194,8 +194,8 @@
   }
   ended.mPid = 0;
   CloseLogReader(ended);
-  mLives[ended.mLife].mEndedAt = SteadyNow();
-  mLives[ended.mLife].mEndSignal = WIFSIGNALED(aStatus) ? WTERMSIG(aStatus) : 0;
+  mProcessRecords[ended.mProcessRecord].mEndedAt = SteadyNow();
+  mProcessRecords[ended.mProcessRecord].mEndSignal = WIFSIGNALED(aStatus) ? WTERMSIG(aStatus) : 0;
   if (mEnding) {
     return;
   }
@@ -210,22 +210,22 @@
   if (target.mPid == 0) {
     return;
   }
-  daemon_life& life = mLives[target.mLife];
-  if (aSignal == SIGTERM && life.mStopAt == kNever) {
-    life.mStopAt = SteadyNow();
+  process_record& record = mProcessRecords[target.mProcessRecord];
+  if (aSignal == SIGTERM && record.mStopAt == kNever) {
+    record.mStopAt = SteadyNow();
     mLoop.After(mOptions.mGrace, [this, aDaemon, pid = target.mPid] {
       const std::lock_guard relock(mLock);
       const process& late = mProcesses[aDaemon];
       if (late.mPid == pid) {
-        mLives[late.mLife].mKilledAt = SteadyNow();
+        mProcessRecords[late.mProcessRecord].mKilledAt = SteadyNow();
         ::kill(pid, SIGKILL);
       }
     });
   } else if (aSignal == SIGKILL) {
-    life.mKilledAt = SteadyNow();
-    life.mKillPlanned = true;
+    record.mKilledAt = SteadyNow();
+    record.mKillPlanned = true;
   } else if (aSignal == SIGHUP && !BlocksOrHandles(target.mPid, SIGHUP)) {
-    life.mReloadedBeforeMain = true;
+    record.mReloadedBeforeMain = true;
   }
   ::kill(target.mPid, aSignal);
 }
@@ -278,17 +278,18 @@
   const std::lock_guard lock(mLock);
   std::vector<std::size_t> stopping;
   for (std::size_t i = 0; i < mProcesses.size(); ++i) {
-    if (mProcesses[i].mPid != 0 && mLives[mProcesses[i].mLife].mStopAt != kNever) {
+    if (mProcesses[i].mPid != 0 &&
+        mProcessRecords[mProcesses[i].mProcessRecord].mStopAt != kNever) {
       stopping.push_back(i);
     }
   }
   return stopping;
 }
 
-std::vector<daemon_life> soak_daemons::Lives() const
+std::vector<process_record> soak_daemons::ProcessRecords() const
 {
   const std::lock_guard lock(mLock);
-  return mLives;
+  return mProcessRecords;
 }
 
 void soak_daemons::ApplyQuota(bool aRun)
--- a/src/platform/soak/soak_daemons.h
+++ b/src/platform/soak/soak_daemons.h
@@ -62,13 +62,13 @@
   // The daemons that run and have got SIGTERM.
   std::vector<std::size_t> Stopping() const;
 
-  std::vector<daemon_life> Lives() const;
+  std::vector<process_record> ProcessRecords() const;
 
 private:
   struct process
   {
     pid_t mPid = 0; // 0 while it does not run
-    std::size_t mLife = 0;
+    std::size_t mProcessRecord = 0;
     std::thread mWaiter;
     std::uint32_t mReloads = 0;
     std::size_t mStarts = 0;
@@ -89,7 +89,7 @@
   const start_hook mOnStart;
   mutable std::mutex mLock;
   std::vector<process> mProcesses;
-  std::vector<daemon_life> mLives; // in the order of their starts
+  std::vector<process_record> mProcessRecords; // in the order of their starts
   std::vector<std::thread> mEndedWaiters;
   bool mEnding = false;
 };
--- a/src/platform/soak/soak_judge_test.cc
+++ b/src/platform/soak/soak_judge_test.cc
@@ -82,17 +82,17 @@
   return run;
 }
 
-daemon_life Stopped()
+process_record Stopped()
 {
   return { .mStartedAt = At(-20'000), .mStopAt = kStop, .mEndedAt = At(5900) };
 }
 
-daemon_life Running()
+process_record Running()
 {
   return { .mStartedAt = At(-20'000) };
 }
 
-daemon_life KilledAt(int aMs)
+process_record KilledAt(int aMs)
 {
   return {
     .mStartedAt = At(-20'000), .mKilledAt = At(aMs), .mEndedAt = At(aMs), .mKillPlanned = true
@@ -104,7 +104,7 @@
   const char* mName;
   request_record mRequest;
   std::vector<replica_run> mRuns;
-  daemon_life mLife;
+  process_record mProcessRecord;
   finding mExpected;
 };
 
@@ -115,7 +115,7 @@
 TEST_P(judge_test, FollowsTheRules)
 {
   const judge_row& row = GetParam();
-  EXPECT_STREQ(ToString(Judge(row.mRequest, row.mRuns, row.mLife, soak_bounds{})),
+  EXPECT_STREQ(ToString(Judge(row.mRequest, row.mRuns, row.mProcessRecord, soak_bounds{})),
                ToString(row.mExpected));
 }
 
--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -19,14 +19,14 @@
 
 bool IsAtWorkLate(const request_record& aRequest,
                   const std::vector<replica_run>& aRuns,
-                  const daemon_life& aLife,
+                  const process_record& aProcess,
                   const soak_bounds& aBounds)
 {
-  if (aLife.mStopAt == kNever || aRequest.mSentAt > aLife.mStopAt + aBounds.mLateRequest) {
+  if (aProcess.mStopAt == kNever || aRequest.mSentAt > aProcess.mStopAt + aBounds.mLateRequest) {
     return false;
   }
   const instant lastPart =
-    aLife.mStopAt + aBounds.mGrace * (aBounds.mLastPart - 1) / aBounds.mLastPart;
+    aProcess.mStopAt + aBounds.mGrace * (aBounds.mLastPart - 1) / aBounds.mLastPart;
   // A replica's silence is no reason to end an answer before that part.
   return aRequest.mEndedAt >= lastPart &&
          std::any_of(aRuns.begin(), aRuns.end(), [lastPart](const replica_run& aRun) {
@@ -35,14 +35,14 @@
 }
 
 // A client sees no reset of its connection earlier than the kill that caused it.
-bool WasKilledBefore(const daemon_life& aLife, instant aTime)
+bool WasKilledBefore(const process_record& aProcess, instant aTime)
 {
-  return aLife.mKillPlanned && aTime >= aLife.mKilledAt;
+  return aProcess.mKillPlanned && aTime >= aProcess.mKilledAt;
 }
 
 bool IsExcused(const request_record& aRequest,
                const std::vector<replica_run>& aRuns,
-               const daemon_life& aLife,
+               const process_record& aProcess,
                const soak_bounds& aBounds)
 {
   const bool deadlineReached = aRequest.mEndedAt - aRequest.mSentAt >= aRequest.mTimeout;
@@ -51,24 +51,24 @@
     !aRuns.empty() && std::all_of(aRuns.begin(), aRuns.end(), [](const replica_run& aRun) {
       return aRun.mDisconnected;
     });
-  return WasKilledBefore(aLife, aRequest.mEndedAt) || deadlineReached || brokeOff ||
-         IsAtWorkLate(aRequest, aRuns, aLife, aBounds);
+  return WasKilledBefore(aProcess, aRequest.mEndedAt) || deadlineReached || brokeOff ||
+         IsAtWorkLate(aRequest, aRuns, aProcess, aBounds);
 }
 
 finding JudgeClosed(const request_record& aRequest,
                     const std::vector<replica_run>& aRuns,
-                    const daemon_life& aLife,
+                    const process_record& aProcess,
                     const soak_bounds& aBounds)
 {
   if (aRuns.empty() && aRequest.mEndedAt - aRequest.mSentAt <= aBounds.mLossSlack) {
     return finding::Crossed;
   }
-  if (IsExcused(aRequest, aRuns, aLife, aBounds)) {
+  if (IsExcused(aRequest, aRuns, aProcess, aBounds)) {
     return finding::Excused;
   }
   const bool stopping =
-    aLife.mStopAt != kNever && aRequest.mEndedAt >= aLife.mStopAt &&
-    aRequest.mEndedAt <= aLife.mStopAt + aBounds.mGrace + std::chrono::seconds(1);
+    aProcess.mStopAt != kNever && aRequest.mEndedAt >= aProcess.mStopAt &&
+    aRequest.mEndedAt <= aProcess.mStopAt + aBounds.mGrace + std::chrono::seconds(1);
   return stopping ? finding::LostAtStop : finding::Lost;
 }
 
@@ -80,14 +80,15 @@
 std::string Describe(finding aFinding,
                      const request_record& aRequest,
                      const std::vector<replica_run>& aRuns,
-                     const daemon_life& aLife)
+                     const process_record& aProcess)
 {
-  const instant from = aLife.mStopAt != kNever ? aLife.mStopAt : aLife.mStartedAt;
+  const instant from = aProcess.mStopAt != kNever ? aProcess.mStopAt : aProcess.mStartedAt;
   std::string line =
     std::string(ToString(aFinding)) + " request=" + aRequest.mId + " route=" + aRequest.mRoute +
     " client=" + aRequest.mClient + " daemon=" + std::to_string(aRequest.mDaemon) + " since_" +
-    (aLife.mStopAt != kNever ? "stop" : "start") + "_ms: sent=" + Since(aRequest.mSentAt, from) +
-    " ended=" + Since(aRequest.mEndedAt, from) + " process_ended=" + Since(aLife.mEndedAt, from) +
+    (aProcess.mStopAt != kNever ? "stop" : "start") + "_ms: sent=" + Since(aRequest.mSentAt, from) +
+    " ended=" + Since(aRequest.mEndedAt, from) +
+    " process_ended=" + Since(aProcess.mEndedAt, from) +
     " status=" + std::to_string(aRequest.mStatus) + " close=\"" + aRequest.mCloseReason + "\"";
   for (const replica_run& run : aRuns) {
     line += " run=" + run.mReplica + " from=" + Since(run.mStartedAt, from) +
@@ -97,13 +98,14 @@
   return line;
 }
 
-const daemon_life& LifeOf(const request_record& aRequest, const std::vector<daemon_life>& aLives)
+const process_record& ProcessOf(const request_record& aRequest,
+                                const std::vector<process_record>& aProcesses)
 {
-  static const daemon_life kUnknown;
-  const daemon_life* found = &kUnknown;
-  for (const daemon_life& each : aLives) {
+  static const process_record kUnknown;
+  const process_record* found = &kUnknown;
+  for (const process_record& each : aProcesses) {
     if (each.mDaemon == aRequest.mDaemon && each.mStartedAt <= aRequest.mSentAt) {
-      found = &each; // lives are in the order of their starts
+      found = &each; // records are in the order of their starts
     }
   }
   return *found;
@@ -136,7 +138,7 @@
 
 finding Judge(const request_record& aRequest,
               const std::vector<replica_run>& aRuns,
-              const daemon_life& aLife,
+              const process_record& aProcess,
               const soak_bounds& aBounds)
 {
   if (!aRequest.mIdempotent && aRuns.size() > 1) {
@@ -151,10 +153,10 @@
                ? finding::RefusedButRan
                : finding::Kept;
     case request_end::Closed:
-      return JudgeClosed(aRequest, aRuns, aLife, aBounds);
+      return JudgeClosed(aRequest, aRuns, aProcess, aBounds);
     case request_end::GaveUp:
       // The client had waited beyond its deadline for an answer that was due before it.
-      return WasKilledBefore(aLife, aRequest.mEndedAt) ? finding::Excused : finding::Lost;
+      return WasKilledBefore(aProcess, aRequest.mEndedAt) ? finding::Excused : finding::Lost;
     case request_end::Malformed:
     case request_end::Unexpected:
       return finding::WrongAnswer;
@@ -162,20 +164,20 @@
   return finding::WrongAnswer;
 }
 
-bool EndedByItself(const daemon_life& aLife)
+bool EndedByItself(const process_record& aProcess)
 {
-  return aLife.mEndedAt != kNever && aLife.mStopAt == kNever && aLife.mKilledAt == kNever &&
-         !EndedBeforeMain(aLife);
+  return aProcess.mEndedAt != kNever && aProcess.mStopAt == kNever &&
+         aProcess.mKilledAt == kNever && !EndedBeforeMain(aProcess);
 }
 
-bool EndedBeforeMain(const daemon_life& aLife)
+bool EndedBeforeMain(const process_record& aProcess)
 {
-  return aLife.mReloadedBeforeMain && aLife.mEndSignal == SIGHUP;
+  return aProcess.mReloadedBeforeMain && aProcess.mEndSignal == SIGHUP;
 }
 
-bool ExceededItsGrace(const daemon_life& aLife)
+bool ExceededItsGrace(const process_record& aProcess)
 {
-  return aLife.mKilledAt != kNever && !aLife.mKillPlanned;
+  return aProcess.mKilledAt != kNever && !aProcess.mKillPlanned;
 }
 
 std::size_t soak_result::Count(finding aFinding) const
@@ -200,25 +202,25 @@
   soak_result result;
   for (const request_record& request : aLedger.mRequests) {
     const std::vector<replica_run>& own = runs[request.mId];
-    const daemon_life& life = LifeOf(request, aLedger.mLives);
-    const finding found = Judge(request, own, life, aBounds);
+    const process_record& record = ProcessOf(request, aLedger.mProcessRecords);
+    const finding found = Judge(request, own, record, aBounds);
     ++result.mCounts[found];
     result.mRefused += request.mEnd == request_end::Answered && request.mStatus == 503 ? 1 : 0;
     if (found != finding::Kept && found != finding::Crossed && found != finding::Excused) {
-      result.mLines.push_back(Describe(found, request, own, life));
+      result.mLines.push_back(Describe(found, request, own, record));
     }
   }
-  for (const daemon_life& life : aLedger.mLives) {
-    result.mEndedBeforeMain += EndedBeforeMain(life) ? 1 : 0;
-    if (EndedByItself(life)) {
+  for (const process_record& record : aLedger.mProcessRecords) {
+    result.mEndedBeforeMain += EndedBeforeMain(record) ? 1 : 0;
+    if (EndedByItself(record)) {
       ++result.mEndedByThemselves;
-      result.mLines.push_back("ended_by_itself daemon=" + std::to_string(life.mDaemon) +
-                              " after_ms=" + MsText(life.mEndedAt - life.mStartedAt) +
-                              " signal=" + std::to_string(life.mEndSignal));
+      result.mLines.push_back("ended_by_itself daemon=" + std::to_string(record.mDaemon) +
+                              " after_ms=" + MsText(record.mEndedAt - record.mStartedAt) +
+                              " signal=" + std::to_string(record.mEndSignal));
     }
-    if (ExceededItsGrace(life)) {
+    if (ExceededItsGrace(record)) {
       ++result.mExceededGrace;
-      result.mLines.push_back("exceeded_its_grace daemon=" + std::to_string(life.mDaemon));
+      result.mLines.push_back("exceeded_its_grace daemon=" + std::to_string(record.mDaemon));
     }
   }
   return result;
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -42,7 +42,7 @@
 };
 
 // One process of a daemon, from its start to its end. Times are kNever while they have not come.
-struct daemon_life
+struct process_record
 {
   std::size_t mDaemon = 0;
   instant mStartedAt{};
@@ -54,7 +54,7 @@
   // SIGHUP was sent while the process neither blocked nor handled it, as before its main function.
   bool mReloadedBeforeMain = false;
 
-  auto operator<=>(const daemon_life&) const = default;
+  auto operator<=>(const process_record&) const = default;
 };
 
 // Bounds of the rules of a deployment.
@@ -84,23 +84,23 @@
 
 const char* ToString(finding aFinding);
 
-// Judges a request. aRuns are its runs; aLife is the process that took it.
+// Judges a request. aRuns are its runs; aProcess is the process that took it.
 finding Judge(const request_record& aRequest,
               const std::vector<replica_run>& aRuns,
-              const daemon_life& aLife,
+              const process_record& aProcess,
               const soak_bounds& aBounds);
 
 // Whether the process ended without a signal, or had to be killed after its grace.
-bool EndedByItself(const daemon_life& aLife);
+bool EndedByItself(const process_record& aProcess);
 // Whether a SIGHUP ended the process before it could run any code of the program.
-bool EndedBeforeMain(const daemon_life& aLife);
-bool ExceededItsGrace(const daemon_life& aLife);
+bool EndedBeforeMain(const process_record& aProcess);
+bool ExceededItsGrace(const process_record& aProcess);
 
 struct soak_ledger
 {
   std::vector<request_record> mRequests;
   std::vector<replica_run> mRuns;
-  std::vector<daemon_life> mLives;
+  std::vector<process_record> mProcessRecords;
 
   bool operator==(const soak_ledger&) const = default;
 };
--- a/src/platform/soak/soak_ledger_test.cc
+++ b/src/platform/soak/soak_ledger_test.cc
@@ -16,52 +16,52 @@
   return kStop + milliseconds(aMs);
 }
 
-struct life_row
+struct process_row
 {
   const char* mName;
-  daemon_life mLife;
+  process_record mProcessRecord;
   bool mEndedByItself;
   bool mExceededItsGrace;
 };
 
-class life_test : public testing::TestWithParam<life_row>
+class process_test : public testing::TestWithParam<process_row>
 {};
 
-TEST_P(life_test, TellsHowAProcessEnded)
+TEST_P(process_test, TellsHowAProcessEnded)
 {
-  EXPECT_EQ(EndedByItself(GetParam().mLife), GetParam().mEndedByItself);
-  EXPECT_EQ(ExceededItsGrace(GetParam().mLife), GetParam().mExceededItsGrace);
+  EXPECT_EQ(EndedByItself(GetParam().mProcessRecord), GetParam().mEndedByItself);
+  EXPECT_EQ(ExceededItsGrace(GetParam().mProcessRecord), GetParam().mExceededItsGrace);
 }
 
 INSTANTIATE_TEST_SUITE_P(
   cases,
-  life_test,
+  process_test,
   testing::Values(
-    life_row{ "running", { .mStartedAt = At(0) }, false, false },
-    life_row{ "stopped",
-              { .mStartedAt = At(-20'000), .mStopAt = kStop, .mEndedAt = At(5900) },
-              false,
-              false },
-    life_row{
+    process_row{ "running", { .mStartedAt = At(0) }, false, false },
+    process_row{ "stopped",
+                 { .mStartedAt = At(-20'000), .mStopAt = kStop, .mEndedAt = At(5900) },
+                 false,
+                 false },
+    process_row{
       "killed",
       { .mStartedAt = At(0), .mKilledAt = At(90), .mEndedAt = At(90), .mKillPlanned = true },
       false,
       false },
-    life_row{
+    process_row{
       "by_a_reload_before_main",
       { .mStartedAt = At(0), .mEndedAt = At(4), .mEndSignal = SIGHUP, .mReloadedBeforeMain = true },
       false,
       false },
-    life_row{ "by_a_reload_in_main",
-              { .mStartedAt = At(0), .mEndedAt = At(4), .mEndSignal = SIGHUP },
-              true,
-              false },
-    life_row{ "after_a_reload_before_main",
-              { .mStartedAt = At(0), .mEndedAt = At(300), .mReloadedBeforeMain = true },
-              true,
-              false },
-    life_row{ "ended", { .mStartedAt = At(0), .mEndedAt = At(300) }, true, false },
-    life_row{
+    process_row{ "by_a_reload_in_main",
+                 { .mStartedAt = At(0), .mEndedAt = At(4), .mEndSignal = SIGHUP },
+                 true,
+                 false },
+    process_row{ "after_a_reload_before_main",
+                 { .mStartedAt = At(0), .mEndedAt = At(300), .mReloadedBeforeMain = true },
+                 true,
+                 false },
+    process_row{ "ended", { .mStartedAt = At(0), .mEndedAt = At(300) }, true, false },
+    process_row{
       "after_its_grace",
       { .mStartedAt = At(-20'000), .mStopAt = kStop, .mKilledAt = At(6000), .mEndedAt = At(6001) },
       false,
@@ -71,8 +71,8 @@
 // Guards against runs or processes that are counted for another request.
 TEST(judge_all_test, JoinsRequestsRunsAndProcesses)
 {
-  const daemon_life first{ .mDaemon = 1, .mStopAt = At(0), .mEndedAt = At(5000) };
-  const daemon_life second{ .mDaemon = 1, .mStartedAt = At(5500), .mEndedAt = At(9000) };
+  const process_record first{ .mDaemon = 1, .mStopAt = At(0), .mEndedAt = At(5000) };
+  const process_record second{ .mDaemon = 1, .mStartedAt = At(5500), .mEndedAt = At(9000) };
   request_record cut{ .mId = "r-1", .mDaemon = 1, .mSentAt = At(6000), .mEndedAt = At(6090) };
   cut.mTimeout = seconds(6);
   cut.mEnd = request_end::Closed;
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -99,7 +99,7 @@
     return std::nullopt;
   }
   const std::lock_guard lock(mRecordsLock);
-  return JudgeAll({ mRecords, mReplicas.Runs(), mDaemons.Lives() }, soak_bounds{});
+  return JudgeAll({ mRecords, mReplicas.Runs(), mDaemons.ProcessRecords() }, soak_bounds{});
 }
 
 bool soak_run::WaitUntil(micros aLongest, const std::function<bool()>& aCondition)
