Stop only after the replies are handed over in the test of slow readers

With the thread sanitizer, rows 0 and 1 of slow_reader_test failed: a reply of 4 MB took longer than the fixed 200 ms to reach the client's connection, so that the stop began before the second request was read, which it then refused, or before its reply, which then announced the close. The test now waits until both replies are handed over.

--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -1,3 +1,4 @@
+#include "daemon/loopback_test_util.h"
 #include "platform/edge_fixture.h"
 
 #include <algorithm>
@@ -308,6 +309,12 @@
   }
   client.Send(bytes);
   fixture.WaitFor(milliseconds(200));
+  EXPECT_TRUE(test_util::WaitUntil([&] {
+    const std::string metrics = fixture.Get(fixture.mBound.mMetrics, "/metrics").mBody;
+    return TotalRuns(fixture) == row.mRequests &&
+           metrics.find("redwingdock_requests_waiting 0") != std::string::npos;
+  }))
+    << "the replies were not handed over";
   const instant stopAt = SteadyNow();
   fixture.mDaemon->RequestStop();
   if (row.mNextAt > milliseconds(0)) {
