--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -94,6 +94,16 @@
   return config;
 }
 
+std::vector<unsigned> StatusesOf(const std::vector<http_message>& aReplies)
+{
+  std::vector<unsigned> statuses;
+  statuses.reserve(aReplies.size());
+  for (const http_message& reply : aReplies) {
+    statuses.push_back(reply.mStatus);
+  }
+  return statuses;
+}
+
 int TotalRuns(const edge_fixture& aFixture)
 {
   int runs = 0;
@@ -160,12 +170,7 @@
   const instant endedAt = SteadyNow();
   fixture.mDaemon.reset();
   const std::vector<http_message> replies = client->WaitUntilClosed();
-  std::vector<unsigned> statuses;
-  statuses.reserve(replies.size());
-  for (const http_message& reply : replies) {
-    statuses.push_back(reply.mStatus);
-  }
-  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_EQ(StatusesOf(replies), row.mStatuses) << row.mGuardsAgainst;
   if (!replies.empty()) {
     EXPECT_FALSE(replies.back().mKeepAlive) << row.mGuardsAgainst;
   }
@@ -324,11 +329,7 @@
   fixture.mDaemon->WaitForEnd();
   EXPECT_LE(SteadyNow() - stopAt, config.mStop.mFlush + milliseconds(50)) << row.mGuardsAgainst;
   fixture.mDaemon.reset();
-  std::vector<unsigned> statuses;
-  for (const http_message& reply : client.WaitUntilClosed()) {
-    statuses.push_back(reply.mStatus);
-  }
-  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
+  EXPECT_EQ(StatusesOf(client.WaitUntilClosed()), row.mStatuses) << row.mGuardsAgainst;
   EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
   fixture.mLoop.Stop();
 }
@@ -413,13 +414,10 @@
   const micros took = SteadyNow() - stopAt;
   fixture.mDaemon.reset();
   const std::vector<http_message> replies = client.WaitUntilClosed();
-  std::vector<unsigned> statuses;
-  statuses.reserve(replies.size());
+  EXPECT_EQ(StatusesOf(replies), row.mStatuses) << row.mGuardsAgainst;
   for (const http_message& reply : replies) {
-    statuses.push_back(reply.mStatus);
     EXPECT_FALSE(reply.mKeepAlive) << row.mGuardsAgainst;
   }
-  EXPECT_EQ(statuses, row.mStatuses) << row.mGuardsAgainst;
   EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
   EXPECT_GE(took, row.mMinTime) << row.mGuardsAgainst;
   EXPECT_LE(took, ShortStop().mStop.mFinalAnswers + milliseconds(400)) << row.mGuardsAgainst;
