Refuse replies whose status is not between 100 and 599

Beside X-Not-Executed such an answer also counted as a promise that the request had not run.

Cause: the parser accepts each status of three digits, and nothing after it asked whether the status exists.

The reader now stops behind the head of a message and checks it before it reads the body, so that a broken head is refused before anything decides on it, for replicas, the store and all other replies. The attempt ends as lost, the connection is closed, and the reason in the log names the status: an unsafe request gets 502 and is not repeated, a safe one goes on to another replica, a gather leaves the part out.

--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -189,6 +189,20 @@
                             { kBroken, kAnswered },
                             2 }));
 
+INSTANTIATE_TEST_SUITE_P(
+  statuses,
+  pool_test,
+  testing::Values(pool_row{ "a reply with the status 000 is accepted, or its connection reused",
+                            { "HTTP/1.1 000 X\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", Reply(2) },
+                            { kBroken, kAnswered },
+                            2 },
+                  pool_row{ "the reply behind a broken duplicate is accepted",
+                            { Reply(1),
+                              "HTTP/1.1 600 X\r\nId: 1\r\nContent-Length: 0\r\n\r\n" + Reply(2),
+                              Reply(3) },
+                            { kAnswered, kBroken, kAnswered },
+                            2 }));
+
 struct idle_age_row
 {
   const char* mGuardsAgainst;
@@ -263,6 +277,19 @@
     repeat_row{ "each request opens a connection", { 5, 6 }, 1 },
     repeat_row{ "requests without repeats open connections", { 0, 0 }, 1 }));
 
+TEST(http_pool, NamesWhatIsWrongWithAReply)
+{
+  // Guards against a log that does not tell a broken reply from a lost connection.
+  io_loop loop(2);
+  scripted_server server(loop, { "HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n" });
+  http_pool pool(loop);
+  loop.Start();
+  const pool_result result = SendAndWait(pool, 1, server.Address());
+  EXPECT_EQ(result.mReason,
+            (reason{ "read reply", server.Address(), "status 0 is not between 100 and 599" }));
+  loop.Stop();
+}
+
 TEST(http_pool, ClosesTheConnectionWithMostIncompleteBytes)
 {
   // Guards against a server that stalls in large replies, for which the replies of sound servers
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -41,6 +41,25 @@
   }
 }
 
+// What HTTP/1.1 does not allow in a head that the parser accepts; nullopt if nothing.
+std::optional<std::string> HeadError(const http::request<http::string_body>& /*aRequest*/)
+{
+  return std::nullopt;
+}
+
+std::optional<std::string> HeadError(const http::response<http::string_body>& aReply)
+{
+  // The parser accepts each status of three digits (RFC 9110, section 15).
+  constexpr unsigned kMinStatus = 100;
+  constexpr unsigned kMaxStatus = 599;
+  const unsigned status = aReply.result_int();
+  if (status < kMinStatus || status > kMaxStatus) {
+    return "status " + std::to_string(status) + " is not between " + std::to_string(kMinStatus) +
+           " and " + std::to_string(kMaxStatus);
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
 const std::string* http_message::Find(std::string_view aName) const
@@ -71,7 +90,6 @@
   {
     if (!aParser) {
       aParser.emplace();
-      aParser->eager(true);
       aParser->header_limit(static_cast<std::uint32_t>(mLimits.mHeader));
       aParser->body_limit(mLimits.mBody);
     }
@@ -82,6 +100,8 @@
   http_read_status Parse(Parser& aParser)
   {
     while (!mBuffer.empty() && !aParser.is_done()) {
+      const bool inHead = !aParser.is_header_done();
+      aParser.eager(!inHead); // stops behind the head, which is checked before the body is read
       boost::beast::error_code error;
       const std::size_t used =
         aParser.put(boost::asio::const_buffer(mBuffer.data(), mBuffer.size()), error);
@@ -93,6 +113,11 @@
       if (error) {
         return Fail(error);
       }
+      if (inHead && aParser.is_header_done()) {
+        if (const std::optional<std::string> invalid = HeadError(aParser.get())) {
+          return Fail(*invalid);
+        }
+      }
       if (used == 0) {
         break;
       }
@@ -117,6 +142,13 @@
     return http_read_status::NeedMore;
   }
 
+  http_read_status Fail(std::string aText)
+  {
+    mFailed = true;
+    mError = { "read message", "", std::move(aText) };
+    return http_read_status::Failed;
+  }
+
   http_read_status Fail(const boost::beast::error_code& aError)
   {
     mFailed = true;
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -153,5 +153,61 @@
                            "",
                            false }));
 
+struct broken_row
+{
+  const char* mGuardsAgainst;
+  http_side mSide;
+  std::string mBytes;
+  std::string mError; // not compared if empty: the parser's own text
+};
+
+class broken_test : public testing::TestWithParam<broken_row>
+{};
+
+TEST_P(broken_test, IsRefused)
+{
+  const broken_row& row = GetParam();
+  for (const std::size_t step : { std::size_t{ 1 }, std::size_t{ 9 }, row.mBytes.size() }) {
+    http_reader reader(row.mSide, { kBodyLimit, kHeaderLimit });
+    http_read_status status = http_read_status::NeedMore;
+    for (std::size_t at = 0; at < row.mBytes.size() && status == http_read_status::NeedMore;
+         at += step) {
+      status = reader.Feed(std::string_view(row.mBytes).substr(at, step));
+    }
+    if (status == http_read_status::NeedMore) {
+      status = reader.FeedEof();
+    }
+    EXPECT_EQ(status, http_read_status::Failed)
+      << row.mGuardsAgainst << ", in pieces of " << step << " bytes";
+    if (!row.mError.empty()) {
+      EXPECT_EQ(reader.Error().mText, row.mError) << row.mGuardsAgainst;
+    }
+  }
+}
+
+// A reply with the status line, the stamp, further lines of the head, and a body of two bytes.
+std::string ReplyBytes(const std::string& aStatusLine, const std::string& aLines = "")
+{
+  return aStatusLine + "\r\nX-Response-Stamp: s\r\n" + aLines + "Content-Length: 2\r\n\r\nok";
+}
+
+broken_row StatusRow(const std::string& aStatus)
+{
+  return { "a reply with a status outside 100 to 599 is passed on",
+           http_side::Client,
+           ReplyBytes("HTTP/1.1 " + aStatus + " X"),
+           "status " + std::to_string(std::stoi(aStatus)) + " is not between 100 and 599" };
+}
+
+INSTANTIATE_TEST_SUITE_P(statuses,
+                         broken_test,
+                         testing::Values(StatusRow("000"),
+                                         StatusRow("001"),
+                                         StatusRow("042"),
+                                         StatusRow("099"),
+                                         StatusRow("600"),
+                                         StatusRow("700"),
+                                         StatusRow("999")));
+
 } // namespace
 } // namespace redwingdock
