Drop interim replies and wait for the reply behind them

Without a stamp an interim reply ended the attempt as lost, and the client got 502 although a sound reply followed. An interim reply with X-Not-Executed counted as a promise that the request had not run.

Cause: to the parser an interim reply is a complete message, and the reader handed it over as the reply.

The reader now drops interim replies (RFC 9110, section 15.2) and goes on with the reply behind them, so that nothing is learnt from their fields. Their heads together may be as long as one head, since a server could send them without end. 101 is refused, as no request asks to change the protocol, and so is an interim reply that states a body: what follows it could be that body or the reply.

--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -203,6 +203,26 @@
                             { kAnswered, kBroken, kAnswered },
                             2 }));
 
+INSTANTIATE_TEST_SUITE_P(
+  interim_replies,
+  pool_test,
+  testing::Values(pool_row{ "an interim reply is taken for the reply, or its connection is lost",
+                            { "HTTP/1.1 100 Continue\r\n\r\n" + Reply(1), Reply(2) },
+                            { kAnswered, kAnswered },
+                            1 },
+                  pool_row{ "an interim reply to this request counts as a reply to another one",
+                            { "HTTP/1.1 103 X\r\nId: 9\r\n\r\n" + Reply(1), Reply(2) },
+                            { kAnswered, kAnswered },
+                            1 },
+                  pool_row{ "an interim reply is accepted when no reply follows",
+                            { "HTTP/1.1 103 X\r\nId: 1\r\n\r\n$", Reply(2) },
+                            { kBroken, kAnswered },
+                            2 },
+                  pool_row{ "a connection is reused with an interim reply behind the reply",
+                            { Reply(1) + "HTTP/1.1 103 X\r\n\r\n", Reply(2) },
+                            { kAnswered, kAnswered },
+                            2 }));
+
 struct idle_age_row
 {
   const char* mGuardsAgainst;
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -47,6 +47,12 @@
   return std::nullopt;
 }
 
+// Replies that announce a later one (RFC 9110, section 15.2).
+bool IsInterim(const http::response<http::string_body>& aReply)
+{
+  return http::to_status_class(aReply.result_int()) == http::status_class::informational;
+}
+
 std::optional<std::string> HeadError(const http::response<http::string_body>& aReply)
 {
   // The parser accepts each status of three digits (RFC 9110, section 15).
@@ -57,6 +63,13 @@
     return "status " + std::to_string(status) + " is not between " + std::to_string(kMinStatus) +
            " and " + std::to_string(kMaxStatus);
   }
+  if (aReply.result() == http::status::switching_protocols) {
+    return "status 101 without a request to change the protocol";
+  }
+  if (IsInterim(aReply) && (aReply.count(http::field::content_length) > 0 ||
+                            aReply.count(http::field::transfer_encoding) > 0)) {
+    return "interim reply with a body";
+  }
   return std::nullopt;
 }
 
@@ -78,7 +91,8 @@
   std::optional<request_parser> mRequestParser;
   std::optional<reply_parser> mReplyParser;
   std::string mBuffer;
-  std::size_t mParsedBytes = 0; // of the current message
+  std::size_t mParsedBytes = 0;  // of the current message
+  std::size_t mInterimBytes = 0; // of the interim replies before it
   bool mStarted = false;
   bool mComplete = false;
   bool mFailed = false;
@@ -129,6 +143,23 @@
     return http_read_status::Complete;
   }
 
+  // Reads a reply. The interim ones before it are dropped; their heads together may be as long as one
+  // head.
+  http_read_status ParseReply()
+  {
+    http_read_status status = Parse(EnsureParser(mReplyParser));
+    while (status == http_read_status::Complete && IsInterim(mReplyParser->get())) {
+      mInterimBytes += std::exchange(mParsedBytes, 0);
+      if (mInterimBytes > mLimits.mHeader) {
+        return Fail(http::error::header_limit);
+      }
+      mReplyParser.reset();
+      mComplete = false;
+      status = Parse(EnsureParser(mReplyParser));
+    }
+    return status;
+  }
+
   // The parser limits the header and the body, but not chunk extensions and trailers, which it
   // leaves in the buffer until they are complete.
   http_read_status FailIfOverLimits()
@@ -193,7 +224,7 @@
   }
   self.mStarted = true;
   return self.mSide == http_side::Server ? self.Parse(self.EnsureParser(self.mRequestParser))
-                                         : self.Parse(self.EnsureParser(self.mReplyParser));
+                                         : self.ParseReply();
 }
 
 http_read_status http_reader::FeedEof()
@@ -236,6 +267,7 @@
   self.mRequestParser.reset();
   self.mReplyParser.reset();
   self.mParsedBytes = 0;
+  self.mInterimBytes = 0;
   self.mComplete = false;
   self.mStarted = false;
   return taken;
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -209,5 +209,106 @@
                                          StatusRow("700"),
                                          StatusRow("999")));
 
+constexpr char kOkLine[] = "HTTP/1.1 200 OK";
+constexpr char kSwitching[] = "HTTP/1.1 101 Switching Protocols";
+
+INSTANTIATE_TEST_SUITE_P(
+  interim_replies,
+  broken_test,
+  testing::Values(broken_row{ "a change of the protocol that was not requested is passed on",
+                              http_side::Client,
+                              ReplyBytes(kSwitching, "Upgrade: x\r\nConnection: Upgrade\r\n"),
+                              "status 101 without a request to change the protocol" },
+                  broken_row{ "what follows a change of the protocol is taken for the reply",
+                              http_side::Client,
+                              std::string(kSwitching) + "\r\n\r\n" + ReplyBytes(kOkLine),
+                              "status 101 without a request to change the protocol" },
+                  broken_row{ "an interim reply counts as the reply",
+                              http_side::Client,
+                              "HTTP/1.1 103 Early Hints\r\nX-Response-Stamp: s\r\n\r\n",
+                              "" },
+                  broken_row{ "the body of an interim reply is taken for the reply",
+                              http_side::Client,
+                              "HTTP/1.1 103 X\r\nContent-Length: 58\r\n\r\n" + ReplyBytes(kOkLine),
+                              "interim reply with a body" },
+                  broken_row{ "the chunks of an interim reply are taken for the reply",
+                              http_side::Client,
+                              "HTTP/1.1 103 X\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                                ReplyBytes(kOkLine),
+                              "interim reply with a body" },
+                  broken_row{ "a broken reply behind an interim one is passed on",
+                              http_side::Client,
+                              "HTTP/1.1 100 Continue\r\n\r\n" + ReplyBytes("HTTP/1.1 000 X"),
+                              "status 0 is not between 100 and 599" },
+                  broken_row{ "interim replies without end are read until the deadline",
+                              http_side::Client,
+                              [] {
+                                std::string bytes;
+                                while (bytes.size() <= kHeaderLimit) {
+                                  bytes += "HTTP/1.1 100 Continue\r\n\r\n";
+                                }
+                                return bytes + ReplyBytes(kOkLine);
+                              }(),
+                              "header is over 2000 bytes" }));
+
+struct message_row
+{
+  const char* mGuardsAgainst;
+  http_side mSide;
+  std::string mBytes;
+  http_message mMessage;
+  std::size_t mBuffered; // bytes that belong to the next message
+};
+
+class message_test : public testing::TestWithParam<message_row>
+{};
+
+TEST_P(message_test, IsRead)
+{
+  const message_row& row = GetParam();
+  for (const std::size_t step : { std::size_t{ 1 }, std::size_t{ 9 }, row.mBytes.size() }) {
+    http_reader reader(row.mSide, { kBodyLimit, kHeaderLimit });
+    http_read_status status = http_read_status::NeedMore;
+    for (std::size_t at = 0; at < row.mBytes.size(); at += step) {
+      status = reader.Feed(std::string_view(row.mBytes).substr(at, step));
+    }
+    ASSERT_EQ(status, http_read_status::Complete)
+      << row.mGuardsAgainst << ", in pieces of " << step << " bytes";
+    const http_message read = reader.Take();
+    EXPECT_EQ(read.mFields, row.mMessage.mFields) << row.mGuardsAgainst;
+    EXPECT_EQ(read, row.mMessage) << row.mGuardsAgainst;
+    EXPECT_EQ(reader.Buffered(), row.mBuffered) << row.mGuardsAgainst;
+  }
+}
+
+const http_message kPlain{ "",
+                           "",
+                           200,
+                           { { "X-Response-Stamp", "s" }, { "Content-Length", "2" } },
+                           "ok" };
+
+INSTANTIATE_TEST_SUITE_P(
+  interim_replies,
+  message_test,
+  testing::Values(message_row{ "an interim reply is taken for the reply",
+                               http_side::Client,
+                               "HTTP/1.1 100 Continue\r\n\r\n" + ReplyBytes(kOkLine),
+                               kPlain,
+                               0 },
+                  message_row{ "an interim reply with a stamp is taken for the reply",
+                               http_side::Client,
+                               "HTTP/1.1 103 Early Hints\r\nX-Response-Stamp: early\r\n\r\n" +
+                                 ReplyBytes(kOkLine),
+                               kPlain,
+                               0 },
+                  message_row{
+                    "only one interim reply is dropped",
+                    http_side::Client,
+                    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\nA: b\r\n\r\n"
+                    "HTTP/1.1 199 X\r\nConnection: close\r\n\r\n" +
+                      ReplyBytes(kOkLine),
+                    kPlain,
+                    0 }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -147,5 +147,25 @@
                                            "a broken answer promises that the request did not run",
                                            AnswerBytes("000 X", "X-Not-Executed: 1\r\n") }));
 
+INSTANTIATE_TEST_SUITE_P(
+  interim_answers,
+  broken_answer_test,
+  testing::Values(answer_row{ "a change of the protocol reaches the client", AnswerBytes("101 X") },
+                  answer_row{ "an interim answer reaches the client", AnswerBytes("103 X") },
+                  answer_row{ "an interim answer with an unknown status reaches the client",
+                              AnswerBytes("199 X") },
+                  answer_row{ "the answer behind an interim one is dropped",
+                              "HTTP/1.1 100 Continue\r\n\r\n" + AnswerBytes("200 OK"),
+                              false,
+                              true },
+                  answer_row{ "the answer behind an interim one with a stamp is dropped",
+                              "HTTP/1.1 103 X\r\nX-Response-Stamp: early\r\n\r\n" +
+                                AnswerBytes("200 OK"),
+                              false,
+                              true },
+                  answer_row{ "an interim answer promises that the request did not run",
+                              "HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n",
+                              true }));
+
 } // namespace
 } // namespace redwingdock::platform
