Drop the fields of trailers

In a request, fields of a trailer joined the head that was passed on, the attempt id among them; "Connection: close" in a trailer decided on the connection.

Cause: the parser appends the fields of a trailer to those of the head, and the reader took them all when the message was complete.

The reader now takes the fields as soon as the head is complete, before the parser can add to them. RFC 9110, section 6.5.1, allows a trailer's fields to be merged only where the definition of the field says so; dropping them is always allowed.

--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -7,6 +7,7 @@
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <charconv>
+#include <iterator>
 #include <optional>
 #include <utility>
 #include <variant>
@@ -34,11 +35,32 @@
 namespace {
 
 template<typename Message>
-void CopyFields(const Message& aMessage, http_message& aResult)
+http_message WithFields(http_message aResult, const Message& aMessage)
 {
+  aResult.mFields.reserve(
+    static_cast<std::size_t>(std::distance(aMessage.begin(), aMessage.end())));
   for (const auto& field : aMessage) {
     aResult.mFields.push_back({ ToString(field.name_string()), ToString(field.value()) });
   }
+  aResult.mKeepAlive = aMessage.keep_alive();
+  return aResult;
+}
+
+// The message without its body. To be called before the parser adds the fields of a trailer to
+// those of the head.
+http_message HeadOf(const http::request<http::string_body>& aRequest)
+{
+  http_message head;
+  head.mMethod = ToString(aRequest.method_string());
+  head.mTarget = ToString(aRequest.target());
+  return WithFields(std::move(head), aRequest);
+}
+
+http_message HeadOf(const http::response<http::string_body>& aReply)
+{
+  http_message head;
+  head.mStatus = aReply.result_int();
+  return WithFields(std::move(head), aReply);
 }
 
 // What HTTP/1.1 does not allow in a head that the parser accepts; nullopt if nothing.
@@ -90,6 +112,7 @@
   http_read_limits mLimits;
   std::optional<request_parser> mRequestParser;
   std::optional<reply_parser> mReplyParser;
+  http_message mMessage; // the head, once it is complete
   std::string mBuffer;
   std::size_t mParsedBytes = 0;  // of the current message
   std::size_t mInterimBytes = 0; // of the interim replies before it
@@ -131,6 +154,7 @@
         if (const std::optional<std::string> invalid = HeadError(aParser.get())) {
           return Fail(*invalid);
         }
+        mMessage = HeadOf(aParser.get());
       }
       if (used == 0) {
         break;
@@ -143,8 +167,8 @@
     return http_read_status::Complete;
   }
 
-  // Reads a reply. The interim ones before it are dropped; their heads together may be as long as one
-  // head.
+  // Reads a reply. The interim ones before it are dropped; their heads together may be as long as
+  // one head.
   http_read_status ParseReply()
   {
     http_read_status status = Parse(EnsureParser(mReplyParser));
@@ -249,20 +273,11 @@
 http_message http_reader::Take()
 {
   state& self = *mState;
-  http_message taken;
+  http_message taken = std::exchange(self.mMessage, {});
   if (self.mRequestParser) {
-    auto message = self.mRequestParser->release();
-    taken.mMethod = ToString(message.method_string());
-    taken.mTarget = ToString(message.target());
-    CopyFields(message, taken);
-    taken.mKeepAlive = message.keep_alive();
-    taken.mBody = std::move(message.body());
+    taken.mBody = std::move(self.mRequestParser->get().body());
   } else if (self.mReplyParser) {
-    auto message = self.mReplyParser->release();
-    taken.mStatus = message.result_int();
-    CopyFields(message, taken);
-    taken.mKeepAlive = message.keep_alive();
-    taken.mBody = std::move(message.body());
+    taken.mBody = std::move(self.mReplyParser->get().body());
   }
   self.mRequestParser.reset();
   self.mReplyParser.reset();
--- a/src/daemon/http_text.h
+++ b/src/daemon/http_text.h
@@ -65,7 +65,8 @@
   auto operator<=>(const http_read_limits&) const = default;
 };
 
-// Reads consecutive messages from a stream of bytes. Interim replies (status 100 to 199) are dropped.
+// Reads consecutive messages from a stream of bytes. Interim replies (status 100 to 199) and the
+// fields of trailers are dropped.
 class http_reader
 {
 public:
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -310,5 +310,32 @@
                     kPlain,
                     0 }));
 
+const std::string kChunkedLines = "Transfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n";
+
+INSTANTIATE_TEST_SUITE_P(
+  trailers,
+  message_test,
+  testing::Values(
+    message_row{ "a body in chunks is refused",
+                 http_side::Client,
+                 std::string(kOkLine) + "\r\n" + kChunkedLines + "\r\n",
+                 { "", "", 200, { { "Transfer-Encoding", "Chunked" } }, "ok" },
+                 0 },
+    message_row{ "a stamp behind the body signs the reply",
+                 http_side::Client,
+                 std::string(kOkLine) + "\r\n" + kChunkedLines + "X-Response-Stamp: s\r\n\r\n",
+                 { "", "", 200, { { "Transfer-Encoding", "Chunked" } }, "ok" },
+                 0 },
+    message_row{ "a field behind the body decides on the connection",
+                 http_side::Client,
+                 std::string(kOkLine) + "\r\n" + kChunkedLines + "Connection: close\r\n\r\n",
+                 { "", "", 200, { { "Transfer-Encoding", "Chunked" } }, "ok" },
+                 0 },
+    message_row{ "a field behind the body joins the head of a request",
+                 http_side::Server,
+                 "POST / HTTP/1.1\r\nHost: h\r\n" + kChunkedLines + "X-Attempt-Id: 1\r\n\r\nGET",
+                 { "POST", "/", 0, { { "Host", "h" }, { "Transfer-Encoding", "Chunked" } }, "ok" },
+                 3 }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -132,6 +132,13 @@
          "Content-Length: " + std::to_string(sizeof(kBody) - 1) + "\r\n\r\n" + kBody;
 }
 
+std::string ChunkedBytes(const std::string& aLines, const std::string& aTrailer = "")
+{
+  return "HTTP/1.1 200 OK\r\n" + aLines + "\r\n20\r\n" + kBody + "\r\n0\r\n" + aTrailer + "\r\n";
+}
+
+const std::string kStampLine = std::string("X-Response-Stamp: ") + kStamp + "\r\n";
+
 constexpr char kStatusGuard[] = "a status outside 100 to 599 reaches the client";
 
 INSTANTIATE_TEST_SUITE_P(statuses,
@@ -167,5 +174,11 @@
                               "HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n",
                               true }));
 
+INSTANTIATE_TEST_SUITE_P(trailers,
+                         broken_answer_test,
+                         testing::Values(answer_row{
+                           "a stamp behind the body signs the answer",
+                           ChunkedBytes("Transfer-Encoding: chunked\r\n", kStampLine) }));
+
 } // namespace
 } // namespace redwingdock::platform
