Refuse transfer codings other than a single chunked

Cause: the parser looks only for "chunked" at the end of the field, takes any other value as if there were none, and the field, being one of the connection, is not passed on.

The reader refuses a head with a transfer coding that is not exactly one "chunked", in one field, of HTTP/1.1: replies as lost, requests with 400 and the end of the connection (RFC 9112, sections 6.1 and 6.3), since where such a message ends is not known.

--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -63,10 +63,24 @@
   return WithFields(std::move(head), aReply);
 }
 
+// The parser reads chunks only if the last coding is "chunked", and decodes no other: it would take
+// a body in another coding for what follows the message, or hand it over as it is. HTTP/1.0 has no
+// transfer codings (RFC 9112, section 6.1).
+template<typename Message>
+std::optional<std::string> TransferCodingError(const Message& aMessage)
+{
+  const auto [first, last] = aMessage.equal_range(http::field::transfer_encoding);
+  constexpr unsigned kHttp11 = 11;
+  const bool supported =
+    first == last || (std::next(first) == last && aMessage.version() == kHttp11 &&
+                      boost::beast::iequals(first->value(), "chunked"));
+  return supported ? std::nullopt : std::optional<std::string>("unsupported Transfer-Encoding");
+}
+
 // What HTTP/1.1 does not allow in a head that the parser accepts; nullopt if nothing.
-std::optional<std::string> HeadError(const http::request<http::string_body>& /*aRequest*/)
+std::optional<std::string> HeadError(const http::request<http::string_body>& aRequest)
 {
-  return std::nullopt;
+  return TransferCodingError(aRequest);
 }
 
 // Replies that announce a later one (RFC 9110, section 15.2).
@@ -92,7 +106,7 @@
                             aReply.count(http::field::transfer_encoding) > 0)) {
     return "interim reply with a body";
   }
-  return std::nullopt;
+  return TransferCodingError(aReply);
 }
 
 } // namespace
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -251,6 +251,55 @@
                               }(),
                               "header is over 2000 bytes" }));
 
+constexpr char kTransferCoding[] = "unsupported Transfer-Encoding";
+
+broken_row CodedReply(const char* aGuardsAgainst, const std::string& aLines)
+{
+  return { aGuardsAgainst,
+           http_side::Client,
+           std::string(kOkLine) + "\r\nX-Response-Stamp: s\r\n" + aLines +
+             "\r\n2\r\nok\r\n0\r\n\r\n",
+           kTransferCoding };
+}
+
+broken_row CodedRequest(const char* aGuardsAgainst, const std::string& aLines)
+{
+  return { aGuardsAgainst,
+           http_side::Server,
+           "POST / HTTP/1.1\r\nHost: h\r\n" + aLines + "\r\nGET /inner HTTP/1.1\r\nHost: h\r\n\r\n",
+           kTransferCoding };
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  transfer_codings,
+  broken_test,
+  testing::Values(
+    CodedReply("a body in an unknown coding is passed on", "Transfer-Encoding: foo\r\n"),
+    CodedReply("a coded body without its coding is passed on",
+               "Transfer-Encoding: gzip, chunked\r\n"),
+    CodedReply("chunks inside another coding are passed on",
+               "Transfer-Encoding: chunked, identity\r\n"),
+    CodedReply("a coding in a field of its own is ignored",
+               "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n"),
+    CodedReply("an empty coding is ignored", "Transfer-Encoding:\r\n"),
+    CodedReply("a list with an empty coding is accepted", "Transfer-Encoding: ,chunked\r\n"),
+    CodedReply("a coding with a parameter is accepted", "Transfer-Encoding: chunked;q=1\r\n"),
+    CodedReply("the length of a body in an unknown coding is believed",
+               "Transfer-Encoding: foo\r\nContent-Length: 2\r\n"),
+    broken_row{ "a coding that HTTP/1.0 does not have is accepted",
+                http_side::Client,
+                "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+                kTransferCoding },
+    CodedRequest("a request in the body of another one is run", "Transfer-Encoding: foo\r\n"),
+    CodedRequest("a request behind an empty coding is run", "Transfer-Encoding:\r\n"),
+    CodedRequest("a request behind chunks in another coding is run",
+                 "Transfer-Encoding: chunked, identity\r\n"),
+    broken_row{ "a coded body of a request is passed on without its coding",
+                http_side::Server,
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: gzip, chunked\r\n\r\n"
+                "2\r\nok\r\n0\r\n\r\n",
+                kTransferCoding }));
+
 struct message_row
 {
   const char* mGuardsAgainst;
--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -174,6 +174,23 @@
                               "HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n",
                               true }));
 
+constexpr char kCodingGuard[] = "a body in an unknown coding reaches the client";
+
+INSTANTIATE_TEST_SUITE_P(
+  transfer_codings,
+  broken_answer_test,
+  testing::Values(
+    answer_row{ kCodingGuard, ChunkedBytes(kStampLine + "Transfer-Encoding: foo\r\n"), true },
+    answer_row{ kCodingGuard, ChunkedBytes(kStampLine + "Transfer-Encoding: gzip, chunked\r\n") },
+    answer_row{ kCodingGuard,
+                ChunkedBytes(kStampLine + "Transfer-Encoding: chunked, identity\r\n"),
+                true },
+    answer_row{ kCodingGuard, AnswerBytes("200 OK", "Transfer-Encoding: foo\r\n") },
+    answer_row{ "a body in chunks does not reach the client",
+                ChunkedBytes(kStampLine + "Transfer-Encoding: chunked\r\n"),
+                false,
+                true }));
+
 INSTANTIATE_TEST_SUITE_P(trailers,
                          broken_answer_test,
                          testing::Values(answer_row{
--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -144,6 +144,16 @@
       400,
       R"({"reason": {"step": "read message", "peer": "", "text": "bad Transfer-Encoding"}})",
       "",
+      0 },
+    call_row{
+      "a request smuggled in a body with an unknown coding reaches a replica",
+      "POST /u/x HTTP/1.1\r\nHost: h.example\r\nX-Attempt-Id: id-1\r\n"
+      "Transfer-Encoding: foo\r\n\r\n" +
+        EdgeRequest("/u/inner"),
+      {},
+      400,
+      R"({"reason": {"step": "read message", "peer": "", "text": "unsupported Transfer-Encoding"}})",
+      "",
       0 }));
 
 // A server that answers each connection with a start and then the same bytes again and again, until
