Refuse header lines that begin with a blank

Cause: the parser still reads the line folding of old versions of HTTP. RFC 9112, section 5.2, has a sender not generate it, and a proxy that gets it refuse the message or replace the fold.

The reader refuses a head in which a line begins with a blank, also where the parser gets the line in pieces: replies as lost, requests with 400.

--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -130,6 +130,7 @@
   std::string mBuffer;
   std::size_t mParsedBytes = 0;  // of the current message
   std::size_t mInterimBytes = 0; // of the interim replies before it
+  bool mAtLineStart = false;     // in the head, behind a line feed
   bool mStarted = false;
   bool mComplete = false;
   bool mFailed = false;
@@ -156,6 +157,9 @@
       boost::beast::error_code error;
       const std::size_t used =
         aParser.put(boost::asio::const_buffer(mBuffer.data(), mBuffer.size()), error);
+      if (inHead && ContinuesALine(std::string_view(mBuffer).substr(0, used))) {
+        return Fail("a header line begins with a blank");
+      }
       mBuffer.erase(0, used);
       mParsedBytes += used;
       if (error == http::error::need_more) {
@@ -169,6 +173,7 @@
           return Fail(*invalid);
         }
         mMessage = HeadOf(aParser.get());
+        mAtLineStart = false;
       }
       if (used == 0) {
         break;
@@ -181,6 +186,19 @@
     return http_read_status::Complete;
   }
 
+  // Whether a line of the head begins with a blank. The parser joins such a line to the value
+  // before it, as old versions of HTTP did (RFC 9112, section 5.2).
+  bool ContinuesALine(std::string_view aHead)
+  {
+    for (const char each : aHead) {
+      if (mAtLineStart && (each == ' ' || each == '\t')) {
+        return true;
+      }
+      mAtLineStart = each == '\n';
+    }
+    return false;
+  }
+
   // Reads a reply. The interim ones before it are dropped; their heads together may be as long as
   // one head.
   http_read_status ParseReply()
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -300,6 +300,41 @@
                 "2\r\nok\r\n0\r\n\r\n",
                 kTransferCoding }));
 
+constexpr char kFolded[] = "a header line begins with a blank";
+
+INSTANTIATE_TEST_SUITE_P(
+  folded_lines,
+  broken_test,
+  testing::Values(broken_row{ "a line that begins with a space changes the value before it",
+                              http_side::Client,
+                              ReplyBytes(kOkLine, " : a\r\n"),
+                              kFolded },
+                  broken_row{ "a line that begins with a tab changes the value before it",
+                              http_side::Client,
+                              ReplyBytes(kOkLine, "\tX-Attempt-Id: a\r\n"),
+                              kFolded },
+                  broken_row{ "a line of blanks is accepted",
+                              http_side::Client,
+                              ReplyBytes(kOkLine, " \t \r\n"),
+                              kFolded },
+                  broken_row{ "the length is read from two lines",
+                              http_side::Client,
+                              std::string(kOkLine) + "\r\nContent-Length:\r\n 2\r\n\r\nok",
+                              kFolded },
+                  broken_row{ "the last line begins with a blank",
+                              http_side::Client,
+                              std::string(kOkLine) +
+                                "\r\nContent-Length: 2\r\nA: b\r\n c\r\n\r\nok",
+                              kFolded },
+                  broken_row{ "the first line after the status line begins with a blank",
+                              http_side::Client,
+                              std::string(kOkLine) + "\r\n A: b\r\nContent-Length: 2\r\n\r\nok",
+                              "" },
+                  broken_row{ "a field of a request is read from two lines",
+                              http_side::Server,
+                              "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n b\r\n\r\n",
+                              kFolded }));
+
 struct message_row
 {
   const char* mGuardsAgainst;
--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -197,5 +197,13 @@
                            "a stamp behind the body signs the answer",
                            ChunkedBytes("Transfer-Encoding: chunked\r\n", kStampLine) }));
 
+INSTANTIATE_TEST_SUITE_P(
+  folded_lines,
+  broken_answer_test,
+  testing::Values(answer_row{ "a line that begins with a space changes the stamp",
+                              AnswerBytes("200 OK", " : a\r\n") },
+                  answer_row{ "a line that begins with a tab changes the stamp",
+                              AnswerBytes("200 OK", "\ta\r\n") }));
+
 } // namespace
 } // namespace redwingdock::platform
