Test that names of header fields that are no tokens are refused

The parser refuses these, so that this changes nothing but tests. They belong to the reader and to the daemon, since another version of the library could be more lenient: blanks, tabs, control bytes, DEL, a bare CR or LF, bytes over 0x7f and separators at the start of a name, inside it and in front of the colon, in the first field and in a later one, in replies and requests, also in Content-Length, Transfer-Encoding and the stamp.

--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -335,6 +335,57 @@
                               "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n b\r\n\r\n",
                               kFolded }));
 
+// Lines whose name is not a token.
+std::vector<std::string> BadNames()
+{
+  std::vector<std::string> lines = {
+    ": v", " : v", "A B: v", "A : v", "A\t: v", " A: v", "A", "A B"
+  };
+  for (const char each : std::string("\0\1\b\t\n\v\r\x1f\x7f\x80\xff\"(),/;<=>?@[\\]{}", 28)) {
+    lines.push_back(std::string(1, each) + "A: v");
+    lines.push_back(std::string("A") + each + "B: v");
+    lines.push_back(std::string("A") + each + ": v");
+  }
+  return lines;
+}
+
+// Those lines in replies and requests, and the fields that frame or sign a reply with a further
+// byte in their name.
+std::vector<broken_row> BadNameRows()
+{
+  std::vector<broken_row> rows;
+  for (const std::string& line : BadNames()) {
+    rows.push_back({ "a reply passes whose first field has an invalid name",
+                     http_side::Client,
+                     std::string(kOkLine) + "\r\n" + line +
+                       "\r\nX-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
+                     "" });
+    rows.push_back({ "a reply passes in which a later field has an invalid name",
+                     http_side::Client,
+                     ReplyBytes(kOkLine, line + "\r\n"),
+                     "" });
+    rows.push_back({ "a request passes in which a field has an invalid name",
+                     http_side::Server,
+                     "GET / HTTP/1.1\r\nHost: h\r\n" + line + "\r\n\r\n",
+                     "" });
+  }
+  for (const http_field& field : { http_field{ "Content-Length", "2" },
+                                   { "Transfer-Encoding", "chunked" },
+                                   { "X-Response-Stamp", "s" } }) {
+    const std::string& name = field.mName;
+    for (const std::string& bad :
+         { name + " ", name + "\t", name + "\x01", "\x01" + name, name + "\r" }) {
+      rows.push_back({ "a field passes whose name has a further byte",
+                       http_side::Client,
+                       ReplyBytes(kOkLine, bad + ": " + field.mValue + "\r\n"),
+                       "" });
+    }
+  }
+  return rows;
+}
+
+INSTANTIATE_TEST_SUITE_P(names, broken_test, testing::ValuesIn(BadNameRows()));
+
 struct message_row
 {
   const char* mGuardsAgainst;
--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -205,5 +205,31 @@
                   answer_row{ "a line that begins with a tab changes the stamp",
                               AnswerBytes("200 OK", "\ta\r\n") }));
 
+constexpr char kNameGuard[] = "an answer in whose head a name is no token reaches the client";
+
+INSTANTIATE_TEST_SUITE_P(
+  names,
+  broken_answer_test,
+  testing::Values(answer_row{ kNameGuard, AnswerBytes("200 OK", "A B: v\r\n") },
+                  answer_row{ kNameGuard, AnswerBytes("200 OK", "A : v\r\n") },
+                  answer_row{ kNameGuard, AnswerBytes("200 OK", "A\t: v\r\n") },
+                  answer_row{ kNameGuard, AnswerBytes("200 OK", "A\x01: v\r\n") },
+                  answer_row{ kNameGuard,
+                              AnswerBytes("200 OK",
+                                          "\x7f"
+                                          "A: v\r\n") },
+                  answer_row{ kNameGuard, AnswerBytes("200 OK", "A\rB: v\r\n") },
+                  answer_row{ kNameGuard, AnswerBytes("200 OK", ": v\r\n") },
+                  answer_row{ "the length is ignored since its name has a blank",
+                              std::string("HTTP/1.1 200 OK\r\n") + kStampLine +
+                                "Content-Length : 8\r\n\r\n" + kBody,
+                              true },
+                  answer_row{ "the coding is ignored since its name has a control byte",
+                              ChunkedBytes(kStampLine + "Transfer-Encoding\x01: chunked\r\n"),
+                              true },
+                  answer_row{ "a name with a blank before the stamp passes",
+                              "HTTP/1.1 200 OK\r\nX-Response-Stamp : " + std::string(kStamp) +
+                                "\r\nContent-Length: 0\r\n\r\n" }));
+
 } // namespace
 } // namespace redwingdock::platform
