Replace replies that HTTP/1.1 does not allow by 502

Whatever FormatReply was handed went to the client: any status, names and values with line feeds, a second Content-Length, a body behind a 204.

FormatReply now checks the reply by the protocol's rules on what is sent, apart from the reader's on what is received, and writes 502 without fields and body where it breaks them: 502 promises neither that the request ran nor that it did not. A status without a known reason phrase gets an empty one instead of "<unknown-status>", and a 304 no longer states the length 0.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -207,10 +207,15 @@
   if (!id) {
     return;
   }
+  const std::optional<std::string> invalid = ReplyError(aReply);
+  std::string name;
   std::optional<http_message> next;
   std::uint64_t requestId = 0;
   mSessions.With(*id, [&](session& aSession) {
     aSession.mRequestId = 0;
+    if (invalid) {
+      name = aSession.mRequestName;
+    }
     // The client may have pipelined its next request, which is answered before the connection
     // closes.
     const bool pipelined = aSession.mReader.Started() || aSession.mReader.Buffered() > 0 ||
@@ -240,6 +245,9 @@
       aSession.mConnection->ResumeReading();
     }
   });
+  if (invalid && mHooks.mOnInvalidReply) {
+    mHooks.mOnInvalidReply(name, *invalid);
+  }
   if (next) {
     // Posted instead of called, so that pipelined requests with immediate replies do not recurse.
     mLoop.Post(
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -33,6 +33,9 @@
   std::function<void(std::uint64_t)> mOnTimeout;
   // Names a request in UnfinishedConnections().
   std::function<std::string(const http_message&)> mNameOf = nullptr;
+  // A reply to the request with this name has a ReplyError, with this text; status 502 was sent
+  // instead.
+  std::function<void(const std::string&, const std::string&)> mOnInvalidReply = nullptr;
 };
 
 // What is unfinished on a connection.
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -163,6 +163,37 @@
                                  2,
                                  431 }));
 
+TEST(http_server, ReplacesAndReportsAnInvalidReply)
+{
+  // Guards against a reply that breaks the connection of its client, or is replaced without a word.
+  io_loop loop(1);
+  request_id_source ids{ 0 };
+  std::promise<std::string> reported;
+  std::unique_ptr<http_server> server;
+  server = std::make_unique<http_server>(
+    loop,
+    ids,
+    http_server_hooks{
+      [&server](std::uint64_t aId, const http_message& aRequest) {
+        server->Reply(aId, { aRequest.mTarget == "/invalid" ? 0U : 200U, "", "ok", {} });
+      },
+      nullptr,
+      nullptr,
+      [](const http_message& aRequest) { return aRequest.mTarget; },
+      [&reported](const std::string& aName, const std::string& aText) {
+        reported.set_value(aName + ": " + aText);
+      } });
+  const result<std::string> address = server->ListenOn("127.0.0.1:0");
+  loop.Start();
+  blocking_socket client(*address);
+  client.Send("GET /invalid HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(client.ReadReply(), "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n");
+  EXPECT_EQ(reported.get_future().get(), "/invalid: status 0 is not between 200 and 599");
+  client.Send("GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+  EXPECT_EQ(client.ReadReply(), "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok");
+  loop.Stop();
+}
+
 TEST(http_server, PausesAClientThatPipelinesWithoutLimit)
 {
   // Guards against memory that grows with what a client sends behind an open request.
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -83,6 +83,16 @@
   return TransferCodingError(aRequest);
 }
 
+std::optional<std::string> StatusError(unsigned aStatus, unsigned aMin)
+{
+  constexpr unsigned kMaxStatus = 599;
+  if (aStatus >= aMin && aStatus <= kMaxStatus) {
+    return std::nullopt;
+  }
+  return "status " + std::to_string(aStatus) + " is not between " + std::to_string(aMin) + " and " +
+         std::to_string(kMaxStatus);
+}
+
 // Replies that announce a later one (RFC 9110, section 15.2).
 bool IsInterim(const http::response<http::string_body>& aReply)
 {
@@ -93,11 +103,8 @@
 {
   // The parser accepts each status of three digits (RFC 9110, section 15).
   constexpr unsigned kMinStatus = 100;
-  constexpr unsigned kMaxStatus = 599;
-  const unsigned status = aReply.result_int();
-  if (status < kMinStatus || status > kMaxStatus) {
-    return "status " + std::to_string(status) + " is not between " + std::to_string(kMinStatus) +
-           " and " + std::to_string(kMaxStatus);
+  if (std::optional<std::string> invalid = StatusError(aReply.result_int(), kMinStatus)) {
+    return invalid;
   }
   if (aReply.result() == http::status::switching_protocols) {
     return "status 101 without a request to change the protocol";
@@ -109,6 +116,34 @@
   return TransferCodingError(aReply);
 }
 
+// A field name is a token (RFC 9110, section 5.6.2).
+bool IsToken(std::string_view aText)
+{
+  return !aText.empty() && std::all_of(aText.begin(), aText.end(), [](char aByte) {
+    constexpr std::string_view kPunctuation = "!#$%&'*+-.^_`|~";
+    return (aByte >= '0' && aByte <= '9') || (aByte >= 'a' && aByte <= 'z') ||
+           (aByte >= 'A' && aByte <= 'Z') || kPunctuation.find(aByte) != std::string_view::npos;
+  });
+}
+
+// The value of a field has no control bytes other than tabs (RFC 9110, section 5.5).
+bool IsFieldValue(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aByte) {
+    constexpr unsigned char kDelete = 0x7f;
+    return aByte == '\t' || (aByte >= ' ' && aByte != kDelete);
+  });
+}
+
+// Whether a reply with this final status has a body, whose length is stated (RFC 9110,
+// section 8.6).
+bool MayHaveBody(unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus != kNoContent && aStatus != kNotModified;
+}
+
 } // namespace
 
 const std::string* http_message::Find(std::string_view aName) const
@@ -382,18 +417,51 @@
   return text.append("\r\n\r\n").append(aBody);
 }
 
+std::optional<std::string> ReplyError(const http_response& aReply)
+{
+  constexpr unsigned kMinFinalStatus = 200;
+  if (std::optional<std::string> invalid = StatusError(aReply.mStatus, kMinFinalStatus)) {
+    return invalid;
+  }
+  if (!MayHaveBody(aReply.mStatus) && !aReply.mBody.empty()) {
+    return "a body with status " + std::to_string(aReply.mStatus);
+  }
+  if (!IsFieldValue(aReply.mContentType)) {
+    return "the content type holds a control byte";
+  }
+  for (const http_field& field : aReply.mFields) {
+    if (!IsToken(field.mName)) {
+      return "the name of a field is not a token";
+    }
+    if (!IsFieldValue(field.mValue)) {
+      return "the value of a field holds a control byte";
+    }
+    if (EqualFieldNames(field.mName, "Content-Length") ||
+        EqualFieldNames(field.mName, "Transfer-Encoding")) {
+      return "a field states another end of the body";
+    }
+  }
+  return std::nullopt;
+}
+
 std::string FormatReply(const http_response& aReply, bool aKeepAlive)
 {
+  if (ReplyError(aReply)) {
+    constexpr unsigned kBadGateway = 502;
+    return FormatReply({ kBadGateway, "", "", {} }, aKeepAlive);
+  }
   std::string text;
   text.reserve(200 + aReply.mBody.size());
-  const auto status = http::obsolete_reason(http::int_to_status(aReply.mStatus));
   text.append("HTTP/1.1 ").append(std::to_string(aReply.mStatus)).append(" ");
-  text.append(status.data(), status.size());
+  const http::status known = http::int_to_status(aReply.mStatus);
+  if (known != http::status::unknown) {
+    const auto phrase = http::obsolete_reason(known);
+    text.append(phrase.data(), phrase.size());
+  }
   for (const http_field& field : aReply.mFields) {
     text.append("\r\n").append(field.mName).append(": ").append(field.mValue);
   }
-  // A 204 reply has no body and must not carry Content-Length (RFC 9110, section 8.6).
-  if (aReply.mStatus != 204) {
+  if (MayHaveBody(aReply.mStatus)) {
     if (!aReply.mContentType.empty()) {
       text.append("\r\nContent-Type: ").append(aReply.mContentType);
     }
--- a/src/daemon/http_text.h
+++ b/src/daemon/http_text.h
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -120,8 +121,14 @@
 };
 
 // Formats a reply with Content-Type and Content-Length; adds "Connection: close" unless aKeepAlive.
+// A reply with a ReplyError is replaced by status 502 without fields and body, which neither
+// promises that the request ran nor that it did not.
 std::string FormatReply(const http_response& aReply, bool aKeepAlive);
 
+// What HTTP/1.1 does not allow in a reply; nullopt if nothing. The text holds no bytes of the
+// reply.
+std::optional<std::string> ReplyError(const http_response& aReply);
+
 // Whether two field names are equal, ignoring case.
 bool EqualFieldNames(std::string_view aFirst, std::string_view aSecond);
 
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -472,5 +472,116 @@
                  { "POST", "/", 0, { { "Host", "h" }, { "Transfer-Encoding", "Chunked" } }, "ok" },
                  3 }));
 
+struct writer_row
+{
+  const char* mGuardsAgainst;
+  http_response mReply;
+  std::optional<std::string> mError;
+  std::string mBytes;
+};
+
+class writer_test : public testing::TestWithParam<writer_row>
+{};
+
+TEST_P(writer_test, WritesOnlyReplies)
+{
+  const writer_row& row = GetParam();
+  EXPECT_EQ(ReplyError(row.mReply), row.mError) << row.mGuardsAgainst;
+  EXPECT_EQ(FormatReply(row.mReply, true), row.mBytes) << row.mGuardsAgainst;
+}
+
+// A row whose reply is replaced.
+writer_row InvalidRow(const char* aGuardsAgainst, http_response aReply, std::string aError)
+{
+  return { aGuardsAgainst,
+           std::move(aReply),
+           std::move(aError),
+           "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n" };
+}
+
+writer_row InvalidStatusRow(unsigned aStatus)
+{
+  return InvalidRow("a status is sent that ends no request",
+                    { aStatus, "", "ok", { { "X-Response-Stamp", "s" } } },
+                    "status " + std::to_string(aStatus) + " is not between 200 and 599");
+}
+
+writer_row InvalidNameRow(std::string aName)
+{
+  return InvalidRow("a name that is no token is sent",
+                    { 200, "", "ok", { { "A", "b" }, { std::move(aName), "c" } } },
+                    "the name of a field is not a token");
+}
+
+writer_row InvalidValueRow(std::string aValue)
+{
+  return InvalidRow("a value with a control byte is sent",
+                    { 200, "", "ok", { { "A", std::move(aValue) } } },
+                    "the value of a field holds a control byte");
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  invalid,
+  writer_test,
+  testing::Values(
+    InvalidStatusRow(0),
+    InvalidStatusRow(42),
+    InvalidStatusRow(99),
+    InvalidStatusRow(100),
+    InvalidStatusRow(101),
+    InvalidStatusRow(199),
+    InvalidStatusRow(600),
+    InvalidStatusRow(1000),
+    InvalidNameRow(""),
+    InvalidNameRow("A B"),
+    InvalidNameRow(" A"),
+    InvalidNameRow("A:"),
+    InvalidNameRow("A\r\nB"),
+    InvalidNameRow("A\x01"),
+    InvalidNameRow("A\x7f"),
+    InvalidNameRow("A\xe9"),
+    InvalidValueRow("b\r\nC: d"),
+    InvalidValueRow("b\nC: d"),
+    InvalidValueRow("b\r"),
+    InvalidValueRow(std::string("b\0", 2)),
+    InvalidValueRow("b\x7f"),
+    InvalidRow("a content type with a line feed is sent",
+               { 200, "text/plain\nA: b", "ok", {} },
+               "the content type holds a control byte"),
+    InvalidRow("a body without a length is sent", { 204, "", "ok", {} }, "a body with status 204"),
+    InvalidRow("a body without a length is sent", { 304, "", "ok", {} }, "a body with status 304"),
+    InvalidRow("a second length is sent",
+               { 200, "", "ok", { { "content-length", "1" } } },
+               "a field states another end of the body"),
+    InvalidRow("chunks are announced and not sent",
+               { 200, "", "ok", { { "Transfer-Encoding", "chunked" } } },
+               "a field states another end of the body")));
+
+INSTANTIATE_TEST_SUITE_P(
+  valid,
+  writer_test,
+  testing::Values(writer_row{ "a reply without content type or body is altered",
+                              { 500, "", "", {} },
+                              std::nullopt,
+                              "HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n" },
+                  writer_row{
+                    "a status that the library does not know gets its placeholder as the reason",
+                    { 299, "", "ok", {} },
+                    std::nullopt,
+                    "HTTP/1.1 299 \r\nContent-Length: 2\r\n\r\nok" },
+                  writer_row{ "tabs, bytes over 0x7f or an empty value are refused",
+                              { 200, "a/b", "ok", { { "A!", "b\tc\xe9" }, { "B", "" } } },
+                              std::nullopt,
+                              "HTTP/1.1 200 OK\r\nA!: b\tc\xe9\r\nB: \r\nContent-Type: a/b\r\n"
+                              "Content-Length: 2\r\n\r\nok" },
+                  writer_row{ "a reply that has no body states a length",
+                              { 204, "", "", { { "A", "b" } } },
+                              std::nullopt,
+                              "HTTP/1.1 204 No Content\r\nA: b\r\n\r\n" },
+                  writer_row{ "an unchanged resource is said to be empty",
+                              { 304, "", "", {} },
+                              std::nullopt,
+                              "HTTP/1.1 304 Not Modified\r\n\r\n" }));
+
 } // namespace
 } // namespace redwingdock
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -42,6 +42,11 @@
   return aSettings;
 }
 
+void LogInvalidReply(const std::string& /*aRequest*/, const std::string& aReason)
+{
+  Log({ log_level::Warning, "entry", "event=reply_invalid reason=" + Quoted(aReason) });
+}
+
 } // namespace
 
 std::string RandomIncarnation()
@@ -102,7 +107,9 @@
                            });
        },
         [this](std::uint64_t aRequestId) { mCallerApi.OnCallerDisconnected(aRequestId); },
-        [this](std::uint64_t aRequestId) { mCallerApi.OnAnswerTimeout(aRequestId); } })
+        [this](std::uint64_t aRequestId) { mCallerApi.OnAnswerTimeout(aRequestId); },
+        nullptr,
+        LogInvalidReply })
   , mOperatorServer(mLoop,
                     mRequestIds,
                     { [this](std::uint64_t aRequestId, const http_message& aRequest) {
@@ -115,7 +122,9 @@
                          });
                      },
                       nullptr,
-                      nullptr })
+                      nullptr,
+                      nullptr,
+                      LogInvalidReply })
 {
 }
 
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -83,6 +83,13 @@
   return id != nullptr ? *id : std::string();
 }
 
+void LogInvalidReply(const std::string& aRequest, const std::string& aReason)
+{
+  Log({ log_level::Warning,
+        "entry",
+        "event=reply_invalid request=" + Quoted(aRequest) + " reason=" + Quoted(aReason) });
+}
+
 http_limits ToHttpLimits(const client_limits& aLimits)
 {
   http_limits limits;
@@ -114,7 +121,8 @@
                    },
                     [this](std::uint64_t aRequestId) { OnClientDisconnected(aRequestId); },
                     nullptr,
-                    AttemptIdOf },
+                    AttemptIdOf,
+                    LogInvalidReply },
                   ToHttpLimits(client_limits{}))
   , mReadinessServer(mLoop,
                      mRequestIds,
--- a/src/platform/request_codec_test.cc
+++ b/src/platform/request_codec_test.cc
@@ -226,12 +226,11 @@
     << GetParam().mGuardsAgainst;
 }
 
-forward_answer Relayed()
+forward_answer RelayedReply(forward_reply aReply)
 {
   forward_answer answer;
   answer.mKind = answer_kind::Relayed;
-  answer.mReply = std::make_shared<const forward_reply>(
-    forward_reply{ 500, "s", { { "X-Response-Stamp", "s" } }, "bad" });
+  answer.mReply = std::make_shared<const forward_reply>(std::move(aReply));
   return answer;
 }
 
@@ -248,9 +247,15 @@
   answer_test,
   testing::Values(
     answer_row{ "a reply is altered when it is passed on",
-                Relayed(),
+                RelayedReply({ 500, "s", { { "X-Response-Stamp", "s" } }, "bad" }),
                 "HTTP/1.1 500 Internal Server Error\r\nX-Response-Stamp: s\r\nContent-Length: 3"
                 "\r\n\r\nbad" },
+    answer_row{ "a reply that is none is passed on",
+                RelayedReply({ 0, "s", { { "X-Response-Stamp", "s" } }, "bad" }),
+                "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n" },
+    answer_row{ "a field that would begin a line of its own is passed on",
+                RelayedReply({ 200, "s", { { "X-Response-Stamp", "s\r\nA: b" } }, "bad" }),
+                "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n" },
     answer_row{ "missing parts are not reported",
                 { answer_kind::Gathered, nullptr, { "s.1", "s.2" }, 1, "0123456789abcdef" },
                 "HTTP/1.1 200 OK\r\nX-Shard-Stamps: s.1, s.2\r\nX-Missing-Shards: 1\r\n"
