Read replies in the client of record search by the daemons' reader

The client of record search, and with it redwingdockctl and the load program, took the same broken replies for answers: the status 000, a body in another coding, a head with a folded line; an interim reply made the call fail as cut. Its callers got what such a reply said.

Cause: it used the parser directly, apart from the reader that the daemons use.

It now reads through http_reader and formats its requests by FormatRequest, so that one place says what a reply is. What ends a call as cut or lost is unchanged: a broken reply counts as a lost connection, after which the request may have run.

--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -1,17 +1,17 @@
 #include "client/http_client.h"
 
 #include "client/striped_map.h"
+#include "daemon/http_text.h"
 
+#include <array>
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/strand.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
-#include <boost/beast/http/string_body.hpp>
-#include <boost/beast/http/write.hpp>
 #include <charconv>
 #include <future>
 #include <optional>
@@ -23,13 +23,13 @@
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
-namespace http = boost::beast::http;
 using tcp = asio::ip::tcp;
 
 namespace {
 
 // The views for operators are the largest replies: under 8 MiB at the target size of the fleet.
-constexpr std::uint64_t kMaxBodyBytes = 16U << 20U;
+constexpr std::size_t kMaxBodyBytes = 16U << 20U;
+constexpr std::size_t kReadBytes = std::size_t{ 16 } * 1024; // at once
 
 std::optional<tcp::endpoint> ParseAddress(const std::string& aAddress)
 {
@@ -65,7 +65,8 @@
   }
 
   beast::tcp_stream mStream;
-  beast::flat_buffer mBuffer;
+  std::array<char, kReadBytes> mReceived{};
+  http_reader mReader{ http_side::Client, { kMaxBodyBytes } };
 };
 
 using connection_ptr = std::shared_ptr<connection>;
@@ -147,19 +148,10 @@
 private:
   void Write()
   {
-    mRequest.method_string(mCall.mMethod);
-    mRequest.target(mCall.mTarget);
-    mRequest.version(11);
-    mRequest.set(http::field::host, mCall.mAddress);
-    if (!mCall.mBody.empty()) {
-      mRequest.set(http::field::content_type, "application/json");
-    }
-    mRequest.body() = mCall.mBody;
-    mRequest.prepare_payload();
-    mParser.body_limit(kMaxBodyBytes);
+    mRequest = FormatRequest(mCall.mMethod, mCall.mTarget, mCall.mAddress, mCall.mBody);
     mConnection->mStream.expires_at(mDeadline);
-    http::async_write(mConnection->mStream,
-                      mRequest,
+    asio::async_write(mConnection->mStream,
+                      asio::buffer(mRequest),
                       [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
                         // A server may reply and close before it has read the whole request.
                         if (aError == beast::error::timeout) {
@@ -172,32 +164,47 @@
 
   void Read()
   {
-    http::async_read(mConnection->mStream,
-                     mConnection->mBuffer,
-                     mParser,
-                     [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-                       if (!aError) {
-                         self->HandleReply();
-                       } else if (aError == beast::error::timeout) {
-                         self->Fail(http_failure::TimedOut, "no complete reply before the timeout");
-                       } else if (aError == http::error::partial_message) {
-                         self->Fail(http_failure::Truncated, aError.message());
-                       } else {
-                         self->Fail(http_failure::ConnectionLost, aError.message());
-                       }
-                     });
+    mConnection->mStream.async_read_some(
+      asio::buffer(mConnection->mReceived),
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t aSize) {
+        if (aError == beast::error::timeout) {
+          self->Fail(http_failure::TimedOut, "no complete reply before the timeout");
+        } else if (aError && aError != asio::error::eof) {
+          self->Fail(http_failure::ConnectionLost, aError.message());
+        } else {
+          self->OnRead(aError == asio::error::eof, aSize);
+        }
+      });
+  }
+
+  void OnRead(bool aEnded, std::size_t aSize)
+  {
+    http_reader& reader = mConnection->mReader;
+    const http_read_status status =
+      aEnded ? reader.FeedEof() : reader.Feed({ mConnection->mReceived.data(), aSize });
+    if (status == http_read_status::Complete) {
+      HandleReply(reader.Take());
+    } else if (status == http_read_status::NeedMore) {
+      Read();
+    } else if (aEnded) {
+      Fail(reader.Started() ? http_failure::Truncated : http_failure::ConnectionLost,
+           "the connection ended before the reply was complete");
+    } else {
+      Fail(http_failure::ConnectionLost, reader.Error().mText);
+    }
   }
 
-  void HandleReply()
+  void HandleReply(http_message aReply)
   {
-    if (!mParser.content_length() && !mParser.chunked() && mParser.get().result_int() != 204) {
+    constexpr unsigned kNoContent = 204;
+    if (aReply.Find("Content-Length") == nullptr && aReply.Find("Transfer-Encoding") == nullptr &&
+        aReply.mStatus != kNoContent) {
       Fail(http_failure::Truncated, "the reply has neither a Content-Length nor a chunked body");
       return;
     }
-    mReply.mStatus = static_cast<int>(mParser.get().result_int());
-    bool keep = mParser.keep_alive();
-    mReply.mBody = std::move(mParser.get().body());
-    if (keep) {
+    mReply.mStatus = static_cast<int>(aReply.mStatus);
+    mReply.mBody = std::move(aReply.mBody);
+    if (aReply.mKeepAlive) {
       mConnection->mStream.expires_never();
       mState.mIdleConnections.Update(mCall.mAddress, [this](std::vector<connection_ptr>& aIdle) {
         aIdle.push_back(mConnection);
@@ -221,8 +228,7 @@
   http_client::on_reply mOnReply;
   std::chrono::steady_clock::time_point mDeadline;
   connection_ptr mConnection;
-  http::request<http::string_body> mRequest;
-  http::response_parser<http::string_body> mParser;
+  std::string mRequest;
   http_reply mReply;
 };
 
