Close the client's connection when more than the reply arrived

A server that sends a second reply behind the first one had it given to the next call of record search on that connection: a call got 404 that belonged to no request of it.

Cause: before a connection is used again, the client looks for bytes that wait in the socket, but not for those that it had read with the reply.

A connection with bytes behind the reply is not kept. On the code before, the new row of http_client_test fails (status 404 instead of 200); now it passes, as do the others, five times each.

--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -183,7 +183,7 @@
     const http_read_status status =
       aEnded ? reader.FeedEof() : reader.Feed({ mConnection->mReceived.data(), aSize });
     if (status == http_read_status::Complete) {
-      HandleReply(reader.Take());
+      HandleReply(reader.Take(), reader.Buffered() == 0);
     } else if (status == http_read_status::NeedMore) {
       Read();
     } else if (aEnded) {
@@ -194,7 +194,8 @@
     }
   }
 
-  void HandleReply(http_message aReply)
+  // A connection with bytes behind the reply is not reused: they are the reply to no request.
+  void HandleReply(http_message aReply, bool aReuse)
   {
     constexpr unsigned kNoContent = 204;
     if (aReply.Find("Content-Length") == nullptr && aReply.Find("Transfer-Encoding") == nullptr &&
@@ -204,7 +205,7 @@
     }
     mReply.mStatus = static_cast<int>(aReply.mStatus);
     mReply.mBody = std::move(aReply.mBody);
-    if (aReply.mKeepAlive) {
+    if (aReply.mKeepAlive && aReuse) {
       mConnection->mStream.expires_never();
       mState.mIdleConnections.Update(mCall.mAddress, [this](std::vector<connection_ptr>& aIdle) {
         aIdle.push_back(mConnection);
--- a/src/client/http_client_test.cc
+++ b/src/client/http_client_test.cc
@@ -101,5 +101,13 @@
                { kLost, kOk },
                2 }));
 
+INSTANTIATE_TEST_SUITE_P(extra,
+                         http_client_test,
+                         testing::Values(reply_row{
+                           "a second reply is given to the next call",
+                           { { ReplyBytes("200 OK") + ReplyBytes("404 Not Found") }, kSound },
+                           { kOk, kOk },
+                           2 }));
+
 } // namespace
 } // namespace redwingdock
