Accept interim replies that state the length 0

The check on interim replies refused "Content-Length: 0" as well, which some servers send with 100 although they should not. It leaves no doubt where the reply begins, so that refusing it would lose a sound answer. Other lengths and chunks are refused as before.

On the code before, the new row of message_test fails; now it passes.

--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -99,6 +99,13 @@
   return http::to_status_class(aReply.result_int()) == http::status_class::informational;
 }
 
+bool StatesABody(const http::response<http::string_body>& aReply)
+{
+  const auto length = aReply.find(http::field::content_length);
+  return (length != aReply.end() && length->value() != "0") ||
+         aReply.count(http::field::transfer_encoding) > 0;
+}
+
 std::optional<std::string> HeadError(const http::response<http::string_body>& aReply)
 {
   // The parser accepts each status of three digits (RFC 9110, section 15).
@@ -109,8 +116,7 @@
   if (aReply.result() == http::status::switching_protocols) {
     return "status 101 without a request to change the protocol";
   }
-  if (IsInterim(aReply) && (aReply.count(http::field::content_length) > 0 ||
-                            aReply.count(http::field::transfer_encoding) > 0)) {
+  if (IsInterim(aReply) && StatesABody(aReply)) {
     return "interim reply with a body";
   }
   return TransferCodingError(aReply);
