Test that a broken answer teaches nothing about its replica

"not run", Server-Leaving, Retry-After and 421 in a broken answer, in an interim one or in a trailer must not keep the next request from the replica. The reader already drops them with the answer; no product code changes.

--- a/src/platform/broken_answer_test.cc
+++ b/src/platform/broken_answer_test.cc
@@ -85,6 +85,15 @@
     << GetParam().mGuardsAgainst;
 }
 
+TEST_P(broken_answer_test, TeachesNothing)
+{
+  // The only replica gets the next request as well, whatever its broken answer said of itself.
+  ASSERT_TRUE(mFixture.WaitUntilReady());
+  Answer("/u/x");
+  Answer("/u/y");
+  EXPECT_EQ(mRequests, 2) << GetParam().mGuardsAgainst;
+}
+
 TEST_P(broken_answer_test, LeavesASafeRequestToAnotherReplica)
 {
   // The sound replica is slow, so that some of the requests that are open at a time meet the faulty
@@ -174,6 +183,26 @@
                               "HTTP/1.1 103 X\r\nX-Not-Executed: 1\r\n\r\n",
                               true }));
 
+INSTANTIATE_TEST_SUITE_P(
+  notices,
+  broken_answer_test,
+  testing::Values(answer_row{ "a broken answer says that the replica leaves",
+                              AnswerBytes("000 X", "Server-Leaving: 1\r\n") },
+                  answer_row{ "an interim answer says that the replica leaves",
+                              "HTTP/1.1 103 X\r\nServer-Leaving: 1\r\n\r\n" + AnswerBytes("200 OK"),
+                              false,
+                              true },
+                  answer_row{
+                    "a broken answer asks for time",
+                    AnswerBytes("503 X", "X-Not-Executed: 1\r\nRetry-After: 60\r\n : a\r\n") },
+                  answer_row{ "a broken answer says that another process is at the address",
+                              AnswerBytes("421 X", "Transfer-Encoding: foo\r\n") },
+                  answer_row{ "a trailer says that the replica leaves",
+                              ChunkedBytes(kStampLine + "Transfer-Encoding: chunked\r\n",
+                                           "Server-Leaving: 1\r\n"),
+                              false,
+                              true }));
+
 constexpr char kCodingGuard[] = "a body in an unknown coding reaches the client";
 
 INSTANTIATE_TEST_SUITE_P(
