--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -46,8 +46,8 @@
   return aResult;
 }
 
-// The message without its body. To be called before the parser adds the fields of a trailer to
-// those of the head.
+// The message without its body. Must be called as soon as the head is complete: the parser adds the
+// fields of a trailer to those of the head.
 http_message HeadOf(const http::request<http::string_body>& aRequest)
 {
   http_message head;
@@ -99,6 +99,8 @@
   return http::to_status_class(aReply.result_int()) == http::status_class::informational;
 }
 
+// Interim replies have no body. After one that states a body, what follows could be that body or
+// the reply.
 bool StatesABody(const http::response<http::string_body>& aReply)
 {
   const auto length = aReply.find(http::field::content_length);
@@ -228,7 +230,7 @@
   }
 
   // Whether a line of the head begins with a blank. The parser joins such a line to the value
-  // before it, as old versions of HTTP did (RFC 9112, section 5.2).
+  // before it, the obsolete folding of RFC 9112, section 5.2.
   bool ContinuesALine(std::string_view aHead)
   {
     for (const char each : aHead) {
