--- a/src/platform/store_client_test.cc
+++ b/src/platform/store_client_test.cc
@@ -198,7 +198,15 @@
                Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
                9 },
     check_row{ "a refusal counts as a revision", Reply("503 Down", ""), std::nullopt },
-    check_row{ "a lost reply counts as a revision", "x", std::nullopt }));
+    check_row{ "a lost reply counts as a revision", "x", std::nullopt },
+    check_row{ "a body in an unknown coding counts as a revision",
+               "HTTP/1.1 200 OK\r\nTransfer-Encoding: foo\r\n\r\n"
+               R"({"items":[],"hasMore":false,"asOf":9})",
+               std::nullopt },
+    check_row{ "an interim reply counts as a refusal",
+               "HTTP/1.1 100 Continue\r\n\r\n" +
+                 Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
+               9 }));
 
 // A server that answers the first request of each connection and then nothing more on it.
 class once_server
