Ignore answers that reach a soak client after it has left

The connection hands bytes over after it has read them and released its lock. When the client drops its request and closes the connection in between, the answer to that request finds none open.

The client now forgets a connection that it closes while an answer may be on its way, by leaving or giving up. An answer on a connection that it has not closed counts as before.

--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -158,7 +158,7 @@
     return;
   }
   mOpen.clear();
-  mTcp->Close("the client left");
+  CloseOnPurpose("the client left");
 }
 
 void soak_client::GiveUp(std::uint64_t aConnection, const std::string& aId)
@@ -171,7 +171,13 @@
     return;
   }
   EndOpen(request_end::GaveUp, "no answer in time");
-  mTcp->Close("the client gave up");
+  CloseOnPurpose("the client gave up");
+}
+
+void soak_client::CloseOnPurpose(const char* aReason)
+{
+  // Bytes that were read before are handed over after this; without mTcp they are ignored.
+  std::exchange(mTcp, nullptr)->Close(aReason);
 }
 
 void soak_client::OnBytes(std::uint64_t aConnection, std::string_view aBytes)
