--- a/src/daemon/http_reader_fuzz_test.cc
+++ b/src/daemon/http_reader_fuzz_test.cc
@@ -256,7 +256,7 @@
                                           "Transfer-Encoding:\r\n",
                                           "Content-Length: 2\r\n",
                                           "Content-Length: +2\r\n",
-                                          "X-Response-Stamp: t\r\n",
+                                          "Signature: t\r\n",
                                           std::string(1, '\0'),
                                           "\x7f",
                                           "\xe9" };
@@ -340,28 +340,28 @@
   replies,
   reader_fuzz_test,
   testing::Values(fuzz_row{ "length",
-                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nX-Response-Stamp: s.1\r\n"
+                            "HTTP/1.1 200 OK\r\nRequest-Id: 9c\r\nSignature: s.1\r\n"
                             "Keep-Alive: timeout=4\r\nContent-Length: 2\r\n\r\n",
                             "ok" },
                   fuzz_row{ "chunks",
-                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nX-Response-Stamp: s.1\r\n"
+                            "HTTP/1.1 200 OK\r\nRequest-Id: 9c\r\nSignature: s.1\r\n"
                             "Transfer-Encoding: chunked\r\n\r\n",
-                            "2;a=b\r\nok\r\n0\r\nX-Response-Stamp: late\r\n\r\n" },
+                            "2;a=b\r\nok\r\n0\r\nSignature: late\r\n\r\n" },
                   fuzz_row{
                     "framing of chunks",
-                    "HTTP/1.1 200 OK\r\nX-Response-Stamp: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
-                    "2;a=b\r\nok\r\n3\r\nabc\r\n0\r\nX-Response-Stamp: late\r\n\r\n",
+                    "HTTP/1.1 200 OK\r\nSignature: s.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                    "2;a=b\r\nok\r\n3\r\nabc\r\n0\r\nSignature: late\r\n\r\n",
                     "" },
                   fuzz_row{ "end of the connection",
-                            "HTTP/1.1 200 OK\r\nX-Attempt-Id: 9c\r\nX-Response-Stamp: s.1\r\n\r\n",
+                            "HTTP/1.1 200 OK\r\nRequest-Id: 9c\r\nSignature: s.1\r\n\r\n",
                             "2\r\nok\r\n0\r\n\r\n" },
                   fuzz_row{ "rejection",
-                            "HTTP/1.1 503 X\r\nX-Not-Executed: 1\r\nRetry-After: 0.5\r\n"
+                            "HTTP/1.1 503 X\r\nX-Refused: 1\r\nRetry-After: 0.5\r\n"
                             "Connection: close\r\nContent-Length: 0\r\n\r\n",
                             "" },
                   fuzz_row{ "interim reply",
-                            "HTTP/1.1 103 Early Hints\r\nX-Response-Stamp: early\r\n\r\n"
-                            "HTTP/1.1 200 OK\r\nX-Response-Stamp: s.1\r\nContent-Length: 2\r\n\r\n",
+                            "HTTP/1.1 103 Early Hints\r\nSignature: early\r\n\r\n"
+                            "HTTP/1.1 200 OK\r\nSignature: s.1\r\nContent-Length: 2\r\n\r\n",
                             "ok" }));
 
 } // namespace
--- a/src/daemon/http_text_test.cc
+++ b/src/daemon/http_text_test.cc
@@ -187,10 +187,10 @@
   }
 }
 
-// A reply with the status line, the stamp, further lines of the head, and a body of two bytes.
+// A reply with the status line, a signature, further lines of the head, and a body of two bytes.
 std::string ReplyBytes(const std::string& aStatusLine, const std::string& aLines = "")
 {
-  return aStatusLine + "\r\nX-Response-Stamp: s\r\n" + aLines + "Content-Length: 2\r\n\r\nok";
+  return aStatusLine + "\r\nSignature: s\r\n" + aLines + "Content-Length: 2\r\n\r\nok";
 }
 
 broken_row StatusRow(const std::string& aStatus)
@@ -227,7 +227,7 @@
                               "status 101 without a request to change the protocol" },
                   broken_row{ "an interim reply counts as the reply",
                               http_side::Client,
-                              "HTTP/1.1 103 Early Hints\r\nX-Response-Stamp: s\r\n\r\n",
+                              "HTTP/1.1 103 Early Hints\r\nSignature: s\r\n\r\n",
                               "" },
                   broken_row{ "the body of an interim reply is taken for the reply",
                               http_side::Client,
@@ -259,8 +259,7 @@
 {
   return { aGuardsAgainst,
            http_side::Client,
-           std::string(kOkLine) + "\r\nX-Response-Stamp: s\r\n" + aLines +
-             "\r\n2\r\nok\r\n0\r\n\r\n",
+           std::string(kOkLine) + "\r\nSignature: s\r\n" + aLines + "\r\n2\r\nok\r\n0\r\n\r\n",
            kTransferCoding };
 }
 
@@ -313,7 +312,7 @@
                               kFolded },
                   broken_row{ "a line that begins with a tab changes the value before it",
                               http_side::Client,
-                              ReplyBytes(kOkLine, "\tX-Attempt-Id: a\r\n"),
+                              ReplyBytes(kOkLine, "\tRequest-Id: a\r\n"),
                               kFolded },
                   broken_row{ "a line of blanks is accepted",
                               http_side::Client,
@@ -334,7 +333,7 @@
                               "" },
                   broken_row{ "a field of a request is read from two lines",
                               http_side::Server,
-                              "GET / HTTP/1.1\r\nHost: h\r\nX-Attempt-Id: a\r\n b\r\n\r\n",
+                              "GET / HTTP/1.1\r\nHost: h\r\nRequest-Id: a\r\n b\r\n\r\n",
                               kFolded }));
 
 // Lines whose name is not a token.
@@ -358,11 +357,11 @@
 {
   std::vector<broken_row> rows;
   for (const std::string& line : BadNames()) {
-    rows.push_back({ "a reply passes whose first field has an invalid name",
-                     http_side::Client,
-                     std::string(kOkLine) + "\r\n" + line +
-                       "\r\nX-Response-Stamp: s\r\nContent-Length: 2\r\n\r\nok",
-                     "" });
+    rows.push_back(
+      { "a reply passes whose first field has an invalid name",
+        http_side::Client,
+        std::string(kOkLine) + "\r\n" + line + "\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+        "" });
     rows.push_back({ "a reply passes in which a later field has an invalid name",
                      http_side::Client,
                      ReplyBytes(kOkLine, line + "\r\n"),
@@ -374,7 +373,7 @@
   }
   for (const http_field& field : { http_field{ "Content-Length", "2" },
                                    { "Transfer-Encoding", "chunked" },
-                                   { "X-Response-Stamp", "s" } }) {
+                                   { "Signature", "s" } }) {
     const std::string& name = field.mName;
     for (const std::string& bad :
          { name + " ", name + "\t", name + "\x01", "\x01" + name, name + "\r" }) {
@@ -419,11 +418,7 @@
   }
 }
 
-const http_message kPlain{ "",
-                           "",
-                           200,
-                           { { "X-Response-Stamp", "s" }, { "Content-Length", "2" } },
-                           "ok" };
+const http_message kPlain{ "", "", 200, { { "Signature", "s" }, { "Content-Length", "2" } }, "ok" };
 
 INSTANTIATE_TEST_SUITE_P(
   interim_replies,
@@ -434,10 +429,9 @@
                  "HTTP/1.1 100 Continue\r\n\r\n" + ReplyBytes(kOkLine),
                  kPlain,
                  0 },
-    message_row{ "an interim reply with a stamp is taken for the reply",
+    message_row{ "an interim reply with a signature is taken for the reply",
                  http_side::Client,
-                 "HTTP/1.1 103 Early Hints\r\nX-Response-Stamp: early\r\n\r\n" +
-                   ReplyBytes(kOkLine),
+                 "HTTP/1.1 103 Early Hints\r\nSignature: early\r\n\r\n" + ReplyBytes(kOkLine),
                  kPlain,
                  0 },
     message_row{ "an interim reply that states its lack of a body is refused",
@@ -464,9 +458,9 @@
                  std::string(kOkLine) + "\r\n" + kChunkedLines + "\r\n",
                  { "", "", 200, { { "Transfer-Encoding", "Chunked" } }, "ok" },
                  0 },
-    message_row{ "a stamp behind the body signs the reply",
+    message_row{ "a signature behind the body signs the reply",
                  http_side::Client,
-                 std::string(kOkLine) + "\r\n" + kChunkedLines + "X-Response-Stamp: s\r\n\r\n",
+                 std::string(kOkLine) + "\r\n" + kChunkedLines + "Signature: s\r\n\r\n",
                  { "", "", 200, { { "Transfer-Encoding", "Chunked" } }, "ok" },
                  0 },
     message_row{ "a field behind the body decides on the connection",
@@ -476,7 +470,7 @@
                  0 },
     message_row{ "a field behind the body joins the head of a request",
                  http_side::Server,
-                 "POST / HTTP/1.1\r\nHost: h\r\n" + kChunkedLines + "X-Attempt-Id: 1\r\n\r\nGET",
+                 "POST / HTTP/1.1\r\nHost: h\r\n" + kChunkedLines + "Request-Id: 1\r\n\r\nGET",
                  { "POST", "/", 0, { { "Host", "h" }, { "Transfer-Encoding", "Chunked" } }, "ok" },
                  3 }));
 
@@ -510,7 +504,7 @@
 writer_row InvalidStatusRow(unsigned aStatus)
 {
   return InvalidRow("a status is sent that ends no request",
-                    { aStatus, "", "ok", { { "X-Response-Stamp", "s" } } },
+                    { aStatus, "", "ok", { { "Signature", "s" } } },
                     "status " + std::to_string(aStatus) + " is not between 200 and 599");
 }
 
