--- a/src/client/http_client.cc
+++ b/src/client/http_client.cc
@@ -17,6 +17,7 @@
 #include <optional>
 #include <sys/socket.h>
 #include <thread>
+#include <utility>
 #include <vector>
 
 namespace redwingdock {
@@ -183,7 +184,9 @@
     const http_read_status status =
       aEnded ? reader.FeedEof() : reader.Feed({ mConnection->mReceived.data(), aSize });
     if (status == http_read_status::Complete) {
-      HandleReply(reader.Take(), reader.Buffered() == 0);
+      // Bytes behind the reply are the reply to no request; such a connection is not reused.
+      http_message reply = reader.Take();
+      HandleReply(std::move(reply), reader.Buffered() == 0);
     } else if (status == http_read_status::NeedMore) {
       Read();
     } else if (aEnded) {
@@ -194,7 +197,6 @@
     }
   }
 
-  // A connection with bytes behind the reply is not reused: they are the reply to no request.
   void HandleReply(http_message aReply, bool aReuse)
   {
     constexpr unsigned kNoContent = 204;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -33,8 +33,8 @@
   std::function<void(std::uint64_t)> mOnTimeout;
   // Names a request in UnfinishedConnections().
   std::function<std::string(const http_message&)> mNameOf = nullptr;
-  // A reply to the request with this name has a ReplyError, with this text; status 502 was sent
-  // instead.
+  // Status 502 was sent instead of a reply that HTTP/1.1 does not allow: the name of its request,
+  // and the ReplyError.
   std::function<void(const std::string&, const std::string&)> mOnInvalidReply = nullptr;
 };
 
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -165,7 +165,7 @@
 
 TEST(http_server, ReplacesAndReportsAnInvalidReply)
 {
-  // Guards against a reply that breaks the connection of its client, or is replaced without a word.
+  // Guards against a reply that breaks the connection of its client, or is replaced unreported.
   io_loop loop(1);
   request_id_source ids{ 0 };
   std::promise<std::string> reported;
--- a/src/platform/soak/soak_client.cc
+++ b/src/platform/soak/soak_client.cc
@@ -158,7 +158,7 @@
     return;
   }
   mOpen.clear();
-  CloseOnPurpose("the client left");
+  DropConnection("the client left");
 }
 
 void soak_client::GiveUp(std::uint64_t aConnection, const std::string& aId)
@@ -171,10 +171,10 @@
     return;
   }
   EndOpen(request_end::GaveUp, "no answer in time");
-  CloseOnPurpose("the client gave up");
+  DropConnection("the client gave up");
 }
 
-void soak_client::CloseOnPurpose(const char* aReason)
+void soak_client::DropConnection(const char* aReason)
 {
   // Bytes that were read before are handed over after this; without mTcp they are ignored.
   std::exchange(mTcp, nullptr)->Close(aReason);
--- a/src/platform/soak/soak_client.h
+++ b/src/platform/soak/soak_client.h
@@ -75,8 +75,8 @@
   // Ends the connection with requests open, which are not recorded.
   void Leave(std::uint64_t aConnection);
   void GiveUp(std::uint64_t aConnection, const std::string& aId);
-  // Ends the connection though an answer may be on its way. mLock is held.
-  void CloseOnPurpose(const char* aReason);
+  // Closes the connection and ignores what still arrives on it. mLock is held.
+  void DropConnection(const char* aReason);
   void Answered(const http_message& aAnswer);
   // Records the open requests that have been sent as ended without an answer.
   void EndOpen(request_end aEnd, const std::string& aReason);
