Keep the ports of closed listeners in the test of the listener

The code of the listener is not concerned.

Cause: as a listener closes, the kernel drops the SYN of clients that connect, and they repeat it after a second. By then the port is free, and a server of another test, which runs in parallel, can have been given it. The clients connect to that server, which does not answer their byte and closes.

Change: the test keeps the port bound, without listening, until its clients have ended, so that the kernel assigns it to nobody else and the clients are refused.

--- a/src/daemon/loopback_test_util.cc
+++ b/src/daemon/loopback_test_util.cc
@@ -103,6 +103,27 @@
   return text;
 }
 
+reserved_port::reserved_port()
+  : mSocket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+{
+  // Two sockets can be bound to a port if both set this option and at most one of them listens.
+  const int reuse = 1;
+  ::setsockopt(mSocket, SOL_SOCKET, SO_REUSEADDR, &reuse, sizeof(reuse));
+  sockaddr_in address{};
+  address.sin_family = AF_INET;
+  address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t size = sizeof(address);
+  if (::bind(mSocket, reinterpret_cast<const sockaddr*>(&address), size) == 0 &&
+      ::getsockname(mSocket, reinterpret_cast<sockaddr*>(&address), &size) == 0) {
+    mAddress = "127.0.0.1:" + std::to_string(ntohs(address.sin_port));
+  }
+}
+
+reserved_port::~reserved_port()
+{
+  ::close(mSocket);
+}
+
 unsigned ParseStatus(const std::string& aText)
 {
   const std::string start = "HTTP/1.1 ";
--- a/src/daemon/loopback_test_util.h
+++ b/src/daemon/loopback_test_util.h
@@ -55,6 +55,25 @@
   bool mEnded = false;
 };
 
+// Keeps a port of the loopback interface bound without listening. Listen() can bind its address as
+// well, but the kernel assigns the port to no other socket, of this process or another, so clients
+// that connect after such a listener has been closed are refused.
+class reserved_port
+{
+public:
+  reserved_port();
+  ~reserved_port();
+  reserved_port(const reserved_port&) = delete;
+  reserved_port& operator=(const reserved_port&) = delete;
+
+  // "ip:port"; empty when no port could be bound.
+  const std::string& Address() const { return mAddress; }
+
+private:
+  int mSocket = -1;
+  std::string mAddress;
+};
+
 // Status of the reply at the start of a text, 0 when there is none.
 unsigned ParseStatus(const std::string& aText);
 
--- a/src/daemon/tcp_test.cc
+++ b/src/daemon/tcp_test.cc
@@ -178,7 +178,7 @@
 public:
   explicit byte_server(io_loop& aLoop)
     : mListener(
-        *Listen(aLoop, "127.0.0.1:0", [this](const std::shared_ptr<tcp_connection>& aConnection) {
+        *Listen(aLoop, mPort.Address(), [this](const std::shared_ptr<tcp_connection>& aConnection) {
           tcp_hooks hooks;
           hooks.mOnBytes = [weak = std::weak_ptr(aConnection)](std::string_view) {
             if (const auto connection = weak.lock()) {
@@ -198,6 +198,9 @@
   void Stop() { mListener->AcceptPendingAndStop(); }
 
 private:
+  // Clients whose SYN was dropped as the listener closed repeat it a second later. Without the
+  // reservation, another process may listen on the port by then, and leave them unanswered.
+  const test_util::reserved_port mPort;
   std::mutex mLock;
   std::vector<std::shared_ptr<tcp_connection>> mAccepted;
   std::shared_ptr<tcp_listener> mListener;
