State what a reserved port guarantees

The comment said that the kernel assigns the port to no other socket, which is true only for sockets that leave the choice to it: a socket that asks for the port, as Listen() does, gets it. It also left open which clients are refused.

--- a/src/daemon/loopback_test_util.h
+++ b/src/daemon/loopback_test_util.h
@@ -55,9 +55,9 @@
   bool mEnded = false;
 };
 
-// Keeps a port of the loopback interface bound without listening. Listen() can bind its address as
-// well, but the kernel assigns the port to no other socket, of this process or another, so clients
-// that connect after such a listener has been closed are refused.
+// Binds a port of the loopback interface without listening, so that the kernel chooses it for no
+// other socket that is bound to port 0 or connects. Listen() can bind the address as well; clients
+// that connect after this listener has been closed are refused.
 class reserved_port
 {
 public:
