Read the memory and the descriptors of the process from the settings

The platform states how much resident memory and how many descriptors a process may use; the template passed neither on, so no limit of the daemon could follow from them. Nothing depends on them yet.

--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -106,6 +106,8 @@
     kThresholds[log.OneOf("level", { "debug", "info", "warning", "error" }, 1)];
   core.mLogDecisions = log.Flag("decisions", core.mLogDecisions);
   log.RejectUnknownKeys();
+  yaml_mapping limits = root.Mapping("limits", false);
+  settings.mLimits = ReadProcessLimits(limits);
   root.RejectUnknownKeys();
   if (errors.mFirstError) {
     return { std::nullopt, std::move(*errors.mFirstError) };
--- a/src/platform/edge_settings.h
+++ b/src/platform/edge_settings.h
@@ -23,6 +23,7 @@
   std::uint32_t mWorkers = 2; // threads
   std::uint32_t mBoardShards = 64;
   log_threshold mLogThreshold = log_threshold::Info;
+  process_limits mLimits;
   // From the command line: time from the stop signal until the platform ends the process; 0 when
   // not given.
   micros mGrace{ 0 };
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -23,6 +23,9 @@
   drain_bound_ms: 5500
   closed_zone_bound_ms: 5000
   disturbance_ms: 6000
+limits:
+  memory_mb: 390.5
+  descriptors: 6150
 )";
 
 TEST(edge_settings, AreRead)
@@ -40,6 +43,7 @@
   EXPECT_EQ(settings->mCore.mForward.mDisturbanceTime, std::chrono::seconds(6));
   EXPECT_EQ(settings->mStore, "10.200.1.7:8102");
   EXPECT_EQ(settings->mWorkers, 1U);
+  EXPECT_EQ(settings->mLimits, (process_limits{ 781 * 512 * 1024, 6150 }));
 }
 
 struct stop_row
@@ -142,6 +146,9 @@
                  "repeat_slack: 20\n",
                  "repeat_slack: 20\n  repeat_window_ms: 20000\n",
                  "repeat_window_ms" },
+    refused_row{ "a process without memory", "390.5", "0", "limits.memory_mb" },
+    refused_row{ "descriptors that are no number", "6150", "many", "limits.descriptors" },
+    refused_row{ "an unknown limit", "  descriptors", "  files", "limits.files" },
     refused_row{ "no store", "store: \"10.200.1.7:8102\"\n", "", "store" },
     refused_row{ "a seed that is not an address", "10.2.0.21:8106", "x", "seeds" }));
 
--- a/src/settings/settings.cc
+++ b/src/settings/settings.cc
@@ -169,6 +169,8 @@
   ReadCount(root, "workers", 1, 64, settings.mWorkers);
   ReadCount(root, "board_shards", 1, 4096, settings.mBoardShards);
   ReadLog(root, settings);
+  yaml_mapping limits = root.Mapping("limits", false);
+  settings.mLimits = ReadProcessLimits(limits);
   for (const auto& [name, read] : kSections) {
     yaml_mapping section = root.Mapping(name, false);
     read(section, core);
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_SETTINGS_SETTINGS_H
 
 #include "core/config.h"
+#include "settings/process_limits.h"
 
 // Settings of one daemon, read from YAML. An error gives the file, line and key, what was found and
 // what is allowed. Unknown keys are errors.
@@ -32,6 +33,7 @@
   std::uint32_t mBoardShards = 64;
   log_threshold mLogThreshold = log_threshold::Info;
   std::string mLogFile = "-"; // "-" is standard output
+  process_limits mLimits;
 
   bool operator==(const daemon_settings&) const = default;
 };
--- a/src/settings/settings_test.cc
+++ b/src/settings/settings_test.cc
@@ -20,6 +20,7 @@
 gates: {ramp_replies: 5}
 queries: {hedge_budget: 0.02}
 operator: true
+limits: {memory_mb: 100, descriptors: 1024}
 )";
 
 TEST(settings, FillsAllFieldsAndKeepsDefaults)
@@ -43,6 +44,7 @@
   expected.mCore.mTakeDelay = std::chrono::seconds(9);
   expected.mCore.mRampReplies = 5;
   expected.mCore.mHedgeBudget = 0.02;
+  expected.mLimits = { std::size_t{ 100 } * 1024 * 1024, 1024 };
   EXPECT_EQ(*found, expected);
 }
 
