--- a/src/testing/child_process.h
+++ b/src/testing/child_process.h
@@ -35,6 +35,7 @@
   child_process(const child_process&) = delete;
   child_process& operator=(const child_process&) = delete;
 
+  pid_t Id() const { return mPid; }
   void Signal(int aSignal) const;
   // Closes the reading end of the pipe.
   void CloseOutput();
--- a/tests/process/program_end_test.cc
+++ b/tests/process/program_end_test.cc
@@ -1,11 +1,11 @@
 #include "daemon/loopback_test_util.h"
 #include "platform/edge_fixture.h"
+#include "program_fixture.h"
 #include "testing/child_process.h"
 
 #include <csignal>
 #include <fcntl.h>
 #include <filesystem>
-#include <fstream>
 #include <gtest/gtest.h>
 #include <sys/stat.h>
 #include <unistd.h>
@@ -28,42 +28,6 @@
 // The grace of the platform's daemon; record search has no longer stop in these tests.
 constexpr seconds kStopLimit{ 6 };
 
-// A loopback address of its own for each test process, so that tests can run at the same time.
-std::string LoopbackIp()
-{
-  const int id = getpid();
-  return "127." + std::to_string(2 + id / 62'500 % 60) + "." + std::to_string(1 + id / 250 % 250) +
-         "." + std::to_string(1 + id % 250);
-}
-
-class temporary_folder
-{
-public:
-  temporary_folder()
-  {
-    std::string path = testing::TempDir() + "program_end_XXXXXX";
-    EXPECT_NE(mkdtemp(path.data()), nullptr);
-    mPath = path;
-  }
-  ~temporary_folder() { std::filesystem::remove_all(mPath); }
-  temporary_folder(const temporary_folder&) = delete;
-  temporary_folder& operator=(const temporary_folder&) = delete;
-
-  std::string Write(const std::string& aName, const std::string& aText) const
-  {
-    std::ofstream(mPath / aName) << aText;
-    return mPath / aName;
-  }
-
-private:
-  std::filesystem::path mPath;
-};
-
-std::string Program(const std::string& aName)
-{
-  return std::string(REDWINGDOCK_BIN) + "/" + aName;
-}
-
 // The platform's daemon as a process, with a store and one replica for each of three services.
 class edge_deployment
 {
