Give back the memory of replies that were sent

Callers saw a daemon grow past the memory of its VM although they read every reply to its end: a kept connection held the memory of its longest reply. The send buffer of a connection was cleared, which keeps its memory, and assigning an empty string keeps it as well; bytes that were sent stayed until the last one was. The text of a request stayed with its attempt until the reply, the reader kept its buffer, and the C library kept freed blocks after the first long reply.

Buffers are freed when they are empty, sent bytes once they are half of the buffer, and large blocks go back to the kernel. A reply of a replica is moved to the core instead of copied.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -1,5 +1,7 @@
 #include "daemon/http_pool.h"
 
+#include "base/heap.h"
+
 #include <algorithm>
 #include <charconv>
 #include <utility>
@@ -130,7 +132,7 @@
     // The text is copied, since it is needed again when the connection does not accept it.
     sent = !aState.mTcp->HasUnread() && aState.mTcp->Send(aExchange->mRequest.mText);
     if (sent) {
-      aExchange->mRequest.mText = std::string();
+      FreeText(aExchange->mRequest.mText);
       aState.mExchange = std::move(aExchange);
       return;
     }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -76,7 +76,7 @@
 class http_pool
 {
 public:
-  using done_hook = std::function<void(const pool_result&)>;
+  using done_hook = std::function<void(pool_result)>;
 
   explicit http_pool(io_loop& aLoop, pool_limits aLimits = {});
   http_pool(const http_pool&) = delete;
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -1,5 +1,7 @@
 #include "daemon/http_text.h"
 
+#include "base/heap.h"
+
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/core/string.hpp>
@@ -203,7 +205,7 @@
       if (inHead && ContinuesALine(std::string_view(mBuffer).substr(0, used))) {
         return Fail("a header line begins with a blank");
       }
-      mBuffer.erase(0, used);
+      Consume(used);
       mParsedBytes += used;
       if (error == http::error::need_more) {
         break;
@@ -229,6 +231,16 @@
     return http_read_status::Complete;
   }
 
+  // Removes parsed bytes. A large buffer is given back instead of kept with the connection.
+  void Consume(std::size_t aBytes)
+  {
+    constexpr std::size_t kMaxKeptBytes = 4096; // of an empty buffer; most requests are shorter
+    mBuffer.erase(0, aBytes);
+    if (mBuffer.empty() && mBuffer.capacity() > kMaxKeptBytes) {
+      FreeText(mBuffer);
+    }
+  }
+
   // Whether a line of the head begins with a blank. The parser joins such a line to the value
   // before it, the obsolete folding of RFC 9112, section 5.2.
   bool ContinuesALine(std::string_view aHead)
--- a/src/daemon/main.cc
+++ b/src/daemon/main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/heap.h"
 #include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "daemon/query_daemon.h"
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -1,5 +1,6 @@
 #include "daemon/tcp.h"
 
+#include "base/heap.h"
 #include "daemon/endpoint.h"
 
 #include <algorithm>
@@ -59,6 +60,8 @@
 // Handshakes that have begun get this time to end before a listener closes: about a round trip
 // between availability zones. Peers that connect meanwhile lose a second, so it is short.
 constexpr std::chrono::milliseconds kHandshakeTime{ 1 };
+// Sent bytes of a buffer are given back from this size on.
+constexpr std::size_t kMinReleasedBytes = std::size_t{ 64 } * 1024;
 // How long CloseAfterSend waits for the peer to close, or to receive more of what was sent.
 constexpr std::chrono::seconds kCloseTimeout{ 1 };
 
@@ -351,15 +354,11 @@
       written += size;
       mSentSinceLimit = mSentSinceLimit || size > 0;
       if (error == asio::error::would_block || error == asio::error::try_again) {
+        ReleaseSentLocked();
         mWaitingToWrite = true;
-        mSocket.async_wait(tcp::socket::wait_write,
-                           [self = shared_from_this()](const error_code& aError) {
-                             const std::lock_guard lock(self->mLock);
-                             self->mWaitingToWrite = false;
-                             if (!aError) {
-                               self->WriteLocked();
-                             }
-                           });
+        mSocket.async_wait(
+          tcp::socket::wait_write,
+          [self = shared_from_this()](const error_code& aError) { self->WriteWaiting(aError); });
         return written;
       }
       if (error) {
@@ -367,7 +366,7 @@
         return written;
       }
     }
-    mSendBuffer.clear();
+    FreeText(mSendBuffer);
     mSentBytes = 0;
     if (mClosing && !mSendShutDown) {
       // Closing the socket while bytes still arrive would reset the connection, and the peer could
@@ -380,6 +379,32 @@
     return written;
   }
 
+  void WriteWaiting(const error_code& aError)
+  {
+    bool sent = false;
+    {
+      const std::lock_guard lock(mLock);
+      mWaitingToWrite = false;
+      if (!aError) {
+        WriteLocked();
+      }
+      sent = !mClosed && !mClosing && mSendBuffer.empty();
+    }
+    if (sent && mHooks.mOnSent) {
+      mHooks.mOnSent();
+    }
+  }
+
+  // Gives back the memory of bytes that were sent once they are half of the buffer, so that each
+  // byte is moved once on average.
+  void ReleaseSentLocked()
+  {
+    if (mSentBytes >= kMinReleasedBytes && mSentBytes >= mSendBuffer.size() / 2) {
+      mSendBuffer = mSendBuffer.substr(mSentBytes);
+      mSentBytes = 0;
+    }
+  }
+
   void CloseAfterSend(std::string aReason)
   {
     const std::lock_guard lock(mLock);
@@ -407,7 +432,7 @@
     mSocket.shutdown(tcp::socket::shutdown_both, ignored);
     mSocket.close(ignored);
     mTimer.cancel();
-    mSendBuffer = std::string();
+    FreeText(mSendBuffer);
     mSentBytes = 0;
     asio::post(mContext, [self = shared_from_this(), end = std::move(aInfo)] {
       if (self->mHooks.mOnClosed) {
@@ -853,6 +878,12 @@
   return mState->mSendBuffer.size() - mState->mSentBytes;
 }
 
+std::size_t tcp_connection::HeldBytes() const
+{
+  const std::lock_guard lock(mState->mLock);
+  return mState->mSendBuffer.capacity();
+}
+
 std::size_t tcp_connection::UndeliveredBytes() const
 {
   const std::lock_guard lock(mState->mLock);
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -100,6 +100,7 @@
   std::function<void()> mOnOpen;                        // an outgoing connection is established
   std::function<void(std::string_view)> mOnBytes;       // one call at a time per connection
   std::function<void()> mOnExpired;                     // time limit passed; when not set, closes
+  std::function<void()> mOnSent;                        // the last bytes that had to wait were sent
   std::function<void(const tcp_close_info&)> mOnClosed; // once
 };
 
@@ -132,6 +133,8 @@
   // Whether bytes wait to be sent and some were sent since the time limit was set.
   bool Sending() const;
   std::size_t UnsentBytes() const;
+  // Memory of the bytes that wait to be sent.
+  std::size_t HeldBytes() const;
   // Unsent bytes, and those that the kernel has taken and the peer has not received. The latter
   // count as 0 where the kernel does not tell.
   std::size_t UndeliveredBytes() const;
--- a/src/daemon/tcp_test.cc
+++ b/src/daemon/tcp_test.cc
@@ -225,6 +225,60 @@
   return unanswered;
 }
 
+// How much of its bytes the peer of a connection reads.
+struct sent_row
+{
+  const char* mGuardsAgainst;
+  bool mReadsAll;
+  std::size_t mMaxHeldPart; // of the bytes, as a divisor
+};
+
+class sent_test : public testing::TestWithParam<sent_row>
+{};
+
+TEST_P(sent_test, GivesBackTheMemoryOfSentBytes)
+{
+  // More than the kernel's buffers take from a connection whose peer does not read.
+  constexpr std::size_t kBytes = 32'000'000;
+  const sent_row& row = GetParam();
+  io_loop loop(1);
+  std::promise<std::shared_ptr<tcp_connection>> accepted;
+  std::atomic<bool> sent{ false };
+  const auto listener =
+    Listen(loop, "127.0.0.1:0", [&](const std::shared_ptr<tcp_connection>& aConnection) {
+      tcp_hooks hooks;
+      hooks.mOnSent = [&sent] { sent = true; };
+      aConnection->Start(std::move(hooks));
+      accepted.set_value(aConnection);
+    });
+  loop.Start();
+  std::atomic<std::size_t> received{ 0 };
+  std::shared_ptr<tcp_connection> client;
+  tcp_hooks hooks;
+  hooks.mOnBytes = [&](std::string_view aBytes) {
+    received += aBytes.size();
+    if (!row.mReadsAll && received > kBytes * 3 / 4) {
+      client->PauseReading();
+    }
+  };
+  client = Connect(loop, (*listener)->Address(), seconds(1), std::move(hooks));
+  const std::shared_ptr<tcp_connection> server = accepted.get_future().get();
+  server->Send(std::string(kBytes, 'x'));
+  EXPECT_TRUE(Eventually(
+    loop,
+    [&] { return server->HeldBytes() <= kBytes / row.mMaxHeldPart && received > kBytes * 3 / 4; }))
+    << row.mGuardsAgainst << ": " << server->HeldBytes();
+  EXPECT_TRUE(Eventually(loop, [&] { return sent == row.mReadsAll; }));
+  loop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  sent_test,
+  testing::Values(
+    sent_row{ "a kept connection keeps the memory of its longest reply", true, 100'000 },
+    sent_row{ "bytes that were sent stay until the last one is", false, 2 }));
+
 TEST(tcp_listener, AnswersEachConnectionThatTheKernelEstablished)
 {
   // Guards against connections that are reset, with a request sent, as the listener is closed.
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -403,13 +403,13 @@
     return MatchesRequestId(aReply, requestId);
   };
   mReplicaPool.Start(std::move(request),
-                     [report, replica = aCommand.mReplica](const pool_result& aResult) {
+                     [report, replica = aCommand.mReplica](pool_result aResult) {
                        if (aResult.mOutcome != pool_outcome::Answered) {
                          report({ ToAttemptEnd(aResult.mOutcome), nullptr, aResult.mReason, {} },
                                 aResult.mNewConnection);
                          return;
                        }
-                       report(DecodeReply(aResult.mReply, replica->mId));
+                       report(DecodeReply(std::move(aResult.mReply), replica->mId));
                      });
 }
 
--- a/src/platform/main.cc
+++ b/src/platform/main.cc
@@ -1,4 +1,5 @@
 #include "base/command_line.h"
+#include "base/heap.h"
 #include "base/process_signals.h"
 #include "daemon/logging.h"
 #include "platform/edge_daemon.h"
@@ -83,6 +84,7 @@
 
 int main(int aCount, char** aArguments)
 {
+  ReturnFreedMemory();
   IgnoreBrokenPipes();
   HoldSignals();
   const parsed_arguments arguments = ParseArguments(kUsage, aCount, aArguments);
