Begin a request only when the reply before it is sent

A connection now holds at most one reply. The next request stays unread in its buffer, or in the kernel once 128 KB are buffered, and begins when the kernel has taken the last byte.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -137,14 +137,14 @@
   tcp_hooks hooks;
   hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
   hooks.mOnExpired = [this, id] { Expired(id); };
+  hooks.mOnSent = [this, id] { Sent(id); };
   hooks.mOnClosed = [this, id](const tcp_close_info&) { Closed(id); };
   aConnection->Start(std::move(hooks));
 }
 
 void http_server::Received(std::uint64_t aSessionId, std::string_view aBytes)
 {
-  std::optional<http_message> request;
-  std::uint64_t requestId = 0;
+  std::optional<begun_request> request;
   mSessions.With(aSessionId, [&](session& aSession) {
     if (aSession.mClosing) {
       return; // a request that is read now could not be answered
@@ -155,7 +155,7 @@
     }
     const bool headerDone = aSession.mReader.HeaderDone();
     const http_read_status status = aSession.mReader.Feed(aBytes);
-    if (aSession.mRequestId != 0) {
+    if (aSession.IsBusy()) {
       if (aSession.mReader.Buffered() > kMaxPipelinedBytes) {
         aSession.mConnection->PauseReading();
       }
@@ -163,7 +163,6 @@
     }
     if (status == http_read_status::Complete) {
       request = BeginRequest(aSessionId, aSession);
-      requestId = aSession.mRequestId;
     } else if (status == http_read_status::Failed) {
       RejectRequest(aSession);
     } else if (!started && aSession.mReader.Started()) {
@@ -174,11 +173,42 @@
     }
   });
   if (request) {
-    mHooks.mOnRequest(requestId, *request);
+    mHooks.mOnRequest(request->first, request->second);
   }
 }
 
-http_message http_server::BeginRequest(std::uint64_t aSessionId, session& aSession)
+void http_server::Sent(std::uint64_t aSessionId)
+{
+  std::optional<begun_request> next;
+  mSessions.With(aSessionId, [&](session& aSession) {
+    if (aSession.mClosing || aSession.IsBusy()) {
+      return;
+    }
+    next = BeginNext(aSessionId, aSession);
+    aSession.mConnection->ResumeReading();
+  });
+  if (next) {
+    mHooks.mOnRequest(next->first, next->second);
+  }
+}
+
+std::optional<http_server::begun_request> http_server::BeginNext(std::uint64_t aSessionId,
+                                                                 session& aSession)
+{
+  const http_read_status status = aSession.mReader.Feed({});
+  if (status == http_read_status::Complete) {
+    return BeginRequest(aSessionId, aSession);
+  }
+  if (status == http_read_status::Failed) {
+    RejectRequest(aSession);
+  } else {
+    aSession.mConnection->ExpireAfter(aSession.mReader.Started() ? Limits().mRequestTimeout
+                                                                 : Limits().mIdleTimeout);
+  }
+  return std::nullopt;
+}
+
+http_server::begun_request http_server::BeginRequest(std::uint64_t aSessionId, session& aSession)
 {
   http_message request = aSession.mReader.Take();
   aSession.mRequestId = ++mRequestIds;
@@ -189,7 +219,7 @@
   aSession.mReader.SetLimits(limits.mRead);
   aSession.mConnection->ExpireAfter(limits.mReplyTimeout);
   mSessionByRequest.Insert(aSession.mRequestId, aSessionId);
-  return request;
+  return { aSession.mRequestId, std::move(request) };
 }
 
 void http_server::RejectRequest(session& aSession)
@@ -209,8 +239,7 @@
   }
   const std::optional<std::string> invalid = ReplyError(aReply);
   std::string name;
-  std::optional<http_message> next;
-  std::uint64_t requestId = 0;
+  std::optional<begun_request> next;
   mSessions.With(*id, [&](session& aSession) {
     aSession.mRequestId = 0;
     if (invalid) {
@@ -231,16 +260,14 @@
       aSession.CloseAfterSend("reply sent");
       return;
     }
-    const http_read_status status = aSession.mReader.Feed({});
-    if (status == http_read_status::Complete) {
-      next = BeginRequest(*id, aSession);
-      requestId = aSession.mRequestId;
-    } else if (status == http_read_status::Failed) {
-      RejectRequest(aSession);
-    } else {
-      aSession.mConnection->ExpireAfter(aSession.mReader.Started() ? Limits().mRequestTimeout
-                                                                   : Limits().mIdleTimeout);
+    if (aSession.IsBusy()) {
+      // Reads what is pipelined, so that it is known; Sent begins it, or refuses it if it is
+      // invalid.
+      aSession.mReader.Feed({});
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
+      return;
     }
+    next = BeginNext(*id, aSession);
     if (aSession.mRequestId == 0 || aSession.mReader.Buffered() <= kMaxPipelinedBytes) {
       aSession.mConnection->ResumeReading();
     }
@@ -251,7 +278,7 @@
   if (next) {
     // Posted instead of called, so that pipelined requests with immediate replies do not recurse.
     mLoop.Post(
-      [this, requestId, request = std::move(*next)] { mHooks.mOnRequest(requestId, request); });
+      [this, request = std::move(*next)] { mHooks.mOnRequest(request.first, request.second); });
   }
 }
 
@@ -313,14 +340,14 @@
       return; // bytes that arrived meanwhile began another state with its own limit
     }
     lateRequest = aSession.mRequestId;
-    if (lateRequest == 0 && aSession.mReader.Started()) {
+    if (lateRequest == 0 && aSession.mConnection->Sending()) {
+      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
+    } else if (lateRequest == 0 && !aSession.IsBusy() && aSession.mReader.Started()) {
       // The request is incomplete, so it had no effect and the client may repeat it.
       aSession.SendReply(FormatReply({ 408, "", "", {} }, false));
       aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
       aSession.CloseAfterSend("request timed out");
-    } else if (lateRequest == 0 && aSession.mConnection->Sending()) {
-      aSession.mConnection->ExpireAfter(Limits().mIdleTimeout);
-    } else if (lateRequest == 0 && aSession.mConnection->HasUnread()) {
+    } else if (lateRequest == 0 && !aSession.IsBusy() && aSession.mConnection->HasUnread()) {
       aSession.mConnection->ExpireAfter(Limits().mHeaderTimeout);
     } else if (lateRequest == 0) {
       aSession.mClosing = true;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -11,7 +11,9 @@
 #include <functional>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 // Asynchronous HTTP/1.1 server: each request has an ID, and any thread may reply to it later.
@@ -133,6 +135,9 @@
 
     bool mFollowed = false; // FollowDelivery is due
 
+    // Whether the next request has to wait: the one before it is open, or its reply is not sent.
+    // A client that pipelines requests and reads no replies would otherwise fill the memory.
+    bool IsBusy() const { return mRequestId != 0 || mConnection->UnsentBytes() > 0; }
     // No request has arrived, also none that waits to be read.
     bool IsIdle() const;
     bool IsPartlyRead() const { return mRequestId == 0 && !mClosing && mReader.Started(); }
@@ -142,11 +147,17 @@
 
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
   void Received(std::uint64_t aSessionId, std::string_view aBytes);
+  // The replies of the connection are sent, after some of their bytes had to wait.
+  void Sent(std::uint64_t aSessionId);
   void Expired(std::uint64_t aSessionId);
   void Closed(std::uint64_t aSessionId);
   // Looks at unsent bytes from time to time until there are none.
   void FollowDelivery(std::uint64_t aSessionId);
-  http_message BeginRequest(std::uint64_t aSessionId, session& aSession);
+  // A request and its ID.
+  using begun_request = std::pair<std::uint64_t, http_message>;
+  // Begins the next request if it has been read whole.
+  std::optional<begun_request> BeginNext(std::uint64_t aSessionId, session& aSession);
+  begun_request BeginRequest(std::uint64_t aSessionId, session& aSession);
   void RejectRequest(session& aSession);
 
   io_loop& mLoop;
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -561,5 +561,52 @@
                      Post(0) + Post(0).substr(0, 10),
                      false }));
 
+// Guards against a client that pipelines requests and reads no replies, all of which would wait in
+// memory.
+TEST(http_server, BeginsARequestOnceTheReplyBeforeItIsSent)
+{
+  constexpr std::size_t kRequests = 3;
+  request_id_source requestIds{ 0 };
+  io_loop loop(2);
+  std::atomic<std::size_t> begun{ 0 };
+  http_server* replies = nullptr;
+  const std::string body(kMoreThanKernelBuffers, 'x');
+  http_server server(loop,
+                     requestIds,
+                     { [&](std::uint64_t aId, const http_message&) {
+                        ++begun;
+                        replies->Reply(aId, { 200, "", body, {} });
+                      },
+                       nullptr,
+                       nullptr });
+  replies = &server;
+  const std::string address = *server.ListenOn("127.0.0.1:0");
+  loop.Start();
+  blocking_socket client(address);
+  std::string requests;
+  for (std::size_t i = 0; i < kRequests; ++i) {
+    requests += Post(0);
+  }
+  client.Send(requests);
+  std::size_t received = client.ReadSome().size();
+  for (std::size_t i = 1; i <= kRequests; ++i) {
+    constexpr std::size_t kTurns = 100; // a request that is begun too early is begun within a few
+    std::promise<void> turned;
+    AfterTurns(loop, kTurns, [&turned] { turned.set_value(); });
+    turned.get_future().wait();
+    EXPECT_EQ(begun, i);
+    EXPECT_LE(server.UnsentBytes(), body.size() + 1000);
+    while (received < i * body.size()) {
+      const std::size_t size = client.ReadSome().size();
+      ASSERT_GT(size, 0U);
+      received += size;
+    }
+    // The rest of this reply, and the beginning of the next one.
+    received += i < kRequests ? client.ReadSome().size() : 0;
+    EXPECT_TRUE(WaitUntil([&] { return begun == std::min(i + 1, kRequests); }));
+  }
+  loop.Stop();
+}
+
 } // namespace
 } // namespace redwingdock
--- a/src/daemon/reply_delivery.cc
+++ b/src/daemon/reply_delivery.cc
@@ -69,9 +69,11 @@
 
 micros ExpectedDelivery(const reply_delivery& aDelivery)
 {
-  if (aDelivery.mUnsent == 0) {
+  if (aDelivery.mUnsent == 0 && !aDelivery.mBytesPerS) {
     return aDelivery.mLastWait;
   }
+  // Also once the kernel has taken all bytes: its buffers are still full of them, so the next reply
+  // waits longer than the last one did.
   const double bytes = static_cast<double>(aDelivery.mUnsent + aDelivery.mLastBytes);
   const std::chrono::duration<double> expected(
     bytes / std::max(aDelivery.mBytesPerS.value_or(kAssumedBytesPerS), 1.0));
