Bound the memory of what clients send and do not read

Callers of one daemon lost their answers with its process when other clients read long answers slowly: each unread reply, each request that was read in part and all bytes behind an open request were held, and nothing counted them over all connections.

client_memory counts them where they are held, against budgets that follow from the memory of the VM, for all servers of a process: requests that are read (an eighth) and replies (three quarters, with those that are read from replicas). Above a budget the clients that are likely to hold their bytes longest are given up, by what they hold and how fast they moved it: a client that stalls goes before one that reads steadily, and a small or new one last. A reply is cut (its length shows it), a request that is read in part gets 503 with Retry-After, and what is pipelined behind an open request stays unread and the answer is the last one of its connection. Each is logged and counted.

The kernel's buffers of an accepted connection are 256 KB each; they grew to 4 MB and would hide unread replies in the memory of the VM. The address of a small VM's clients is 1 to 3 ms away: 256 KB carry 85 MB/s.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -38,9 +38,10 @@
 
 } // namespace
 
-http_pool::http_pool(io_loop& aLoop, pool_limits aLimits)
+http_pool::http_pool(io_loop& aLoop, pool_limits aLimits, std::shared_ptr<memory_budget> aBudget)
   : mLoop(aLoop)
   , mLimits(aLimits)
+  , mBudget(std::move(aBudget))
 {
 }
 
@@ -168,6 +169,7 @@
                      nullptr,
                      http_reader(http_side::Client, { aExchange->mRequest.mReplyLimit }),
                      std::move(aExchange) };
+  opened.mCharge = memory_charge(mBudget);
   mConnectionByRequest.Insert(request, id);
   mConnections.Insert(id, std::move(opened));
   // Connecting under the lock of the shard keeps the hooks waiting until mTcp is set.
@@ -196,6 +198,7 @@
       return;
     }
     reply = ReadReply(aState, aBytes);
+    aState.mCharge.Set(aState.mIncompleteBytes);
     if (reply) {
       done = std::move(aState.mExchange);
     }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -3,6 +3,7 @@
 
 #include "base/sharded_map.h"
 #include "daemon/http_text.h"
+#include "daemon/memory_budget.h"
 #include "daemon/tcp.h"
 
 #include <array>
@@ -78,7 +79,10 @@
 public:
   using done_hook = std::function<void(pool_result)>;
 
-  explicit http_pool(io_loop& aLoop, pool_limits aLimits = {});
+  // aBudget counts incomplete replies; null: they are not counted.
+  explicit http_pool(io_loop& aLoop,
+                     pool_limits aLimits = {},
+                     std::shared_ptr<memory_budget> aBudget = nullptr);
   http_pool(const http_pool&) = delete;
   http_pool& operator=(const http_pool&) = delete;
 
@@ -115,6 +119,7 @@
     std::size_t mIncompleteBytes = 0;    // received since the last complete reply
     std::uint32_t mSkippedReplies = 0;   // since the request was sent
     repeat_keys mAnswered{};
+    memory_charge mCharge{}; // of the incomplete bytes
   };
 
   struct idle_connection
@@ -158,6 +163,7 @@
 
   io_loop& mLoop;
   const pool_limits mLimits;
+  const std::shared_ptr<memory_budget> mBudget;
   std::atomic<std::size_t> mIncompleteBytes{ 0 }; // over all connections
   std::atomic<std::uint64_t> mNextConnection{ 0 };
   sharded_map<std::uint64_t, connection> mConnections;
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -19,6 +19,10 @@
 constexpr micros kMinFollowInterval = std::chrono::milliseconds(10);
 constexpr micros kMaxFollowInterval = std::chrono::milliseconds(250);
 
+// The request was not read whole, so it was not run. Clients that were given up are gone in a
+// second.
+const http_response kNoRoom{ 503, "", "", { { "Retry-After", "1" } } };
+
 std::string ReasonJson(const reason& aReason)
 {
   // These texts are constants of this program and need no JSON escaping.
@@ -31,12 +35,19 @@
 http_server::http_server(io_loop& aLoop,
                          request_id_source& aRequestIds,
                          http_server_hooks aHooks,
-                         http_limits aLimits)
+                         http_limits aLimits,
+                         client_memory* aMemory)
   : mLoop(aLoop)
   , mRequestIds(aRequestIds)
   , mHooks(std::move(aHooks))
+  , mMemory(aMemory)
   , mLimits(aLimits)
 {
+  if (mMemory != nullptr) {
+    mMemory->AddHolder(
+      { [this](memory_use aUse) { return Holdings(aUse); },
+        [this](memory_use aUse, const client_holding& aHolding) { GiveUp(aUse, aHolding); } });
+  }
 }
 
 http_server::~http_server() = default;
@@ -75,6 +86,29 @@
                         SteadyNow());
 }
 
+void http_server::session::Count()
+{
+  mReading.Set(mReader.HeldBytes());
+  mSending.Set(mConnection->HeldBytes());
+}
+
+void http_server::session::GiveUpReading(const http_read_limits& aLimits)
+{
+  const bool partlyRead = IsPartlyRead() && !IsBusy();
+  mReader = http_reader(http_side::Server, aLimits);
+  if (mRequestId != 0) {
+    // Nothing of what follows was read, as the reply to the open request tells by its end.
+    mKeepAlive = false;
+    mIgnoresInput = true;
+    mConnection->PauseReading();
+    return;
+  }
+  if (partlyRead) {
+    SendReply(FormatReply(kNoRoom, false));
+  }
+  CloseAfterSend("no memory for requests");
+}
+
 void http_server::CloseIdle(bool aUnused)
 {
   mClosing = true;
@@ -131,8 +165,12 @@
     aConnection->Close("too many connections");
     return;
   }
-  mSessions.Insert(id,
-                   session{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true });
+  session added{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true };
+  if (mMemory != nullptr) {
+    added.mReading = memory_charge(mMemory->Budget(memory_use::Reading));
+    added.mSending = memory_charge(mMemory->Budget(memory_use::Replies));
+  }
+  mSessions.Insert(id, std::move(added));
   aConnection->ExpireAfter(limits.mIdleTimeout);
   tcp_hooks hooks;
   hooks.mOnBytes = [this, id](std::string_view aBytes) { Received(id, aBytes); };
@@ -146,22 +184,23 @@
 {
   std::optional<begun_request> request;
   mSessions.With(aSessionId, [&](session& aSession) {
-    if (aSession.mClosing) {
+    if (aSession.mClosing || aSession.mIgnoresInput) {
       return; // a request that is read now could not be answered
     }
     const bool started = aSession.mReader.Started();
     if (!started && aSession.mReader.Buffered() == 0) {
       aSession.mReader.SetLimits(Limits().mRead);
+      aSession.mReadSince = SteadyNow();
+      aSession.mReadBytes = 0;
     }
+    aSession.mReadBytes += aBytes.size();
     const bool headerDone = aSession.mReader.HeaderDone();
     const http_read_status status = aSession.mReader.Feed(aBytes);
     if (aSession.IsBusy()) {
       if (aSession.mReader.Buffered() > kMaxPipelinedBytes) {
         aSession.mConnection->PauseReading();
       }
-      return;
-    }
-    if (status == http_read_status::Complete) {
+    } else if (status == http_read_status::Complete) {
       request = BeginRequest(aSessionId, aSession);
     } else if (status == http_read_status::Failed) {
       RejectRequest(aSession);
@@ -171,6 +210,7 @@
     } else if (!headerDone && aSession.mReader.HeaderDone()) {
       aSession.mConnection->ExpireAfter(Limits().mRequestTimeout);
     }
+    aSession.Count();
   });
   if (request) {
     mHooks.mOnRequest(request->first, request->second);
@@ -186,6 +226,7 @@
     }
     next = BeginNext(aSessionId, aSession);
     aSession.mConnection->ResumeReading();
+    aSession.Count();
   });
   if (next) {
     mHooks.mOnRequest(next->first, next->second);
@@ -251,6 +292,7 @@
                            (mClosing && aSession.mConnection->HasUnread());
     const bool keepAlive = aSession.mKeepAlive && (!mClosing || pipelined);
     aSession.SendReply(FormatReply(aReply, keepAlive));
+    aSession.Count();
     if (!aSession.mFollowed && aSession.mDelivery.mUnsent > 0) {
       aSession.mFollowed = true;
       mLoop.After(kMinFollowInterval, [this, session = *id] { FollowDelivery(session); });
@@ -271,6 +313,7 @@
     if (aSession.mRequestId == 0 || aSession.mReader.Buffered() <= kMaxPipelinedBytes) {
       aSession.mConnection->ResumeReading();
     }
+    aSession.Count();
   });
   if (invalid && mHooks.mOnInvalidReply) {
     mHooks.mOnInvalidReply(name, *invalid);
@@ -321,6 +364,7 @@
     aSession.mDelivery =
       WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), now);
     aSession.mFollowed = aSession.mDelivery.mUnsent > 0;
+    aSession.Count();
     if (aSession.mFollowed) {
       next = std::clamp((now - aSession.mDelivery.mWaitingSince) / kFollowDivisor,
                         kMinFollowInterval,
@@ -370,6 +414,45 @@
   }
 }
 
+std::vector<client_holding> http_server::Holdings(memory_use aUse)
+{
+  std::vector<client_holding> holdings;
+  const instant now = SteadyNow();
+  mSessions.ForEach([&](std::uint64_t aId, session& aSession) {
+    aSession.Count();
+    if (aUse == memory_use::Reading && aSession.mReading.Bytes() > 0 && !aSession.mClosing) {
+      holdings.push_back(
+        { 0, aId, aSession.mReading.Bytes(), aSession.mReadBytes, now - aSession.mReadSince });
+    } else if (aUse == memory_use::Replies && aSession.mSending.Bytes() > 0) {
+      aSession.mDelivery =
+        WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), now);
+      if (aSession.mDelivery.mUnsent > 0) {
+        holdings.push_back({ 0,
+                             aId,
+                             aSession.mSending.Bytes(),
+                             TakenWhileWaiting(aSession.mDelivery),
+                             now - aSession.mDelivery.mWaitingSince });
+      }
+    }
+  });
+  return holdings;
+}
+
+void http_server::GiveUp(memory_use aUse, const client_holding& aHolding)
+{
+  const http_limits limits = Limits();
+  mSessions.With(aHolding.mSession, [aUse, &limits](session& aSession) {
+    if (aUse == memory_use::Reading && !aSession.mClosing) {
+      aSession.GiveUpReading(limits.mRead);
+    } else if (aUse == memory_use::Replies && aSession.mConnection->UnsentBytes() > 0) {
+      // The length that the reply states shows that it is not whole.
+      aSession.mClosing = true;
+      aSession.mConnection->Close("no memory for replies");
+    }
+    aSession.Count();
+  });
+}
+
 std::size_t http_server::UnsentBytes() const
 {
   std::size_t bytes = 0;
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_DAEMON_HTTP_SERVER_H
 
 #include "base/sharded_map.h"
+#include "daemon/client_memory.h"
 #include "daemon/http_text.h"
 #include "daemon/reply_delivery.h"
 #include "daemon/tcp.h"
@@ -73,7 +74,8 @@
   http_server(io_loop& aLoop,
               request_id_source& aRequestIds,
               http_server_hooks aHooks,
-              http_limits aLimits = {});
+              http_limits aLimits = {},
+              client_memory* aMemory = nullptr);
   ~http_server();
   http_server(const http_server&) = delete;
   http_server& operator=(const http_server&) = delete;
@@ -135,6 +137,12 @@
 
     bool mFollowed = false; // FollowDelivery is due
 
+    bool mIgnoresInput = false; // the open request is the last one
+    instant mReadSince{};       // when the first unanswered byte arrived
+    std::size_t mReadBytes = 0; // since then
+    memory_charge mReading{};
+    memory_charge mSending{};
+
     // Whether the next request has to wait: the one before it is open, or its reply is not sent.
     // A client that pipelines requests and reads no replies would otherwise fill the memory.
     bool IsBusy() const { return mRequestId != 0 || mConnection->UnsentBytes() > 0; }
@@ -143,6 +151,10 @@
     bool IsPartlyRead() const { return mRequestId == 0 && !mClosing && mReader.Started(); }
     void SendReply(std::string aText);
     void CloseAfterSend(const char* aReason);
+    // Gives up what was read of further requests. A request that is read in part is refused.
+    void GiveUpReading(const http_read_limits& aLimits);
+    // Counts the memory that the connection holds.
+    void Count();
   };
 
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
@@ -159,10 +171,13 @@
   std::optional<begun_request> BeginNext(std::uint64_t aSessionId, session& aSession);
   begun_request BeginRequest(std::uint64_t aSessionId, session& aSession);
   void RejectRequest(session& aSession);
+  std::vector<client_holding> Holdings(memory_use aUse);
+  void GiveUp(memory_use aUse, const client_holding& aHolding);
 
   io_loop& mLoop;
   request_id_source& mRequestIds;
   const http_server_hooks mHooks;
+  client_memory* const mMemory; // null: memory is not counted
   http_limits Limits() const;
 
   mutable std::mutex mLimitsLock;
--- a/src/daemon/http_text.cc
+++ b/src/daemon/http_text.cc
@@ -380,6 +380,38 @@
   mState->mLimits = aLimits;
 }
 
+std::size_t HeldBytes(const http_message& aMessage)
+{
+  const auto heapBytes = [](const std::string& aText) {
+    return aText.capacity() > std::string().capacity() ? aText.capacity() : 0;
+  };
+  std::size_t bytes = heapBytes(aMessage.mTarget) + heapBytes(aMessage.mBody) +
+                      aMessage.mFields.capacity() * sizeof(http_field);
+  for (const http_field& field : aMessage.mFields) {
+    bytes += heapBytes(field.mName) + heapBytes(field.mValue);
+  }
+  return bytes;
+}
+
+std::size_t http_reader::HeldBytes() const
+{
+  // A field of a few bytes takes the parser up to 96.
+  constexpr std::size_t kFieldFactor = 16;
+  // The parser keeps its own copy of the head until the message is taken.
+  constexpr std::size_t kHeadCopies = 2;
+  const state& self = *mState;
+  std::size_t body = 0;
+  if (self.mRequestParser) {
+    body = self.mRequestParser->get().body().size();
+  } else if (self.mReplyParser) {
+    body = self.mReplyParser->get().body().size();
+  }
+  const std::size_t buffer = self.mBuffer.empty() ? 0 : self.mBuffer.capacity();
+  const std::size_t head = HeaderDone() ? kHeadCopies * redwingdock::HeldBytes(self.mMessage)
+                                        : kFieldFactor * self.mParsedBytes;
+  return buffer + head + body;
+}
+
 std::size_t http_reader::Buffered() const
 {
   return mState->mBuffer.size();
--- a/src/daemon/http_text.h
+++ b/src/daemon/http_text.h
@@ -43,6 +43,9 @@
   auto operator<=>(const http_message&) const = default;
 };
 
+// Memory that a message takes: short fields are held in about ten times their bytes.
+std::size_t HeldBytes(const http_message& aMessage);
+
 enum class http_side
 {
   Server, // reads requests
@@ -88,6 +91,8 @@
 
   // Bytes not yet parsed.
   std::size_t Buffered() const;
+  // Memory of what was received and not taken yet.
+  std::size_t HeldBytes() const;
   // Whether the first byte, or the whole header, of the current message was received.
   bool Started() const;
   bool HeaderDone() const;
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -47,6 +47,11 @@
   Log({ log_level::Warning, "entry", "event=reply_invalid reason=" + Quoted(aReason) });
 }
 
+void LogGivenUp(memory_use aUse, const client_holding& aHolding)
+{
+  Log({ log_level::Warning, "entry", GivenUpText(aUse, aHolding) });
+}
+
 } // namespace
 
 std::string RandomIncarnation()
@@ -95,6 +100,7 @@
                  },
                  [this] { return MetricsText(); } },
                mMetrics)
+  , mMemory(mLoop, MemoryShares(mSettings.mLimits), LogGivenUp)
   , mCallerServer(
       mLoop,
       mRequestIds,
@@ -109,7 +115,9 @@
         [this](std::uint64_t aRequestId) { mCallerApi.OnCallerDisconnected(aRequestId); },
         [this](std::uint64_t aRequestId) { mCallerApi.OnAnswerTimeout(aRequestId); },
         nullptr,
-        LogInvalidReply })
+        LogInvalidReply },
+      http_limits{},
+      &mMemory)
   , mOperatorServer(mLoop,
                     mRequestIds,
                     { [this](std::uint64_t aRequestId, const http_message& aRequest) {
@@ -124,7 +132,9 @@
                       nullptr,
                       nullptr,
                       nullptr,
-                      LogInvalidReply })
+                      LogInvalidReply },
+                    http_limits{},
+                    &mMemory)
 {
 }
 
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -79,6 +79,7 @@
   configuration_client mConfigurationClient;
   peer_streams mPeers;
   caller_api mCallerApi;
+  client_memory mMemory;
   http_server mCallerServer;
   http_server mOperatorServer;
 
--- a/src/daemon/reply_delivery.cc
+++ b/src/daemon/reply_delivery.cc
@@ -55,7 +55,7 @@
     return aDelivery;
   }
   const micros waited = aNow - aDelivery.mWaitingSince;
-  const std::uint64_t takenMeanwhile = taken - std::min(taken, aDelivery.mTakenThen);
+  const std::size_t takenMeanwhile = TakenWhileWaiting(aDelivery);
   if (waited >= (takenMeanwhile > 0 ? kMinMeasuredTime : kMaxPause)) {
     aDelivery.mBytesPerS = static_cast<double>(takenMeanwhile) / kRateMargin /
                            std::chrono::duration<double>(waited).count();
@@ -67,6 +67,14 @@
   return aDelivery;
 }
 
+std::size_t TakenWhileWaiting(const reply_delivery& aDelivery)
+{
+  const std::uint64_t taken = TakenBytes(aDelivery, aDelivery.mUnsent);
+  return aDelivery.mWaitingSince == kNever || taken < aDelivery.mTakenThen
+           ? 0
+           : static_cast<std::size_t>(taken - aDelivery.mTakenThen);
+}
+
 micros ExpectedDelivery(const reply_delivery& aDelivery)
 {
   if (aDelivery.mUnsent == 0 && !aDelivery.mBytesPerS) {
--- a/src/daemon/reply_delivery.h
+++ b/src/daemon/reply_delivery.h
@@ -63,6 +63,9 @@
 // aUnsent bytes wait now.
 reply_delivery WithUnsent(reply_delivery aDelivery, std::size_t aUnsent, instant aNow);
 
+// Bytes that the kernel has taken since bytes began to wait; 0 if none wait.
+std::size_t TakenWhileWaiting(const reply_delivery& aDelivery);
+
 // How long a next reply like the last one is likely to wait until the kernel has taken it, if it is
 // handed over now.
 micros ExpectedDelivery(const reply_delivery& aDelivery);
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -60,6 +60,9 @@
 // Handshakes that have begun get this time to end before a listener closes: about a round trip
 // between availability zones. Peers that connect meanwhile lose a second, so it is short.
 constexpr std::chrono::milliseconds kHandshakeTime{ 1 };
+// Buffers of the kernel for a connection that a client opened, which count as memory of the VM. The
+// kernel would let them grow to megabytes. 256 KB carry 5 MB/s over a way of 50 ms.
+constexpr int kClientBufferBytes = 256 * 1024;
 // Sent bytes of a buffer are given back from this size on.
 constexpr std::size_t kMinReleasedBytes = std::size_t{ 64 } * 1024;
 // How long CloseAfterSend waits for the peer to close, or to receive more of what was sent.
@@ -561,6 +564,13 @@
     if (!error) {
       mAcceptor.set_option(tcp::acceptor::reuse_address(true), error);
     }
+    if (!error) {
+      // Accepted connections inherit both sizes.
+      mAcceptor.set_option(asio::socket_base::send_buffer_size(kClientBufferBytes), error);
+    }
+    if (!error) {
+      mAcceptor.set_option(asio::socket_base::receive_buffer_size(kClientBufferBytes), error);
+    }
     if (!error) {
       mAcceptor.bind(aEndpoint, error);
     }
@@ -881,7 +891,8 @@
 std::size_t tcp_connection::HeldBytes() const
 {
   const std::lock_guard lock(mState->mLock);
-  return mState->mSendBuffer.capacity();
+  const std::size_t bytes = mState->mSendBuffer.capacity();
+  return bytes > std::string().capacity() ? bytes : 0;
 }
 
 std::size_t tcp_connection::UndeliveredBytes() const
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -8,7 +8,9 @@
 #include "platform/request_codec.h"
 #include "platform/stop_report.h"
 
+#include <algorithm>
 #include <chrono>
+#include <limits>
 #include <random>
 #include <type_traits>
 #include <utility>
@@ -90,6 +92,11 @@
         "event=reply_invalid request=" + Quoted(aRequest) + " reason=" + Quoted(aReason) });
 }
 
+void LogGivenUp(memory_use aUse, const client_holding& aHolding)
+{
+  Log({ log_level::Warning, "entry", GivenUpText(aUse, aHolding) });
+}
+
 http_limits ToHttpLimits(const client_limits& aLimits)
 {
   http_limits limits;
@@ -101,17 +108,27 @@
   return limits;
 }
 
+// Incomplete replies may take half of the memory for replies.
+pool_limits PoolLimits(const client_memory& aMemory)
+{
+  pool_limits limits;
+  limits.mIncompleteBytes =
+    std::min(limits.mIncompleteBytes, aMemory.Budget(memory_use::Replies)->Limit() / 2);
+  return limits;
+}
+
 } // namespace
 
 edge_daemon::edge_daemon(edge_settings aSettings, const forward_hooks& aHooks)
   : mSettings(AddStartValues(std::move(aSettings)))
   , mLoop(mSettings.mWorkers)
+  , mMemory(mLoop, MemoryShares(mSettings.mLimits), LogGivenUp)
   , mDriver(mLoop,
             mSettings.mCore,
             Forwarding(aHooks),
             mSettings.mBoardShards,
             [this](command& aCommand) { Execute(aCommand); })
-  , mReplicaPool(mLoop)
+  , mReplicaPool(mLoop, PoolLimits(mMemory), mMemory.Budget(memory_use::Replies))
   , mStore(mLoop, mSettings.mStore, [this](fact aFact) { mDriver.Post(std::move(aFact)); })
   , mPeers(mLoop, [this](std::string_view aBytes) { OnDatagram(aBytes); })
   , mCallerServer(mLoop,
@@ -123,21 +140,26 @@
                     nullptr,
                     AttemptIdOf,
                     LogInvalidReply },
-                  ToHttpLimits(client_limits{}))
+                  ToHttpLimits(client_limits{}),
+                  &mMemory)
   , mReadinessServer(mLoop,
                      mRequestIds,
                      { [this](std::uint64_t aRequestId, const http_message& aMessage) {
                         OnControlRequest(aRequestId, aMessage);
                       },
                        nullptr,
-                       nullptr })
+                       nullptr },
+                     http_limits{},
+                     &mMemory)
   , mAddressServer(mLoop,
                    mRequestIds,
                    { [this](std::uint64_t aRequestId, const http_message& aMessage) {
                       OnControlRequest(aRequestId, aMessage);
                     },
                      nullptr,
-                     nullptr })
+                     nullptr },
+                   http_limits{},
+                   &mMemory)
   , mMetricsServer(mLoop,
                    mRequestIds,
                    { [this](std::uint64_t aRequestId, const http_message& aMessage) {
@@ -289,6 +311,25 @@
   mDriver.Post(request_arrived{ aRequestId, std::move(content) });
 }
 
+reply_pointer edge_daemon::Counted(reply_pointer aReply)
+{
+  // Counting a short reply would cost more than it is worth.
+  constexpr std::size_t kMinCounted = 4096;
+  if (!aReply || aReply->mBody.size() < kMinCounted) {
+    return aReply;
+  }
+  struct counted_reply
+  {
+    reply_pointer mReply;
+    memory_charge mCharge;
+  };
+  const forward_reply* reply = aReply.get();
+  return { std::make_shared<const counted_reply>(counted_reply{
+             std::move(aReply),
+             memory_charge(mMemory.Budget(memory_use::Replies), reply->mBody.capacity()) }),
+           reply };
+}
+
 void edge_daemon::OnClientDisconnected(std::uint64_t aRequestId)
 {
   mRequests.Take(aRequestId);
@@ -372,14 +413,14 @@
     mDriver.Post(attempt_ended{ key,
                                 replica,
                                 aReply.mEnd,
-                                std::move(aReply.mReply),
+                                Counted(std::move(aReply.mReply)),
                                 std::move(aReply.mReason),
                                 aNewConnection,
                                 aReply.mNotice });
   };
   std::shared_ptr<const http_message> message;
   mRequests.With(aCommand.mKey.mRequest,
-                 [&message](const pending_request& aPending) { message = aPending.mMessage; });
+                 [&](pending_request& aPending) { message = aPending.mMessage; });
   const micros left = aCommand.mDeadline - SteadyNow();
   if (!message || left <= micros(0)) {
     report({ attempt_end::NotSent,
@@ -436,6 +477,11 @@
   mCallerServer.SetLimits(ToHttpLimits(aCommand.mLimits));
 }
 
+double edge_daemon::MemoryUsed(memory_use aUse) const
+{
+  return static_cast<double>(mMemory.Budget(aUse)->Used());
+}
+
 std::string edge_daemon::MetricsText() const
 {
   return mMetrics.ExpositionText(
@@ -447,7 +493,11 @@
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
       { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
       { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
-      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
+      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) },
+      { "redwingdock_clients_given_up", static_cast<double>(mMemory.GivenUp()) },
+      { "redwingdock_memory_reading_bytes", MemoryUsed(memory_use::Reading) },
+      { "redwingdock_memory_open_bytes", MemoryUsed(memory_use::Open) },
+      { "redwingdock_memory_replies_bytes", MemoryUsed(memory_use::Replies) } });
 }
 
 } // namespace redwingdock::platform
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_PLATFORM_EDGE_DAEMON_H
 
 #include "assembly/forwarding.h"
+#include "daemon/client_memory.h"
 #include "daemon/core_driver.h"
 #include "daemon/http_pool.h"
 #include "daemon/http_server.h"
@@ -73,6 +74,8 @@
   void OnControlRequest(std::uint64_t aRequestId, const http_message& aMessage);
   void OnMetricsRequest(std::uint64_t aRequestId, const http_message& aMessage);
   void OnDatagram(std::string_view aBytes);
+  // The reply, counted for as long as it exists.
+  reply_pointer Counted(reply_pointer aReply);
   void Execute(command& aCommand);
   void Execute(const send_attempt& aCommand);
   void Execute(const answer_request& aCommand);
@@ -83,12 +86,14 @@
   void RefusePartlyRead();
   void End(bool aTimeLimit);
   bool IsReady() const;
+  double MemoryUsed(memory_use aUse) const;
   std::string MetricsText() const;
 
   const edge_settings mSettings;
   io_loop mLoop;
   metrics mMetrics;
   request_id_source mRequestIds{ 0 };
+  client_memory mMemory;
   core_driver mDriver;
   request_map mRequests;
   http_pool mReplicaPool;
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -89,6 +89,7 @@
 {
   EXPECT_EQ(aProgram.WaitForEnd(milliseconds(0)), std::nullopt) << aGuardsAgainst;
   EXPECT_LT(PeakMemory(aProgram), kMemory) << aGuardsAgainst;
+  testing::Test::RecordProperty("peak_bytes", std::to_string(PeakMemory(aProgram)));
   EXPECT_LT(OpenSockets(aProgram), aDescriptors - kFileDescriptors) << aGuardsAgainst;
 }
 
@@ -473,6 +474,11 @@
                150,
                0,
                TinyFields("/plain/x", 15 * kKilobyte, false) },
+    crowd_row{ "TinyFieldsThatStop",
+               "incomplete heads of very many fields fill the memory",
+               500,
+               0,
+               TinyFields("/plain/x", 15 * kKilobyte, false) },
     crowd_row{ "ChunkExtensions", "chunk extensions are kept", 20, 0, Chunks("/wait/x", 1000) },
     crowd_row{ "SmallPipelinedRequests",
                "many small pipelined requests fill the memory",
