Refuse requests that there is no memory to answer before they are sent

Callers of a daemon that held many open requests lost it with them: nothing bounded the memory of requests whose answer is owed. 500 heads of 15 KB that wait for a replica took 97 MB of 64, since a field of a few bytes takes ten times as much in memory.

The daemon states with each request what open requests and replies take of their budgets and what the request adds; the controller refuses it with 503 and Retry-After before a replica works on it. The size of a reply is expected from the recent replies of the route and reserved from the first send to the answer; routes with replies under 16 KB are not followed.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -8,6 +8,21 @@
 
 namespace redwingdock {
 
+// What the clients of this daemon make it hold when a request arrives, without that request, and
+// what the request adds. Limits of 0 mean none.
+struct client_room
+{
+  std::size_t mOpenBytes = 0; // of open requests
+  std::size_t mOpenLimit = 0;
+  std::size_t mReplyBytes = 0; // of replies, and expected for open requests
+  std::size_t mReplyLimit = 0;
+  std::size_t mRequestBytes = 0; // of this request
+  std::size_t mOpenRequests = 0;
+  std::size_t mMaxOpenRequests = 0;
+
+  auto operator<=>(const client_room&) const = default;
+};
+
 // The properties of a request that decisions depend on. The front end keeps the request itself.
 struct forward_request
 {
@@ -18,6 +33,7 @@
   std::uint64_t mFingerprint = 0; // hash; equal when the client repeats a request
   micros mRoundTrip{ 0 };         // between client and daemon; 0 when not known
   micros mDeliveryTime{ 0 };      // to hand the reply to the client; 0 when not known
+  client_room mRoom{};
 
   auto operator<=>(const forward_request&) const = default;
 };
@@ -119,6 +135,7 @@
   std::uint32_t mConnections = 1; // maximum number to this replica
   // An open connection is reused only if it answered within this time; 0 allows any.
   micros mMaxIdleAge{ 0 };
+  std::size_t mReplyBytes = 0; // expected for the whole request
 
   auto operator<=>(const send_attempt&) const = default;
 };
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -7,6 +7,7 @@
 #include "forward/client_timeout.h"
 #include "forward/crash_controller.h"
 #include "forward/request_step.h"
+#include "forward/room.h"
 
 #include <algorithm>
 #include <utility>
@@ -21,6 +22,8 @@
 // that can still be answered within the target.
 constexpr int kOverloadRetryDivisor = 3;
 constexpr micros kRetryAfterStart = std::chrono::milliseconds(250);
+// Clients that hold the memory of others are given up, or have read their replies, within a second.
+constexpr micros kRetryAfterRoom = std::chrono::seconds(1);
 // Longer than the client of a crashing request waits.
 constexpr micros kRetryAfterCrash = std::chrono::seconds(2);
 
@@ -227,6 +230,14 @@
     AnswerImmediately(aContext, aFact, answer_kind::NotRun, "the daemon is stopping", micros(0));
     return;
   }
+  const auto sizes = aContext.mBoard.Read<reply_sizes>(ReplySizesKey(*route));
+  const std::size_t replyBytes = sizes ? sizes->mRecentMax : 0;
+  if (!HasMemory(aFact.mContent.mRoom, replyBytes)) {
+    aContext.Count("forward.refused_for_memory");
+    AnswerImmediately(
+      aContext, aFact, answer_kind::NotRun, "no memory for the request", kRetryAfterRoom);
+    return;
+  }
   if (IsOverloaded(aContext, aHooks, *known, *route)) {
     aContext.Count("forward.overloaded");
     AnswerImmediately(aContext,
@@ -237,6 +248,7 @@
     return;
   }
   forward_state state = NewState(aContext, aHooks, aFact, *known, route);
+  state.mReplyBytes = replyBytes;
   if (verdict == crash_verdict::Trial) {
     state.mMaxAttempts = 1;
   }
--- a/src/forward/forward_controller_test.cc
+++ b/src/forward/forward_controller_test.cc
@@ -525,6 +525,74 @@
   EXPECT_EQ(rig.mSent.size(), 1U) << "a refusal that never ends";
 }
 
+// Replies of which size came before a request that arrives with little memory left.
+struct room_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mReplyBytes;
+  client_room mRoom;
+  bool mSent;
+};
+
+class room_test : public ::testing::TestWithParam<room_row>
+{};
+
+TEST_P(room_test, RefusesWhatCannotBeAnsweredBeforeItIsSent)
+{
+  const room_row& row = GetParam();
+  forwarding_rig rig({});
+  PublishReplicas(rig, { "a" });
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  for (const char* replica : { "a-1", "a-2" }) {
+    rig.Script(replica, [&row](int) {
+      replica_action action;
+      action.mBody = std::string(row.mReplyBytes, 'x');
+      return action;
+    });
+  }
+  rig.RunFor(seconds(1));
+  rig.SendRequest(1, "/q/x");
+  rig.RunFor(seconds(1));
+  ASSERT_EQ(rig.mSent.size(), 1U);
+  rig.Post(
+    request_arrived{ 2, { "id-2", "search.example", "/q/x", micros(0), 0, {}, {}, row.mRoom } });
+  ASSERT_EQ(rig.mSent.size(), row.mSent ? 2U : 1U) << row.mGuardsAgainst;
+  if (row.mSent) {
+    EXPECT_EQ(rig.mSent.back().mCommand.mReplyBytes,
+              row.mReplyBytes >= 16'384 ? row.mReplyBytes : 0)
+      << "the memory for the reply is not reserved";
+    return;
+  }
+  ASSERT_EQ(rig.mAnswers[2].size(), 1U) << row.mGuardsAgainst;
+  EXPECT_EQ(rig.mAnswers[2].front().mAnswer.mKind, answer_kind::NotRun) << row.mGuardsAgainst;
+  EXPECT_GT(rig.mAnswers[2].front().mAnswer.mRetryAfter, micros(0)) << row.mGuardsAgainst;
+}
+
+constexpr std::size_t kRoomLimit = 10'000'000;
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  room_test,
+  ::testing::Values(room_row{ "a request without limits is refused", 2'000'000, {}, true },
+                    room_row{ "a replica works for a long reply that there is no memory for",
+                              2'000'000,
+                              { .mReplyBytes = kRoomLimit / 2, .mReplyLimit = kRoomLimit },
+                              false },
+                    room_row{ "a short reply is refused beside long ones",
+                              500,
+                              { .mReplyBytes = kRoomLimit - 1, .mReplyLimit = kRoomLimit },
+                              true },
+                    room_row{ "a long reply is refused while there is memory",
+                              2'000'000,
+                              { .mReplyBytes = kRoomLimit / 8, .mReplyLimit = kRoomLimit },
+                              true },
+                    room_row{ "a large request is sent although open ones fill the memory",
+                              500,
+                              { .mOpenBytes = kRoomLimit / 2,
+                                .mOpenLimit = kRoomLimit,
+                                .mRequestBytes = 2'000'000 },
+                              false }));
+
 struct unrouted_row
 {
   const char* mGuardsAgainst;
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -50,6 +50,7 @@
   instant mDeadline{};
   instant mTimerAt{};             // when the earliest pending timer fires
   std::uint32_t mMaxAttempts = 1; // replicas that may run the request, per service
+  std::size_t mReplyBytes = 0;    // expected, of all parts
   bool mAdmissionUpdated = false;
   bool mAnswered = false;
   instant mCancelAt{}; // when attempts left open by the answer are cancelled
--- a/src/forward/request_step.cc
+++ b/src/forward/request_step.cc
@@ -4,6 +4,7 @@
 #include "core/controller_facts.h"
 #include "forward/admission.h"
 #include "forward/gather.h"
+#include "forward/room.h"
 
 #include <algorithm>
 #include <utility>
@@ -34,6 +35,8 @@
 // Share of the repeat budget that hedges may use. The rest is reserved for retries of attempts that
 // ended without a reply, which always need one.
 constexpr double kHedgeShare = 0.6;
+// Shorter replies are no burden and are not recorded.
+constexpr std::size_t kMinRecordedReply = std::size_t{ 16 } * 1024;
 // Per-daemon limit for a service that publishes no connection limit.
 constexpr std::uint32_t kDefaultConnections = 8;
 
@@ -262,7 +265,8 @@
                               target.mReplica,
                               mState.mDeadline,
                               input.mConnections,
-                              mState.mRoute->mIdempotent ? micros(0) : kMaxIdleAge });
+                              mState.mRoute->mIdempotent ? micros(0) : kMaxIdleAge,
+                              mState.mReplyBytes });
   return aPart;
 }
 
@@ -425,8 +429,27 @@
   return text;
 }
 
+void request_step::RecordReplySize(const forward_answer& aAnswer)
+{
+  std::size_t bytes = aAnswer.mReply ? aAnswer.mReply->mBody.size() : 0;
+  if (aAnswer.mKind == answer_kind::Gathered) {
+    for (const part_pointer& part : mState.mParts) {
+      bytes += part->mReply ? part->mReply->mBody.size() : 0;
+    }
+  }
+  if (bytes < kMinRecordedReply && mState.mReplyBytes < kMinRecordedReply) {
+    return;
+  }
+  mContext.mBoard.Update<reply_sizes>(
+    ReplySizesKey(*mState.mRoute), [bytes](const reply_sizes* aKnown) {
+      return std::optional<reply_sizes>(
+        WithReplySize(aKnown != nullptr ? *aKnown : reply_sizes{}, bytes));
+    });
+}
+
 void request_step::Answer(forward_answer aAnswer)
 {
+  RecordReplySize(aAnswer);
   const micros elapsed = mContext.Now() - mState.mArrivedAt;
   mContext.Count(std::string("forward.answer.") + ToString(aAnswer.mKind));
   std::string line =
--- a/src/forward/request_step.h
+++ b/src/forward/request_step.h
@@ -96,6 +96,7 @@
   // Comma-separated "service:last attempt_end" of the parts without a reply.
   std::string MissingText() const;
   void Answer(forward_answer aAnswer);
+  void RecordReplySize(const forward_answer& aAnswer);
   void CancelOverdue();
   void CancelAll(bool aIsOverdue);
   forward_part CancelPart(std::uint32_t aIndex, forward_part aPart, bool aIsOverdue);
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -123,6 +123,8 @@
   : mSettings(AddStartValues(std::move(aSettings)))
   , mLoop(mSettings.mWorkers)
   , mMemory(mLoop, MemoryShares(mSettings.mLimits), LogGivenUp)
+  , mExpectedReplies(
+      std::make_shared<memory_budget>(std::numeric_limits<std::size_t>::max(), nullptr))
   , mDriver(mLoop,
             mSettings.mCore,
             Forwarding(aHooks),
@@ -307,10 +309,28 @@
   forward_request content = DecodeRequest(aMessage);
   content.mRoundTrip = mCallerServer.RoundTrip(aRequestId);
   content.mDeliveryTime = mCallerServer.DeliveryTime(aRequestId);
-  mRequests.Insert(aRequestId, { std::make_shared<const http_message>(aMessage), SteadyNow() });
+  content.mRoom = Room();
+  content.mRoom.mRequestBytes = HeldBytes(aMessage);
+  mRequests.Insert(aRequestId,
+                   { std::make_shared<const http_message>(aMessage),
+                     SteadyNow(),
+                     memory_charge(mMemory.Budget(memory_use::Open), content.mRoom.mRequestBytes),
+                     memory_charge(mExpectedReplies) });
   mDriver.Post(request_arrived{ aRequestId, std::move(content) });
 }
 
+client_room edge_daemon::Room() const
+{
+  const memory_budget& open = *mMemory.Budget(memory_use::Open);
+  const memory_budget& replies = *mMemory.Budget(memory_use::Replies);
+  client_room room;
+  room.mOpenBytes = open.Used();
+  room.mOpenLimit = open.Limit();
+  room.mReplyBytes = replies.Used() + mExpectedReplies->Used();
+  room.mReplyLimit = replies.Limit();
+  return room;
+}
+
 reply_pointer edge_daemon::Counted(reply_pointer aReply)
 {
   // Counting a short reply would cost more than it is worth.
@@ -419,8 +439,10 @@
                                 aReply.mNotice });
   };
   std::shared_ptr<const http_message> message;
-  mRequests.With(aCommand.mKey.mRequest,
-                 [&](pending_request& aPending) { message = aPending.mMessage; });
+  mRequests.With(aCommand.mKey.mRequest, [&](pending_request& aPending) {
+    message = aPending.mMessage;
+    aPending.mExpected.Set(aCommand.mReplyBytes);
+  });
   const micros left = aCommand.mDeadline - SteadyNow();
   if (!message || left <= micros(0)) {
     report({ attempt_end::NotSent,
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -65,6 +65,8 @@
   {
     std::shared_ptr<const http_message> mMessage;
     instant mArrivedAt{};
+    memory_charge mOpen{};     // of the request
+    memory_charge mExpected{}; // for its reply
   };
 
   using request_map = sharded_map<std::uint64_t, pending_request>;
@@ -74,6 +76,7 @@
   void OnControlRequest(std::uint64_t aRequestId, const http_message& aMessage);
   void OnMetricsRequest(std::uint64_t aRequestId, const http_message& aMessage);
   void OnDatagram(std::string_view aBytes);
+  client_room Room() const;
   // The reply, counted for as long as it exists.
   reply_pointer Counted(reply_pointer aReply);
   void Execute(command& aCommand);
@@ -94,6 +97,7 @@
   metrics mMetrics;
   request_id_source mRequestIds{ 0 };
   client_memory mMemory;
+  const std::shared_ptr<memory_budget> mExpectedReplies; // of open requests
   core_driver mDriver;
   request_map mRequests;
   http_pool mReplicaPool;
