Keep descriptors for other clients when a crowd connects

Ordinary callers got no answer while other clients held the descriptors of a daemon: each of its four servers accepted 4,096 connections, more than a VM allows a process, until none was left for replicas, the store and the other servers; new clients waited in the kernel until idle ones expired. 500 connections at 400 descriptors: 380 to 394 sockets, no answer in 10 s at the callers' address, and at no address when the crowd was at another one. Record search had the same fault.

At its share a server closes connections for new ones: first those without a request, then the longest idle, then requests that are read in part and replies that are not taken; none with an open request. When the connections of callers are nearly used up, a route may have as many open requests as there are connections without one; others are refused with 503 and Retry-After, so that requests that stay open leave room to other routes. A listener that gets no descriptor makes room as well. The memory of the metrics server is counted like that of the others.

--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -17,8 +17,9 @@
   std::size_t mReplyBytes = 0; // of replies, and expected for open requests
   std::size_t mReplyLimit = 0;
   std::size_t mRequestBytes = 0; // of this request
-  std::size_t mOpenRequests = 0;
-  std::size_t mMaxOpenRequests = 0;
+  std::size_t mOpenRequests = 0; // this one included
+  std::size_t mConnections = 0;
+  std::size_t mMaxConnections = 0;
 
   auto operator<=>(const client_room&) const = default;
 };
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -79,11 +79,12 @@
 {
   const std::size_t size = aText.size();
   mConnection->Send(std::move(aText));
+  mLastActive = SteadyNow();
   mDelivery = WithReply(std::move(mDelivery),
                         std::exchange(mRequestName, {}),
                         size,
                         mConnection->UnsentBytes(),
-                        SteadyNow());
+                        mLastActive);
 }
 
 void http_server::session::Count()
@@ -92,6 +93,20 @@
   mSending.Set(mConnection->HeldBytes());
 }
 
+connection_use http_server::session::Use() const
+{
+  if (mRequestId != 0) {
+    return connection_use::Open;
+  }
+  if (mConnection->UnsentBytes() > 0) {
+    return connection_use::Sending;
+  }
+  if (!mUsed) {
+    return connection_use::Unused;
+  }
+  return mReader.Started() ? connection_use::Partial : connection_use::Idle;
+}
+
 void http_server::session::GiveUpReading(const http_read_limits& aLimits)
 {
   const bool partlyRead = IsPartlyRead() && !IsBusy();
@@ -146,10 +161,11 @@
 
 result<std::string> http_server::ListenOn(const std::string& aAddress)
 {
-  auto listener =
-    Listen(mLoop, aAddress, [this](const std::shared_ptr<tcp_connection>& aConnection) {
-      Accepted(aConnection);
-    });
+  auto listener = Listen(
+    mLoop,
+    aAddress,
+    [this](const std::shared_ptr<tcp_connection>& aConnection) { Accepted(aConnection); },
+    [this] { MakeRoom(); });
   if (!listener) {
     return { std::nullopt, listener.mReason };
   }
@@ -161,11 +177,12 @@
 {
   const std::uint64_t id = ++mNextSessionId;
   const http_limits limits = Limits();
-  if (mSessions.Size() >= limits.mConnections) {
+  if (mSessions.Size() >= limits.mConnections && !MakeRoom()) {
     aConnection->Close("too many connections");
     return;
   }
   session added{ aConnection, http_reader(http_side::Server, limits.mRead), 0, true };
+  added.mLastActive = SteadyNow();
   if (mMemory != nullptr) {
     added.mReading = memory_charge(mMemory->Budget(memory_use::Reading));
     added.mSending = memory_charge(mMemory->Budget(memory_use::Replies));
@@ -180,6 +197,31 @@
   aConnection->Start(std::move(hooks));
 }
 
+bool http_server::MakeRoom()
+{
+  // Closing some at once keeps the cost of the choice low for each new connection.
+  constexpr std::size_t kBatchDivisor = 32;
+  std::vector<client_connection> connections;
+  mSessions.ForEach([&connections](std::uint64_t aId, const session& aSession) {
+    connections.push_back({ aSession.Use(), aSession.mLastActive, aId });
+  });
+  const std::size_t batch = std::max<std::size_t>(Limits().mConnections / kBatchDivisor, 1);
+  std::size_t closed = 0;
+  for (const client_connection& each : ChooseConnections(std::move(connections), batch)) {
+    mSessions.With(each.mSession, [&each, &closed](session& aSession) {
+      if (aSession.Use() == each.mUse && aSession.mLastActive == each.mLastActive) {
+        ++closed;
+        aSession.mClosing = true;
+        aSession.mConnection->Close("room for other connections");
+      }
+    });
+  }
+  if (closed > 0 && mHooks.mOnRoomMade) {
+    mHooks.mOnRoomMade(closed);
+  }
+  return closed > 0;
+}
+
 void http_server::Received(std::uint64_t aSessionId, std::string_view aBytes)
 {
   std::optional<begun_request> request;
@@ -188,9 +230,10 @@
       return; // a request that is read now could not be answered
     }
     const bool started = aSession.mReader.Started();
+    aSession.mLastActive = SteadyNow();
     if (!started && aSession.mReader.Buffered() == 0) {
       aSession.mReader.SetLimits(Limits().mRead);
-      aSession.mReadSince = SteadyNow();
+      aSession.mReadSince = aSession.mLastActive;
       aSession.mReadBytes = 0;
     }
     aSession.mReadBytes += aBytes.size();
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -39,6 +39,8 @@
   // Status 502 was sent instead of a reply that HTTP/1.1 does not allow: the name of its request,
   // and the ReplyError.
   std::function<void(const std::string&, const std::string&)> mOnInvalidReply = nullptr;
+  // Connections were closed to make room for others: their number.
+  std::function<void(std::size_t)> mOnRoomMade = nullptr;
 };
 
 // What is unfinished on a connection.
@@ -56,6 +58,7 @@
 struct http_limits
 {
   http_read_limits mRead{ std::size_t{ 64 } * 1024 };
+  // Above it, connections without an open request are closed for new ones.
   std::size_t mConnections = 4096;
   micros mHeaderTimeout = std::chrono::seconds(10);  // from the first byte to the end of the header
   micros mRequestTimeout = std::chrono::seconds(10); // from the first byte to the last byte
@@ -138,6 +141,7 @@
     bool mFollowed = false; // FollowDelivery is due
 
     bool mIgnoresInput = false; // the open request is the last one
+    instant mLastActive{};      // when bytes arrived or a reply was handed over
     instant mReadSince{};       // when the first unanswered byte arrived
     std::size_t mReadBytes = 0; // since then
     memory_charge mReading{};
@@ -155,9 +159,12 @@
     void GiveUpReading(const http_read_limits& aLimits);
     // Counts the memory that the connection holds.
     void Count();
+    connection_use Use() const;
   };
 
   void Accepted(const std::shared_ptr<tcp_connection>& aConnection);
+  // Closes some of the connections that are missed least. Returns whether there were any.
+  bool MakeRoom();
   void Received(std::uint64_t aSessionId, std::string_view aBytes);
   // The replies of the connection are sent, after some of their bytes had to wait.
   void Sent(std::uint64_t aSessionId);
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -47,6 +47,18 @@
   Log({ log_level::Warning, "entry", "event=reply_invalid reason=" + Quoted(aReason) });
 }
 
+http_limits WithConnections(std::size_t aConnections)
+{
+  http_limits limits;
+  limits.mConnections = aConnections;
+  return limits;
+}
+
+void LogRoomMade(std::size_t aCount)
+{
+  Log({ log_level::Warning, "entry", "event=room_made closed=" + std::to_string(aCount) });
+}
+
 void LogGivenUp(memory_use aUse, const client_holding& aHolding)
 {
   Log({ log_level::Warning, "entry", GivenUpText(aUse, aHolding) });
@@ -100,6 +112,7 @@
                  },
                  [this] { return MetricsText(); } },
                mMetrics)
+  , mConnectionShares(ConnectionShares(WithKernelLimit(mSettings.mLimits)))
   , mMemory(mLoop, MemoryShares(mSettings.mLimits), LogGivenUp)
   , mCallerServer(
       mLoop,
@@ -115,8 +128,9 @@
         [this](std::uint64_t aRequestId) { mCallerApi.OnCallerDisconnected(aRequestId); },
         [this](std::uint64_t aRequestId) { mCallerApi.OnAnswerTimeout(aRequestId); },
         nullptr,
-        LogInvalidReply },
-      http_limits{},
+        LogInvalidReply,
+        LogRoomMade },
+      WithConnections(mConnectionShares.mCallers),
       &mMemory)
   , mOperatorServer(mLoop,
                     mRequestIds,
@@ -132,8 +146,9 @@
                       nullptr,
                       nullptr,
                       nullptr,
-                      LogInvalidReply },
-                    http_limits{},
+                      LogInvalidReply,
+                      LogRoomMade },
+                    WithConnections(mConnectionShares.mAddresses),
                     &mMemory)
 {
 }
--- a/src/daemon/query_daemon.h
+++ b/src/daemon/query_daemon.h
@@ -4,6 +4,8 @@
 #include "assembly/record_search.h"
 #include "daemon/backend_client.h"
 #include "daemon/caller_api.h"
+#include "daemon/client_connections.h"
+#include "daemon/client_memory.h"
 #include "daemon/configuration_client.h"
 #include "daemon/core_driver.h"
 #include "daemon/http_server.h"
@@ -79,6 +81,7 @@
   configuration_client mConfigurationClient;
   peer_streams mPeers;
   caller_api mCallerApi;
+  const connection_shares mConnectionShares;
   client_memory mMemory;
   http_server mCallerServer;
   http_server mOperatorServer;
--- a/src/daemon/tcp.cc
+++ b/src/daemon/tcp.cc
@@ -548,12 +548,15 @@
 
 struct listener_state : std::enable_shared_from_this<listener_state>
 {
-  listener_state(asio::io_context& aContext, accept_hook aOnAccept)
+  listener_state(asio::io_context& aContext,
+                 accept_hook aOnAccept,
+                 std::function<void()> aOnExhausted)
     : mContext(aContext)
     , mAcceptor(aContext)
     , mAcceptRetryTimer(aContext)
     , mStopTimer(aContext)
     , mOnAccept(std::move(aOnAccept))
+    , mOnExhausted(std::move(aOnExhausted))
   {
   }
 
@@ -599,6 +602,9 @@
   void Accepted(const std::shared_ptr<connection_state>& aNext, const error_code& aError)
   {
     if (aError) {
+      if (aError == asio::error::no_descriptors && mOnExhausted) {
+        mOnExhausted();
+      }
       const std::lock_guard lock(mLock);
       if (!mStopped) {
         mAcceptRetryTimer.expires_after(kAcceptRetryDelay);
@@ -697,6 +703,7 @@
   asio::steady_timer mAcceptRetryTimer;
   asio::steady_timer mStopTimer;
   accept_hook mOnAccept;
+  std::function<void()> mOnExhausted;
   tcp::endpoint mBoundEndpoint;
   bool mStopping = false; // AcceptPendingAndStop was called
   bool mStopped = false;
@@ -945,15 +952,16 @@
 
 result<std::shared_ptr<tcp_listener>> Listen(io_loop& aLoop,
                                              const std::string& aAddress,
-                                             accept_hook aOnAccept)
+                                             accept_hook aOnAccept,
+                                             std::function<void()> aOnExhausted)
 {
   const std::optional<tcp::endpoint> endpoint = ParseTcpEndpoint(aAddress);
   if (!endpoint) {
     return Failure<std::shared_ptr<tcp_listener>>(
       "listen", aAddress, "not an address of the form ip:port");
   }
-  auto state =
-    std::make_shared<detail::listener_state>(aLoop.State().mContext, std::move(aOnAccept));
+  auto state = std::make_shared<detail::listener_state>(
+    aLoop.State().mContext, std::move(aOnAccept), std::move(aOnExhausted));
   if (const error_code error = state->Bind(*endpoint)) {
     return Failure<std::shared_ptr<tcp_listener>>("listen", aAddress, error.message());
   }
--- a/src/daemon/tcp.h
+++ b/src/daemon/tcp.h
@@ -175,10 +175,12 @@
 using accept_hook = std::function<void(const std::shared_ptr<tcp_connection>&)>;
 
 // Accepts connections on "ip:port" until the listener is destroyed. Fails when the address is
-// malformed or cannot be bound.
+// malformed or cannot be bound. aOnExhausted is called when a connection cannot be accepted because
+// the process has no descriptor left; it is accepted later.
 result<std::shared_ptr<tcp_listener>> Listen(io_loop& aLoop,
                                              const std::string& aAddress,
-                                             accept_hook aOnAccept);
+                                             accept_hook aOnAccept,
+                                             std::function<void()> aOnExhausted = nullptr);
 
 } // namespace redwingdock
 
--- a/src/forward/forward_controller.cc
+++ b/src/forward/forward_controller.cc
@@ -238,6 +238,16 @@
       aContext, aFact, answer_kind::NotRun, "no memory for the request", kRetryAfterRoom);
     return;
   }
+  const client_room& room = aFact.mContent.mRoom;
+  if (IsCrowded(room) && !HasPlace(room, OpenRequestsOn(aContext.mBoard, route->mName))) {
+    aContext.Count("forward.refused_for_room");
+    AnswerImmediately(aContext,
+                      aFact,
+                      answer_kind::NotRun,
+                      "too many requests of the route are open",
+                      kRetryAfterRoom);
+    return;
+  }
   if (IsOverloaded(aContext, aHooks, *known, *route)) {
     aContext.Count("forward.overloaded");
     AnswerImmediately(aContext,
--- a/src/forward/forward_state.cc
+++ b/src/forward/forward_state.cc
@@ -89,6 +89,15 @@
   return answered > 0 && share >= aState.mRoute->mGather->mMinimumSuccessShare - kShareTolerance;
 }
 
+std::size_t OpenRequestsOn(const blackboard& aBoard, const std::string& aRoute)
+{
+  std::size_t open = 0;
+  for (const auto& [key, state] : aBoard.List<forward_state>()) {
+    open += !state->mAnswered && state->mRoute->mName == aRoute ? 1 : 0;
+  }
+  return open;
+}
+
 std::size_t OpenRequests(const blackboard& aBoard)
 {
   std::size_t open = 0;
--- a/src/forward/forward_state.h
+++ b/src/forward/forward_state.h
@@ -79,6 +79,8 @@
 
 // Number of requests that have not been answered.
 std::size_t OpenRequests(const blackboard& aBoard);
+// Number of those on one route.
+std::size_t OpenRequestsOn(const blackboard& aBoard, const std::string& aRoute);
 
 } // namespace redwingdock
 
--- a/src/forward/room.cc
+++ b/src/forward/room.cc
@@ -35,6 +35,18 @@
   return { std::max(aBytes, aSizes.mRecentMax - aSizes.mRecentMax / kDecayDivisor) };
 }
 
+bool IsCrowded(const client_room& aRoom)
+{
+  constexpr std::size_t kFreeDivisor = 16;
+  return aRoom.mMaxConnections > 0 &&
+         aRoom.mConnections >= aRoom.mMaxConnections - aRoom.mMaxConnections / kFreeDivisor;
+}
+
+bool HasPlace(const client_room& aRoom, std::size_t aOpenOnRoute)
+{
+  return aOpenOnRoute + aRoom.mOpenRequests <= aRoom.mMaxConnections;
+}
+
 bool HasMemory(const client_room& aRoom, std::size_t aReplyBytes)
 {
   return Fits(aRoom.mRequestBytes, aRoom.mOpenBytes, aRoom.mOpenLimit) &&
--- a/src/forward/room.h
+++ b/src/forward/room.h
@@ -33,6 +33,15 @@
 // ordinary requests find room beside a crowd of large ones.
 bool HasMemory(const client_room& aRoom, std::size_t aReplyBytes);
 
+// Whether the connections are nearly used up, so that the open requests of a route have to be
+// counted.
+bool IsCrowded(const client_room& aRoom);
+
+// Whether a route with aOpenOnRoute open requests may have a further one: while it has fewer than
+// the connections without an open request, which can be closed for other clients. So requests of
+// one route that stay open leave room to other routes.
+bool HasPlace(const client_room& aRoom, std::size_t aOpenOnRoute);
+
 } // namespace redwingdock
 
 #endif
--- a/src/forward/room_test.cc
+++ b/src/forward/room_test.cc
@@ -47,6 +47,37 @@
     memory_row{ "a request is sent above the limit", kLimit + 1, 1, false },
     memory_row{ "a request whose reply is not known is refused", kLimit + 1, 0, true }));
 
+struct place_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mConnections; // of 100
+  std::size_t mOpen;        // the request included
+  std::size_t mOnRoute;
+  bool mHasPlace;
+};
+
+class place_test : public testing::TestWithParam<place_row>
+{};
+
+TEST_P(place_test, LeavesRoomForOtherRoutes)
+{
+  const place_row& row = GetParam();
+  const client_room room{ .mOpenRequests = row.mOpen,
+                          .mConnections = row.mConnections,
+                          .mMaxConnections = 100 };
+  EXPECT_EQ(!IsCrowded(room) || HasPlace(room, row.mOnRoute), row.mHasPlace) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  rows,
+  place_test,
+  testing::Values(
+    place_row{ "a burst on kept connections is refused", 90, 90, 89, true },
+    place_row{ "few open requests among idle connections are refused", 100, 40, 39, true },
+    place_row{ "one route keeps all connections open", 100, 60, 59, false },
+    place_row{ "a second route finds no room beside the first", 100, 95, 0, true },
+    place_row{ "a second route takes all that is left", 100, 95, 6, false }));
+
 // Guards against a daemon without limits that refuses requests.
 TEST(memory_room, AdmitsAllWithoutLimits)
 {
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -97,9 +97,28 @@
   Log({ log_level::Warning, "entry", GivenUpText(aUse, aHolding) });
 }
 
-http_limits ToHttpLimits(const client_limits& aLimits)
+// Limits of a server for other clients than callers.
+http_limits WithConnections(std::size_t aConnections)
 {
   http_limits limits;
+  limits.mConnections = aConnections;
+  return limits;
+}
+
+// Logs connections of a server that were closed to make room for others.
+std::function<void(std::size_t)> LogRoomMade(const char* aServer)
+{
+  return [aServer](std::size_t aCount) {
+    Log({ log_level::Warning,
+          "entry",
+          std::string("event=room_made server=") + aServer + " closed=" + std::to_string(aCount) });
+  };
+}
+
+http_limits ToHttpLimits(const client_limits& aLimits, std::size_t aConnections)
+{
+  http_limits limits;
+  limits.mConnections = aConnections;
   limits.mRead = { aLimits.mMaxBodyBytes, aLimits.mMaxHeaderBytes };
   limits.mHeaderTimeout = aLimits.mHeaderTimeout;
   limits.mRequestTimeout = kRequestBodyTimeout;
@@ -122,6 +141,7 @@
 edge_daemon::edge_daemon(edge_settings aSettings, const forward_hooks& aHooks)
   : mSettings(AddStartValues(std::move(aSettings)))
   , mLoop(mSettings.mWorkers)
+  , mConnectionShares(ConnectionShares(WithKernelLimit(mSettings.mLimits)))
   , mMemory(mLoop, MemoryShares(mSettings.mLimits), LogGivenUp)
   , mExpectedReplies(
       std::make_shared<memory_budget>(std::numeric_limits<std::size_t>::max(), nullptr))
@@ -141,8 +161,9 @@
                     [this](std::uint64_t aRequestId) { OnClientDisconnected(aRequestId); },
                     nullptr,
                     AttemptIdOf,
-                    LogInvalidReply },
-                  ToHttpLimits(client_limits{}),
+                    LogInvalidReply,
+                    LogRoomMade("callers") },
+                  ToHttpLimits(client_limits{}, mConnectionShares.mCallers),
                   &mMemory)
   , mReadinessServer(mLoop,
                      mRequestIds,
@@ -150,8 +171,11 @@
                         OnControlRequest(aRequestId, aMessage);
                       },
                        nullptr,
-                       nullptr },
-                     http_limits{},
+                       nullptr,
+                       nullptr,
+                       nullptr,
+                       LogRoomMade("readiness") },
+                     WithConnections(mConnectionShares.mReadiness),
                      &mMemory)
   , mAddressServer(mLoop,
                    mRequestIds,
@@ -159,8 +183,11 @@
                       OnControlRequest(aRequestId, aMessage);
                     },
                      nullptr,
-                     nullptr },
-                   http_limits{},
+                     nullptr,
+                     nullptr,
+                     nullptr,
+                     LogRoomMade("addresses") },
+                   WithConnections(mConnectionShares.mAddresses),
                    &mMemory)
   , mMetricsServer(mLoop,
                    mRequestIds,
@@ -168,7 +195,12 @@
                       OnMetricsRequest(aRequestId, aMessage);
                     },
                      nullptr,
-                     nullptr })
+                     nullptr,
+                     nullptr,
+                     nullptr,
+                     LogRoomMade("metrics") },
+                   WithConnections(mConnectionShares.mMetrics),
+                   &mMemory)
 {
 }
 
@@ -328,6 +360,9 @@
   room.mOpenLimit = open.Limit();
   room.mReplyBytes = replies.Used() + mExpectedReplies->Used();
   room.mReplyLimit = replies.Limit();
+  room.mOpenRequests = mCallerServer.PendingRequests();
+  room.mConnections = mCallerServer.Connections();
+  room.mMaxConnections = mConnectionShares.mCallers;
   return room;
 }
 
@@ -496,7 +531,7 @@
 
 void edge_daemon::Execute(const apply_client_limits& aCommand)
 {
-  mCallerServer.SetLimits(ToHttpLimits(aCommand.mLimits));
+  mCallerServer.SetLimits(ToHttpLimits(aCommand.mLimits, mConnectionShares.mCallers));
 }
 
 double edge_daemon::MemoryUsed(memory_use aUse) const
--- a/src/platform/edge_daemon.h
+++ b/src/platform/edge_daemon.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_PLATFORM_EDGE_DAEMON_H
 
 #include "assembly/forwarding.h"
+#include "daemon/client_connections.h"
 #include "daemon/client_memory.h"
 #include "daemon/core_driver.h"
 #include "daemon/http_pool.h"
@@ -96,6 +97,7 @@
   io_loop mLoop;
   metrics mMetrics;
   request_id_source mRequestIds{ 0 };
+  const connection_shares mConnectionShares;
   client_memory mMemory;
   const std::shared_ptr<memory_budget> mExpectedReplies; // of open requests
   core_driver mDriver;
