Bound the time in which a client takes a reply

A client that took a few bytes of a reply now and then kept its connection and the reply for as long as it liked: the limits of a connection restart whenever bytes are taken. A reply has two minutes now from when it is handed over, twice the longest time that a daemon waits for an answer; clients state how long they wait, and the operator's limits on requests are seconds.

http_server.ClosesAConnectionWhoseReplyIsNotTakenInTime fails without the check.

--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -402,10 +402,17 @@
 void http_server::FollowDelivery(std::uint64_t aSessionId)
 {
   std::optional<micros> next;
-  mSessions.With(aSessionId, [&next](session& aSession) {
+  const micros limit = Limits().mDeliveryTimeout;
+  mSessions.With(aSessionId, [&next, limit](session& aSession) {
     const instant now = SteadyNow();
     aSession.mDelivery =
       WithUnsent(std::move(aSession.mDelivery), aSession.mConnection->UnsentBytes(), now);
+    if (HeldSince(aSession.mDelivery) < now - limit) {
+      // Bytes taken now and then keep all other limits from passing.
+      aSession.mClosing = true;
+      aSession.mConnection->Close("the client has not taken a reply in time");
+      return;
+    }
     aSession.mFollowed = aSession.mDelivery.mUnsent > 0;
     aSession.Count();
     if (aSession.mFollowed) {
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -66,6 +66,10 @@
   // Above the longest query deadline (5 s), within which the core answers late queries
   // itself.
   micros mReplyTimeout = std::chrono::seconds(7);
+  // From when a reply is handed over until the kernel has taken its last byte, however the client
+  // reads. Twice the longest time that a daemon waits for an answer (a minute), so that a client
+  // with a deadline does not meet it.
+  micros mDeliveryTimeout = std::chrono::minutes(2);
 };
 
 // Counter for request IDs, shared by all servers of a process.
--- a/src/daemon/http_server_test.cc
+++ b/src/daemon/http_server_test.cc
@@ -561,6 +561,42 @@
                      Post(0) + Post(0).substr(0, 10),
                      false }));
 
+// Guards against a client that takes bytes of a reply now and then, which keeps the limits on
+// progress from passing, and its connection open for as long as it likes.
+TEST(http_server, ClosesAConnectionWhoseReplyIsNotTakenInTime)
+{
+  request_id_source requestIds{ 0 };
+  io_loop serverLoop(2);
+  io_loop clientLoop(1);
+  http_server* replies = nullptr;
+  const std::string body(kMoreThanKernelBuffers, 'x');
+  http_limits limits;
+  limits.mDeliveryTimeout = milliseconds(500);
+  http_server server(serverLoop,
+                     requestIds,
+                     { [&](std::uint64_t aId, const http_message&) {
+                        replies->Reply(aId, { 200, "", body, {} });
+                      },
+                       nullptr,
+                       nullptr },
+                     limits);
+  replies = &server;
+  const std::string address = *server.ListenOn("127.0.0.1:0");
+  serverLoop.Start();
+  clientLoop.Start();
+  blocking_socket client(address);
+  client.Send(Post(0));
+  std::size_t received = client.ReadSome().size();
+  ASSERT_GT(received, 0U);
+  EXPECT_TRUE(WaitUntil([&] {
+    received += server.Connections() > 0 ? client.ReadSome().size() : 0;
+    return server.Connections() == 0;
+  }));
+  EXPECT_LT(received, body.size());
+  serverLoop.Stop();
+  clientLoop.Stop();
+}
+
 // Guards against a client that pipelines requests and reads no replies, all of which would wait in
 // memory.
 TEST(http_server, BeginsARequestOnceTheReplyBeforeItIsSent)
--- a/src/daemon/reply_delivery.cc
+++ b/src/daemon/reply_delivery.cc
@@ -67,6 +67,13 @@
   return aDelivery;
 }
 
+instant HeldSince(const reply_delivery& aDelivery)
+{
+  return aDelivery.mUnsent == 0 || aDelivery.mReplies.empty()
+           ? kNever
+           : aDelivery.mReplies.front().mHandedAt;
+}
+
 std::size_t TakenWhileWaiting(const reply_delivery& aDelivery)
 {
   const std::uint64_t taken = TakenBytes(aDelivery, aDelivery.mUnsent);
--- a/src/daemon/reply_delivery.h
+++ b/src/daemon/reply_delivery.h
@@ -63,6 +63,9 @@
 // aUnsent bytes wait now.
 reply_delivery WithUnsent(reply_delivery aDelivery, std::size_t aUnsent, instant aNow);
 
+// When the oldest reply with unsent bytes was handed over; kNever if there is none.
+instant HeldSince(const reply_delivery& aDelivery);
+
 // Bytes that the kernel has taken since bytes began to wait; 0 if none wait.
 std::size_t TakenWhileWaiting(const reply_delivery& aDelivery);
 
