Show crowds of clients in the metrics

On-call could see that a daemon closes connections or gives clients up only in the log. Both daemons count the connections that were closed to make room for others and the clients that were given up. Two widening multiplications in tests are made explicit for the linter.

--- a/src/daemon/client_memory_test.cc
+++ b/src/daemon/client_memory_test.cc
@@ -39,7 +39,7 @@
   EXPECT_GT(shares.mReplies, shares.mOpen);
 }
 
-constexpr std::size_t kMebibyte = 1024 * 1024;
+constexpr std::size_t kMebibyte = std::size_t{ 1024 } * 1024;
 
 INSTANTIATE_TEST_SUITE_P(rows,
                          shares_test,
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -216,6 +216,7 @@
       }
     });
   }
+  mClosedForRoom += closed;
   if (closed > 0 && mHooks.mOnRoomMade) {
     mHooks.mOnRoomMade(closed);
   }
--- a/src/daemon/http_server.h
+++ b/src/daemon/http_server.h
@@ -127,6 +127,8 @@
   // Connections that are not closing: a request is open, read in part, or waits to be read.
   std::size_t ActiveConnections() const;
   std::size_t Connections() const { return mSessions.Size(); }
+  // Connections that were closed to make room for others.
+  std::uint64_t ClosedForRoom() const { return mClosedForRoom; }
   // The connections on which something is unfinished.
   std::vector<unfinished_connection> UnfinishedConnections() const;
 
@@ -194,6 +196,7 @@
   mutable std::mutex mLimitsLock;
   http_limits mLimits;
   std::atomic<bool> mClosing{ false };
+  std::atomic<std::uint64_t> mClosedForRoom{ 0 };
   std::atomic<std::uint64_t> mNextSessionId{ 0 };
   sharded_map<std::uint64_t, session> mSessions;
   sharded_map<std::uint64_t, std::uint64_t> mSessionByRequest; // session ID by request ID
--- a/src/daemon/query_daemon.cc
+++ b/src/daemon/query_daemon.cc
@@ -323,7 +323,10 @@
       { "redwingdock_peer_messages_dropped", static_cast<double>(mPeers.DroppedMessages()) },
       { "redwingdock_peer_envelopes_refused", static_cast<double>(mPeers.RefusedEnvelopes()) },
       { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
-      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) } });
+      { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) },
+      { "redwingdock_clients_given_up", static_cast<double>(mMemory.GivenUp()) },
+      { "redwingdock_connections_closed_for_room",
+        static_cast<double>(mCallerServer.ClosedForRoom() + mOperatorServer.ClosedForRoom()) } });
 }
 
 } // namespace redwingdock
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -552,6 +552,9 @@
       { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) },
       { "redwingdock_clients_given_up", static_cast<double>(mMemory.GivenUp()) },
+      { "redwingdock_connections_closed_for_room",
+        static_cast<double>(mCallerServer.ClosedForRoom() + mReadinessServer.ClosedForRoom() +
+                            mAddressServer.ClosedForRoom() + mMetricsServer.ClosedForRoom()) },
       { "redwingdock_memory_reading_bytes", MemoryUsed(memory_use::Reading) },
       { "redwingdock_memory_open_bytes", MemoryUsed(memory_use::Open) },
       { "redwingdock_memory_replies_bytes", MemoryUsed(memory_use::Replies) } });
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -43,7 +43,7 @@
   EXPECT_EQ(settings->mCore.mForward.mDisturbanceTime, std::chrono::seconds(6));
   EXPECT_EQ(settings->mStore, "10.200.1.7:8102");
   EXPECT_EQ(settings->mWorkers, 1U);
-  EXPECT_EQ(settings->mLimits, (process_limits{ 781 * 512 * 1024, 6150 }));
+  EXPECT_EQ(settings->mLimits, (process_limits{ std::size_t{ 781 } * 512 * 1024, 6150 }));
 }
 
 struct stop_row
--- a/tests/process/client_crowd_test.cc
+++ b/tests/process/client_crowd_test.cc
@@ -522,6 +522,10 @@
   }
   WaitUntilQuiet([&tested] { return tested.Runs(); }, clients);
   tested.ExpectServing(row.mGuardsAgainst);
+  const std::string metrics = SendRequest(tested.Metrics(), "GET", "/metrics");
+  EXPECT_NE(metrics.find("\nredwingdock_connections_closed_for_room "), std::string::npos);
+  EXPECT_EQ(metrics.find("\nredwingdock_connections_closed_for_room 0\n"), std::string::npos)
+    << "the metrics do not show the crowd";
 }
 
 INSTANTIATE_TEST_SUITE_P(
@@ -719,7 +723,7 @@
                                      &record_search_deployment::Callers,
                                      kDescriptors,
                                      1000,
-                                     Post("/v1/query", 64 * 1024, 60 * kKilobyte) },
+                                     Post("/v1/query", 64 * kKilobyte, 60 * kKilobyte) },
                   record_search_row{ "PipelinedBehindUnreadReplies",
                                      "requests are begun behind replies that nobody reads",
                                      &record_search_deployment::Operators,
