Free what a closing connection has read

The bytes of a rejected or refused request stayed in its connection until the client closed, up to a second later, and counted against the requests of others; connections that only wait for their clients to close were closed first to make room, which can cut the last reply.

client_memory.FreesWhatARejectedRequestSent fails without the change.

--- a/src/daemon/client_memory_test.cc
+++ b/src/daemon/client_memory_test.cc
@@ -167,5 +167,21 @@
                                 kLong,
                                 kLong }));
 
+// Guards against bytes of a rejected request that stay until its client closes, and count against
+// the requests of others.
+TEST(client_memory, FreesWhatARejectedRequestSent)
+{
+  io_loop loop(2);
+  limited_server tested(loop);
+  loop.Start();
+  blocking_socket client(tested.mAddress);
+  client.Send("POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" +
+              std::string(65'536, 'x') + "\r\nno chunk\r\n");
+  EXPECT_EQ(ParseStatus(client.ReadReply()), 400U);
+  EXPECT_EQ(tested.mServer.Connections(), 1U);
+  EXPECT_EQ(tested.mMemory.Budget(memory_use::Reading)->Used(), 0U);
+  loop.Stop();
+}
+
 } // namespace
 } // namespace redwingdock
--- a/src/daemon/http_server.cc
+++ b/src/daemon/http_server.cc
@@ -68,6 +68,9 @@
 {
   mClosing = true;
   mConnection->CloseAfterSend(aReason);
+  // Nothing more is read. What was read would stay until the client closes.
+  mReader = http_reader(http_side::Server, {});
+  Count();
 }
 
 bool http_server::session::IsIdle() const
@@ -98,7 +101,7 @@
   if (mRequestId != 0) {
     return connection_use::Open;
   }
-  if (mConnection->UnsentBytes() > 0) {
+  if (mClosing || mConnection->UnsentBytes() > 0) {
     return connection_use::Sending;
   }
   if (!mUsed) {
@@ -109,16 +112,15 @@
 
 void http_server::session::GiveUpReading(const http_read_limits& aLimits)
 {
-  const bool partlyRead = IsPartlyRead() && !IsBusy();
-  mReader = http_reader(http_side::Server, aLimits);
   if (mRequestId != 0) {
+    mReader = http_reader(http_side::Server, aLimits);
     // Nothing of what follows was read, as the reply to the open request tells by its end.
     mKeepAlive = false;
     mIgnoresInput = true;
     mConnection->PauseReading();
     return;
   }
-  if (partlyRead) {
+  if (IsPartlyRead() && !IsBusy()) {
     SendReply(FormatReply(kNoRoom, false));
   }
   CloseAfterSend("no memory for requests");
