Start the probes of the test of a planned stop independently

The test sends it when a probe is refused, and a probe began when the one before it was open. While a listener closes, the kernel drops the first packet of new connections; that probe is refused a second later, when the daemon has ended.

Now a probe starts every 20 ms.

--- a/src/platform/edge_daemon_test.cc
+++ b/src/platform/edge_daemon_test.cc
@@ -498,17 +498,22 @@
   const auto fresh = Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(hooks));
   // A stopping daemon closes a connection after its first reply. The request of the new connection
   // is sent when the daemon no longer accepts connections, which shows that it has closed the idle
-  // ones.
-  const std::function<void()> probe = [&fixture, fresh, &probe] {
+  // ones. Probes do not wait for each other: one whose first packet is dropped while the listener
+  // closes is refused only a second later, when the daemon has ended.
+  std::atomic<bool> refused{ false };
+  const std::function<void()> probe = [&fixture, fresh, &probe, &refused] {
+    if (refused) {
+      return;
+    }
     tcp_hooks probeHooks;
-    probeHooks.mOnClosed = [fresh](const tcp_close_info& aInfo) {
-      if (aInfo.mDescription.starts_with("connect")) {
+    probeHooks.mOnClosed = [fresh, &refused](const tcp_close_info& aInfo) {
+      if (aInfo.mDescription.starts_with("connect") && !refused.exchange(true)) {
         fresh->Send(EdgeRequest("/p/x"));
       }
     };
-    probeHooks.mOnOpen = [&fixture, &probe] { fixture.mLoop.After(milliseconds(20), probe); };
     fixture.mProbes.push_back(
       Connect(fixture.mLoop, fixture.mBound.mCallers, seconds(1), std::move(probeHooks)));
+    fixture.mLoop.After(milliseconds(20), probe);
   };
   fixture.mLoop.Post(probe);
   EXPECT_EQ(done->get_future().get().mStatus, 200U);
