--- a/src/daemon/client_memory.cc
+++ b/src/daemon/client_memory.cc
@@ -9,7 +9,8 @@
 
 namespace {
 
-// Memory of a process without clients: at most 21 MB in the users' largest deployment.
+// Left to a process without clients: a daemon takes 3 MB on a quiet day of the users, and its state
+// at the target size is projected to 10 MB (docs/CAPACITY.md, section 4).
 constexpr std::size_t kOwnMemory = std::size_t{ 24 } * 1024 * 1024;
 // Of a VM with less memory than that.
 constexpr std::size_t kMinClientMemory = std::size_t{ 4 } * 1024 * 1024;
