Name the history of the store that a revision belongs to

A position is now an era and a revision; the adapter reads the era from the header Store-Era and takes a missing or malformed one as not stated. The lines listed, store_lost and copy_behind name the era, the new line history_changed and the counter follow.history_changes tell that an answer did not continue the history of the copy, three gauges show the copy, and heartbeats carry the era in an optional field. No decision changes.

noticed_test: a return of the store from a copy is counted once, whether a listing, a watch or a check finds it; one without any loss and without eras is not.

--- a/src/codec/heartbeat_json.cc
+++ b/src/codec/heartbeat_json.cc
@@ -91,8 +91,11 @@
     object.emplace("crashes", std::move(crashes));
   }
   if (aHeartbeat.mStore.mConfirmations > 0) {
-    object.emplace("store",
-                   json::array{ aHeartbeat.mStore.mRevision, aHeartbeat.mStore.mConfirmations });
+    object.emplace(
+      "store", json::array{ aHeartbeat.mStore.mAsOf.mRevision, aHeartbeat.mStore.mConfirmations });
+    if (aHeartbeat.mStore.mAsOf.mEra > 0) {
+      object.emplace("store_era", aHeartbeat.mStore.mAsOf.mEra);
+    }
   }
   return json::serialize(object);
 }
@@ -161,7 +164,10 @@
   }
   if (reader.Has(root, "store")) {
     const detail::array_reader fields(reader, root.at("store"), "store", 2);
-    parsed.mStore = { fields.Integer(0, kMaxInteger), fields.Integer(1, kMaxInteger) };
+    parsed.mStore = { { 0, fields.Integer(0, kMaxInteger) }, fields.Integer(1, kMaxInteger) };
+  }
+  if (reader.Has(root, "store_era")) {
+    parsed.mStore.mAsOf.mEra = reader.Integer(root, "store_era", 0, kMaxInteger);
   }
   if (reader.Error()) {
     return Failure<heartbeat>("parse heartbeat", parsed.mSender.mVm, *reader.Error());
--- a/src/codec/heartbeat_json_test.cc
+++ b/src/codec/heartbeat_json_test.cc
@@ -13,7 +13,7 @@
       std::chrono::milliseconds(1250) } },
   { { "search", std::chrono::milliseconds(800), std::chrono::seconds(60) } },
   { { 18446744073709551614U, "i-1", 1775133628007, std::chrono::milliseconds(59999) } },
-  { 812, 33 }
+  { { 3, 812 }, 33 }
 };
 
 TEST(heartbeat_json, ReadsWhatItWrites)
@@ -47,21 +47,23 @@
 INSTANTIATE_TEST_SUITE_P(
   cases,
   malformed_test,
-  testing::Values(malformed_row{ "a body that is not an object", "{", "[" },
-                  malformed_row{ "a missing sender", "\"vm\"", "\"no\"" },
-                  malformed_row{ "a peer that is not a string", "\"10.2.0.9:7380\"", "7" },
-                  malformed_row{ "a fingerprint that is not a number", "7]", "\"7\"]" },
-                  malformed_row{ "a flag of another type", "true", "1" },
-                  malformed_row{ "a member without age", ",1250]", "]" },
-                  malformed_row{ "a member whose age is negative", "1250", "-1" },
-                  malformed_row{ "a member whose age overflows", "1250", "9223372036854775807" },
-                  malformed_row{ "a member that is not an array", "[\"vm-2\"", "{},[\"vm-2\"" },
-                  malformed_row{ "a member's flag of another type", "false", "0" },
-                  malformed_row{ "fewer times than refusals", "[59000,1]", "[59000]" },
-                  malformed_row{ "a timeout that is not a number", "800", "\"800\"" },
-                  malformed_row{ "a revision of the store that is negative", "[812,", "[-812," },
-                  malformed_row{ "a crash without its time", ",59999]", "]" },
-                  malformed_row{ "a crash of a replica without id", "\"i-1\"", "\"\"" }));
+  testing::Values(
+    malformed_row{ "a body that is not an object", "{", "[" },
+    malformed_row{ "a missing sender", "\"vm\"", "\"no\"" },
+    malformed_row{ "a peer that is not a string", "\"10.2.0.9:7380\"", "7" },
+    malformed_row{ "a fingerprint that is not a number", "7]", "\"7\"]" },
+    malformed_row{ "a flag of another type", "true", "1" },
+    malformed_row{ "a member without age", ",1250]", "]" },
+    malformed_row{ "a member whose age is negative", "1250", "-1" },
+    malformed_row{ "a member whose age overflows", "1250", "9223372036854775807" },
+    malformed_row{ "a member that is not an array", "[\"vm-2\"", "{},[\"vm-2\"" },
+    malformed_row{ "a member's flag of another type", "false", "0" },
+    malformed_row{ "fewer times than refusals", "[59000,1]", "[59000]" },
+    malformed_row{ "a timeout that is not a number", "800", "\"800\"" },
+    malformed_row{ "a revision of the store that is negative", "[812,", "[-812," },
+    malformed_row{ "an era of the store that is negative", "\"store_era\":3", "\"store_era\":-3" },
+    malformed_row{ "a crash without its time", ",59999]", "]" },
+    malformed_row{ "a crash of a replica without id", "\"i-1\"", "\"\"" }));
 
 TEST(heartbeat_json, ReadsHeartbeatsOfEarlierVersions)
 {
@@ -71,6 +73,7 @@
                    R"("zone":"z","serving":true,"interval_us":400000,"peers":[],"refused":[7]})");
   ASSERT_TRUE(parsed) << Describe(parsed.mReason);
   EXPECT_EQ(parsed->mSender.mBeat, 0U);
+  EXPECT_EQ(parsed->mStore, store_copy{});
   ASSERT_EQ(parsed->mRefused.size(), 1U);
   EXPECT_GT(parsed->mRefused.front().mTimeLeft, micros(0));
 }
--- a/src/core/fleet.h
+++ b/src/core/fleet.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_CORE_FLEET_H
 
 #include "base/time.h"
+#include "core/store_position.h"
 
 #include <compare>
 #include <cstdint>
@@ -74,9 +75,9 @@
 // How current a daemon's copy of the store is.
 struct store_copy
 {
-  std::uint64_t mRevision = 0;
-  // Increases with each answer of the store that showed nothing newer than mRevision. 0 when the
-  // daemon does not state it.
+  store_position mAsOf{};
+  // Increases with each answer of the store that showed nothing newer than mAsOf. 0 when the daemon
+  // does not state it.
   std::uint64_t mConfirmations = 0;
 
   auto operator<=>(const store_copy&) const = default;
--- a/src/core/store.h
+++ b/src/core/store.h
@@ -3,6 +3,7 @@
 
 #include "base/reason.h"
 #include "core/catalog.h"
+#include "core/store_position.h"
 
 #include <optional>
 #include <variant>
@@ -54,8 +55,8 @@
 {
   std::uint64_t mReadNumber = 0;
   std::vector<store_item_pointer> mItems;
-  bool mMore = false;      // whether further pages follow
-  std::uint64_t mAsOf = 0; // revision of the store
+  bool mMore = false;     // whether further pages follow
+  store_position mAsOf{}; // of the store
 
   auto operator<=>(const store_page_read&) const = default;
 };
@@ -65,7 +66,7 @@
 {
   std::uint64_t mReadNumber = 0;
   std::vector<store_item_pointer> mItems;
-  std::uint64_t mAsOf = 0;
+  store_position mAsOf{};
 
   auto operator<=>(const store_changes_read&) const = default;
 };
@@ -90,8 +91,8 @@
 struct store_checked
 {
   std::uint64_t mCheckNumber = 0;
-  std::optional<std::uint64_t> mAsOf; // revision of the store; nullopt when it was not reached
-  reason mReason;                     // otherwise
+  std::optional<store_position> mAsOf; // of the store; nullopt when it was not reached
+  reason mReason;                      // otherwise
 
   auto operator<=>(const store_checked&) const = default;
 };
@@ -119,7 +120,7 @@
   auto operator<=>(const watch_store&) const = default;
 };
 
-// Command: read the revision of the store on a new connection, while a watch waits.
+// Command: read the position of the store on a new connection, while a watch waits.
 struct check_store
 {
   std::uint64_t mCheckNumber = 0;
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -51,22 +51,22 @@
   auto operator<=>(const check_due&) const = default;
 };
 
-// Another daemon's copy has this revision. With mConfirmedAt, the store had nothing newer at that
+// Another daemon's copy is at this position. With mConfirmedAt, the store had nothing newer at that
 // time. Key: kStoreKey.
 struct peer_copy_received
 {
   std::string mVm;
-  std::uint64_t mRevision = 0;
+  store_position mAsOf{};
   instant mConfirmedAt{};
 
   auto operator<=>(const peer_copy_received&) const = default;
 };
 
-// Timer: the read should have returned the revision by now.
+// Timer: the read should have reached the position by now.
 struct behind_due
 {
-  std::string mVm; // that has the revision
-  std::uint64_t mRevision = 0;
+  std::string mVm; // that is there
+  store_position mAsOf{};
   std::uint64_t mReadNumber = 0;
 
   auto operator<=>(const behind_due&) const = default;
@@ -84,6 +84,11 @@
   return items ? items->mItems : item_map{};
 }
 
+std::string AsOfText(const store_position& aPosition)
+{
+  return " as_of=" + std::to_string(aPosition.mRevision) + " era=" + std::to_string(aPosition.mEra);
+}
+
 bool IsWatching(const follow_state& aState)
 {
   return aState.mReading && aState.mPhase == follow_phase::Watching;
@@ -122,7 +127,8 @@
   if (aState.mPhase == follow_phase::Listing) {
     aContext.Emit(read_store_page{ aState.mReadNumber, aState.mAfter, onNewConnection });
   } else {
-    aContext.Emit(watch_store{ aState.mReadNumber, aState.mAsOf, kWatchWait, onNewConnection });
+    aContext.Emit(
+      watch_store{ aState.mReadNumber, aState.mAsOf.mRevision, kWatchWait, onNewConnection });
   }
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
@@ -157,8 +163,27 @@
   return aState;
 }
 
+// Logs that an answer of the store does not continue the history of the copy: it states another
+// era, or a lower revision although the store answers in order.
+void LogHistory(core_context& aContext,
+                const store_position& aKnown,
+                const store_position& aAnswered,
+                const char* aSource)
+{
+  const bool isFirst = aKnown == store_position{};
+  if (isFirst || (aKnown.mEra == aAnswered.mEra && aKnown.mRevision <= aAnswered.mRevision)) {
+    return;
+  }
+  aContext.Count("follow.history_changes");
+  aContext.Log("follow",
+               "event=history_changed" + AsOfText(aKnown) +
+                 " store=" + std::to_string(aAnswered.mRevision) +
+                 " store_era=" + std::to_string(aAnswered.mEra) + " source=" + aSource,
+               log_level::Warning);
+}
+
 // The store answered a read: it had nothing newer than aAsOf.
-follow_state WithAnswer(core_context& aContext, follow_state aState, std::uint64_t aAsOf)
+follow_state WithAnswer(core_context& aContext, follow_state aState, const store_position& aAsOf)
 {
   if (aState.mFailures > 0) {
     aState = WithStoreRegained(aContext, std::move(aState));
@@ -209,6 +234,7 @@
   // Pages are read at different revisions. The watch starts at the revision of the first page, so
   // that it repeats the changes made between pages.
   if (state.mAfter.empty()) {
+    LogHistory(aContext, state.mAsOf, aFact.mAsOf, "listing");
     state = WithAnswer(aContext, std::move(state), aFact.mAsOf);
     state.mListedItems.clear();
   }
@@ -235,7 +261,7 @@
   }
   aContext.Log("follow",
                "event=listed items=" + std::to_string(items.size()) +
-                 " gone=" + std::to_string(gone.size()) + " as_of=" + std::to_string(state.mAsOf));
+                 " gone=" + std::to_string(gone.size()) + AsOfText(state.mAsOf));
   state.mListedItems.clear();
   state.mAfter.clear();
   state.mPhase = follow_phase::Watching;
@@ -259,7 +285,9 @@
   if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Watching) {
     return;
   }
-  const std::uint64_t asOf = std::max(state.mAsOf, aFact.mAsOf);
+  LogHistory(aContext, state.mAsOf, aFact.mAsOf, "watch");
+  const store_position asOf{ aFact.mAsOf.mEra,
+                             std::max(state.mAsOf.mRevision, aFact.mAsOf.mRevision) };
   state = WithAnswer(aContext, std::move(state), asOf);
   if (!aFact.mItems.empty()) {
     item_map items = ItemsOf(aContext);
@@ -290,7 +318,7 @@
   const auto config = aContext.ForwardConfig();
   if (aState.mFailures == 0) {
     aContext.Log("follow",
-                 "event=store_lost as_of=" + std::to_string(aState.mAsOf) +
+                 "event=store_lost" + AsOfText(aState.mAsOf) +
                    " unconfirmed_ms=" + MsText(aContext.Now() - aState.mConfirmedAt) +
                    " reason=\"" + Describe(aFact.mReason) + "\"",
                  log_level::Warning);
@@ -334,7 +362,7 @@
   }
 }
 
-// Reads the revision of the store when the copy has not been confirmed for some time: the watch may
+// Reads the position of the store when the copy has not been confirmed for some time: the watch may
 // wait on a connection that no longer delivers data.
 void OnCheckDue(core_context& aContext)
 {
@@ -343,6 +371,7 @@
   if (IsWatching(state) && aContext.Now() - confirmedAt >= state.mCheckAge) {
     aContext.Count("follow.checks");
     aContext.Emit(check_store{ ++state.mCheckNumber });
+    state.mCheckedFrom = state.mAsOf;
     ForgetSilentPeers(aContext);
     confirmedAt = aContext.Now(); // if the check succeeds
   }
@@ -352,13 +381,14 @@
 
 void LogBehind(core_context& aContext,
                const follow_state& aState,
-               std::uint64_t aRevision,
+               const store_position& aStore,
                const std::string& aSource)
 {
   aContext.Count("follow.behind");
   aContext.Log("follow",
-               "event=copy_behind as_of=" + std::to_string(aState.mAsOf) +
-                 " store=" + std::to_string(aRevision) + " source=" + aSource +
+               "event=copy_behind" + AsOfText(aState.mAsOf) +
+                 " store=" + std::to_string(aStore.mRevision) +
+                 " store_era=" + std::to_string(aStore.mEra) + " source=" + aSource +
                  " watch_open_ms=" + MsText(aContext.Now() - aState.mReadStartedAt),
                log_level::Warning);
 }
@@ -377,7 +407,8 @@
       aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
     return;
   }
-  if (*aFact.mAsOf > state.mAsOf) {
+  LogHistory(aContext, state.mCheckedFrom, *aFact.mAsOf, "check");
+  if (aFact.mAsOf->mRevision > state.mAsOf.mRevision) {
     LogBehind(aContext, state, *aFact.mAsOf, "check");
     ListAgain(aContext, std::move(state));
     return;
@@ -390,16 +421,16 @@
 void OnPeerCopy(core_context& aContext, const peer_copy_received& aFact)
 {
   follow_state state = StateOf(aContext);
-  if (aFact.mRevision == state.mAsOf && aFact.mConfirmedAt > state.mConfirmedAt) {
+  if (aFact.mAsOf.mRevision == state.mAsOf.mRevision && aFact.mConfirmedAt > state.mConfirmedAt) {
     state.mConfirmedAt = aFact.mConfirmedAt;
     aContext.mBoard.Write(kStoreKey, std::move(state));
     return;
   }
-  if (aFact.mRevision > state.mAsOf && IsWatching(state) &&
+  if (aFact.mAsOf.mRevision > state.mAsOf.mRevision && IsWatching(state) &&
       state.mBehindRead != state.mReadNumber) {
     state.mBehindRead = state.mReadNumber;
     aContext.After(
-      kBehindDelay, kStoreKey, behind_due{ aFact.mVm, aFact.mRevision, state.mReadNumber });
+      kBehindDelay, kStoreKey, behind_due{ aFact.mVm, aFact.mAsOf, state.mReadNumber });
     aContext.mBoard.Write(kStoreKey, std::move(state));
   }
 }
@@ -408,8 +439,8 @@
 {
   follow_state state = StateOf(aContext);
   if (IsWatching(state) && state.mReadNumber == aFact.mReadNumber &&
-      state.mAsOf < aFact.mRevision) {
-    LogBehind(aContext, state, aFact.mRevision, aFact.mVm);
+      state.mAsOf.mRevision < aFact.mAsOf.mRevision) {
+    LogBehind(aContext, state, aFact.mAsOf, aFact.mVm);
     ListAgain(aContext, std::move(state));
   }
 }
@@ -430,10 +461,9 @@
   }
   const bool confirmed = sameStart && before->mCopy.mConfirmations < received.mCopy.mConfirmations;
   aContext.mBoard.Write(PeerCopyKey(vm), received);
-  aContext.mBoard.Post(kStoreKey,
-                       peer_copy_received{ vm,
-                                           received.mCopy.mRevision,
-                                           confirmed ? before->mReceivedAt : instant{} });
+  aContext.mBoard.Post(
+    kStoreKey,
+    peer_copy_received{ vm, received.mCopy.mAsOf, confirmed ? before->mReceivedAt : instant{} });
 }
 
 void OnReadDue(core_context& aContext, const read_due& aFact)
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -509,7 +509,7 @@
   const auto copy = rig.Board().Read<follow_state>(kStoreKey);
   ASSERT_TRUE(copy);
   for (std::uint64_t i = 1; i <= 50; ++i) {
-    rig.Post(heartbeat_received{ GetParam().mHeartbeat(copy->mAsOf, i) });
+    rig.Post(heartbeat_received{ GetParam().mHeartbeat(copy->mAsOf.mRevision, i) });
     rig.RunFor(milliseconds(400));
   }
   EXPECT_GE(rig.mChecks, GetParam().mMinChecks) << GetParam().mGuardsAgainst;
@@ -523,19 +523,19 @@
   ::testing::Values(
     shared_check_row{ "each daemon checks the store although another one just did",
                       [](std::uint64_t aRevision, std::uint64_t aInterval) {
-                        return CopyOf("vm-2", { aRevision, aInterval });
+                        return CopyOf("vm-2", { { 0, aRevision }, aInterval });
                       },
                       0,
                       0 },
     shared_check_row{ "a daemon that hears nothing from the store confirms the copies of others",
                       [](std::uint64_t aRevision, std::uint64_t) {
-                        return CopyOf("vm-2", { aRevision, 3 });
+                        return CopyOf("vm-2", { { 0, aRevision }, 3 });
                       },
                       6,
                       11 },
     shared_check_row{ "a copy of another revision confirms this one",
                       [](std::uint64_t aRevision, std::uint64_t aInterval) {
-                        return CopyOf("vm-2", { aRevision - 1, aInterval });
+                        return CopyOf("vm-2", { { 0, aRevision - 1 }, aInterval });
                       },
                       6,
                       11 },
@@ -545,7 +545,7 @@
                       11 },
     shared_check_row{ "a daemon that restarts again and again confirms copies",
                       [](std::uint64_t aRevision, std::uint64_t aInterval) {
-                        heartbeat sent = CopyOf("vm-2", { aRevision, aInterval });
+                        heartbeat sent = CopyOf("vm-2", { { 0, aRevision }, aInterval });
                         sent.mSender.mIncarnation = aInterval;
                         return sent;
                       },
@@ -561,10 +561,96 @@
   rig.SilenceWatch();
   rig.Publish(ConfigurationItem(9, { PlainRoute("a", true) }));
   const auto copy = rig.Board().Read<follow_state>(kStoreKey);
-  rig.Post(heartbeat_received{ CopyOf("vm-2", { copy->mAsOf + 1, 9 }) });
+  rig.Post(heartbeat_received{ CopyOf("vm-2", { { 0, copy->mAsOf.mRevision + 1 }, 9 }) });
   rig.RunFor(milliseconds(600));
   EXPECT_EQ(VersionOf(rig), 9U);
 }
 
+std::uint64_t Counted(const forwarding_rig& aRig, const std::string& aName)
+{
+  const auto found = aRig.Board().Read<counter>(aName);
+  return found ? found->mCount : 0;
+}
+
+struct noticed_row
+{
+  const char* mGuardsAgainst;
+  bool mStatesEra;
+  int mLost; // changes since the copy, which are gone
+  std::function<void(forwarding_rig&)> mAfterwards;
+  std::uint64_t mNoticed;
+};
+
+class noticed_test : public ::testing::TestWithParam<noticed_row>
+{};
+
+// The store returns from a copy while a watch waits.
+TEST_P(noticed_test, ANewHistoryIsCounted)
+{
+  rig_options options;
+  options.mStoreStatesEra = GetParam().mStatesEra;
+  forwarding_rig rig(options);
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", true) }));
+  rig.RunFor(seconds(1));
+  rig.TakeCopy();
+  for (int i = 0; i < GetParam().mLost; ++i) {
+    PublishOther(rig);
+    rig.RunFor(milliseconds(300));
+  }
+  rig.RunFor(seconds(1));
+  rig.Restore();
+  GetParam().mAfterwards(rig);
+  EXPECT_EQ(Counted(rig, "follow.history_changes"), GetParam().mNoticed)
+    << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  noticed_test,
+  ::testing::Values(
+    noticed_row{ "a listing of a new era is not told from one of the old history",
+                 true,
+                 0,
+                 [](forwarding_rig& aRig) {
+                   aRig.FailWatch();
+                   aRig.RunFor(seconds(1));
+                 },
+                 1 },
+    noticed_row{ "a listing with a lower revision is not told from one of the old history",
+                 false,
+                 3,
+                 [](forwarding_rig& aRig) {
+                   aRig.FailWatch();
+                   aRig.RunFor(seconds(1));
+                 },
+                 1 },
+    noticed_row{ "changes of a new era are not told from those of the old history",
+                 true,
+                 0,
+                 [](forwarding_rig& aRig) {
+                   PublishOther(aRig);
+                   aRig.RunFor(milliseconds(200));
+                 },
+                 1 },
+    noticed_row{ "a check that finds a new era confirms the copy without a word",
+                 true,
+                 3,
+                 [](forwarding_rig& aRig) {
+                   const int before = aRig.mChecks;
+                   while (aRig.mChecks == before) {
+                     aRig.RunFor(milliseconds(10));
+                   }
+                   aRig.RunFor(milliseconds(100));
+                 },
+                 1 },
+    noticed_row{ "a return without any loss counts as a new history when no era is stated",
+                 false,
+                 0,
+                 [](forwarding_rig& aRig) {
+                   aRig.FailWatch();
+                   aRig.RunFor(seconds(5));
+                 },
+                 0 }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -36,7 +36,7 @@
   bool mReading = false;         // the current read has been sent and not answered
   item_map mListedItems;         // items of the pages read so far
   std::string mAfter;            // key after which the next page begins
-  std::uint64_t mAsOf = 0;       // the watch continues from this revision
+  store_position mAsOf{};        // the watch continues from this position
   instant mReadStartedAt{};      // start of the current read
   micros mReadPause{ 0 };        // before the next read, after the latest changes
   std::uint32_t mFailures = 0;   // consecutive failed reads
@@ -46,6 +46,7 @@
   std::uint64_t mConfirmations = 0; // answers of the store to this daemon
   micros mCheckAge{ 0 };            // age of the confirmation at which the copy is checked
   std::uint64_t mCheckNumber = 0;   // of the latest check
+  store_position mCheckedFrom{};    // mAsOf when it was sent
   std::uint64_t mBehindRead = 0;    // read during which another daemon had a newer copy
   instant mDelayDeletionsUntil{};   // deletions read before this time take effect then
   std::map<std::string, instant>
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -4,6 +4,7 @@
 #include "codec/heartbeat_json.h"
 #include "daemon/logging.h"
 #include "daemon/port_check.h"
+#include "follow/follow_state.h"
 #include "platform/protocol_names.h"
 #include "platform/request_codec.h"
 #include "platform/stop_report.h"
@@ -541,6 +542,8 @@
 
 std::string edge_daemon::MetricsText() const
 {
+  const auto stored = Core().Board().Read<follow_state>(kStoreKey);
+  const follow_state copy = stored ? *stored : follow_state{};
   return mMetrics.ExpositionText(
     Core().Board(),
     { { "redwingdock_caller_connections", static_cast<double>(mCallerServer.Connections()) },
@@ -555,6 +558,10 @@
       { "redwingdock_connections_closed_for_room",
         static_cast<double>(mCallerServer.ClosedForRoom() + mReadinessServer.ClosedForRoom() +
                             mAddressServer.ClosedForRoom() + mMetricsServer.ClosedForRoom()) },
+      { "redwingdock_store_era", static_cast<double>(copy.mAsOf.mEra) },
+      { "redwingdock_store_revision", static_cast<double>(copy.mAsOf.mRevision) },
+      { "redwingdock_store_unconfirmed_ms",
+        static_cast<double>(ToMs(SteadyNow() - copy.mConfirmedAt)) },
       { "redwingdock_memory_reading_bytes", MemoryUsed(memory_use::Reading) },
       { "redwingdock_memory_open_bytes", MemoryUsed(memory_use::Open) },
       { "redwingdock_memory_replies_bytes", MemoryUsed(memory_use::Replies) } });
--- a/src/platform/protocol_names.h
+++ b/src/platform/protocol_names.h
@@ -19,6 +19,8 @@
 inline constexpr char kRetryAfterHeader[] = "Retry-After"; // seconds, may be fractional
 // If "1", the replica is about to end and takes no new requests.
 inline constexpr char kServerLeavingHeader[] = "Server-Leaving";
+// Era of the store's history, in each of its answers; increases by one when it returns from a copy.
+inline constexpr char kStoreEraHeader[] = "Store-Era";
 
 // Paths that this daemon serves.
 inline constexpr char kReadinessPath[] = "/readiness";
--- a/src/platform/store_client.cc
+++ b/src/platform/store_client.cc
@@ -47,6 +47,7 @@
     return failed;
   }
   (*decoded).mReadNumber = aCommand.mReadNumber;
+  (*decoded).mAsOf.mEra = DecodeEra(aResult.mReply.Find(kStoreEraHeader));
   return std::move(*decoded);
 }
 
--- a/src/platform/store_client_test.cc
+++ b/src/platform/store_client_test.cc
@@ -96,7 +96,7 @@
   std::string mRequestLine;
   std::string mReply;
   std::size_t mItems;
-  std::uint64_t mAsOf;
+  store_position mAsOf;
   bool mMore;
 };
 
@@ -134,21 +134,21 @@
               "GET /kv-range?prefix= HTTP/1.1",
               Reply("200 OK", R"({"items":[)" + kItem + R"(],"hasMore":true,"asOf":9})"),
               1,
-              9,
+              { 0, 9 },
               true },
     call_row{ "the second page begins at the first key again",
               ReadPage("servers/i-1"),
               "GET /kv-range?prefix=&after=servers%2Fi-1 HTTP/1.1",
               Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
               0,
-              9,
+              { 0, 9 },
               false },
     call_row{ "a key with special characters breaks the request line",
               ReadPage("a b&c=d%e\xc3\xa9"),
               "GET /kv-range?prefix=&after=a%20b%26c%3Dd%25e%C3%A9 HTTP/1.1",
               Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
               0,
-              9,
+              { 0, 9 },
               false },
     call_row{ "a watch has the wrong revision or wait",
               Watch(12),
@@ -157,21 +157,57 @@
                     R"({"events":[)" + kItem +
                       R"(,{"key":"servers/i-1","revision":5,"deleted":true}],"asOf":5})"),
               2,
-              5,
+              { 0, 5 },
               false },
     call_row{ "a watch that ends without changes counts as a failure",
               Watch(12),
               "GET /kv-watch?prefix=&after=12&waitMs=5000 HTTP/1.1",
               Reply("200 OK", R"({"events":[],"asOf":12})"),
               0,
-              12,
+              { 0, 12 },
+              false },
+    call_row{ "a page does not name its history",
+              ReadPage(""),
+              "GET /kv-range?prefix= HTTP/1.1",
+              Reply("200 OK\r\nStore-Era: 3", R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              { 3, 9 },
+              false },
+    call_row{ "changes do not name their history",
+              Watch(12),
+              "GET /kv-watch?prefix=&after=12&waitMs=5000 HTTP/1.1",
+              Reply("200 OK\r\nstore-era: 3", R"({"events":[],"asOf":12})"),
+              0,
+              { 3, 12 },
+              false },
+    call_row{ "an era that is not a number makes a page unusable",
+              ReadPage(""),
+              "GET /kv-range?prefix= HTTP/1.1",
+              Reply("200 OK\r\nStore-Era: 3a", R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              { 0, 9 },
+              false },
+    call_row{ "an era that is negative wraps around",
+              ReadPage(""),
+              "GET /kv-range?prefix= HTTP/1.1",
+              Reply("200 OK\r\nStore-Era: -1", R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              { 0, 9 },
+              false },
+    call_row{ "an era that no integer holds is taken for a late history",
+              ReadPage(""),
+              "GET /kv-range?prefix= HTTP/1.1",
+              Reply("200 OK\r\nStore-Era: 18446744073709551615",
+                    R"({"items":[],"hasMore":false,"asOf":9})"),
+              0,
+              { 0, 9 },
               false }));
 
 struct check_row
 {
   const char* mGuardsAgainst;
   std::string mReply;
-  std::optional<std::uint64_t> mAsOf;
+  std::optional<store_position> mAsOf;
 };
 
 class check_test : public testing::TestWithParam<check_row>
@@ -196,7 +232,10 @@
   testing::Values(
     check_row{ "the revision is not read",
                Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
-               9 },
+               store_position{ 0, 9 } },
+    check_row{ "the era is not read",
+               Reply("200 OK\r\nStore-Era: 4", R"({"items":[],"hasMore":false,"asOf":9})"),
+               store_position{ 4, 9 } },
     check_row{ "a refusal counts as a revision", Reply("503 Down", ""), std::nullopt },
     check_row{ "a lost reply counts as a revision", "x", std::nullopt },
     check_row{ "a body in an unknown coding counts as a revision",
@@ -206,7 +245,7 @@
     check_row{ "an interim reply counts as a refusal",
                "HTTP/1.1 100 Continue\r\n\r\n" +
                  Reply("200 OK", R"({"items":[],"hasMore":false,"asOf":9})"),
-               9 }));
+               store_position{ 0, 9 } }));
 
 // A server that answers the first request of each connection and then nothing more on it.
 class once_server
--- a/src/platform/store_codec.cc
+++ b/src/platform/store_codec.cc
@@ -406,6 +406,13 @@
   return Unreadable("parse item", "the key has no known prefix");
 }
 
+std::uint64_t DecodeEra(const std::string* aHeader)
+{
+  // As for the other integers of the store.
+  constexpr std::uint64_t kMaxEra = 9'000'000'000'000'000;
+  return aHeader != nullptr ? ParseInteger(*aHeader, 1, kMaxEra).value_or(0) : 0;
+}
+
 result<store_page_read> DecodePage(std::string_view aBody)
 {
   result<item_list> list = ReadItemList(aBody, "items");
@@ -415,7 +422,7 @@
   store_page_read page;
   page.mItems = std::move((*list).mItems);
   page.mMore = list->mMore;
-  page.mAsOf = list->mAsOf;
+  page.mAsOf.mRevision = list->mAsOf;
   return Success(std::move(page));
 }
 
@@ -427,7 +434,7 @@
   }
   store_changes_read changes;
   changes.mItems = std::move((*list).mItems);
-  changes.mAsOf = list->mAsOf;
+  changes.mAsOf.mRevision = list->mAsOf;
   return Success(std::move(changes));
 }
 
--- a/src/platform/store_codec_test.cc
+++ b/src/platform/store_codec_test.cc
@@ -244,7 +244,7 @@
   if (page) {
     EXPECT_EQ(page->mItems.size(), GetParam().mItems) << GetParam().mGuardsAgainst;
     EXPECT_EQ(page->mMore, GetParam().mMore) << GetParam().mGuardsAgainst;
-    EXPECT_EQ(page->mAsOf, 530U);
+    EXPECT_EQ(page->mAsOf.mRevision, 530U);
   }
 }
 
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -83,6 +83,7 @@
 
 forwarding_rig::forwarding_rig(const rig_options& aOptions)
   : mCore(ConfigOf(aOptions), Forwarding(aOptions.mHooks), 8)
+  , mEra(aOptions.mStoreStatesEra ? 1 : 0)
 {
   RunCore();
 }
@@ -92,11 +93,18 @@
   aItem.mRevision = ++mRevision;
   const std::string key = aItem.mKey;
   mItems[key] = std::make_shared<const store_item>(std::move(aItem));
-  if (mPendingWatch) {
+  if (mPendingWatch && mPendingWatch->mAfter < mRevision) {
     Watch(*std::exchange(mPendingWatch, std::nullopt));
   }
 }
 
+void forwarding_rig::Restore()
+{
+  mItems = mCopy.mItems;
+  mRevision = mCopy.mRevision;
+  mEra += mEra > 0 ? 1 : 0;
+}
+
 void forwarding_rig::FailWatch()
 {
   if (mPendingWatch) {
@@ -245,7 +253,7 @@
   ++mListReads;
   store_page_read page;
   page.mReadNumber = aCommand.mReadNumber;
-  page.mAsOf = mRevision;
+  page.mAsOf = Position();
   for (const auto& [key, item] : mItems) {
     if (!std::holds_alternative<deleted_value>(item->mValue)) {
       page.mItems.push_back(item);
@@ -256,7 +264,7 @@
 
 void forwarding_rig::Watch(const watch_store& aCommand)
 {
-  if (mStoreFails || aCommand.mAfter < mHistoryFrom) {
+  if (mStoreFails || aCommand.mAfter < mHistoryFrom || aCommand.mAfter > mRevision) {
     const store_failure failure =
       mStoreFails ? store_failure::Unavailable : store_failure::HistoryGone;
     mEvents.After(kStoreDelay, [this, aCommand, failure] {
@@ -264,13 +272,13 @@
     });
     return;
   }
-  store_changes_read changes{ aCommand.mReadNumber, ChangesAfter(aCommand.mAfter), mRevision };
+  store_changes_read changes{ aCommand.mReadNumber, ChangesAfter(aCommand.mAfter), Position() };
   if (changes.mItems.empty() || mWatchesSuppressed) {
     mPendingWatch = aCommand;
     mEvents.After(aCommand.mWait, [this, read = aCommand.mReadNumber] {
       if (mPendingWatch && mPendingWatch->mReadNumber == read) {
         mPendingWatch.reset();
-        Post(store_changes_read{ read, {}, mRevision });
+        Post(store_changes_read{ read, {}, Position() });
       }
     });
     return;
@@ -283,7 +291,7 @@
   ++mChecks;
   store_checked checked{ aCommand.mCheckNumber };
   if (!mStoreFails) {
-    checked.mAsOf = mRevision;
+    checked.mAsOf = Position();
   }
   mEvents.After(kStoreDelay, [this, checked] { Post(checked); });
 }
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -51,6 +51,7 @@
   forward_hooks mHooks;
   forward_config mForward;
   std::string mZone = "zone-1";
+  bool mStoreStatesEra = false;
 };
 
 // Store items and route rules as the platform publishes them.
@@ -76,6 +77,12 @@
   // The connection of the waiting watch delivers nothing more; later reads work.
   void SilenceWatch();
   void DropHistory() { mHistoryFrom = mRevision + 1; }
+  // Keeps a copy of the store for Restore.
+  void TakeCopy() { mCopy = { mItems, mRevision }; }
+  // The store returns from its copy, with the next era: what was published since is gone, and its
+  // revisions are given out again. A waiting watch waits on; it ends with its wait, or when the
+  // revision passes the one that it waits for.
+  void Restore();
 
   // Sets the action of a replica for its Nth attempt, counted from 0. Without a script the replica
   // answers after 10 ms.
@@ -111,6 +118,12 @@
   std::optional<instant> mStoppedAt;
 
 private:
+  struct store_state
+  {
+    std::map<std::string, store_item_pointer> mItems; // by key, including deletions
+    std::uint64_t mRevision = 0;
+  };
+
   void RunCore();
   void Execute(const command& aCommand);
   void Send(const send_attempt& aCommand);
@@ -118,16 +131,19 @@
   void Read(const read_store_page& aCommand);
   void Watch(const watch_store& aCommand);
   void CheckStore(const check_store& aCommand);
+  store_position Position() const { return { mEra, mRevision }; }
   std::vector<store_item_pointer> ChangesAfter(std::uint64_t aRevision) const;
 
   event_queue mEvents;
   core mCore;
   instant mNextWakeUp = kNever;
+  std::uint64_t mEra = 0; // 0: the store does not state it
   std::uint64_t mRevision = 1;
   std::uint64_t mHistoryFrom = 0;
   bool mStoreFails = false;
   bool mWatchesSuppressed = false;
   std::map<std::string, store_item_pointer> mItems; // by key, including deletions
+  store_state mCopy;
   std::optional<watch_store> mPendingWatch;
   std::map<std::string, std::function<replica_action(int)>> mScripts;
   std::map<std::string, std::function<replica_status()>> mCheckScripts;
