Test that a store that returns from a copy loses and hides nothing

The rig's store keeps a copy, returns from it and gives revisions out again, with or without an era; a waiting watch is cut, waits on or goes silent, or the store is away first. restored_store_test plays 14 losses at 20 moments of the check timer each.

--- /dev/null
+++ b/src/follow/restored_store_test.cc
@@ -0,0 +1,333 @@
+#include "follow/follow_state.h"
+#include "testing/forwarding_rig.h"
+
+#include <algorithm>
+#include <gtest/gtest.h>
+
+// The store returns from a copy of itself that is some seconds old, and gives revisions out again.
+
+namespace redwingdock::testing {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr micros kBound = seconds(3);       // for a change to take effect
+constexpr micros kDisturbance = seconds(4); // after the return, in which the bound does not hold
+constexpr micros kRewrittenAt = seconds(1); // after the return: what was lost is written again
+constexpr micros kNewerAt = milliseconds(1300);
+constexpr micros kStep = milliseconds(10);
+constexpr char kZone[] = "zone-1";
+
+using rig_action = std::function<void(forwarding_rig&)>;
+using rig_check = std::function<bool(const forwarding_rig&)>;
+
+void DoNothing(forwarding_rig&) {}
+
+bool Always(const forwarding_rig&)
+{
+  return true;
+}
+
+rig_action PublishVersion(std::uint64_t aVersion)
+{
+  return [aVersion](forwarding_rig& aRig) {
+    aRig.Publish(ConfigurationItem(aVersion, { PlainRoute("a", true) }));
+  };
+}
+
+rig_action PublishReplica(const std::string& aId, std::uint64_t aSequence, bool aDraining = false)
+{
+  return [=](forwarding_rig& aRig) {
+    store_item item = ReplicaItem(aId, "a", kZone);
+    auto& entry = std::get<replica_entry>(item.mValue);
+    entry.mBornMs = 200;
+    entry.mSequence = aSequence;
+    entry.mDraining = aDraining;
+    aRig.Publish(std::move(item));
+  };
+}
+
+rig_action RemoveReplica(const std::string& aId)
+{
+  return [aId](forwarding_rig& aRig) { aRig.Delete("replicas/" + aId); };
+}
+
+void CloseZone(forwarding_rig& aRig)
+{
+  aRig.Publish({ "operator/" + std::string(kZone), 0, closed_zone{ kZone } });
+}
+
+void OpenZone(forwarding_rig& aRig)
+{
+  aRig.Delete("operator/" + std::string(kZone));
+}
+
+// Raises the revision of the store.
+rig_action PublishOthers(int aCount)
+{
+  return [aCount](forwarding_rig& aRig) {
+    for (int i = 0; i < aCount; ++i) {
+      aRig.Publish({ "operator/other", 0, closed_zone{ "zone-9" } });
+    }
+  };
+}
+
+rig_action InTurn(std::vector<rig_action> aActions)
+{
+  return [actions = std::move(aActions)](forwarding_rig& aRig) {
+    for (const rig_action& each : actions) {
+      each(aRig);
+    }
+  };
+}
+
+rig_check HasVersion(std::uint64_t aVersion)
+{
+  return [aVersion](const forwarding_rig& aRig) {
+    const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+    return known && known->mVersion == aVersion;
+  };
+}
+
+rig_check HasAtLeastVersion(std::uint64_t aVersion)
+{
+  return [aVersion](const forwarding_rig& aRig) {
+    const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+    return known && known->mVersion >= aVersion;
+  };
+}
+
+// Whether requests may be sent to the replica.
+rig_check Uses(const std::string& aId)
+{
+  return [aId](const forwarding_rig& aRig) {
+    const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+    if (!known || !known->mReplicas.contains("a")) {
+      return false;
+    }
+    const auto& replicas = known->mReplicas.at("a");
+    return std::any_of(replicas.begin(), replicas.end(), [&aId](const replica_pointer& aEach) {
+      return aEach->mId == aId && !aEach->mDraining;
+    });
+  };
+}
+
+rig_check UsesNot(const std::string& aId)
+{
+  return [uses = Uses(aId)](const forwarding_rig& aRig) { return !uses(aRig); };
+}
+
+bool IsZoneClosed(const forwarding_rig& aRig)
+{
+  const auto known = aRig.Board().Read<catalog>(kCatalogKey);
+  return known && known->mClosedZones.contains(kZone);
+}
+
+bool IsZoneOpen(const forwarding_rig& aRig)
+{
+  return !IsZoneClosed(aRig);
+}
+
+// How the store returns.
+struct return_case
+{
+  const char* mName;
+  rig_action mBegin; // before it returns
+  micros mAway{ 0 };
+  rig_action mEnd = DoNothing;
+};
+
+const return_case kReturns[] = {
+  { "watch cut", [](forwarding_rig& aRig) { aRig.FailWatch(); } },
+  { "watch waits on", DoNothing },
+  { "connections silent", [](forwarding_rig& aRig) { aRig.SilenceWatch(); } },
+  { "store away",
+    [](forwarding_rig& aRig) {
+      aRig.FailStore(true);
+      aRig.FailWatch();
+    },
+    milliseconds(700),
+    [](forwarding_rig& aRig) { aRig.FailStore(false); } },
+};
+
+struct restored_row
+{
+  const char* mGuardsAgainst;
+  rig_action mBefore;    // the copy has it
+  rig_action mLost;      // written after the copy
+  rig_action mRewritten; // after the return
+  rig_action mNewer;
+  rig_check mHolds; // all the time from the return on
+  rig_check mInEffect;
+  bool mNeedsEra = false; // without eras the store gives no sign of its return
+};
+
+class restored_store_test : public ::testing::TestWithParam<restored_row>
+{};
+
+// Returns what is wrong, or an empty text.
+std::string Play(const restored_row& aRow, const return_case& aReturn, bool aStatesEra, int aMoment)
+{
+  rig_options options;
+  options.mStoreStatesEra = aStatesEra;
+  options.mItemsPerPage = 2;
+  options.mForward.mChangeBound = kBound;
+  options.mForward.mDisturbanceTime = kDisturbance;
+  forwarding_rig rig(options);
+  PublishVersion(7)(rig);
+  aRow.mBefore(rig);
+  rig.RunFor(seconds(1));
+  rig.TakeCopy();
+  aRow.mLost(rig);
+  // The phase of the check timer differs from moment to moment.
+  rig.RunFor(seconds(3) + milliseconds(370 * aMoment % 3000));
+  aReturn.mBegin(rig);
+  rig.RunFor(aReturn.mAway);
+  rig.Restore();
+  aReturn.mEnd(rig);
+  const instant returned = rig.Now();
+  const instant due = returned + std::max(kNewerAt + kBound, kDisturbance);
+  bool rewritten = false;
+  bool newer = false;
+  while (rig.Now() < due) {
+    rig.RunFor(kStep);
+    if (!rewritten && rig.Now() >= returned + kRewrittenAt) {
+      rewritten = true;
+      aRow.mRewritten(rig);
+    }
+    if (!newer && rig.Now() >= returned + kNewerAt) {
+      newer = true;
+      aRow.mNewer(rig);
+    }
+    if (!aRow.mHolds(rig)) {
+      return "lost after " + std::to_string(ToMs(rig.Now() - returned)) + " ms";
+    }
+  }
+  return aRow.mInEffect(rig) ? "" : "not in effect in time";
+}
+
+TEST_P(restored_store_test, LosesNothingKnownAndMissesNothingNew)
+{
+  const restored_row& row = GetParam();
+  for (const return_case& each : kReturns) {
+    for (const bool statesEra : { true, false }) {
+      if (row.mNeedsEra && !statesEra) {
+        continue;
+      }
+      std::string wrong;
+      for (int moment = 0; moment < 20 && wrong.empty(); ++moment) {
+        wrong = Play(row, each, statesEra, moment);
+      }
+      EXPECT_EQ(wrong, "") << row.mGuardsAgainst << "; " << each.mName
+                           << (statesEra ? ", era stated" : ", no era");
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  restored_store_test,
+  ::testing::Values(
+    restored_row{ "a version is missed that comes after those written again",
+                  DoNothing,
+                  InTurn({ PublishOthers(40), PublishVersion(8) }),
+                  PublishVersion(8),
+                  PublishVersion(9),
+                  HasAtLeastVersion(8),
+                  HasVersion(9) },
+    restored_row{ "a version is missed that comes before the lost one is written again",
+                  DoNothing,
+                  InTurn({ PublishOthers(40), PublishVersion(8) }),
+                  PublishVersion(9),
+                  PublishVersion(9),
+                  HasAtLeastVersion(8),
+                  HasVersion(9) },
+    restored_row{ "a version is missed when the counter has passed the known revision",
+                  DoNothing,
+                  PublishOthers(5),
+                  InTurn({ PublishVersion(9), PublishOthers(9) }),
+                  DoNothing,
+                  Always,
+                  HasVersion(9),
+                  true },
+    restored_row{ "a replica that drains after the return gets requests",
+                  PublishReplica("a-1", 1),
+                  InTurn({ PublishReplica("a-1", 2), PublishOthers(40) }),
+                  DoNothing,
+                  PublishReplica("a-1", 3, true),
+                  Always,
+                  UsesNot("a-1") },
+    restored_row{ "a replica that is removed after the return gets requests",
+                  PublishReplica("a-1", 1),
+                  InTurn({ PublishOthers(40), PublishReplica("a-1", 2) }),
+                  DoNothing,
+                  RemoveReplica("a-1"),
+                  Always,
+                  UsesNot("a-1") },
+    restored_row{ "a draining replica gets requests because the copy calls it ready",
+                  PublishReplica("a-1", 1),
+                  InTurn({ PublishReplica("a-1", 2, true), PublishOthers(40) }),
+                  DoNothing,
+                  PublishReplica("a-1", 3, true),
+                  UsesNot("a-1"),
+                  UsesNot("a-1") },
+    restored_row{ "a replica that had left gets requests because the copy has it",
+                  PublishReplica("a-1", 1),
+                  InTurn({ RemoveReplica("a-1"), PublishOthers(40) }),
+                  DoNothing,
+                  DoNothing,
+                  UsesNot("a-1"),
+                  UsesNot("a-1") },
+    restored_row{ "a replica is dropped before it can be written again",
+                  DoNothing,
+                  InTurn({ PublishReplica("a-1", 1), PublishOthers(40) }),
+                  PublishReplica("a-1", 2),
+                  DoNothing,
+                  Uses("a-1"),
+                  Uses("a-1") },
+    restored_row{ "a replica that is not written again is used for ever",
+                  DoNothing,
+                  InTurn({ PublishReplica("a-1", 1), PublishOthers(40) }),
+                  DoNothing,
+                  DoNothing,
+                  Always,
+                  UsesNot("a-1") },
+    restored_row{ "a replica that is new after the return is not used",
+                  DoNothing,
+                  PublishOthers(40),
+                  DoNothing,
+                  PublishReplica("a-1", 1),
+                  Always,
+                  Uses("a-1") },
+    restored_row{ "a zone is used although its evacuation is only being written again",
+                  DoNothing,
+                  InTurn({ CloseZone, PublishOthers(40) }),
+                  CloseZone,
+                  DoNothing,
+                  IsZoneClosed,
+                  IsZoneClosed },
+    restored_row{ "a zone is closed because the copy has an evacuation that was taken back",
+                  CloseZone,
+                  InTurn({ OpenZone, PublishOthers(40) }),
+                  DoNothing,
+                  DoNothing,
+                  IsZoneOpen,
+                  IsZoneOpen },
+    restored_row{ "an evacuation after the return is missed",
+                  CloseZone,
+                  InTurn({ OpenZone, PublishOthers(40) }),
+                  OpenZone,
+                  CloseZone,
+                  Always,
+                  IsZoneClosed },
+    restored_row{ "an evacuation that is taken back after the return stays",
+                  CloseZone,
+                  InTurn({ PublishOthers(40), CloseZone }),
+                  DoNothing,
+                  OpenZone,
+                  Always,
+                  IsZoneOpen }));
+
+} // namespace
+} // namespace redwingdock::testing
--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -83,6 +83,7 @@
 
 forwarding_rig::forwarding_rig(const rig_options& aOptions)
   : mCore(ConfigOf(aOptions), Forwarding(aOptions.mHooks), 8)
+  , mItemsPerPage(aOptions.mItemsPerPage)
   , mEra(aOptions.mStoreStatesEra ? 1 : 0)
 {
   RunCore();
@@ -254,9 +255,13 @@
   store_page_read page;
   page.mReadNumber = aCommand.mReadNumber;
   page.mAsOf = Position();
-  for (const auto& [key, item] : mItems) {
-    if (!std::holds_alternative<deleted_value>(item->mValue)) {
-      page.mItems.push_back(item);
+  for (auto it = mItems.upper_bound(aCommand.mAfter); it != mItems.end() && !page.mMore; ++it) {
+    if (std::holds_alternative<deleted_value>(it->second->mValue)) {
+      continue;
+    }
+    page.mMore = page.mItems.size() == mItemsPerPage;
+    if (!page.mMore) {
+      page.mItems.push_back(it->second);
     }
   }
   mEvents.After(kStoreDelay, [this, page] { Post(page); });
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -52,6 +52,7 @@
   forward_config mForward;
   std::string mZone = "zone-1";
   bool mStoreStatesEra = false;
+  std::size_t mItemsPerPage = 500; // of a listing
 };
 
 // Store items and route rules as the platform publishes them.
@@ -137,6 +138,7 @@
   event_queue mEvents;
   core mCore;
   instant mNextWakeUp = kNever;
+  const std::size_t mItemsPerPage;
   std::uint64_t mEra = 0; // 0: the store does not state it
   std::uint64_t mRevision = 1;
   std::uint64_t mHistoryFrom = 0;
