Follow a store that returns from a copy of itself

Cause: a revision was taken to be newer than another one whatever history it belongs to. When the store returns from a copy, revisions go back and are given out again; the copy kept each item with the higher revision of the history that was gone, watches continued from the larger revision, checks that found a lower one confirmed the copy, and daemons called each other behind.

A position is now an era and a revision. An answer that does not continue the history of the copy (another era, or a lower revision than an earlier answer stated) makes the daemon list everything and take the listing as a whole: revisions of the two histories are never compared. What the new history lacks is held until it could have been written again, and what had left and is in the store's copy is withheld; each hold has an end. The copy changes history only with the last page, so a listing that fails leaves it as it was. Answers of an earlier era are refused. A position of another daemon that a listing did not find is not looked for again.

--- a/src/catalog/catalog_controller.cc
+++ b/src/catalog/catalog_controller.cc
@@ -88,14 +88,6 @@
   return next;
 }
 
-// Whether an entry comes from an earlier start of the replica, or from an earlier state of the same
-// start. Such an entry can arrive late from another process.
-bool IsOlder(const replica_entry& aLeft, const replica_entry& aRight)
-{
-  return aLeft.mBornMs != aRight.mBornMs ? aLeft.mBornMs < aRight.mBornMs
-                                         : aLeft.mSequence < aRight.mSequence;
-}
-
 bool IsUnchanged(const replica_entry& aPublished, const replica_entry& aKnown)
 {
   replica_entry published = aPublished;
@@ -136,8 +128,9 @@
     }
     present.insert(entry->mId);
     const auto old = known.find(entry->mId);
+    // An earlier entry can arrive late from another process, or from a copy of the store.
     if (old != known.end() &&
-        (IsUnchanged(*entry, *old->second) || IsOlder(*entry, *old->second))) {
+        (IsUnchanged(*entry, *old->second) || IsEarlier(*entry, *old->second))) {
       next.mReplicas[old->second->mService].push_back(old->second);
       continue;
     }
--- a/src/core/catalog.h
+++ b/src/core/catalog.h
@@ -105,6 +105,14 @@
   auto operator<=>(const replica_entry&) const = default;
 };
 
+// Whether aLeft is of an earlier start of the replica than aRight, or an earlier state of the same
+// start.
+inline bool IsEarlier(const replica_entry& aLeft, const replica_entry& aRight)
+{
+  return aLeft.mBornMs != aRight.mBornMs ? aLeft.mBornMs < aRight.mBornMs
+                                         : aLeft.mSequence < aRight.mSequence;
+}
+
 using replica_pointer = std::shared_ptr<const replica_entry>;
 using route_pointer = std::shared_ptr<const route_rule>;
 
--- a/src/core/store_position.h
+++ b/src/core/store_position.h
@@ -23,6 +23,12 @@
   auto operator<=>(const store_position&) const = default;
 };
 
+// Whether a store that was at aBefore can be at aAfter later, without a new history.
+inline bool Continues(const store_position& aAfter, const store_position& aBefore)
+{
+  return aAfter.mEra == aBefore.mEra && aAfter.mRevision >= aBefore.mRevision;
+}
+
 } // namespace redwingdock
 
 #endif
--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -2,9 +2,10 @@
 
 #include "base/log_text.h"
 #include "core/controller_facts.h"
-#include "follow/follow_state.h"
+#include "follow/new_history.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace redwingdock {
@@ -28,6 +29,12 @@
 constexpr micros kBehindDelay = std::chrono::milliseconds(500);
 // Part of the bound on changes that is left to put a delayed deletion into effect.
 constexpr micros kDeletionMargin = std::chrono::milliseconds(500);
+// Daemons that learn of a new history from the same event list the store at different times within
+// this part of the time in which a change must take effect.
+constexpr int kListingSpreadDivisor = 8;
+// Reads use connections of their own after a failure, so late answers of an older history end by
+// then. A store that still states an older era has one that is not ordered.
+constexpr micros kMaxOlderEra = std::chrono::seconds(5);
 // Copies of other daemons that were not heard from for this long are forgotten.
 constexpr micros kPeerCopyTtl = std::chrono::seconds(60);
 
@@ -39,10 +46,10 @@
   auto operator<=>(const read_due&) const = default;
 };
 
-// Timer: a delayed deletion may be due.
-struct deletion_due
+// Timer: a delayed deletion or a withheld item may be due.
+struct hold_due
 {
-  auto operator<=>(const deletion_due&) const = default;
+  auto operator<=>(const hold_due&) const = default;
 };
 
 // Timer: the copy may have to be checked. There is one at a time.
@@ -72,6 +79,11 @@
   auto operator<=>(const behind_due&) const = default;
 };
 
+std::string AsOfText(const store_position& aPosition)
+{
+  return " as_of=" + std::to_string(aPosition.mRevision) + " era=" + std::to_string(aPosition.mEra);
+}
+
 follow_state StateOf(core_context& aContext)
 {
   const auto state = aContext.mBoard.Read<follow_state>(kStoreKey);
@@ -84,9 +96,39 @@
   return items ? items->mItems : item_map{};
 }
 
-std::string AsOfText(const store_position& aPosition)
+departed_items DepartedOf(core_context& aContext)
 {
-  return " as_of=" + std::to_string(aPosition.mRevision) + " era=" + std::to_string(aPosition.mEra);
+  const auto departed = aContext.mBoard.Read<departed_items>(kStoreKey);
+  return departed ? *departed : departed_items{};
+}
+
+// The copy and its state while changes are applied to it.
+struct copy_update
+{
+  follow_state mState;
+  item_map mItems;
+  departed_items mDeparted;
+};
+
+copy_update BeginUpdate(core_context& aContext, follow_state aState)
+{
+  return { std::move(aState), ItemsOf(aContext), DepartedOf(aContext) };
+}
+
+// Writes what the update changed other than the state, which it returns.
+follow_state EndUpdate(core_context& aContext, copy_update aUpdate)
+{
+  follow_state& state = aUpdate.mState;
+  if (state.mHolds && state.mDelayedDeletions.empty() && state.mWithheld.empty()) {
+    state.mHolds = false;
+    aContext.Log("follow", "event=history_holds_ended" + AsOfText(state.mAsOf));
+  }
+  const instant now = aContext.Now();
+  std::erase_if(aUpdate.mDeparted.mItems,
+                [now](const auto& aEach) { return aEach.second.mForgetAt <= now; });
+  aContext.mBoard.Write(kStoreKey, std::move(aUpdate.mDeparted));
+  aContext.mBoard.Write(kStoreKey, published_items{ std::move(aUpdate.mItems) });
+  return std::move(state);
 }
 
 bool IsWatching(const follow_state& aState)
@@ -163,110 +205,152 @@
   return aState;
 }
 
-// Logs that an answer of the store does not continue the history of the copy: it states another
-// era, or a lower revision although the store answers in order.
-void LogHistory(core_context& aContext,
-                const store_position& aKnown,
-                const store_position& aAnswered,
-                const char* aSource)
+// The position that an answer states. One without an era is taken to be of the known history.
+store_position StatedPosition(const store_position& aAnswered, const store_position& aKnown)
 {
-  const bool isFirst = aKnown == store_position{};
-  if (isFirst || (aKnown.mEra == aAnswered.mEra && aKnown.mRevision <= aAnswered.mRevision)) {
-    return;
+  return aAnswered.mEra > 0 ? aAnswered : store_position{ aKnown.mEra, aAnswered.mRevision };
+}
+
+// Records that the store has another history than the copy, which stays as it is until all of the
+// new history is listed.
+follow_state WithNewHistory(core_context& aContext,
+                            follow_state aState,
+                            const store_position& aStore,
+                            const char* aSource)
+{
+  if (aState.mHistorySource.empty()) {
+    aState.mHistorySource = aSource;
+    aContext.Count("follow.history_changes");
+    aContext.Log("follow",
+                 "event=history_changed" + AsOfText(aState.mAsOf) +
+                   " store=" + std::to_string(aStore.mRevision) +
+                   " store_era=" + std::to_string(aStore.mEra) + " source=" + aSource,
+                 log_level::Warning);
   }
-  aContext.Count("follow.history_changes");
-  aContext.Log("follow",
-               "event=history_changed" + AsOfText(aKnown) +
-                 " store=" + std::to_string(aAnswered.mRevision) +
-                 " store_era=" + std::to_string(aAnswered.mEra) + " source=" + aSource,
-               log_level::Warning);
+  return aState;
 }
 
-// The store answered a read: it had nothing newer than aAsOf.
-follow_state WithAnswer(core_context& aContext, follow_state aState, const store_position& aAsOf)
+// The store answered a read.
+follow_state WithAnswer(core_context& aContext, follow_state aState)
 {
   if (aState.mFailures > 0) {
     aState = WithStoreRegained(aContext, std::move(aState));
   }
   aState.mReading = false;
+  aState.mOlderEraSince.reset();
+  return aState;
+}
+
+// The copy has all that the store had at aAsOf, which the store stated at aConfirmedAt.
+follow_state WithCopyAt(follow_state aState, const store_position& aAsOf, instant aConfirmedAt)
+{
   aState.mAsOf = aAsOf;
-  aState.mConfirmedAt = aContext.Now();
+  aState.mConfirmedAt = aConfirmedAt;
   ++aState.mConfirmations;
   return aState;
 }
 
 // Deletes a key, or delays the deletion when the store was unavailable shortly before: entries that
 // expired during the outage may be written again.
-void RemoveOrDelay(core_context& aContext,
-                   const std::string& aKey,
-                   item_map& aItems,
-                   follow_state& aState)
+void RemoveOrDelay(core_context& aContext, const std::string& aKey, copy_update& aUpdate)
 {
-  if (!aItems.contains(aKey) || aState.mDelayedDeletions.contains(aKey)) {
+  follow_state& state = aUpdate.mState;
+  const auto found = aUpdate.mItems.find(aKey);
+  if (found == aUpdate.mItems.end() || state.mDelayedDeletions.contains(aKey)) {
     return;
   }
-  if (aContext.Now() >= aState.mDelayDeletionsUntil) {
-    aItems.erase(aKey);
+  aUpdate.mDeparted.mItems[aKey] = { found->second, aContext.Now() + kDepartedMemory };
+  if (aContext.Now() >= state.mDelayDeletionsUntil) {
+    aUpdate.mItems.erase(found);
     return;
   }
-  aState.mDelayedDeletions.emplace(aKey, aState.mDelayDeletionsUntil);
-  aContext.After(aState.mDelayDeletionsUntil - aContext.Now(), kStoreKey, deletion_due{});
+  state.mDelayedDeletions.emplace(aKey, state.mDelayDeletionsUntil);
+  aContext.After(state.mDelayDeletionsUntil - aContext.Now(), kStoreKey, hold_due{});
 }
 
-// Stores an item unless the copy already has a later revision of it, and cancels a delayed
-// deletion.
-void ApplyItem(const store_item_pointer& aItem, item_map& aItems, follow_state& aState)
+// Stores an item unless the copy already has a later revision of it or withholds this one, and
+// cancels a delayed deletion.
+void ApplyItem(const store_item_pointer& aItem, copy_update& aUpdate)
 {
-  const auto found = aItems.find(aItem->mKey);
-  if (found != aItems.end() && found->second->mRevision > aItem->mRevision) {
+  const auto found = aUpdate.mItems.find(aItem->mKey);
+  const auto withheld = aUpdate.mState.mWithheld.find(aItem->mKey);
+  const bool isWithheld = withheld != aUpdate.mState.mWithheld.end();
+  if ((found != aUpdate.mItems.end() && found->second->mRevision > aItem->mRevision) ||
+      (isWithheld && withheld->second.mItem->mRevision >= aItem->mRevision)) {
     return;
   }
-  aItems[aItem->mKey] = aItem;
-  aState.mDelayedDeletions.erase(aItem->mKey);
+  if (isWithheld) {
+    aUpdate.mState.mWithheld.erase(withheld);
+  }
+  aUpdate.mItems[aItem->mKey] = aItem;
+  aUpdate.mState.mDelayedDeletions.erase(aItem->mKey);
+  aUpdate.mDeparted.mItems.erase(aItem->mKey);
 }
 
-void OnPage(core_context& aContext, const store_page_read& aFact)
+// The whole listing of the history that the copy is of: deletes what it lacks and stores what it
+// has.
+void ApplyListing(core_context& aContext, copy_update& aUpdate)
 {
-  follow_state state = StateOf(aContext);
-  if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Listing) {
-    return;
-  }
-  // Pages are read at different revisions. The watch starts at the revision of the first page, so
-  // that it repeats the changes made between pages.
-  if (state.mAfter.empty()) {
-    LogHistory(aContext, state.mAsOf, aFact.mAsOf, "listing");
-    state = WithAnswer(aContext, std::move(state), aFact.mAsOf);
-    state.mListedItems.clear();
-  }
-  for (const store_item_pointer& item : aFact.mItems) {
-    state.mListedItems[item->mKey] = item;
-  }
-  if (aFact.mMore && !aFact.mItems.empty()) {
-    state.mAfter = aFact.mItems.back()->mKey;
-    StartNextRead(aContext, std::move(state));
-    return;
-  }
-  item_map items = ItemsOf(aContext);
+  const item_map listed = std::exchange(aUpdate.mState.mListedItems, {});
   std::vector<std::string> gone;
-  for (const auto& [key, item] : items) {
-    if (!state.mListedItems.contains(key)) {
+  for (const auto& [key, item] : aUpdate.mItems) {
+    if (!listed.contains(key)) {
       gone.push_back(key);
     }
   }
   for (const std::string& key : gone) {
-    RemoveOrDelay(aContext, key, items, state);
+    RemoveOrDelay(aContext, key, aUpdate);
   }
-  for (const auto& [key, item] : state.mListedItems) {
-    ApplyItem(item, items, state);
+  std::erase_if(aUpdate.mState.mWithheld,
+                [&listed](const auto& aEach) { return !listed.contains(aEach.first); });
+  for (const auto& [key, item] : listed) {
+    ApplyItem(item, aUpdate);
   }
+  aUpdate.mState.mHistorySource.clear();
   aContext.Log("follow",
-               "event=listed items=" + std::to_string(items.size()) +
-                 " gone=" + std::to_string(gone.size()) + AsOfText(state.mAsOf));
-  state.mListedItems.clear();
-  state.mAfter.clear();
-  state.mPhase = follow_phase::Watching;
-  aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
-  StartNextRead(aContext, std::move(state));
+               "event=listed items=" + std::to_string(aUpdate.mItems.size()) +
+                 " gone=" + std::to_string(gone.size()) + AsOfText(aUpdate.mState.mListedAsOf));
+}
+
+// The whole listing of a new history. Entries that it lacks may be written again within the delay
+// of deletions; those that were deleted after the store's return must have left within the bound of
+// a change or, if that is later, at the end of the time in which the bound does not hold.
+void ApplyNewHistory(core_context& aContext, copy_update& aUpdate)
+{
+  const auto config = aContext.ForwardConfig();
+  follow_state& state = aUpdate.mState;
+  const instant now = aContext.Now();
+  const instant latest =
+    state.mConfirmedAt + std::max(config->mChangeBound, config->mDisturbanceTime) - kDeletionMargin;
+  state.mDelayDeletionsUntil =
+    std::max({ now, state.mDelayDeletionsUntil, std::min(now + config->mDeletionDelay, latest) });
+  adopted_history adopted =
+    AdoptHistory({ std::move(aUpdate.mItems), aUpdate.mDeparted, state.mDelayedDeletions },
+                 std::exchange(state.mListedItems, {}),
+                 { now, state.mDelayDeletionsUntil });
+  aContext.Count("follow.items_held", adopted.mHeld);
+  aContext.Count("follow.items_withheld", adopted.mWithheld.size());
+  aContext.Log(
+    "follow",
+    "event=history_adopted" + AsOfText(state.mAsOf) +
+      " store=" + std::to_string(state.mListedAsOf.mRevision) +
+      " store_era=" + std::to_string(state.mListedAsOf.mEra) + " source=" + state.mHistorySource +
+      " items=" + std::to_string(adopted.mItems.size()) + " held=" + std::to_string(adopted.mHeld) +
+      " replaced=" + std::to_string(adopted.mReplaced) +
+      " withheld=" + std::to_string(adopted.mWithheld.size()),
+    log_level::Warning);
+  aUpdate.mItems = std::move(adopted.mItems);
+  state.mDelayedDeletions = std::move(adopted.mDelayedDeletions);
+  state.mWithheld = std::move(adopted.mWithheld);
+  state.mHolds = !state.mDelayedDeletions.empty() || !state.mWithheld.empty();
+  state.mHistorySource.clear();
+  ++state.mCheckNumber; // an answer to the latest check is of the old history
+  for (const auto& [key, until] : state.mDelayedDeletions) {
+    aContext.After(until - now, kStoreKey, hold_due{});
+  }
+  for (const auto& [key, withheld] : state.mWithheld) {
+    aContext.After(withheld.mUntil - now, kStoreKey, hold_due{});
+  }
 }
 
 // Changes come in bursts. The pause before the next read lets one call return several changes; it
@@ -279,39 +363,6 @@
                         : aConfig.mWatchPause;
 }
 
-void OnChanges(core_context& aContext, const store_changes_read& aFact)
-{
-  follow_state state = StateOf(aContext);
-  if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Watching) {
-    return;
-  }
-  LogHistory(aContext, state.mAsOf, aFact.mAsOf, "watch");
-  const store_position asOf{ aFact.mAsOf.mEra,
-                             std::max(state.mAsOf.mRevision, aFact.mAsOf.mRevision) };
-  state = WithAnswer(aContext, std::move(state), asOf);
-  if (!aFact.mItems.empty()) {
-    item_map items = ItemsOf(aContext);
-    for (const store_item_pointer& item : aFact.mItems) {
-      if (!std::holds_alternative<deleted_value>(item->mValue)) {
-        ApplyItem(item, items, state);
-        continue;
-      }
-      const auto found = items.find(item->mKey);
-      if (found != items.end() && found->second->mRevision < item->mRevision) {
-        RemoveOrDelay(aContext, item->mKey, items, state);
-      }
-    }
-    aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
-  }
-  if (aFact.mItems.empty()) {
-    StartNextRead(aContext, std::move(state));
-    return;
-  }
-  state.mReadPause = NextPause(*aContext.ForwardConfig(), state, aContext.Now());
-  aContext.After(state.mReadPause, kStoreKey, read_due{ state.mReadNumber });
-  aContext.mBoard.Write(kStoreKey, std::move(state));
-}
-
 // Records that the store could not be read, and reads again after a delay.
 void RetryLater(core_context& aContext, follow_state aState, const store_read_failed& aFact)
 {
@@ -345,6 +396,129 @@
   aContext.mBoard.Write(kStoreKey, std::move(aState));
 }
 
+// Reads again later when the answer is of an older era than the copy, which only a late answer is.
+// Returns false, and leaves the answer to the caller, when there is no other answer for some time.
+bool RefuseOlderEra(core_context& aContext, follow_state aState, const store_position& aAnswered)
+{
+  if (aAnswered.mEra >= aState.mAsOf.mEra) {
+    return false;
+  }
+  aState.mOlderEraSince = aState.mOlderEraSince.value_or(aContext.Now());
+  if (aContext.Now() - *aState.mOlderEraSince >= kMaxOlderEra) {
+    return false;
+  }
+  const std::uint64_t readNumber = aState.mReadNumber;
+  const std::string text = "the answer is of era " + std::to_string(aAnswered.mEra) +
+                           ", the copy of era " + std::to_string(aState.mAsOf.mEra);
+  RetryLater(aContext,
+             std::move(aState),
+             { readNumber, store_failure::Unavailable, { "read store", "", text } });
+  return true;
+}
+
+// Lists everything after a random time.
+void ListSoon(core_context& aContext, follow_state aState)
+{
+  aState.mPhase = follow_phase::Listing;
+  aState.mAfter.clear();
+  const micros spread = aContext.ForwardConfig()->mChangeBound / kListingSpreadDivisor;
+  const micros delay(
+    static_cast<std::int64_t>(aContext.Random(static_cast<std::uint64_t>(spread.count()) + 1)));
+  aContext.After(delay, kStoreKey, read_due{ aState.mReadNumber });
+  aContext.mBoard.Write(kStoreKey, std::move(aState));
+}
+
+void OnPage(core_context& aContext, const store_page_read& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Listing) {
+    return;
+  }
+  const store_position asOf = StatedPosition(aFact.mAsOf, state.mAsOf);
+  if (RefuseOlderEra(aContext, state, asOf)) {
+    return;
+  }
+  state = WithAnswer(aContext, std::move(state));
+  if (state.mAfter.empty()) {
+    state.mListedAsOf = asOf;
+    state.mListedAt = aContext.Now();
+    state.mListedItems.clear();
+  } else if (!Continues(asOf, state.mListedAsOf)) {
+    aContext.Count("follow.mixed_listings");
+    const std::uint64_t readNumber = state.mReadNumber;
+    RetryLater(aContext,
+               std::move(state),
+               { readNumber,
+                 store_failure::Unavailable,
+                 { "list store", "", "the pages are of two histories" } });
+    return;
+  }
+  for (const store_item_pointer& item : aFact.mItems) {
+    state.mListedItems[item->mKey] = item;
+  }
+  if (aFact.mMore && !aFact.mItems.empty()) {
+    state.mAfter = aFact.mItems.back()->mKey;
+    StartNextRead(aContext, std::move(state));
+    return;
+  }
+  const bool isFirst = state.mAsOf == store_position{};
+  copy_update update = BeginUpdate(aContext, std::move(state));
+  if (isFirst || Continues(update.mState.mListedAsOf, update.mState.mAsOf)) {
+    ApplyListing(aContext, update);
+  } else {
+    const store_position listed = update.mState.mListedAsOf;
+    update.mState = WithNewHistory(aContext, std::move(update.mState), listed, "listing");
+    ApplyNewHistory(aContext, update);
+  }
+  state = EndUpdate(aContext, std::move(update));
+  // Pages are read at different revisions. The watch starts at the revision of the first page, so
+  // that it repeats the changes made between pages.
+  const store_position listedAsOf = state.mListedAsOf;
+  const instant listedAt = state.mListedAt;
+  state = WithCopyAt(std::move(state), listedAsOf, listedAt);
+  state.mAfter.clear();
+  state.mPhase = follow_phase::Watching;
+  StartNextRead(aContext, std::move(state));
+}
+
+void OnChanges(core_context& aContext, const store_changes_read& aFact)
+{
+  follow_state state = StateOf(aContext);
+  if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Watching) {
+    return;
+  }
+  const store_position asOf = StatedPosition(aFact.mAsOf, state.mAsOf);
+  if (RefuseOlderEra(aContext, state, asOf)) {
+    return;
+  }
+  state = WithAnswer(aContext, std::move(state));
+  if (!Continues(asOf, state.mAsOf)) {
+    ListSoon(aContext, WithNewHistory(aContext, std::move(state), asOf, "watch"));
+    return;
+  }
+  state = WithCopyAt(std::move(state), asOf, aContext.Now());
+  if (aFact.mItems.empty()) {
+    StartNextRead(aContext, std::move(state));
+    return;
+  }
+  copy_update update = BeginUpdate(aContext, std::move(state));
+  for (const store_item_pointer& item : aFact.mItems) {
+    if (!std::holds_alternative<deleted_value>(item->mValue)) {
+      ApplyItem(item, update);
+      continue;
+    }
+    update.mState.mWithheld.erase(item->mKey);
+    const auto found = update.mItems.find(item->mKey);
+    if (found != update.mItems.end() && found->second->mRevision < item->mRevision) {
+      RemoveOrDelay(aContext, item->mKey, update);
+    }
+  }
+  state = EndUpdate(aContext, std::move(update));
+  state.mReadPause = NextPause(*aContext.ForwardConfig(), state, aContext.Now());
+  aContext.After(state.mReadPause, kStoreKey, read_due{ state.mReadNumber });
+  aContext.mBoard.Write(kStoreKey, std::move(state));
+}
+
 void OnReadFailed(core_context& aContext, const store_read_failed& aFact)
 {
   follow_state state = StateOf(aContext);
@@ -407,9 +581,17 @@
       aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
     return;
   }
-  LogHistory(aContext, state.mCheckedFrom, *aFact.mAsOf, "check");
-  if (aFact.mAsOf->mRevision > state.mAsOf.mRevision) {
-    LogBehind(aContext, state, *aFact.mAsOf, "check");
+  const store_position asOf = StatedPosition(*aFact.mAsOf, state.mAsOf);
+  if (RefuseOlderEra(aContext, state, asOf)) {
+    return;
+  }
+  state.mOlderEraSince.reset();
+  if (!Continues(asOf, state.mCheckedFrom)) {
+    ListAgain(aContext, WithNewHistory(aContext, std::move(state), asOf, "check"));
+    return;
+  }
+  if (asOf > state.mAsOf) {
+    LogBehind(aContext, state, asOf, "check");
     ListAgain(aContext, std::move(state));
     return;
   }
@@ -421,12 +603,17 @@
 void OnPeerCopy(core_context& aContext, const peer_copy_received& aFact)
 {
   follow_state state = StateOf(aContext);
-  if (aFact.mAsOf.mRevision == state.mAsOf.mRevision && aFact.mConfirmedAt > state.mConfirmedAt) {
+  // Positions of a daemon that does not state the era, and of one that does, cannot be compared.
+  if ((aFact.mAsOf.mEra == 0) != (state.mAsOf.mEra == 0)) {
+    return;
+  }
+  if (aFact.mAsOf == state.mAsOf && aFact.mConfirmedAt > state.mConfirmedAt) {
     state.mConfirmedAt = aFact.mConfirmedAt;
     aContext.mBoard.Write(kStoreKey, std::move(state));
     return;
   }
-  if (aFact.mAsOf.mRevision > state.mAsOf.mRevision && IsWatching(state) &&
+  // A position that this daemon has looked for and not found is of another history.
+  if (aFact.mAsOf > std::max(state.mAsOf, state.mSoughtPosition) && IsWatching(state) &&
       state.mBehindRead != state.mReadNumber) {
     state.mBehindRead = state.mReadNumber;
     aContext.After(
@@ -438,9 +625,9 @@
 void OnBehindDue(core_context& aContext, const behind_due& aFact)
 {
   follow_state state = StateOf(aContext);
-  if (IsWatching(state) && state.mReadNumber == aFact.mReadNumber &&
-      state.mAsOf.mRevision < aFact.mAsOf.mRevision) {
+  if (IsWatching(state) && state.mReadNumber == aFact.mReadNumber && state.mAsOf < aFact.mAsOf) {
     LogBehind(aContext, state, aFact.mAsOf, aFact.mVm);
+    state.mSoughtPosition = aFact.mAsOf;
     ListAgain(aContext, std::move(state));
   }
 }
@@ -474,26 +661,43 @@
   }
 }
 
-void OnDeletionDue(core_context& aContext)
+void OnHoldDue(core_context& aContext)
 {
-  follow_state state = StateOf(aContext);
-  item_map items = ItemsOf(aContext);
-  std::size_t expired = 0;
-  for (auto it = state.mDelayedDeletions.begin(); it != state.mDelayedDeletions.end();) {
-    if (it->second > aContext.Now()) {
+  copy_update update = BeginUpdate(aContext, StateOf(aContext));
+  const auto& [deletions, withheld] =
+    std::tie(update.mState.mDelayedDeletions, update.mState.mWithheld);
+  const instant now = aContext.Now();
+  std::size_t gone = 0;
+  for (auto it = deletions.begin(); it != deletions.end();) {
+    if (it->second > now) {
       ++it;
       continue;
     }
-    items.erase(it->first);
-    it = state.mDelayedDeletions.erase(it);
-    ++expired;
+    update.mItems.erase(it->first);
+    it = deletions.erase(it);
+    ++gone;
   }
-  if (expired == 0) {
+  std::size_t back = 0;
+  for (auto it = withheld.begin(); it != withheld.end();) {
+    if (it->second.mUntil > now) {
+      ++it;
+      continue;
+    }
+    update.mItems[it->first] = it->second.mItem;
+    it = withheld.erase(it);
+    ++back;
+  }
+  if (gone + back == 0) {
     return;
   }
-  aContext.Log("follow", "event=held_entries_gone count=" + std::to_string(expired));
+  if (gone > 0) {
+    aContext.Log("follow", "event=held_entries_gone count=" + std::to_string(gone));
+  }
+  if (back > 0) {
+    aContext.Log("follow", "event=withheld_entries_back count=" + std::to_string(back));
+  }
+  follow_state state = EndUpdate(aContext, std::move(update));
   aContext.mBoard.Write(kStoreKey, std::move(state));
-  aContext.mBoard.Write(kStoreKey, published_items{ std::move(items) });
 }
 
 } // namespace
@@ -512,8 +716,7 @@
   });
   board.OnFact<read_due>(
     [&aContext](const std::string&, const read_due& aFact) { OnReadDue(aContext, aFact); });
-  board.OnFact<deletion_due>(
-    [&aContext](const std::string&, const deletion_due&) { OnDeletionDue(aContext); });
+  board.OnFact<hold_due>([&aContext](const std::string&, const hold_due&) { OnHoldDue(aContext); });
   board.OnFact<store_checked>(
     [&aContext](const std::string&, const store_checked& aFact) { OnChecked(aContext, aFact); });
   board.OnFact<check_due>(
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -5,6 +5,7 @@
 #include "core/store.h"
 
 #include <map>
+#include <optional>
 
 // Local copy of the store and progress of the reads that keep it current.
 //
@@ -14,7 +15,8 @@
 
 using item_map = std::map<std::string, store_item_pointer>; // by key
 
-// Current items of the store. Entry key: kStoreKey.
+// Current items of the store, with revisions of the history of follow_state::mAsOf. Items that this
+// history does not have, and that are held for a time, have revision 0. Entry key: kStoreKey.
 struct published_items
 {
   item_map mItems;
@@ -28,6 +30,32 @@
   Watching,
 };
 
+// An item that left the copy: its last known state.
+struct departed_item
+{
+  store_item_pointer mItem;
+  instant mForgetAt{};
+
+  auto operator<=>(const departed_item&) const = default;
+};
+
+// Items that left the copy a short time ago, by key. Entry key: kStoreKey.
+struct departed_items
+{
+  std::map<std::string, departed_item> mItems;
+
+  auto operator<=>(const departed_items&) const = default;
+};
+
+// An item that a new history has although it had left.
+struct withheld_item
+{
+  store_item_pointer mItem;
+  instant mUntil{}; // takes effect then
+
+  auto operator<=>(const withheld_item&) const = default;
+};
+
 // Progress of the reads. Entry key: kStoreKey.
 struct follow_state
 {
@@ -35,8 +63,10 @@
   std::uint64_t mReadNumber = 0; // of the current read; replies to others are ignored
   bool mReading = false;         // the current read has been sent and not answered
   item_map mListedItems;         // items of the pages read so far
+  store_position mListedAsOf{};  // of the first page
+  instant mListedAt{};           // when it was read
   std::string mAfter;            // key after which the next page begins
-  store_position mAsOf{};        // the watch continues from this position
+  store_position mAsOf{};        // of the copy; the watch continues from here
   instant mReadStartedAt{};      // start of the current read
   micros mReadPause{ 0 };        // before the next read, after the latest changes
   std::uint32_t mFailures = 0;   // consecutive failed reads
@@ -48,9 +78,15 @@
   std::uint64_t mCheckNumber = 0;   // of the latest check
   store_position mCheckedFrom{};    // mAsOf when it was sent
   std::uint64_t mBehindRead = 0;    // read during which another daemon had a newer copy
-  instant mDelayDeletionsUntil{};   // deletions read before this time take effect then
+  store_position mSoughtPosition{}; // up to which positions of other daemons were looked for
+  // How the daemon learned that the store has another history than the copy; empty when it has not.
+  std::string mHistorySource;
+  std::optional<instant> mOlderEraSince; // since then all answers stated an earlier era
+  instant mDelayDeletionsUntil{};        // deletions read before this time take effect then
   std::map<std::string, instant>
     mDelayedDeletions; // deleted keys that are still in the copy, and when they leave it
+  std::map<std::string, withheld_item> mWithheld; // by key
+  bool mHolds = false; // the two maps had entries since the latest new history
 
   auto operator<=>(const follow_state&) const = default;
 };
--- /dev/null
+++ b/src/follow/new_history.cc
@@ -0,0 +1,67 @@
+#include "follow/new_history.h"
+
+#include <utility>
+
+namespace redwingdock {
+
+namespace {
+
+bool IsReplica(const store_item& aItem)
+{
+  return std::holds_alternative<replica_entry>(aItem.mValue);
+}
+
+// The item with a revision below all that the new history gives out.
+store_item_pointer WithoutRevision(const store_item& aItem)
+{
+  store_item held = aItem;
+  held.mRevision = 0;
+  return std::make_shared<const store_item>(std::move(held));
+}
+
+} // namespace
+
+bool IsRestored(const store_item& aItem, const store_item& aDeparted)
+{
+  const auto* entry = std::get_if<replica_entry>(&aItem.mValue);
+  const auto* departed = std::get_if<replica_entry>(&aDeparted.mValue);
+  if (entry != nullptr && departed != nullptr) {
+    return !IsEarlier(*departed, *entry);
+  }
+  // The store restores an item with its revision; one that is written again gets another.
+  return aItem == aDeparted;
+}
+
+adopted_history AdoptHistory(const known_copy& aKnown,
+                             const item_map& aListed,
+                             const hold_times& aTimes)
+{
+  adopted_history adopted;
+  for (const auto& [key, item] : aListed) {
+    const auto departed = aKnown.mDeparted.mItems.find(key);
+    if (departed != aKnown.mDeparted.mItems.end() && IsRestored(*item, *departed->second.mItem)) {
+      const micros time = IsReplica(*item) ? kWithheldReplicaTime : kWithheldZoneTime;
+      adopted.mWithheld[key] = { item, aTimes.mNow + time };
+      continue;
+    }
+    const auto known = aKnown.mItems.find(key);
+    const bool differs = known != aKnown.mItems.end() && known->second->mValue != item->mValue;
+    adopted.mReplaced += differs ? 1 : 0;
+    adopted.mItems[key] = item;
+  }
+  for (const auto& [key, item] : aKnown.mItems) {
+    if (adopted.mItems.contains(key)) {
+      continue;
+    }
+    const auto delayed = aKnown.mDelayedDeletions.find(key);
+    const bool deletes = delayed != aKnown.mDelayedDeletions.end();
+    adopted.mHeld += deletes ? 0 : 1;
+    adopted.mItems[key] = WithoutRevision(*item);
+    adopted.mDelayedDeletions[key] = deletes            ? delayed->second
+                                     : IsReplica(*item) ? aTimes.mReplicasUntil
+                                                        : aTimes.mNow + kOperatorRewriteTime;
+  }
+  return adopted;
+}
+
+} // namespace redwingdock
