Hold what a second new history lacks for as long as the first one

When the store returned from a copy twice within two seconds, an entry that both times was lost left at the end of the first hold, before its replica could write it again: the delayed deletion that ends a hold was taken for that of an item that had left. Only items that had left keep the time of their deletion.

adopt_test tests the function on values; its row on a second history failed before.

--- a/src/follow/new_history.cc
+++ b/src/follow/new_history.cc
@@ -53,8 +53,10 @@
     if (adopted.mItems.contains(key)) {
       continue;
     }
+    // A delayed deletion of an item that has not departed is the end of an earlier hold.
     const auto delayed = aKnown.mDelayedDeletions.find(key);
-    const bool deletes = delayed != aKnown.mDelayedDeletions.end();
+    const bool deletes =
+      delayed != aKnown.mDelayedDeletions.end() && aKnown.mDeparted.mItems.contains(key);
     adopted.mHeld += deletes ? 0 : 1;
     adopted.mItems[key] = WithoutRevision(*item);
     adopted.mDelayedDeletions[key] = deletes            ? delayed->second
