--- a/src/testing/forwarding_rig.cc
+++ b/src/testing/forwarding_rig.cc
@@ -8,10 +8,7 @@
 
 namespace {
 
-constexpr micros kStoreDelay = std::chrono::milliseconds(4);
 constexpr micros kConnectDelay = std::chrono::milliseconds(1);
-// A read without a reply ends this long after its wait.
-constexpr micros kReplyTimeout = std::chrono::milliseconds(900);
 
 core_config ConfigOf(const rig_options& aOptions)
 {
@@ -83,52 +80,12 @@
 
 forwarding_rig::forwarding_rig(const rig_options& aOptions)
   : mCore(ConfigOf(aOptions), Forwarding(aOptions.mHooks), 8)
-  , mItemsPerPage(aOptions.mItemsPerPage)
-  , mEra(aOptions.mStoreStatesEra ? 1 : 0)
+  , mStore({ aOptions.mStoreStatesEra, aOptions.mItemsPerPage })
+  , mReader(mStore, mEvents, [this](fact aFact) { Post(std::move(aFact)); })
 {
   RunCore();
 }
 
-void forwarding_rig::Publish(store_item aItem)
-{
-  aItem.mRevision = ++mRevision;
-  const std::string key = aItem.mKey;
-  mItems[key] = std::make_shared<const store_item>(std::move(aItem));
-  if (mPendingWatch && mPendingWatch->mAfter < mRevision) {
-    Watch(*std::exchange(mPendingWatch, std::nullopt));
-  }
-}
-
-void forwarding_rig::Restore()
-{
-  mItems = mCopy.mItems;
-  mRevision = mCopy.mRevision;
-  mEra += mEra > 0 ? 1 : 0;
-}
-
-void forwarding_rig::FailWatch()
-{
-  if (mPendingWatch) {
-    const watch_store cut = *std::exchange(mPendingWatch, std::nullopt);
-    Post(store_read_failed{ cut.mReadNumber, store_failure::Unavailable, {} });
-  }
-}
-
-void forwarding_rig::SilenceWatch()
-{
-  if (mPendingWatch) {
-    const watch_store silent = *std::exchange(mPendingWatch, std::nullopt);
-    mEvents.After(silent.mWait + kReplyTimeout, [this, silent] {
-      Post(store_read_failed{ silent.mReadNumber, store_failure::Unavailable, {} });
-    });
-  }
-}
-
-void forwarding_rig::Delete(const std::string& aKey)
-{
-  Publish({ aKey, 0, deleted_value{} });
-}
-
 void forwarding_rig::SendRequest(std::uint64_t aRequest, const std::string& aPath, micros aPatience)
 {
   Post(request_arrived{
@@ -191,12 +148,14 @@
       } else if constexpr (std::is_same_v<type, answer_request>) {
         mAnswers[aEach.mRequest].push_back({ aEach.mAnswer, Now() });
       } else if constexpr (std::is_same_v<type, read_store_page>) {
-        Read(aEach);
+        mListReads += mStore.IsFailing() ? 0 : 1;
+        mReader.Read(aEach);
       } else if constexpr (std::is_same_v<type, watch_store>) {
         mWatches.push_back(aEach);
-        Watch(aEach);
+        mReader.Watch(aEach);
       } else if constexpr (std::is_same_v<type, check_store>) {
-        CheckStore(aEach);
+        ++mChecks;
+        mReader.Check(aEach);
       } else if constexpr (std::is_same_v<type, send_heartbeat>) {
         mHeartbeats.push_back(aEach.mHeartbeat);
       } else if constexpr (std::is_same_v<type, answer_entry>) {
@@ -243,73 +202,4 @@
                 [this, checked = replica_checked{ aCommand.mReplica, status }] { Post(checked); });
 }
 
-void forwarding_rig::Read(const read_store_page& aCommand)
-{
-  if (mStoreFails) {
-    mEvents.After(kStoreDelay, [this, aCommand] {
-      Post(store_read_failed{ aCommand.mReadNumber, store_failure::Unavailable, {} });
-    });
-    return;
-  }
-  ++mListReads;
-  store_page_read page;
-  page.mReadNumber = aCommand.mReadNumber;
-  page.mAsOf = Position();
-  for (auto it = mItems.upper_bound(aCommand.mAfter); it != mItems.end() && !page.mMore; ++it) {
-    if (std::holds_alternative<deleted_value>(it->second->mValue)) {
-      continue;
-    }
-    page.mMore = page.mItems.size() == mItemsPerPage;
-    if (!page.mMore) {
-      page.mItems.push_back(it->second);
-    }
-  }
-  mEvents.After(kStoreDelay, [this, page] { Post(page); });
-}
-
-void forwarding_rig::Watch(const watch_store& aCommand)
-{
-  if (mStoreFails || aCommand.mAfter < mHistoryFrom || aCommand.mAfter > mRevision) {
-    const store_failure failure =
-      mStoreFails ? store_failure::Unavailable : store_failure::HistoryGone;
-    mEvents.After(kStoreDelay, [this, aCommand, failure] {
-      Post(store_read_failed{ aCommand.mReadNumber, failure, {} });
-    });
-    return;
-  }
-  store_changes_read changes{ aCommand.mReadNumber, ChangesAfter(aCommand.mAfter), Position() };
-  if (changes.mItems.empty() || mWatchesSuppressed) {
-    mPendingWatch = aCommand;
-    mEvents.After(aCommand.mWait, [this, read = aCommand.mReadNumber] {
-      if (mPendingWatch && mPendingWatch->mReadNumber == read) {
-        mPendingWatch.reset();
-        Post(store_changes_read{ read, {}, Position() });
-      }
-    });
-    return;
-  }
-  mEvents.After(kStoreDelay, [this, changes] { Post(changes); });
-}
-
-void forwarding_rig::CheckStore(const check_store& aCommand)
-{
-  ++mChecks;
-  store_checked checked{ aCommand.mCheckNumber };
-  if (!mStoreFails) {
-    checked.mAsOf = Position();
-  }
-  mEvents.After(kStoreDelay, [this, checked] { Post(checked); });
-}
-
-std::vector<store_item_pointer> forwarding_rig::ChangesAfter(std::uint64_t aRevision) const
-{
-  std::vector<store_item_pointer> changes;
-  for (const auto& [key, item] : mItems) {
-    if (item->mRevision > aRevision) {
-      changes.push_back(item);
-    }
-  }
-  return changes;
-}
-
 } // namespace redwingdock::testing
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -3,6 +3,7 @@
 
 #include "assembly/forwarding.h"
 #include "testing/event_queue.h"
+#include "testing/fake_store.h"
 
 #include <functional>
 #include <map>
@@ -68,22 +69,16 @@
 public:
   explicit forwarding_rig(const rig_options& aOptions);
 
-  // The store.
-  void Publish(store_item aItem);
-  void Delete(const std::string& aKey);
-  void FailStore(bool aFails) { mStoreFails = aFails; }
-  // While set, watches get no changes, as when the store drops its history.
-  void SuppressWatchEvents(bool aSuppressed) { mWatchesSuppressed = aSuppressed; }
-  void FailWatch();
-  // The connection of the waiting watch delivers nothing more; later reads work.
-  void SilenceWatch();
-  void DropHistory() { mHistoryFrom = mRevision + 1; }
-  // Keeps a copy of the store for Restore.
-  void TakeCopy() { mCopy = { mItems, mRevision }; }
-  // The store returns from its copy, with the next era: what was published since is gone, and its
-  // revisions are given out again. A waiting watch waits on; it ends with its wait, or when the
-  // revision passes the one that it waits for.
-  void Restore();
+  // The store, and the reads of the daemon from it.
+  void Publish(store_item aItem) { mStore.Publish(std::move(aItem)); }
+  void Delete(const std::string& aKey) { mStore.Delete(aKey); }
+  void FailStore(bool aFails) { mStore.Fail(aFails); }
+  void SuppressWatchEvents(bool aSuppressed) { mReader.SuppressWatchEvents(aSuppressed); }
+  void FailWatch() { mReader.FailWatch(); }
+  void SilenceWatch() { mReader.SilenceWatch(); }
+  void DropHistory() { mStore.DropHistory(); }
+  void TakeCopy() { mStore.TakeCopy(); }
+  void Restore() { mStore.Restore(); }
 
   // Sets the action of a replica for its Nth attempt, counted from 0. Without a script the replica
   // answers after 10 ms.
@@ -119,34 +114,16 @@
   std::optional<instant> mStoppedAt;
 
 private:
-  struct store_state
-  {
-    std::map<std::string, store_item_pointer> mItems; // by key, including deletions
-    std::uint64_t mRevision = 0;
-  };
-
   void RunCore();
   void Execute(const command& aCommand);
   void Send(const send_attempt& aCommand);
   void Check(const check_replica& aCommand);
-  void Read(const read_store_page& aCommand);
-  void Watch(const watch_store& aCommand);
-  void CheckStore(const check_store& aCommand);
-  store_position Position() const { return { mEra, mRevision }; }
-  std::vector<store_item_pointer> ChangesAfter(std::uint64_t aRevision) const;
 
   event_queue mEvents;
   core mCore;
+  fake_store mStore;
+  store_reader mReader;
   instant mNextWakeUp = kNever;
-  const std::size_t mItemsPerPage;
-  std::uint64_t mEra = 0; // 0: the store does not state it
-  std::uint64_t mRevision = 1;
-  std::uint64_t mHistoryFrom = 0;
-  bool mStoreFails = false;
-  bool mWatchesSuppressed = false;
-  std::map<std::string, store_item_pointer> mItems; // by key, including deletions
-  store_state mCopy;
-  std::optional<watch_store> mPendingWatch;
   std::map<std::string, std::function<replica_action(int)>> mScripts;
   std::map<std::string, std::function<replica_status()>> mCheckScripts;
   std::map<std::string, int> mAttemptCounts; // by replica
