Remember replicas that left while they were held

A replica that was deleted after the store's return, and that the daemon held because the new history lacked it, got requests again when the store returned from a second copy that still had it. The end of a hold removed the item without recording that it had left, which withholds it in a later copy.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -673,7 +673,11 @@
       ++it;
       continue;
     }
-    update.mItems.erase(it->first);
+    const auto item = update.mItems.find(it->first);
+    if (item != update.mItems.end()) {
+      update.mDeparted.mItems.try_emplace(it->first, item->second, now + kDepartedMemory);
+      update.mItems.erase(item);
+    }
     it = deletions.erase(it);
     ++gone;
   }
--- a/src/follow/restored_store_test.cc
+++ b/src/follow/restored_store_test.cc
@@ -340,5 +340,78 @@
                   false,
                   kOperatorRewriteTime }));
 
+// The store returns from its copy and the watches are cut.
+void Return(forwarding_rig& aRig)
+{
+  aRig.FailWatch();
+  aRig.Restore();
+}
+
+rig_action Wait(micros aTime)
+{
+  return [aTime](forwarding_rig& aRig) { aRig.RunFor(aTime); };
+}
+
+void Copy(forwarding_rig& aRig)
+{
+  aRig.TakeCopy();
+}
+
+struct sequence_row
+{
+  const char* mGuardsAgainst;
+  std::vector<rig_action> mEvents;
+  rig_check mExpected;       // at the end, and when mHolds
+  rig_check mHolds = Always; // after each event
+  bool mNeedsEra = false;
+};
+
+class restored_sequence_test : public ::testing::TestWithParam<sequence_row>
+{};
+
+TEST_P(restored_sequence_test, EndsAsExpected)
+{
+  const sequence_row& row = GetParam();
+  for (const bool statesEra : { true, false }) {
+    if (row.mNeedsEra && !statesEra) {
+      continue;
+    }
+    rig_options options;
+    options.mStoreStatesEra = statesEra;
+    options.mItemsPerPage = 2;
+    options.mForward.mChangeBound = kBound;
+    options.mForward.mDisturbanceTime = kDisturbance;
+    forwarding_rig rig(options);
+    PublishVersion(7)(rig);
+    for (std::size_t i = 0; i < row.mEvents.size(); ++i) {
+      row.mEvents[i](rig);
+      EXPECT_TRUE(row.mHolds(rig))
+        << row.mGuardsAgainst << "; after event " << i << (statesEra ? ", era stated" : ", no era");
+    }
+    EXPECT_TRUE(row.mExpected(rig))
+      << row.mGuardsAgainst << (statesEra ? ", era stated" : ", no era");
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  restored_sequence_test,
+  ::testing::Values(sequence_row{
+    "a replica that left while it was held is used again when a second copy has it",
+    { PublishReplica("a-1", 1),
+      Wait(seconds(1)),
+      Copy,
+      PublishOthers(9),
+      Wait(seconds(1)),
+      Return,
+      Copy,
+      RemoveReplica("a-1"),
+      Wait(seconds(5)),
+      PublishOthers(3),
+      Wait(seconds(1)),
+      Return,
+      Wait(seconds(1)) },
+    UsesNot("a-1") }));
+
 } // namespace
 } // namespace redwingdock::testing
