Read what was written again before a held item leaves

A running replica got no requests for up to 0.8 s after a drill or an outage, although its entry had been written again in time. Held items leave 2.2 s after the listing and entries are written again within 2 s, but the pause after a burst of changes takes up to 1 s, so the write was read too late. The pause now ends 100 ms before a held item leaves, which costs one read at most for each such time.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -29,6 +29,8 @@
 constexpr micros kBehindDelay = std::chrono::milliseconds(500);
 // Part of the bound on changes that is left to put a delayed deletion into effect.
 constexpr micros kDeletionMargin = std::chrono::milliseconds(500);
+// Time to read what the store has before a held item leaves.
+constexpr micros kHoldReadTime = std::chrono::milliseconds(100);
 // Daemons that learn of a new history from the same event list the store at different times within
 // this part of the time in which a change must take effect.
 constexpr int kListingSpreadDivisor = 8;
@@ -363,6 +365,20 @@
                         : aConfig.mWatchPause;
 }
 
+// Time before the next read. What is written again shortly before a held item leaves is read before
+// it leaves.
+micros PauseBeforeRead(const follow_state& aState, instant aNow)
+{
+  micros pause = aState.mReadPause;
+  for (const auto& [key, until] : aState.mDelayedDeletions) {
+    const instant latest = until - kHoldReadTime;
+    if (latest > aNow) {
+      pause = std::min(pause, latest - aNow);
+    }
+  }
+  return pause;
+}
+
 // Records that the store could not be read, and reads again after a delay.
 void RetryLater(core_context& aContext, follow_state aState, const store_read_failed& aFact)
 {
@@ -515,7 +531,7 @@
   }
   state = EndUpdate(aContext, std::move(update));
   state.mReadPause = NextPause(*aContext.ForwardConfig(), state, aContext.Now());
-  aContext.After(state.mReadPause, kStoreKey, read_due{ state.mReadNumber });
+  aContext.After(PauseBeforeRead(state, aContext.Now()), kStoreKey, read_due{ state.mReadNumber });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
--- a/src/testing/store_schedule.cc
+++ b/src/testing/store_schedule.cc
@@ -35,7 +35,8 @@
 constexpr micros kLongestHold = kDisturbance - milliseconds(500);
 constexpr micros kStep = milliseconds(20);
 constexpr micros kWriteRetry = milliseconds(200);
-constexpr micros kSettledTime = seconds(10); // after a fault; later no daemon lists the store
+// After a fault. A silent watch ends with its wait of 30 s and the time for a reply.
+constexpr micros kSettledTime = seconds(32);
 constexpr micros kMinCheckInterval = milliseconds(1800);
 constexpr std::size_t kMaxViolations = 5;
 
@@ -408,7 +409,8 @@
     }
   });
   for (std::size_t i = 0; i < kZones; ++i) {
-    mFleet.After(Between(milliseconds(300), aOperatorTime), [this, i] { WriteZone(ZoneName(i), false); });
+    mFleet.After(Between(milliseconds(300), aOperatorTime),
+                 [this, i] { WriteZone(ZoneName(i), false); });
   }
 }
 
@@ -460,12 +462,18 @@
       ++mResult.mTotals.mReturns;
       mFleet.mStore.Fail(false);
       mFleet.mStore.Restore();
-      std::set<run_id> lost = std::exchange(mTruth, mTruthOfCopy).mRuns;
-      for (const run_id& run : lost) {
+      const acknowledged before = std::exchange(mTruth, mTruthOfCopy);
+      for (const run_id& run : before.mRuns) {
         if (!mTruth.mRuns.contains(run)) {
           mTruth.mLeft[run] = Now();
         }
       }
+      for (const auto& [zone, closedAt] : before.mClosedZones) {
+        if (!mTruth.mClosedZones.contains(zone) || mTruth.mClosedZones.at(zone) != closedAt) {
+          mFleet.After(Between(milliseconds(300), kOperatorTime),
+                       [this, lost = zone] { WriteZone(lost, true); });
+        }
+      }
       mReturnedAt = Now();
       mCouldWriteAt = Now();
       DisturbAll(Now());
