End holds only with a copy that is current

A daemon that could not read the store when a hold ended took effect of its end blindly: a zone got requests although its evacuation had been written again, a replica that had left was used again although the store had removed its entry, and after two outages in a row all replicas were dropped although they were being written again.

Holds and delayed deletions now end when the copy shows what the store had at their end (100 ms before it at most). A daemon whose copy is older checks the store, which costs one call for each end of a hold; while the store cannot be read the copy does not change, as it is documented. After an outage and with a further new history, what is missing gets its time again, because nothing could be written in between.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -5,7 +5,6 @@
 #include "follow/new_history.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace redwingdock {
@@ -161,6 +160,15 @@
   aContext.After(delay, kStoreKey, check_due{});
 }
 
+follow_state WithCheckSent(core_context& aContext, follow_state aState)
+{
+  aContext.Count("follow.checks");
+  aContext.Emit(check_store{ ++aState.mCheckNumber });
+  aState.mCheckedFrom = aState.mAsOf;
+  aState.mCheckedAt = aContext.Now();
+  return aState;
+}
+
 // Starts the next read and writes the state.
 void StartNextRead(core_context& aContext, follow_state aState, bool aNewConnection = false)
 {
@@ -186,6 +194,24 @@
   StartNextRead(aContext, std::move(aState), true);
 }
 
+// Nothing was written again while the store was unavailable, so held items get their time again.
+follow_state WithHoldsRenewed(core_context& aContext, follow_state aState)
+{
+  if (aState.mDelayedDeletions.empty()) {
+    return aState;
+  }
+  const instant now = aContext.Now();
+  const item_map items = ItemsOf(aContext);
+  for (auto& [key, until] : aState.mDelayedDeletions) {
+    const auto item = items.find(key);
+    const bool isReplica =
+      item != items.end() && std::holds_alternative<replica_entry>(item->second->mValue);
+    until = std::max(until, isReplica ? aState.mDelayDeletionsUntil : now + kOperatorRewriteTime);
+    aContext.After(until - now, kStoreKey, hold_due{});
+  }
+  return aState;
+}
+
 // After failed reads: resets their count and sets until when deletions are delayed. The failure of
 // an open connection alone does not show that the store was unavailable. The delay then ends within
 // the bound on changes, counted from the earliest time at which a deletion may have been made.
@@ -198,6 +224,9 @@
     aState.mDelayDeletionsUntil = std::min(
       aState.mDelayDeletionsUntil, aState.mConfirmedAt + config->mChangeBound - kDeletionMargin);
   }
+  if (aState.mUnavailable) {
+    aState = WithHoldsRenewed(aContext, std::move(aState));
+  }
   aContext.Log("follow",
                "event=store_regained failures=" + std::to_string(aState.mFailures) +
                  " unconfirmed_ms=" + MsText(now - aState.mConfirmedAt) + " delay_deletions_ms=" +
@@ -243,13 +272,32 @@
   return aState;
 }
 
+// Whether the copy shows what the store had when the hold ended, so that it has what was written
+// again by then.
+bool IsCurrentAtEnd(const follow_state& aState, instant aHoldEnd)
+{
+  return aState.mConfirmedAt >= aHoldEnd - kHoldReadTime;
+}
+
+// The copy has all that the store had at aConfirmedAt. Holds may have waited for that.
+follow_state WithConfirmation(core_context& aContext, follow_state aState, instant aConfirmedAt)
+{
+  aState.mConfirmedAt = aConfirmedAt;
+  if (!aState.mDelayedDeletions.empty() || !aState.mWithheld.empty()) {
+    aContext.After(micros(0), kStoreKey, hold_due{});
+  }
+  return aState;
+}
+
 // The copy has all that the store had at aAsOf, which the store stated at aConfirmedAt.
-follow_state WithCopyAt(follow_state aState, const store_position& aAsOf, instant aConfirmedAt)
+follow_state WithCopyAt(core_context& aContext,
+                        follow_state aState,
+                        const store_position& aAsOf,
+                        instant aConfirmedAt)
 {
   aState.mAsOf = aAsOf;
-  aState.mConfirmedAt = aConfirmedAt;
   ++aState.mConfirmations;
-  return aState;
+  return WithConfirmation(aContext, std::move(aState), aConfirmedAt);
 }
 
 // Deletes a key, or delays the deletion when the store was unavailable shortly before: entries that
@@ -326,10 +374,9 @@
     state.mConfirmedAt + std::max(config->mChangeBound, config->mDisturbanceTime) - kDeletionMargin;
   state.mDelayDeletionsUntil =
     std::max({ now, state.mDelayDeletionsUntil, std::min(now + config->mDeletionDelay, latest) });
-  adopted_history adopted =
-    AdoptHistory({ std::move(aUpdate.mItems), aUpdate.mDeparted, state.mDelayedDeletions },
-                 std::exchange(state.mListedItems, {}),
-                 { now, state.mDelayDeletionsUntil });
+  adopted_history adopted = AdoptHistory({ std::move(aUpdate.mItems), aUpdate.mDeparted },
+                                         std::exchange(state.mListedItems, {}),
+                                         { now, state.mDelayDeletionsUntil });
   aContext.Count("follow.items_held", adopted.mHeld);
   aContext.Count("follow.items_withheld", adopted.mWithheld.size());
   aContext.Log(
@@ -491,7 +538,7 @@
   // that it repeats the changes made between pages.
   const store_position listedAsOf = state.mListedAsOf;
   const instant listedAt = state.mListedAt;
-  state = WithCopyAt(std::move(state), listedAsOf, listedAt);
+  state = WithCopyAt(aContext, std::move(state), listedAsOf, listedAt);
   state.mAfter.clear();
   state.mPhase = follow_phase::Watching;
   StartNextRead(aContext, std::move(state));
@@ -512,7 +559,7 @@
     ListSoon(aContext, WithNewHistory(aContext, std::move(state), asOf, "watch"));
     return;
   }
-  state = WithCopyAt(std::move(state), asOf, aContext.Now());
+  state = WithCopyAt(aContext, std::move(state), asOf, aContext.Now());
   if (aFact.mItems.empty()) {
     StartNextRead(aContext, std::move(state));
     return;
@@ -559,9 +606,7 @@
   follow_state state = StateOf(aContext);
   instant confirmedAt = state.mConfirmedAt;
   if (IsWatching(state) && aContext.Now() - confirmedAt >= state.mCheckAge) {
-    aContext.Count("follow.checks");
-    aContext.Emit(check_store{ ++state.mCheckNumber });
-    state.mCheckedFrom = state.mAsOf;
+    state = WithCheckSent(aContext, std::move(state));
     ForgetSilentPeers(aContext);
     confirmedAt = aContext.Now(); // if the check succeeds
   }
@@ -611,9 +656,8 @@
     ListAgain(aContext, std::move(state));
     return;
   }
-  state.mConfirmedAt = aContext.Now();
   ++state.mConfirmations;
-  aContext.mBoard.Write(kStoreKey, std::move(state));
+  aContext.mBoard.Write(kStoreKey, WithConfirmation(aContext, std::move(state), aContext.Now()));
 }
 
 void OnPeerCopy(core_context& aContext, const peer_copy_received& aFact)
@@ -624,8 +668,8 @@
     return;
   }
   if (aFact.mAsOf == state.mAsOf && aFact.mConfirmedAt > state.mConfirmedAt) {
-    state.mConfirmedAt = aFact.mConfirmedAt;
-    aContext.mBoard.Write(kStoreKey, std::move(state));
+    aContext.mBoard.Write(kStoreKey,
+                          WithConfirmation(aContext, std::move(state), aFact.mConfirmedAt));
     return;
   }
   // A position that this daemon has looked for and not found is of another history.
@@ -677,15 +721,33 @@
   }
 }
 
+// Checks the store when the copy is too old to end a hold, unless a check was just sent.
+void CheckForHolds(core_context& aContext, follow_state aState)
+{
+  if (!IsWatching(aState)) {
+    return; // the next read confirms the copy
+  }
+  const instant next = aState.mCheckedAt + kMinCheckAge;
+  if (next > aContext.Now()) {
+    aContext.After(next - aContext.Now(), kStoreKey, hold_due{});
+    return;
+  }
+  aContext.mBoard.Write(kStoreKey, WithCheckSent(aContext, std::move(aState)));
+}
+
 void OnHoldDue(core_context& aContext)
 {
   copy_update update = BeginUpdate(aContext, StateOf(aContext));
-  const auto& [deletions, withheld] =
-    std::tie(update.mState.mDelayedDeletions, update.mState.mWithheld);
+  follow_state& state = update.mState;
   const instant now = aContext.Now();
+  bool needsCheck = false;
   std::size_t gone = 0;
+  auto& deletions = state.mDelayedDeletions;
   for (auto it = deletions.begin(); it != deletions.end();) {
-    if (it->second > now) {
+    const bool isDue = it->second <= now;
+    const bool isUnsure = !IsCurrentAtEnd(state, it->second);
+    needsCheck = needsCheck || (isDue && isUnsure);
+    if (!isDue || isUnsure) {
       ++it;
       continue;
     }
@@ -698,26 +760,31 @@
     ++gone;
   }
   std::size_t back = 0;
-  for (auto it = withheld.begin(); it != withheld.end();) {
-    if (it->second.mUntil > now) {
+  for (auto it = state.mWithheld.begin(); it != state.mWithheld.end();) {
+    const bool isDue = it->second.mUntil <= now;
+    const bool isUnsure = !IsCurrentAtEnd(state, it->second.mUntil);
+    needsCheck = needsCheck || (isDue && isUnsure);
+    if (!isDue || isUnsure) {
       ++it;
       continue;
     }
     update.mItems[it->first] = it->second.mItem;
-    it = withheld.erase(it);
+    it = state.mWithheld.erase(it);
     ++back;
   }
-  if (gone + back == 0) {
-    return;
-  }
   if (gone > 0) {
     aContext.Log("follow", "event=held_entries_gone count=" + std::to_string(gone));
   }
   if (back > 0) {
     aContext.Log("follow", "event=withheld_entries_back count=" + std::to_string(back));
   }
-  follow_state state = EndUpdate(aContext, std::move(update));
-  aContext.mBoard.Write(kStoreKey, std::move(state));
+  if (gone + back > 0) {
+    state = EndUpdate(aContext, std::move(update));
+    aContext.mBoard.Write(kStoreKey, state);
+  }
+  if (needsCheck) {
+    CheckForHolds(aContext, std::move(state));
+  }
 }
 
 } // namespace
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -83,8 +83,9 @@
   std::string mHistorySource;
   std::optional<instant> mOlderEraSince; // since then all answers stated an earlier era
   instant mDelayDeletionsUntil{};        // deletions read before this time take effect then
+  instant mCheckedAt{};                  // when the latest check was sent
   std::map<std::string, instant>
-    mDelayedDeletions; // deleted keys that are still in the copy, and when they leave it
+    mDelayedDeletions; // keys that the store no longer has, and when they leave the copy
   std::map<std::string, withheld_item> mWithheld; // by key
   bool mHolds = false; // the two maps had entries since the latest new history
 
--- a/src/follow/new_history.cc
+++ b/src/follow/new_history.cc
@@ -53,13 +53,10 @@
     if (adopted.mItems.contains(key)) {
       continue;
     }
-    const auto delayed = aKnown.mDelayedDeletions.find(key);
-    const bool deletes = delayed != aKnown.mDelayedDeletions.end();
-    adopted.mHeld += deletes ? 0 : 1;
+    ++adopted.mHeld;
     adopted.mItems[key] = WithoutRevision(*item);
-    adopted.mDelayedDeletions[key] = deletes            ? delayed->second
-                                     : IsReplica(*item) ? aTimes.mReplicasUntil
-                                                        : aTimes.mNow + kOperatorRewriteTime;
+    adopted.mDelayedDeletions[key] =
+      IsReplica(*item) ? aTimes.mReplicasUntil : aTimes.mNow + kOperatorRewriteTime;
   }
   return adopted;
 }
--- a/src/follow/new_history.h
+++ b/src/follow/new_history.h
@@ -28,7 +28,6 @@
 {
   item_map mItems;
   departed_items mDeparted;
-  std::map<std::string, instant> mDelayedDeletions; // by key
 
   auto operator<=>(const known_copy&) const = default;
 };
--- a/src/follow/restored_store_test.cc
+++ b/src/follow/restored_store_test.cc
@@ -352,6 +352,17 @@
   aRig.TakeCopy();
 }
 
+void CutOff(forwarding_rig& aRig)
+{
+  aRig.FailStore(true);
+  aRig.FailWatch();
+}
+
+void Connect(forwarding_rig& aRig)
+{
+  aRig.FailStore(false);
+}
+
 struct timed_action
 {
   micros mAfter{ 0 }; // the previous one
@@ -437,7 +448,58 @@
                     { seconds(3), DoNothing } },
                   Uses("a-1"),
                   Uses("a-1"),
-                  3 }));
+                  3 },
+    sequence_row{ "a replica that had left is used again while the daemon cannot read the store",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(1), RemoveReplica("a-1") },
+                    { seconds(15), Connect },
+                    { seconds(4), DoNothing } },
+                  UsesNot("a-1"),
+                  UsesNot("a-1"),
+                  4 },
+    sequence_row{ "a zone is used because its evacuation was written again while the daemon could "
+                  "not read the store",
+                  { { micros(0), Copy },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(1), CloseZone },
+                    { seconds(15), Connect },
+                    { seconds(4), DoNothing } },
+                  IsZoneClosed,
+                  IsZoneClosed,
+                  3 },
+    sequence_row{ "a hold of a zone never ends because the daemon could not read the store",
+                  { { micros(0), Copy },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(15), Connect },
+                    { kOperatorRewriteTime + seconds(1), DoNothing } },
+                  IsZoneOpen },
+    sequence_row{ "a replica that is still there after its hold is never used",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { kWithheldReplicaTime + seconds(1), DoNothing } },
+                  Uses("a-1") },
+    sequence_row{ "a zone that is still closed after its hold is used for ever",
+                  { { micros(0), CloseZone },
+                    { seconds(1), Copy },
+                    { micros(0), OpenZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { kWithheldZoneTime + seconds(1), DoNothing } },
+                  IsZoneClosed }));
 
 } // namespace
 } // namespace redwingdock::testing
