Judge zones and replicas of the store simulation by what a daemon could know

A start that only an earlier start's entry hides has not left by an acknowledged write, and a zone is open without fault when the operator opened it since the daemon had it closed.

--- a/src/testing/store_schedule.cc
+++ b/src/testing/store_schedule.cc
@@ -38,6 +38,7 @@
 // After a fault. A silent watch ends with its wait of 30 s and the time for a reply.
 constexpr micros kSettledTime = seconds(32);
 constexpr micros kMinCheckInterval = milliseconds(1800);
+constexpr std::uint64_t kHoldKinds = 4; // missing or withheld, replicas or zones
 constexpr std::size_t kMaxViolations = 5;
 
 // One run of a replica process.
@@ -66,6 +67,14 @@
   bool mDrains = false;
 };
 
+// Whether a daemon has a zone as closed.
+struct zone_use
+{
+  bool mIsClosed = false;
+  bool mWasClosed = false; // before
+  instant mSince{};
+};
+
 // What a daemon has used since its start.
 struct daemon_record
 {
@@ -78,8 +87,7 @@
 
   std::uint64_t mVersion = 0;
   std::map<std::string, replica_state> mReplicas; // latest state, by id
-  std::map<std::string, instant> mClosedAt;       // zones, when they were last closed in the daemon
-  std::map<std::string, instant> mOpenAt;
+  std::map<std::string, zone_use> mZones;
   instant mDisturbedUntil{};   // kNever while a fault lasts
   std::uint64_t mListings = 0; // until then
   std::uint64_t mOtherFaults = 0;
@@ -127,6 +135,7 @@
   void ReturnFromCopy(int aTimes, std::function<void()> aThen);
   void Outage(std::function<void()> aThen);
   void BeginStoreFault();
+  void ClaimAfterReturn(const run_id& aRun);
   void Disturb(std::size_t aDaemon, instant aUntil);
   void DisturbAll(instant aUntil);
 
@@ -146,8 +155,10 @@
   bool mIsEnding = false;
   std::uint64_t mVersion = 0;
   std::map<std::string, bool> mWantsClosed;       // by zone
-  std::map<std::string, instant> mWantedClosedAt; // last time
+  std::map<std::string, instant> mWantedClosedAt; // last time, by zone
+  std::map<std::string, instant> mWantedOpenAt;
   std::vector<replica_process> mReplicas{ kReplicas };
+  std::set<run_id> mAllRuns; // that ever had an entry
   acknowledged mTruth;
   acknowledged mTruthOfCopy;
   instant mReturnedAt{};
@@ -266,13 +277,13 @@
     entry.mBornMs = run.mBornMs;
     entry.mSequence = replica.mSequence;
     entry.mDraining = replica.mDrains;
-    for (auto it = mTruth.mRuns.begin(); it != mTruth.mRuns.end();) {
-      const bool replaced = it->mId == run.mId && *it != run;
-      if (replaced) {
-        mTruth.mLeft.emplace(*it, Now());
+    for (const run_id& each : mAllRuns) {
+      if (each.mId == run.mId && each != run) {
+        mTruth.mLeft.emplace(each, Now());
       }
-      it = replaced ? mTruth.mRuns.erase(it) : std::next(it);
     }
+    std::erase_if(mTruth.mRuns, [&run](const run_id& aEach) { return aEach.mId == run.mId; });
+    mAllRuns.insert(run);
     mTruth.mRuns.insert(run);
     if (replica.mDrains) {
       mTruth.mLeft.emplace(run, Now());
@@ -288,13 +299,12 @@
 // Deletes the entry of the id, whichever start of the replica wrote it.
 void schedule_run::RemoveEntry(const run_id& aRun)
 {
-  for (auto it = mTruth.mRuns.begin(); it != mTruth.mRuns.end();) {
-    if (it->mId == aRun.mId) {
-      mTruth.mLeft.emplace(*it, Now());
+  for (const run_id& each : mAllRuns) {
+    if (each.mId == aRun.mId) {
+      mTruth.mLeft.emplace(each, Now());
     }
-    it = it->mId == aRun.mId ? mTruth.mRuns.erase(it) : std::next(it);
   }
-  mTruth.mLeft.emplace(aRun, Now());
+  std::erase_if(mTruth.mRuns, [&aRun](const run_id& aEach) { return aEach.mId == aRun.mId; });
   Note("removes " + aRun.mId + " born " + std::to_string(aRun.mBornMs));
   mFleet.mStore.Delete("replicas/" + aRun.mId);
 }
@@ -447,6 +457,18 @@
   }
 }
 
+// What the store says of the run after it returned. An entry of an earlier start tells nothing of
+// a later one; it expires soon.
+void schedule_run::ClaimAfterReturn(const run_id& aRun)
+{
+  const auto item = mFleet.mStore.Find("replicas/" + aRun.mId);
+  if (item == nullptr) {
+    mTruth.mLeft[aRun] = Now();
+  } else if (std::get<replica_entry>(item->mValue).mBornMs < aRun.mBornMs) {
+    mTruth.mLeft.erase(aRun);
+  }
+}
+
 void schedule_run::ReturnFromCopy(int aTimes, std::function<void()> aThen)
 {
   Note("the store is copied");
@@ -463,10 +485,8 @@
       mFleet.mStore.Fail(false);
       mFleet.mStore.Restore();
       const acknowledged before = std::exchange(mTruth, mTruthOfCopy);
-      for (const run_id& run : before.mRuns) {
-        if (!mTruth.mRuns.contains(run)) {
-          mTruth.mLeft[run] = Now();
-        }
+      for (const run_id& run : mAllRuns) {
+        ClaimAfterReturn(run);
       }
       for (const auto& [zone, closedAt] : before.mClosedZones) {
         if (!mTruth.mClosedZones.contains(zone) || mTruth.mClosedZones.at(zone) != closedAt) {
@@ -650,34 +670,28 @@
     const bool isClosed = aKnown.mClosedZones.contains(zone);
     const auto acked = mTruth.mClosedZones.find(zone);
     const bool wanted = mWantsClosed[zone];
-    if (wanted) {
-      mWantedClosedAt[zone] = Now();
-    }
+    (wanted ? mWantedClosedAt : mWantedOpenAt)[zone] = Now();
     if (acked != mTruth.mClosedZones.end() && wanted && !isClosed &&
         Due(acked->second, kEvacuationBound, record) <= Now()) {
       Fail(vm + zone + " is in use " + std::to_string(ToMs(Now() - acked->second)) +
            " ms after it was closed");
     }
-    const auto closedAt = record.mClosedAt.find(zone);
-    const auto openAt = record.mOpenAt.find(zone);
-    const bool wasClosed = closedAt != record.mClosedAt.end() &&
-                           (openAt == record.mOpenAt.end() || openAt->second < closedAt->second);
-    const bool wasOpen = openAt != record.mOpenAt.end() &&
-                         (closedAt == record.mClosedAt.end() || closedAt->second < openAt->second);
-    if (wasClosed && !isClosed && wanted &&
+    zone_use& use = record.mZones[zone];
+    // The daemon learnt that it is closed, and the operator has kept it closed since.
+    if (use.mIsClosed && !isClosed && mWantedOpenAt[zone] < use.mSince &&
         (acked != mTruth.mClosedZones.end() || mFleet.mStore.IsFailing() ||
          Now() <= mCouldWriteAt + kOperatorTime)) {
-      // Opened and closed again by the operator before the daemon read either.
-      const bool reopened = acked != mTruth.mClosedZones.end() && acked->second > closedAt->second;
-      if (!reopened) {
-        Fail(vm + zone + " is opened although the operator keeps it closed");
-      }
+      Fail(vm + zone + " is opened although the operator keeps it closed");
     }
-    if (wasOpen && isClosed && closedAt != record.mClosedAt.end() &&
-        mWantedClosedAt[zone] < openAt->second && Now() <= mReturnedAt + kOperatorTime) {
+    // The daemon learnt that it was closed and then that it is open, and the operator has kept it
+    // open since.
+    if (!use.mIsClosed && isClosed && use.mWasClosed && mWantedClosedAt[zone] < use.mSince &&
+        Now() <= mReturnedAt + kOperatorTime) {
       Fail(vm + zone + " is closed although the operator has opened it");
     }
-    (isClosed ? record.mClosedAt : record.mOpenAt)[zone] = Now();
+    if (isClosed != use.mIsClosed) {
+      use = { isClosed, use.mIsClosed, Now() };
+    }
   }
 }
 
