Forget that a replica had left when a new history has it again

A replica that left for the second time got requests again when the store returned from a copy that had it. The listing of a new history brought it back into the copy of the daemon without removing the record of its first leaving, and the end of a later hold kept that record in place of the second one.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -388,6 +388,11 @@
       " replaced=" + std::to_string(adopted.mReplaced) +
       " withheld=" + std::to_string(adopted.mWithheld.size()),
     log_level::Warning);
+  for (const auto& [key, item] : adopted.mItems) {
+    if (!adopted.mDelayedDeletions.contains(key)) {
+      aUpdate.mDeparted.mItems.erase(key);
+    }
+  }
   aUpdate.mItems = std::move(adopted.mItems);
   state.mDelayedDeletions = std::move(adopted.mDelayedDeletions);
   state.mWithheld = std::move(adopted.mWithheld);
