Delay deletions no longer than the time after a disturbance

A replica that left while a daemon could not reach the store could get requests for up to 4.1 s after the link was back, where 4 s are allowed: a read without an answer (0.9 s), the retry delay (1 s at most) and the delay of deletions (2.2 s) added up. The delay now also ends 0.5 s before the end of the disturbance time, counted from the start of the latest failed read. Entries are written again within 2 s of the store's return, which is at most 0.9 s after that start.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -212,18 +212,20 @@
   return aState;
 }
 
-// After failed reads: resets their count and sets until when deletions are delayed. The failure of
-// an open connection alone does not show that the store was unavailable. The delay then ends within
-// the bound on changes, counted from the earliest time at which a deletion may have been made.
+// After failed reads: resets their count and sets until when deletions are delayed. They must be in
+// effect in time after the store could be read again, which it could not at the start of the latest
+// failed read. The failure of an open connection alone does not show that the store was
+// unavailable. The delay then ends within the bound on changes, counted from the earliest time at
+// which a deletion may have been made.
 follow_state WithStoreRegained(core_context& aContext, follow_state aState)
 {
   const auto config = aContext.ForwardConfig();
   const instant now = aContext.Now();
-  aState.mDelayDeletionsUntil = now + config->mDeletionDelay;
-  if (!aState.mUnavailable) {
-    aState.mDelayDeletionsUntil = std::min(
-      aState.mDelayDeletionsUntil, aState.mConfirmedAt + config->mChangeBound - kDeletionMargin);
-  }
+  const instant latest =
+    aState.mUnavailable
+      ? aState.mUnavailableAt + std::max(config->mChangeBound, config->mDisturbanceTime)
+      : aState.mConfirmedAt + config->mChangeBound;
+  aState.mDelayDeletionsUntil = std::min(now + config->mDeletionDelay, latest - kDeletionMargin);
   if (aState.mUnavailable) {
     aState = WithHoldsRenewed(aContext, std::move(aState));
   }
@@ -443,7 +445,10 @@
                  log_level::Warning);
   }
   aContext.Count("follow.failures");
-  aState.mUnavailable = aState.mUnavailable || aState.mFailures > 0; // retries open new connections
+  if (aState.mFailures > 0) { // retries open new connections
+    aState.mUnavailable = true;
+    aState.mUnavailableAt = aState.mReadStartedAt;
+  }
   ++aState.mFailures;
   // A new watch may miss changes while the store drops its history. A listing returns the current
   // items.
@@ -642,6 +647,7 @@
   if (!aFact.mAsOf) {
     const std::uint64_t readNumber = state.mReadNumber;
     state.mUnavailable = true;
+    state.mUnavailableAt = state.mCheckedAt;
     // The watch waits for a store that does not answer. Listing replaces it.
     RetryLater(
       aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
--- a/src/follow/follow_controller_test.cc
+++ b/src/follow/follow_controller_test.cc
@@ -427,6 +427,47 @@
                            return name;
                          });
 
+struct outage_row
+{
+  const char* mGuardsAgainst;
+  std::function<void(forwarding_rig&)> mBegin;
+  std::function<void(forwarding_rig&)> mEnd;
+};
+
+class outage_test : public ::testing::TestWithParam<outage_row>
+{};
+
+// A replica is removed while the store cannot be read, at many moments of the retries.
+TEST_P(outage_test, RemovalsAreInEffectInTimeAfterwards)
+{
+  for (int moment = 0; moment < 400; ++moment) {
+    forwarding_rig rig({});
+    rig.Publish(StartedReplica(200, 1, false));
+    // The random numbers of the retries differ from moment to moment.
+    rig.RunFor(seconds(1) + seconds(moment % 40));
+    GetParam().mBegin(rig);
+    rig.RunFor(seconds(4));
+    rig.Delete("replicas/a-1");
+    rig.RunFor(milliseconds(10 * moment));
+    GetParam().mEnd(rig);
+    rig.RunFor(seconds(4)); // the time after a disturbance in which the bounds do not hold
+    EXPECT_EQ(Replicas(rig), 0U) << GetParam().mGuardsAgainst << ", moment " << moment;
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  outage_test,
+  ::testing::Values(outage_row{ "the delay of deletions adds to the time of a read without answer",
+                                [](forwarding_rig& aRig) { aRig.CutOff(true); },
+                                [](forwarding_rig& aRig) { aRig.CutOff(false); } },
+                    outage_row{ "the delay of deletions adds to the retry delay",
+                                [](forwarding_rig& aRig) {
+                                  aRig.FailStore(true);
+                                  aRig.FailWatch();
+                                },
+                                [](forwarding_rig& aRig) { aRig.FailStore(false); } }));
+
 struct check_row
 {
   const char* mGuardsAgainst;
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -71,6 +71,7 @@
   micros mReadPause{ 0 };        // before the next read, after the latest changes
   std::uint32_t mFailures = 0;   // consecutive failed reads
   bool mUnavailable = false;     // one of them was on a new connection
+  instant mUnavailableAt{};      // start of the latest of these
   // The store had nothing newer than mAsOf at this time, as it answered this daemon or another one.
   instant mConfirmedAt{};
   std::uint64_t mConfirmations = 0; // answers of the store to this daemon
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -76,6 +76,7 @@
   void SuppressWatchEvents(bool aSuppressed) { mReader.SuppressWatchEvents(aSuppressed); }
   void FailWatch() { mReader.FailWatch(); }
   void SilenceWatch() { mReader.SilenceWatch(); }
+  void CutOff(bool aIsCut) { mReader.Cut(aIsCut); }
   void DropHistory() { mStore.DropHistory(); }
   void TakeCopy() { mStore.TakeCopy(); }
   void Restore() { mStore.Restore(); }
