--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -5,7 +5,6 @@
 #include "follow/new_history.h"
 
 #include <algorithm>
-#include <tuple>
 #include <utility>
 
 namespace redwingdock {
@@ -29,6 +28,8 @@
 constexpr micros kBehindDelay = std::chrono::milliseconds(500);
 // Part of the bound on changes that is left to put a delayed deletion into effect.
 constexpr micros kDeletionMargin = std::chrono::milliseconds(500);
+// Time to read what the store has before a held item leaves.
+constexpr micros kHoldReadTime = std::chrono::milliseconds(100);
 // Daemons that learn of a new history from the same event list the store at different times within
 // this part of the time in which a change must take effect.
 constexpr int kListingSpreadDivisor = 8;
@@ -159,6 +160,15 @@
   aContext.After(delay, kStoreKey, check_due{});
 }
 
+follow_state WithCheckSent(core_context& aContext, follow_state aState)
+{
+  aContext.Count("follow.checks");
+  aContext.Emit(check_store{ ++aState.mCheckNumber });
+  aState.mCheckedFrom = aState.mAsOf;
+  aState.mCheckedAt = aContext.Now();
+  return aState;
+}
+
 // Starts the next read and writes the state.
 void StartNextRead(core_context& aContext, follow_state aState, bool aNewConnection = false)
 {
@@ -184,17 +194,40 @@
   StartNextRead(aContext, std::move(aState), true);
 }
 
-// After failed reads: resets their count and sets until when deletions are delayed. The failure of
-// an open connection alone does not show that the store was unavailable. The delay then ends within
-// the bound on changes, counted from the earliest time at which a deletion may have been made.
+// Nothing was written again while the store was unavailable, so held items get their time again.
+follow_state WithHoldsRenewed(core_context& aContext, follow_state aState)
+{
+  if (aState.mDelayedDeletions.empty()) {
+    return aState;
+  }
+  const instant now = aContext.Now();
+  const item_map items = ItemsOf(aContext);
+  for (auto& [key, until] : aState.mDelayedDeletions) {
+    const auto item = items.find(key);
+    const bool isReplica =
+      item != items.end() && std::holds_alternative<replica_entry>(item->second->mValue);
+    until = std::max(until, isReplica ? aState.mDelayDeletionsUntil : now + kOperatorRewriteTime);
+    aContext.After(until - now, kStoreKey, hold_due{});
+  }
+  return aState;
+}
+
+// After failed reads: resets their count and sets until when deletions are delayed. They must be in
+// effect in time after the store could be read again, which it could not at the start of the latest
+// failed read. The failure of an open connection alone does not show that the store was
+// unavailable. The delay then ends within the bound on changes, counted from the earliest time at
+// which a deletion may have been made.
 follow_state WithStoreRegained(core_context& aContext, follow_state aState)
 {
   const auto config = aContext.ForwardConfig();
   const instant now = aContext.Now();
-  aState.mDelayDeletionsUntil = now + config->mDeletionDelay;
-  if (!aState.mUnavailable) {
-    aState.mDelayDeletionsUntil = std::min(
-      aState.mDelayDeletionsUntil, aState.mConfirmedAt + config->mChangeBound - kDeletionMargin);
+  const instant latest =
+    aState.mUnavailable
+      ? aState.mUnavailableAt + std::max(config->mChangeBound, config->mDisturbanceTime)
+      : aState.mConfirmedAt + config->mChangeBound;
+  aState.mDelayDeletionsUntil = std::min(now + config->mDeletionDelay, latest - kDeletionMargin);
+  if (aState.mUnavailable) {
+    aState = WithHoldsRenewed(aContext, std::move(aState));
   }
   aContext.Log("follow",
                "event=store_regained failures=" + std::to_string(aState.mFailures) +
@@ -241,13 +274,32 @@
   return aState;
 }
 
+// Whether the copy shows what the store had when the hold ended, so that it has what was written
+// again by then.
+bool IsCurrentAtEnd(const follow_state& aState, instant aHoldEnd)
+{
+  return aState.mConfirmedAt >= aHoldEnd - kHoldReadTime;
+}
+
+// The copy has all that the store had at aConfirmedAt. Holds may have waited for that.
+follow_state WithConfirmation(core_context& aContext, follow_state aState, instant aConfirmedAt)
+{
+  aState.mConfirmedAt = aConfirmedAt;
+  if (!aState.mDelayedDeletions.empty() || !aState.mWithheld.empty()) {
+    aContext.After(micros(0), kStoreKey, hold_due{});
+  }
+  return aState;
+}
+
 // The copy has all that the store had at aAsOf, which the store stated at aConfirmedAt.
-follow_state WithCopyAt(follow_state aState, const store_position& aAsOf, instant aConfirmedAt)
+follow_state WithCopyAt(core_context& aContext,
+                        follow_state aState,
+                        const store_position& aAsOf,
+                        instant aConfirmedAt)
 {
   aState.mAsOf = aAsOf;
-  aState.mConfirmedAt = aConfirmedAt;
   ++aState.mConfirmations;
-  return aState;
+  return WithConfirmation(aContext, std::move(aState), aConfirmedAt);
 }
 
 // Deletes a key, or delays the deletion when the store was unavailable shortly before: entries that
@@ -339,6 +391,11 @@
       " replaced=" + std::to_string(adopted.mReplaced) +
       " withheld=" + std::to_string(adopted.mWithheld.size()),
     log_level::Warning);
+  for (const auto& [key, item] : adopted.mItems) {
+    if (!adopted.mDelayedDeletions.contains(key)) {
+      aUpdate.mDeparted.mItems.erase(key);
+    }
+  }
   aUpdate.mItems = std::move(adopted.mItems);
   state.mDelayedDeletions = std::move(adopted.mDelayedDeletions);
   state.mWithheld = std::move(adopted.mWithheld);
@@ -363,6 +420,20 @@
                         : aConfig.mWatchPause;
 }
 
+// Time before the next read. What is written again shortly before a held item leaves is read before
+// it leaves.
+micros PauseBeforeRead(const follow_state& aState, instant aNow)
+{
+  micros pause = aState.mReadPause;
+  for (const auto& [key, until] : aState.mDelayedDeletions) {
+    const instant latest = until - kHoldReadTime;
+    if (latest > aNow) {
+      pause = std::min(pause, latest - aNow);
+    }
+  }
+  return pause;
+}
+
 // Records that the store could not be read, and reads again after a delay.
 void RetryLater(core_context& aContext, follow_state aState, const store_read_failed& aFact)
 {
@@ -375,7 +446,10 @@
                  log_level::Warning);
   }
   aContext.Count("follow.failures");
-  aState.mUnavailable = aState.mUnavailable || aState.mFailures > 0; // retries open new connections
+  if (aState.mFailures > 0) { // retries open new connections
+    aState.mUnavailable = true;
+    aState.mUnavailableAt = aState.mReadStartedAt;
+  }
   ++aState.mFailures;
   // A new watch may miss changes while the store drops its history. A listing returns the current
   // items.
@@ -475,7 +549,7 @@
   // that it repeats the changes made between pages.
   const store_position listedAsOf = state.mListedAsOf;
   const instant listedAt = state.mListedAt;
-  state = WithCopyAt(std::move(state), listedAsOf, listedAt);
+  state = WithCopyAt(aContext, std::move(state), listedAsOf, listedAt);
   state.mAfter.clear();
   state.mPhase = follow_phase::Watching;
   StartNextRead(aContext, std::move(state));
@@ -496,7 +570,7 @@
     ListSoon(aContext, WithNewHistory(aContext, std::move(state), asOf, "watch"));
     return;
   }
-  state = WithCopyAt(std::move(state), asOf, aContext.Now());
+  state = WithCopyAt(aContext, std::move(state), asOf, aContext.Now());
   if (aFact.mItems.empty()) {
     StartNextRead(aContext, std::move(state));
     return;
@@ -515,7 +589,7 @@
   }
   state = EndUpdate(aContext, std::move(update));
   state.mReadPause = NextPause(*aContext.ForwardConfig(), state, aContext.Now());
-  aContext.After(state.mReadPause, kStoreKey, read_due{ state.mReadNumber });
+  aContext.After(PauseBeforeRead(state, aContext.Now()), kStoreKey, read_due{ state.mReadNumber });
   aContext.mBoard.Write(kStoreKey, std::move(state));
 }
 
@@ -543,9 +617,7 @@
   follow_state state = StateOf(aContext);
   instant confirmedAt = state.mConfirmedAt;
   if (IsWatching(state) && aContext.Now() - confirmedAt >= state.mCheckAge) {
-    aContext.Count("follow.checks");
-    aContext.Emit(check_store{ ++state.mCheckNumber });
-    state.mCheckedFrom = state.mAsOf;
+    state = WithCheckSent(aContext, std::move(state));
     ForgetSilentPeers(aContext);
     confirmedAt = aContext.Now(); // if the check succeeds
   }
@@ -576,6 +648,7 @@
   if (!aFact.mAsOf) {
     const std::uint64_t readNumber = state.mReadNumber;
     state.mUnavailable = true;
+    state.mUnavailableAt = state.mCheckedAt;
     // The watch waits for a store that does not answer. Listing replaces it.
     RetryLater(
       aContext, std::move(state), { readNumber, store_failure::Unavailable, aFact.mReason });
@@ -595,9 +668,8 @@
     ListAgain(aContext, std::move(state));
     return;
   }
-  state.mConfirmedAt = aContext.Now();
   ++state.mConfirmations;
-  aContext.mBoard.Write(kStoreKey, std::move(state));
+  aContext.mBoard.Write(kStoreKey, WithConfirmation(aContext, std::move(state), aContext.Now()));
 }
 
 void OnPeerCopy(core_context& aContext, const peer_copy_received& aFact)
@@ -608,8 +680,8 @@
     return;
   }
   if (aFact.mAsOf == state.mAsOf && aFact.mConfirmedAt > state.mConfirmedAt) {
-    state.mConfirmedAt = aFact.mConfirmedAt;
-    aContext.mBoard.Write(kStoreKey, std::move(state));
+    aContext.mBoard.Write(kStoreKey,
+                          WithConfirmation(aContext, std::move(state), aFact.mConfirmedAt));
     return;
   }
   // A position that this daemon has looked for and not found is of another history.
@@ -661,43 +733,70 @@
   }
 }
 
+// Checks the store when the copy is too old to end a hold, unless a check was just sent.
+void CheckForHolds(core_context& aContext, follow_state aState)
+{
+  if (!IsWatching(aState)) {
+    return; // the next read confirms the copy
+  }
+  const instant next = aState.mCheckedAt + kMinCheckAge;
+  if (next > aContext.Now()) {
+    aContext.After(next - aContext.Now(), kStoreKey, hold_due{});
+    return;
+  }
+  aContext.mBoard.Write(kStoreKey, WithCheckSent(aContext, std::move(aState)));
+}
+
 void OnHoldDue(core_context& aContext)
 {
   copy_update update = BeginUpdate(aContext, StateOf(aContext));
-  const auto& [deletions, withheld] =
-    std::tie(update.mState.mDelayedDeletions, update.mState.mWithheld);
+  follow_state& state = update.mState;
   const instant now = aContext.Now();
+  bool needsCheck = false;
   std::size_t gone = 0;
+  auto& deletions = state.mDelayedDeletions;
   for (auto it = deletions.begin(); it != deletions.end();) {
-    if (it->second > now) {
+    const bool isDue = it->second <= now;
+    const bool isUnsure = !IsCurrentAtEnd(state, it->second);
+    needsCheck = needsCheck || (isDue && isUnsure);
+    if (!isDue || isUnsure) {
       ++it;
       continue;
     }
-    update.mItems.erase(it->first);
+    const auto item = update.mItems.find(it->first);
+    if (item != update.mItems.end()) {
+      update.mDeparted.mItems.try_emplace(it->first, item->second, now + kDepartedMemory);
+      update.mItems.erase(item);
+    }
     it = deletions.erase(it);
     ++gone;
   }
   std::size_t back = 0;
-  for (auto it = withheld.begin(); it != withheld.end();) {
-    if (it->second.mUntil > now) {
+  for (auto it = state.mWithheld.begin(); it != state.mWithheld.end();) {
+    const bool isDue = it->second.mUntil <= now;
+    const bool isUnsure = !IsCurrentAtEnd(state, it->second.mUntil);
+    needsCheck = needsCheck || (isDue && isUnsure);
+    if (!isDue || isUnsure) {
       ++it;
       continue;
     }
     update.mItems[it->first] = it->second.mItem;
-    it = withheld.erase(it);
+    it = state.mWithheld.erase(it);
     ++back;
   }
-  if (gone + back == 0) {
-    return;
-  }
   if (gone > 0) {
     aContext.Log("follow", "event=held_entries_gone count=" + std::to_string(gone));
   }
   if (back > 0) {
     aContext.Log("follow", "event=withheld_entries_back count=" + std::to_string(back));
   }
-  follow_state state = EndUpdate(aContext, std::move(update));
-  aContext.mBoard.Write(kStoreKey, std::move(state));
+  if (gone + back > 0) {
+    state = EndUpdate(aContext, std::move(update));
+    aContext.mBoard.Write(kStoreKey, state);
+  }
+  if (needsCheck) {
+    CheckForHolds(aContext, std::move(state));
+  }
 }
 
 } // namespace
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -71,6 +71,7 @@
   micros mReadPause{ 0 };        // before the next read, after the latest changes
   std::uint32_t mFailures = 0;   // consecutive failed reads
   bool mUnavailable = false;     // one of them was on a new connection
+  instant mUnavailableAt{};      // start of the latest of these
   // The store had nothing newer than mAsOf at this time, as it answered this daemon or another one.
   instant mConfirmedAt{};
   std::uint64_t mConfirmations = 0; // answers of the store to this daemon
@@ -83,8 +84,9 @@
   std::string mHistorySource;
   std::optional<instant> mOlderEraSince; // since then all answers stated an earlier era
   instant mDelayDeletionsUntil{};        // deletions read before this time take effect then
+  instant mCheckedAt{};                  // when the latest check was sent
   std::map<std::string, instant>
-    mDelayedDeletions; // deleted keys that are still in the copy, and when they leave it
+    mDelayedDeletions; // keys that the store no longer has, and when they leave the copy
   std::map<std::string, withheld_item> mWithheld; // by key
   bool mHolds = false; // the two maps had entries since the latest new history
 
--- a/src/follow/restored_store_test.cc
+++ b/src/follow/restored_store_test.cc
@@ -340,5 +340,184 @@
                   false,
                   kOperatorRewriteTime }));
 
+// The store returns from its copy and the watches are cut.
+void Return(forwarding_rig& aRig)
+{
+  aRig.FailWatch();
+  aRig.Restore();
+}
+
+void Copy(forwarding_rig& aRig)
+{
+  aRig.TakeCopy();
+}
+
+void CutOff(forwarding_rig& aRig)
+{
+  aRig.FailStore(true);
+  aRig.FailWatch();
+}
+
+void Connect(forwarding_rig& aRig)
+{
+  aRig.FailStore(false);
+}
+
+struct timed_action
+{
+  micros mAfter{ 0 }; // the previous one
+  rig_action mAct;
+};
+
+struct sequence_row
+{
+  const char* mGuardsAgainst;
+  std::vector<timed_action> mActions;
+  rig_check mExpected;       // at the end
+  rig_check mHolds = Always; // all the time from the action mHoldsFrom on
+  std::size_t mHoldsFrom = 0;
+  bool mNeedsEra = false;
+  std::size_t mItemsPerPage = 2;
+};
+
+class restored_sequence_test : public ::testing::TestWithParam<sequence_row>
+{};
+
+// Returns what is wrong, or an empty text.
+std::string Play(const sequence_row& aRow, bool aStatesEra)
+{
+  rig_options options;
+  options.mStoreStatesEra = aStatesEra;
+  options.mItemsPerPage = aRow.mItemsPerPage;
+  options.mForward.mChangeBound = kBound;
+  options.mForward.mDisturbanceTime = kDisturbance;
+  forwarding_rig rig(options);
+  PublishVersion(7)(rig);
+  for (std::size_t i = 0; i < aRow.mActions.size(); ++i) {
+    const instant due = rig.Now() + aRow.mActions[i].mAfter;
+    while (rig.Now() < due) {
+      rig.RunFor(std::min(kStep, due - rig.Now()));
+      if (i > aRow.mHoldsFrom && !aRow.mHolds(rig)) {
+        return "lost " + std::to_string(ToMs(due - rig.Now())) + " ms before action " +
+               std::to_string(i);
+      }
+    }
+    aRow.mActions[i].mAct(rig);
+  }
+  return aRow.mExpected(rig) ? "" : "not as expected at the end";
+}
+
+TEST_P(restored_sequence_test, EndsAsExpected)
+{
+  const sequence_row& row = GetParam();
+  for (const bool statesEra : { true, false }) {
+    if (!row.mNeedsEra || statesEra) {
+      EXPECT_EQ(Play(row, statesEra), "")
+        << row.mGuardsAgainst << (statesEra ? "; era stated" : "; no era");
+    }
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  restored_sequence_test,
+  ::testing::Values(
+    sequence_row{ "a replica that left while it was held is used again when a second copy has it",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { micros(0), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { seconds(5), PublishOthers(3) },
+                    { seconds(1), Return },
+                    { seconds(1), DoNothing } },
+                  UsesNot("a-1") },
+    sequence_row{ "a replica that left is used again because an earlier state of it had left too",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { micros(0), Copy },
+                    { seconds(1), RemoveReplica("a-1") },
+                    { seconds(1), Return },
+                    { micros(0), PublishReplica("a-1", 2) },
+                    { micros(0), Copy },
+                    { seconds(1), PublishOthers(3) },
+                    { seconds(1), Return },
+                    { micros(0), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { seconds(5), PublishOthers(3) },
+                    { seconds(1), Return },
+                    { seconds(1), DoNothing } },
+                  UsesNot("a-1"),
+                  Always,
+                  0,
+                  true },
+    sequence_row{ "a held replica is dropped in the pause before its late write is read",
+                  { { micros(0), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Return },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(300), PublishOthers(1) },
+                    { milliseconds(180), PublishReplica("a-1", 2) },
+                    { seconds(3), DoNothing } },
+                  Uses("a-1"),
+                  Uses("a-1"),
+                  3 },
+    sequence_row{ "a replica that had left is used again while the daemon cannot read the store",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(1), RemoveReplica("a-1") },
+                    { seconds(15), Connect },
+                    { seconds(4), DoNothing } },
+                  UsesNot("a-1"),
+                  UsesNot("a-1"),
+                  4 },
+    sequence_row{ "a zone is used because its evacuation was written again while the daemon could "
+                  "not read the store",
+                  { { micros(0), Copy },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(1), CloseZone },
+                    { seconds(15), Connect },
+                    { seconds(4), DoNothing } },
+                  IsZoneClosed,
+                  IsZoneClosed,
+                  3 },
+    sequence_row{ "a hold of a zone never ends because the daemon could not read the store",
+                  { { micros(0), Copy },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), CutOff },
+                    { seconds(15), Connect },
+                    { kOperatorRewriteTime + seconds(1), DoNothing } },
+                  IsZoneOpen },
+    sequence_row{ "a replica that is still there after its hold is never used",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { kWithheldReplicaTime + seconds(1), DoNothing } },
+                  Uses("a-1") },
+    sequence_row{ "a zone that is still closed after its hold is used for ever",
+                  { { micros(0), CloseZone },
+                    { seconds(1), Copy },
+                    { micros(0), OpenZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { kWithheldZoneTime + seconds(1), DoNothing } },
+                  IsZoneClosed }));
+
 } // namespace
 } // namespace redwingdock::testing
