Test trouble beside a return of the store from a copy

From the review of the fix: the store is away while holds run, returns twice, gives the revision of an evacuation out again, goes back in era for good, or states no era while its counter passes.

--- a/src/follow/restored_store_test.cc
+++ b/src/follow/restored_store_test.cc
@@ -188,8 +188,9 @@
   rig.RunFor(seconds(1));
   rig.TakeCopy();
   aRow.mLost(rig);
-  // The phase of the check timer differs from moment to moment.
-  rig.RunFor(seconds(3) + milliseconds(370 * aMoment % 3000));
+  // The age of the copy differs from moment to moment; so does that of the next check, which is
+  // drawn anew after each one.
+  rig.RunFor(seconds(3) + milliseconds(370 * aMoment));
   aReturn.mBegin(rig);
   rig.RunFor(aReturn.mAway);
   rig.Restore();
@@ -519,5 +520,233 @@
                     { kWithheldZoneTime + seconds(1), DoNothing } },
                   IsZoneClosed }));
 
+// Trouble beside a return of the store, or several returns. A schedule returns what is wrong, or an
+// empty text.
+struct trouble_row
+{
+  const char* mGuardsAgainst;
+  bool mStatesEra;
+  std::function<std::string(forwarding_rig&)> mSchedule;
+};
+
+class store_trouble_test : public ::testing::TestWithParam<trouble_row>
+{};
+
+TEST_P(store_trouble_test, LosesNothingKnownAndMissesNothingNew)
+{
+  rig_options options;
+  options.mStoreStatesEra = GetParam().mStatesEra;
+  options.mItemsPerPage = 2;
+  options.mForward.mChangeBound = kBound;
+  options.mForward.mDisturbanceTime = kDisturbance;
+  forwarding_rig rig(options);
+  PublishVersion(7)(rig);
+  EXPECT_EQ(GetParam().mSchedule(rig), "") << GetParam().mGuardsAgainst;
+}
+
+// Runs for aTime. Returns the time at which aHolds was first false, or an empty text.
+std::string RunWhile(forwarding_rig& aRig, micros aTime, const rig_check& aHolds)
+{
+  const instant begin = aRig.Now();
+  while (aRig.Now() < begin + aTime) {
+    aRig.RunFor(kStep);
+    if (!aHolds(aRig)) {
+      return "lost after " + std::to_string(ToMs(aRig.Now() - begin)) + " ms";
+    }
+  }
+  return "";
+}
+
+void ReturnWithCutWatch(forwarding_rig& aRig)
+{
+  aRig.FailWatch();
+  aRig.Restore();
+}
+
+// Runs until a counter of calls to the store changes.
+void RunUntilCall(forwarding_rig& aRig, const int& aCalls)
+{
+  const int before = aCalls;
+  for (int i = 0; i < 4000 && aCalls == before; ++i) {
+    aRig.RunFor(milliseconds(1));
+  }
+  ASSERT_NE(aCalls, before);
+}
+
+void LoseStore(forwarding_rig& aRig)
+{
+  aRig.FailStore(true);
+  aRig.FailWatch();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  store_trouble_test,
+  ::testing::Values(
+    trouble_row{ "a replica that had left gets requests because the store is away when it would "
+                 "remove the entry",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   PublishReplica("a-1", 1)(aRig);
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   RemoveReplica("a-1")(aRig);
+                   aRig.RunFor(seconds(1));
+                   ReturnWithCutWatch(aRig);
+                   std::string wrong = RunWhile(aRig, seconds(1), UsesNot("a-1"));
+                   LoseStore(aRig);
+                   RemoveReplica("a-1")(aRig);
+                   return wrong + RunWhile(aRig, seconds(15), UsesNot("a-1"));
+                 } },
+    trouble_row{ "a zone is used because the store is away while its evacuation would be written "
+                 "again",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   CloseZone(aRig);
+                   aRig.RunFor(seconds(1));
+                   ReturnWithCutWatch(aRig);
+                   std::string wrong = RunWhile(aRig, milliseconds(500), IsZoneClosed);
+                   LoseStore(aRig);
+                   wrong += RunWhile(aRig, seconds(8), IsZoneClosed);
+                   CloseZone(aRig);
+                   aRig.FailStore(false);
+                   return wrong + RunWhile(aRig, seconds(4), IsZoneClosed);
+                 } },
+    trouble_row{ "a zone is used because a second return does not renew the hold of its "
+                 "evacuation",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   CloseZone(aRig);
+                   aRig.RunFor(seconds(1));
+                   ReturnWithCutWatch(aRig);
+                   std::string wrong = RunWhile(aRig, milliseconds(4500), IsZoneClosed);
+                   ReturnWithCutWatch(aRig);
+                   wrong += RunWhile(aRig, kRewrittenAt, IsZoneClosed);
+                   CloseZone(aRig);
+                   return wrong + RunWhile(aRig, seconds(4), IsZoneClosed);
+                 } },
+    trouble_row{ "an evacuation after the return is missed because it gets the revision of one "
+                 "that was taken back",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   CloseZone(aRig);
+                   aRig.RunFor(seconds(1));
+                   OpenZone(aRig);
+                   aRig.RunFor(seconds(1));
+                   LoseStore(aRig);
+                   aRig.Restore();
+                   CloseZone(aRig);
+                   aRig.FailStore(false);
+                   aRig.RunFor(kDisturbance + kBound);
+                   return std::string(IsZoneClosed(aRig) ? "" : "not in effect in time");
+                 } },
+    trouble_row{ "a zone is closed because the second return is later than what is remembered of "
+                 "its evacuation",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   CloseZone(aRig);
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   OpenZone(aRig);
+                   aRig.RunFor(seconds(5));
+                   ReturnWithCutWatch(aRig);
+                   std::string wrong = RunWhile(aRig, kDepartedMemory - seconds(4), IsZoneOpen);
+                   PublishOthers(1)(aRig);
+                   aRig.TakeCopy();
+                   aRig.RunFor(milliseconds(500));
+                   ReturnWithCutWatch(aRig);
+                   return wrong + RunWhile(aRig, seconds(3), IsZoneOpen);
+                 } },
+    trouble_row{ "a store whose era went back for good is never followed when a listing has "
+                 "several pages",
+                 true,
+                 [](forwarding_rig& aRig) {
+                   for (const char* id : { "a-1", "a-2", "a-3", "a-4" }) {
+                     PublishReplica(id, 1)(aRig);
+                   }
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   aRig.Restore();
+                   aRig.RunFor(seconds(5));
+                   aRig.RestoreEra(1);
+                   aRig.FailWatch();
+                   PublishVersion(9)(aRig);
+                   // 5 s in which the earlier era is refused, and the bound of a change.
+                   aRig.RunFor(seconds(5) + kDisturbance + kBound);
+                   return std::string(HasVersion(9)(aRig) ? "" : "not in effect in time");
+                 } },
+    trouble_row{ "a version is missed because the counter passes the known revision between the "
+                 "check that finds a lower one and the listing",
+                 false,
+                 [](forwarding_rig& aRig) {
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   InTurn({ PublishOthers(40), PublishVersion(8) })(aRig);
+                   aRig.RunFor(seconds(3));
+                   aRig.Restore();
+                   RunUntilCall(aRig, aRig.mChecks);
+                   aRig.FailStore(true); // the check is answered
+                   aRig.RunFor(milliseconds(20));
+                   InTurn({ PublishVersion(9), PublishOthers(60) })(aRig);
+                   aRig.FailStore(false);
+                   aRig.RunFor(kDisturbance + kBound);
+                   return std::string(HasVersion(9)(aRig) ? "" : "not in effect in time");
+                 } },
+    trouble_row{ "a version is missed because the counter passes the known revision after a "
+                 "listing whose pages are of two histories",
+                 false,
+                 [](forwarding_rig& aRig) {
+                   for (const char* id : { "a-1", "a-2", "a-3", "a-4" }) {
+                     PublishReplica(id, 1)(aRig);
+                   }
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   InTurn({ PublishOthers(40), PublishVersion(8) })(aRig);
+                   aRig.RunFor(seconds(3));
+                   aRig.FailWatch();
+                   RunUntilCall(aRig, aRig.mListReads);
+                   aRig.Restore(); // the first page is of the old history
+                   RunUntilCall(aRig, aRig.mListReads);
+                   InTurn({ PublishVersion(9), PublishOthers(60) })(aRig);
+                   aRig.RunFor(kDisturbance + kBound);
+                   return std::string(HasVersion(9)(aRig) ? "" : "not in effect in time");
+                 } },
+    trouble_row{ "a version is missed although a listing shows that its key has gone back",
+                 false,
+                 [](forwarding_rig& aRig) {
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   InTurn({ PublishOthers(40), PublishVersion(8) })(aRig);
+                   aRig.RunFor(seconds(3));
+                   LoseStore(aRig);
+                   aRig.Restore();
+                   InTurn({ PublishVersion(9), PublishOthers(60) })(aRig);
+                   aRig.FailStore(false);
+                   aRig.RunFor(kDisturbance + kBound);
+                   return std::string(HasVersion(9)(aRig) ? "" : "not in effect in time");
+                 } },
+    trouble_row{ "a replica that drains is missed although a listing shows that its key has gone "
+                 "back",
+                 false,
+                 [](forwarding_rig& aRig) {
+                   PublishReplica("a-1", 1)(aRig);
+                   aRig.RunFor(seconds(1));
+                   aRig.TakeCopy();
+                   InTurn({ PublishOthers(40), PublishReplica("a-1", 2) })(aRig);
+                   aRig.RunFor(seconds(3));
+                   LoseStore(aRig);
+                   aRig.Restore();
+                   InTurn({ PublishReplica("a-1", 3, true), PublishOthers(60) })(aRig);
+                   aRig.FailStore(false);
+                   aRig.RunFor(kDisturbance + kBound);
+                   return std::string(UsesNot("a-1")(aRig) ? "" : "not in effect in time");
+                 } }));
+
 } // namespace
 } // namespace redwingdock::testing
--- a/src/testing/fake_store.h
+++ b/src/testing/fake_store.h
@@ -44,6 +44,12 @@
   // revisions are given out again. Waiting watches wait on; each ends with its wait, or when the
   // revision passes the one that it waits for.
   void Restore();
+  // As Restore, but the store states aEra from now on.
+  void RestoreEra(std::uint64_t aEra)
+  {
+    Restore();
+    mEra = aEra;
+  }
 
   store_position Position() const { return { mEra, mState.mRevision }; }
   store_page_read PageAfter(const read_store_page& aCommand) const;
