Follow a store whose era went back for good

A daemon that refused answers of an earlier era accepted the first page of a listing after 5 s, took that for the end of the refusal, refused the second page and began again, so a listing of several pages was never finished and the copy stayed as it was for ever. The first page now decides which history is listed, and the time of the refusal ends with a listing that is complete or with a read that fails in another way. Pages that state no era belong to the history of the first one.

The row of store_trouble_test failed before.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -270,7 +270,6 @@
     aState = WithStoreRegained(aContext, std::move(aState));
   }
   aState.mReading = false;
-  aState.mOlderEraSince.reset();
   return aState;
 }
 
@@ -299,6 +298,7 @@
 {
   aState.mAsOf = aAsOf;
   ++aState.mConfirmations;
+  aState.mOlderEraSince.reset();
   return WithConfirmation(aContext, std::move(aState), aConfirmedAt);
 }
 
@@ -472,21 +472,24 @@
 
 // Reads again later when the answer is of an older era than the copy, which only a late answer is.
 // Returns false, and leaves the answer to the caller, when there is no other answer for some time.
-bool RefuseOlderEra(core_context& aContext, follow_state aState, const store_position& aAnswered)
+bool RefuseOlderEra(core_context& aContext,
+                    const follow_state& aState,
+                    const store_position& aAnswered)
 {
   if (aAnswered.mEra >= aState.mAsOf.mEra) {
     return false;
   }
-  aState.mOlderEraSince = aState.mOlderEraSince.value_or(aContext.Now());
-  if (aContext.Now() - *aState.mOlderEraSince >= kMaxOlderEra) {
+  const instant since = aState.mOlderEraSince.value_or(aContext.Now());
+  if (aContext.Now() - since >= kMaxOlderEra) {
     return false;
   }
-  const std::uint64_t readNumber = aState.mReadNumber;
+  follow_state state = aState;
+  state.mOlderEraSince = since;
   const std::string text = "the answer is of era " + std::to_string(aAnswered.mEra) +
                            ", the copy of era " + std::to_string(aState.mAsOf.mEra);
   RetryLater(aContext,
-             std::move(aState),
-             { readNumber, store_failure::Unavailable, { "read store", "", text } });
+             std::move(state),
+             { aState.mReadNumber, store_failure::Unavailable, { "read store", "", text } });
   return true;
 }
 
@@ -508,12 +511,15 @@
   if (state.mReadNumber != aFact.mReadNumber || state.mPhase != follow_phase::Listing) {
     return;
   }
-  const store_position asOf = StatedPosition(aFact.mAsOf, state.mAsOf);
-  if (RefuseOlderEra(aContext, state, asOf)) {
+  // The first page decides which history is listed.
+  const bool isFirstPage = state.mAfter.empty();
+  const store_position asOf =
+    StatedPosition(aFact.mAsOf, isFirstPage ? state.mAsOf : state.mListedAsOf);
+  if (isFirstPage && RefuseOlderEra(aContext, state, asOf)) {
     return;
   }
   state = WithAnswer(aContext, std::move(state));
-  if (state.mAfter.empty()) {
+  if (isFirstPage) {
     state.mListedAsOf = asOf;
     state.mListedAt = aContext.Now();
     state.mListedItems.clear();
@@ -597,6 +603,7 @@
 {
   follow_state state = StateOf(aContext);
   if (state.mReadNumber == aFact.mReadNumber && state.mReading) {
+    state.mOlderEraSince.reset();
     RetryLater(aContext, std::move(state), aFact);
   }
 }
