Remember a new history of a store that states no era

A check, or the second page of a listing, showed a lower revision than the copy had, and the counter passed the copy before everything was listed. The listing then looked like one of the known history, and a version that was written meanwhile never came into force. What was noticed is now kept until a listing takes it up.

Two rows of store_trouble_test failed before.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -339,6 +339,16 @@
   aUpdate.mDeparted.mItems.erase(aItem->mKey);
 }
 
+// Whether the listing is of the history that the copy is of. Without eras a counter that has passed
+// the known revision hides a new history that was noticed before.
+bool IsOfKnownHistory(const copy_update& aUpdate)
+{
+  const follow_state& state = aUpdate.mState;
+  const bool wasNoticed = !state.mHistorySource.empty() && state.mListedAsOf.mEra == 0;
+  return state.mAsOf == store_position{} ||
+         (Continues(state.mListedAsOf, state.mAsOf) && !wasNoticed);
+}
+
 // The whole listing of the history that the copy is of: deletes what it lacks and stores what it
 // has.
 void ApplyListing(core_context& aContext, copy_update& aUpdate)
@@ -526,6 +536,7 @@
   } else if (!Continues(asOf, state.mListedAsOf)) {
     aContext.Count("follow.mixed_listings");
     const std::uint64_t readNumber = state.mReadNumber;
+    state = WithNewHistory(aContext, std::move(state), asOf, "listing");
     RetryLater(aContext,
                std::move(state),
                { readNumber,
@@ -541,9 +552,8 @@
     StartNextRead(aContext, std::move(state));
     return;
   }
-  const bool isFirst = state.mAsOf == store_position{};
   copy_update update = BeginUpdate(aContext, std::move(state));
-  if (isFirst || Continues(update.mState.mListedAsOf, update.mState.mAsOf)) {
+  if (IsOfKnownHistory(update)) {
     ApplyListing(aContext, update);
   } else {
     const store_position listed = update.mState.mListedAsOf;
