Take a listing in which an item has gone back for a new history

In one history an item has no lower revision than before, nor the same one with another value; a listing that shows either is taken as a whole.

Two rows of store_trouble_test failed before.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -340,13 +340,14 @@
 }
 
 // Whether the listing is of the history that the copy is of. Without eras a counter that has passed
-// the known revision hides a new history that was noticed before.
+// the known revision hides a new history, unless it was noticed before or an item has gone back.
 bool IsOfKnownHistory(const copy_update& aUpdate)
 {
   const follow_state& state = aUpdate.mState;
   const bool wasNoticed = !state.mHistorySource.empty() && state.mListedAsOf.mEra == 0;
   return state.mAsOf == store_position{} ||
-         (Continues(state.mListedAsOf, state.mAsOf) && !wasNoticed);
+         (Continues(state.mListedAsOf, state.mAsOf) && !wasNoticed &&
+          !HasGoneBack(state.mListedItems, aUpdate.mItems));
 }
 
 // The whole listing of the history that the copy is of: deletes what it lacks and stores what it
--- a/src/follow/new_history.cc
+++ b/src/follow/new_history.cc
@@ -1,5 +1,6 @@
 #include "follow/new_history.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace redwingdock {
@@ -32,6 +33,20 @@
   return aItem == aDeparted;
 }
 
+bool HasGoneBack(const item_map& aListed, const item_map& aKnown)
+{
+  return std::any_of(aListed.begin(), aListed.end(), [&aKnown](const auto& aEach) {
+    const auto known = aKnown.find(aEach.first);
+    if (known == aKnown.end()) {
+      return false;
+    }
+    const store_item& before = *known->second;
+    const store_item& listed = *aEach.second;
+    return listed.mRevision < before.mRevision ||
+           (listed.mRevision == before.mRevision && listed != before);
+  });
+}
+
 adopted_history AdoptHistory(const known_copy& aKnown,
                              const item_map& aListed,
                              const hold_times& aTimes)
--- a/src/follow/new_history.h
+++ b/src/follow/new_history.h
@@ -55,6 +55,10 @@
 // Whether aItem is a state of the departed item that the store has brought back, not a later one.
 bool IsRestored(const store_item& aItem, const store_item& aDeparted);
 
+// Whether an item of a later listing has a lower revision than the known one, or the same revision
+// with another value. In one history neither can be.
+bool HasGoneBack(const item_map& aListed, const item_map& aKnown);
+
 // Combines a whole listing of the new history with the copy.
 adopted_history AdoptHistory(const known_copy& aKnown,
                              const item_map& aListed,
