Remember what is withheld until it is used again

A zone whose evacuation had been taken back was closed by a second return of the store a minute after the first: the evacuation was still withheld, but the record that it had left, which a new history is compared with, had expired. The record now lasts as long as the item is withheld.

The row of store_trouble_test failed before.

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -125,8 +125,9 @@
     aContext.Log("follow", "event=history_holds_ended" + AsOfText(state.mAsOf));
   }
   const instant now = aContext.Now();
-  std::erase_if(aUpdate.mDeparted.mItems,
-                [now](const auto& aEach) { return aEach.second.mForgetAt <= now; });
+  std::erase_if(aUpdate.mDeparted.mItems, [&](const auto& aEach) {
+    return aEach.second.mForgetAt <= now && !state.mWithheld.contains(aEach.first);
+  });
   aContext.mBoard.Write(kStoreKey, std::move(aUpdate.mDeparted));
   aContext.mBoard.Write(kStoreKey, published_items{ std::move(aUpdate.mItems) });
   return std::move(state);
