Close a zone whose evacuation may have been written again

An evacuation that was written after the store's return could get the revision of one that had been taken back, and was then withheld for up to a minute while requests went to the zone. It is withheld only when an item that the copy of the store kept has a later revision; otherwise the zone is closed until the operator opens it.

The row of store_trouble_test failed before.

--- a/src/follow/new_history.h
+++ b/src/follow/new_history.h
@@ -52,8 +52,14 @@
   auto operator<=>(const adopted_history&) const = default;
 };
 
-// Whether aItem is a state of the departed item that the store has brought back, not a later one.
-bool IsRestored(const store_item& aItem, const store_item& aDeparted);
+// The highest revision of a listed item that is the known one: the store's copy has all revisions
+// up to it, and gives out again only later ones.
+std::uint64_t RevisionOfCopy(const item_map& aListed, const item_map& aKnown);
+
+// Whether aItem is a state of the departed item that the store has brought back, not a later one. A
+// replica tells by its start and sequence. For other items it must be certain that their revision
+// was not given out again: a zone that is closed for too long does less harm than one that is not.
+bool IsRestored(const store_item& aItem, const store_item& aDeparted, std::uint64_t aCopyRevision);
 
 // Whether an item of a later listing has a lower revision than the known one, or the same revision
 // with another value. In one history neither can be.
