Set one timer for all items whose hold ends at the same time

A daemon did nothing else for half a second when the holds of a new history ended: each held item had a timer of its own, and each timer copied the whole state before it found nothing due. With 5,100 items, of which 2,550 are held, the end of the holds takes 5 ms of processor, 470 ms before (trial with a scratch test).

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -5,6 +5,7 @@
 #include "follow/new_history.h"
 
 #include <algorithm>
+#include <set>
 #include <utility>
 
 namespace redwingdock {
@@ -196,6 +197,22 @@
   StartNextRead(aContext, std::move(aState), true);
 }
 
+// Sets a timer for each time at which holds end. There are few, while thousands of items can be
+// held.
+void ScheduleHolds(core_context& aContext, const follow_state& aState)
+{
+  std::set<instant> ends;
+  for (const auto& [key, until] : aState.mDelayedDeletions) {
+    ends.insert(until);
+  }
+  for (const auto& [key, withheld] : aState.mWithheld) {
+    ends.insert(withheld.mUntil);
+  }
+  for (const instant end : ends) {
+    aContext.After(std::max(end - aContext.Now(), micros(0)), kStoreKey, hold_due{});
+  }
+}
+
 // Nothing was written again while the store was unavailable, so held items get their time again.
 follow_state WithHoldsRenewed(core_context& aContext, follow_state aState)
 {
@@ -209,8 +226,8 @@
     const bool isReplica =
       item != items.end() && std::holds_alternative<replica_entry>(item->second->mValue);
     until = std::max(until, isReplica ? aState.mDelayDeletionsUntil : now + kOperatorRewriteTime);
-    aContext.After(until - now, kStoreKey, hold_due{});
   }
+  ScheduleHolds(aContext, aState);
   return aState;
 }
 
@@ -319,7 +336,10 @@
     return;
   }
   state.mDelayedDeletions.emplace(aKey, state.mDelayDeletionsUntil);
-  aContext.After(state.mDelayDeletionsUntil - aContext.Now(), kStoreKey, hold_due{});
+  if (state.mDeletionTimer != state.mDelayDeletionsUntil) {
+    state.mDeletionTimer = state.mDelayDeletionsUntil;
+    aContext.After(state.mDelayDeletionsUntil - aContext.Now(), kStoreKey, hold_due{});
+  }
 }
 
 // Stores an item unless the copy already has a later revision of it or withholds this one, and
@@ -420,12 +440,7 @@
   state.mHolds = !state.mDelayedDeletions.empty() || !state.mWithheld.empty();
   state.mHistorySource.clear();
   ++state.mCheckNumber; // an answer to the latest check is of the old history
-  for (const auto& [key, until] : state.mDelayedDeletions) {
-    aContext.After(until - now, kStoreKey, hold_due{});
-  }
-  for (const auto& [key, withheld] : state.mWithheld) {
-    aContext.After(withheld.mUntil - now, kStoreKey, hold_due{});
-  }
+  ScheduleHolds(aContext, state);
 }
 
 // Changes come in bursts. The pause before the next read lets one call return several changes; it
@@ -774,11 +789,25 @@
   aContext.mBoard.Write(kStoreKey, WithCheckSent(aContext, std::move(aState)));
 }
 
+bool HasHoldDue(const follow_state& aState, instant aNow)
+{
+  return std::any_of(aState.mDelayedDeletions.begin(),
+                     aState.mDelayedDeletions.end(),
+                     [aNow](const auto& aEach) { return aEach.second <= aNow; }) ||
+         std::any_of(aState.mWithheld.begin(), aState.mWithheld.end(), [aNow](const auto& aEach) {
+           return aEach.second.mUntil <= aNow;
+         });
+}
+
 void OnHoldDue(core_context& aContext)
 {
-  copy_update update = BeginUpdate(aContext, StateOf(aContext));
-  follow_state& state = update.mState;
   const instant now = aContext.Now();
+  const auto before = aContext.mBoard.Read<follow_state>(kStoreKey);
+  if (!before || !HasHoldDue(*before, now)) {
+    return;
+  }
+  copy_update update = BeginUpdate(aContext, *before);
+  follow_state& state = update.mState;
   bool needsCheck = false;
   std::size_t gone = 0;
   auto& deletions = state.mDelayedDeletions;
--- a/src/follow/follow_state.h
+++ b/src/follow/follow_state.h
@@ -84,6 +84,7 @@
   std::string mHistorySource;
   std::optional<instant> mOlderEraSince; // since then all answers stated an earlier era
   instant mDelayDeletionsUntil{};        // deletions read before this time take effect then
+  instant mDeletionTimer{};              // the latest time for which their timer was set
   instant mCheckedAt{};                  // when the latest check was sent
   bool mChecking = false;                // and it has not been answered
   std::map<std::string, instant>
