Let the stand-in of the store return from a copy of itself

TakeCopy and ReturnFrom play the announced return: items and the revision go back, the next era begins, and waiting watches are cut, wait on or go silent. Answers have the header Store-Era unless a test leaves it out, and a watch after a revision that the store does not have gets 410.

--- a/src/platform/standin.cc
+++ b/src/platform/standin.cc
@@ -17,6 +17,11 @@
 
 constexpr std::size_t kItemsPerPage = 50;
 
+constexpr unsigned kOk = 200;
+constexpr unsigned kNotFound = 404;
+constexpr unsigned kGone = 410;
+constexpr unsigned kUnavailable = 503;
+
 std::uint64_t NumericParameter(const http_message& aMessage, const char* aName)
 {
   const std::string text = QueryParameter(aMessage.mTarget, aName);
@@ -70,43 +75,71 @@
   mWatches.clear();
 }
 
+store_standin::copy store_standin::TakeCopy() const
+{
+  const std::lock_guard lock(mLock);
+  return { mItems, mRevision };
+}
+
+void store_standin::ReturnFrom(const copy& aCopy, waiting_watches aWaiting)
+{
+  std::vector<watch> ended;
+  {
+    const std::lock_guard lock(mLock);
+    mItems = aCopy.mItems;
+    mRevision = aCopy.mRevision;
+    ++mEra;
+    if (aWaiting != waiting_watches::WaitOn) {
+      ended = std::exchange(mWatches, {});
+    }
+  }
+  if (aWaiting == waiting_watches::Cut) {
+    for (const watch& each : ended) {
+      mServer.Disconnect(each.mRequestId);
+    }
+  }
+}
+
 void store_standin::ApplyChange(const std::string& aKey, item aItem)
 {
-  std::vector<std::pair<std::uint64_t, std::string>> replies;
+  std::vector<std::pair<std::uint64_t, http_response>> replies;
   {
     const std::lock_guard lock(mLock);
     aItem.mRevision = ++mRevision;
     mItems[aKey] = std::move(aItem);
-    for (const watch& each : mWatches) {
-      replies.emplace_back(each.mRequestId, EventsBody(each.mAfter));
-    }
-    mWatches.clear();
+    std::erase_if(mWatches, [&](const watch& aWatch) {
+      if (aWatch.mAfter >= mRevision) {
+        return false;
+      }
+      replies.emplace_back(aWatch.mRequestId, Answer(kOk, EventsBody(aWatch.mAfter)));
+      return true;
+    });
   }
-  for (const auto& [requestId, body] : replies) {
-    mServer.Reply(requestId, { 200, "application/json", body, {} });
+  for (const auto& [requestId, reply] : replies) {
+    mServer.Reply(requestId, reply);
   }
 }
 
 void store_standin::OnRequest(std::uint64_t aRequestId, const http_message& aMessage)
 {
   const std::string_view path = PathOf(aMessage.mTarget);
-  http_response response{ 404, "", "", {} };
+  http_response response;
   {
     const std::lock_guard lock(mLock);
     const std::uint64_t after = NumericParameter(aMessage, "after");
     if (mDown) {
-      response.mStatus = 503;
+      response = Answer(kUnavailable);
     } else if (path == kRangePath) {
-      response = {
-        200, "application/json", RangeBody(QueryParameter(aMessage.mTarget, "after")), {}
-      };
+      response = Answer(kOk, RangeBody(QueryParameter(aMessage.mTarget, "after")));
+    } else if (path == kWatchPath && after > mRevision) {
+      response = Answer(kGone);
     } else if (path == kWatchPath && HasChangesAfter(after)) {
-      response = { 200, "application/json", EventsBody(after), {} };
+      response = Answer(kOk, EventsBody(after));
     } else if (path == kWatchPath) {
       mWatches.push_back({ aRequestId, after });
       mLoop.After(std::chrono::milliseconds(NumericParameter(aMessage, "waitMs")),
                   [this, aRequestId, after] {
-                    std::string body;
+                    http_response ended;
                     {
                       const std::lock_guard relock(mLock);
                       if (std::erase_if(mWatches, [aRequestId](const watch& aWatch) {
@@ -114,16 +147,27 @@
                           }) == 0) {
                         return;
                       }
-                      body = EventsBody(after);
+                      ended = Answer(kOk, EventsBody(after));
                     }
-                    mServer.Reply(aRequestId, { 200, "application/json", body, {} });
+                    mServer.Reply(aRequestId, ended);
                   });
       return;
+    } else {
+      response = Answer(kNotFound);
     }
   }
   mServer.Reply(aRequestId, response);
 }
 
+http_response store_standin::Answer(unsigned aStatus, std::string aBody) const
+{
+  http_response answer{ aStatus, aBody.empty() ? "" : "application/json", std::move(aBody), {} };
+  if (mStatesEra) {
+    answer.mFields.push_back({ kStoreEraHeader, std::to_string(mEra) });
+  }
+  return answer;
+}
+
 std::string store_standin::RangeBody(const std::string& aAfter) const
 {
   json::array items;
--- a/src/platform/standin.h
+++ b/src/platform/standin.h
@@ -21,10 +21,35 @@
 
 namespace redwingdock::platform {
 
+// What becomes of the watches that wait when the store returns from a copy of itself.
+enum class waiting_watches
+{
+  Cut,
+  WaitOn, // until their wait ends or the revision passes theirs
+  Silent, // nothing more is delivered on their connections, which stay open
+};
+
 // A store that serves range and watch calls for items with revisions.
 class store_standin
 {
 public:
+  struct item
+  {
+    std::string mValue;
+    std::uint64_t mRevision = 0;
+    bool mDeleted = false;
+
+    auto operator<=>(const item&) const = default;
+  };
+
+  struct copy
+  {
+    std::map<std::string, item> mItems;
+    std::uint64_t mRevision = 0;
+
+    auto operator<=>(const copy&) const = default;
+  };
+
   explicit store_standin(io_loop& aLoop);
 
   result<std::string> ListenOn(const std::string& aAddress) { return mServer.ListenOn(aAddress); }
@@ -34,15 +59,13 @@
   void SetDown(bool aDown);
   // The connections of the watches that wait now deliver nothing more, without being closed.
   void SilenceWatches();
+  copy TakeCopy() const;
+  // Returns from the copy with the next era. Revisions go back and are given out again.
+  void ReturnFrom(const copy& aCopy, waiting_watches aWaiting);
+  // Answers have no era. Call before ListenOn.
+  void LeaveEraOut() { mStatesEra = false; }
 
 private:
-  struct item
-  {
-    std::string mValue;
-    std::uint64_t mRevision = 0;
-    bool mDeleted = false;
-  };
-
   struct watch
   {
     std::uint64_t mRequestId = 0;
@@ -50,6 +73,8 @@
   };
 
   void OnRequest(std::uint64_t aRequestId, const http_message& aMessage);
+  // These read the state while mLock is held.
+  http_response Answer(unsigned aStatus, std::string aBody = "") const;
   std::string RangeBody(const std::string& aAfter) const;
   std::string EventsBody(std::uint64_t aAfter) const;
   bool HasChangesAfter(std::uint64_t aAfter) const;
@@ -60,6 +85,8 @@
   mutable std::mutex mLock;
   std::map<std::string, item> mItems;
   std::uint64_t mRevision = 1;
+  std::uint64_t mEra = 1;
+  bool mStatesEra = true;
   bool mDown = false;
   std::vector<watch> mWatches;
   http_server mServer;
