Judge in the soak whether changes were in effect in time

The soak drops and restores a route, drains and removes replicas and closes zones but judged none of it, so a daemon that never applied these changes passed. The ledger now has the versions, replicas and zones that the store acknowledged, and each request and run is judged by what was due at its process: a configuration and a replica that leaves within 3 s, a closed zone within 5 s, all no earlier than 4 s after the latest disturbance of the store or the process; and no process goes back to an older version once a replica has seen a newer one. Processes under a quota are judged by the last rule alone.

--- a/src/platform/soak/soak_ledger.cc
+++ b/src/platform/soak/soak_ledger.cc
@@ -1,6 +1,7 @@
 #include "platform/soak/soak_ledger.h"
 
 #include "base/log_text.h"
+#include "platform/soak/soak_changes.h"
 
 #include <algorithm>
 #include <csignal>
@@ -98,17 +99,9 @@
   return line;
 }
 
-const process_record& ProcessOf(const request_record& aRequest,
-                                const std::vector<process_record>& aProcesses)
+bool IsBroken(finding aFinding)
 {
-  static const process_record kUnknown;
-  const process_record* found = &kUnknown;
-  for (const process_record& each : aProcesses) {
-    if (each.mDaemon == aRequest.mDaemon && each.mStartedAt <= aRequest.mSentAt) {
-      found = &each; // records are in the order of their starts
-    }
-  }
-  return *found;
+  return aFinding != finding::Kept && aFinding != finding::Crossed && aFinding != finding::Excused;
 }
 
 } // namespace
@@ -132,6 +125,14 @@
       return "refused_but_ran";
     case finding::WrongAnswer:
       return "wrong_answer";
+    case finding::OlderVersion:
+      return "older_version";
+    case finding::WentBack:
+      return "went_back";
+    case finding::ReachedLeaving:
+      return "reached_leaving";
+    case finding::ReachedClosedZone:
+      return "reached_closed_zone";
   }
   return "";
 }
@@ -188,9 +189,10 @@
 
 bool soak_result::IsClean() const
 {
-  return mEndedByThemselves == 0 && mExceededGrace == 0 && Count(finding::LostAtStop) == 0 &&
-         Count(finding::Lost) == 0 && Count(finding::RanTwice) == 0 &&
-         Count(finding::RefusedButRan) == 0 && Count(finding::WrongAnswer) == 0;
+  return mEndedByThemselves == 0 && mExceededGrace == 0 &&
+         std::all_of(mCounts.begin(), mCounts.end(), [](const auto& aEach) {
+           return aEach.second == 0 || !IsBroken(aEach.first);
+         });
 }
 
 soak_result JudgeAll(const soak_ledger& aLedger, const soak_bounds& aBounds)
@@ -200,13 +202,20 @@
     runs[run.mRequestId].push_back(run);
   }
   soak_result result;
+  const change_judge changes(aLedger, runs, aBounds);
   for (const request_record& request : aLedger.mRequests) {
     const std::vector<replica_run>& own = runs[request.mId];
     const process_record& record = ProcessOf(request, aLedger.mProcessRecords);
     const finding found = Judge(request, own, record, aBounds);
     ++result.mCounts[found];
+    for (const finding each : changes.Judge(request, own, record)) {
+      ++result.mCounts[each];
+      result.mLines.push_back(Describe(each, request, own, record) +
+                              changes.Describe(request, record));
+    }
+    result.mInTouch += changes.IsInTouch(request.mSentAt, record) ? 1 : 0;
     result.mRefused += request.mEnd == request_end::Answered && request.mStatus == 503 ? 1 : 0;
-    if (found != finding::Kept && found != finding::Crossed && found != finding::Excused) {
+    if (IsBroken(found)) {
       result.mLines.push_back(Describe(found, request, own, record));
     }
   }
--- a/src/platform/soak/soak_ledger.h
+++ b/src/platform/soak/soak_ledger.h
@@ -57,6 +57,57 @@
   auto operator<=>(const process_record&) const = default;
 };
 
+enum class change_kind
+{
+  Version,       // of the configuration
+  ReplicaLeaves, // it drains, or its entry is gone
+  ZoneCloses,
+  ZoneOpens,
+};
+
+// A change that the store acknowledged.
+struct acknowledged_change
+{
+  change_kind mKind = change_kind::Version;
+  std::string mName;          // of the replica or the zone
+  std::uint64_t mVersion = 0; // of the configuration
+  instant mAt{};
+  instant mLostAt = kNever; // the store returned from a copy without it
+
+  auto operator<=>(const acknowledged_change&) const = default;
+};
+
+struct replica_place
+{
+  std::string mService;
+  std::string mZone;
+
+  auto operator<=>(const replica_place&) const = default;
+};
+
+struct time_span
+{
+  instant mFrom{};
+  instant mTo = kNever;
+
+  auto operator<=>(const time_span&) const = default;
+};
+
+// Service of each route that a version of the configuration has. A route that gathers has none.
+using version_routes = std::map<std::string, std::string>;
+
+// What the operator and the replicas of a soak wrote.
+struct change_ledger
+{
+  std::map<std::uint64_t, version_routes> mVersions;
+  std::vector<acknowledged_change> mChanges;
+  std::map<std::string, replica_place> mReplicas; // by id
+  std::vector<time_span> mStoreDisturbances;
+  bool mSlowed = false; // the daemons run under a quota of processor time
+
+  auto operator<=>(const change_ledger&) const = default;
+};
+
 // Bounds of the rules of a deployment.
 struct soak_bounds
 {
@@ -66,6 +117,13 @@
   // later than mLateRequest after the signal, excuses a cut in that part.
   int mLastPart = 6;
   micros mLateRequest = std::chrono::seconds(3);
+  micros mVersionBound = std::chrono::seconds(3); // from its acknowledgement
+  micros mLeavingBound = std::chrono::seconds(3);
+  micros mClosedZoneBound = std::chrono::seconds(5);
+  // The three bounds above do not hold so long after a disturbance of the store or of the daemon.
+  micros mDisturbanceTime = std::chrono::seconds(4);
+  // After a version has been seen in effect, no older one is. Eight times that for slowed daemons.
+  micros mRollbackSlack = std::chrono::milliseconds(500);
 
   auto operator<=>(const soak_bounds&) const = default;
 };
@@ -80,6 +138,10 @@
   RanTwice,
   RefusedButRan,
   WrongAnswer,
+  OlderVersion, // handled as only an older version of the configuration allows
+  WentBack,     // the same, by a process that had handled requests by a later one
+  ReachedLeaving,
+  ReachedClosedZone,
 };
 
 const char* ToString(finding aFinding);
@@ -101,6 +163,7 @@
   std::vector<request_record> mRequests;
   std::vector<replica_run> mRuns;
   std::vector<process_record> mProcessRecords;
+  change_ledger mWritten;
 
   bool operator==(const soak_ledger&) const = default;
 };
@@ -108,6 +171,7 @@
 struct soak_result
 {
   std::map<finding, std::size_t> mCounts;
+  std::size_t mInTouch = 0; // sent so long after a disturbance that changes had to be in effect
   std::size_t mRefused = 0; // answered 503
   std::size_t mEndedByThemselves = 0;
   std::size_t mEndedBeforeMain = 0; // breaks no promise
--- a/src/platform/soak/soak_ledger_test.cc
+++ b/src/platform/soak/soak_ledger_test.cc
@@ -115,7 +115,11 @@
                                          clean_row{ finding::Lost, false },
                                          clean_row{ finding::RanTwice, false },
                                          clean_row{ finding::RefusedButRan, false },
-                                         clean_row{ finding::WrongAnswer, false }));
+                                         clean_row{ finding::WrongAnswer, false },
+                                         clean_row{ finding::OlderVersion, false },
+                                         clean_row{ finding::WentBack, false },
+                                         clean_row{ finding::ReachedLeaving, false },
+                                         clean_row{ finding::ReachedClosedZone, false }));
 
 } // namespace
 } // namespace redwingdock::platform
