Play returns of the store from a copy in the soak

Half of the seeds now have one or two returns: the age of the copy, the time away, up to 149 writes that the copy lacks, when the replicas and the operator write again what was lost, the fate of waiting watches, and whether the era is stated. Changes are made between the copy and the return and after it, among them moves of a route to a service that it never had before, so that each version can be told from the others. All this is drawn after the existing draws; the plans of earlier seeds keep what they had.

--- a/src/platform/soak/soak_configuration.cc
+++ b/src/platform/soak/soak_configuration.cc
@@ -2,6 +2,7 @@
 
 #include "base/log_text.h"
 
+#include <algorithm>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -37,6 +38,29 @@
   return nullptr;
 }
 
+// The first route that does not gather moves.
+std::string MovedService(const soak_deployment& aDeployment, std::uint64_t aMoves)
+{
+  const auto moves = std::find_if(aDeployment.mRoutes.begin(),
+                                  aDeployment.mRoutes.end(),
+                                  [](const soak_route& aRoute) { return !aRoute.mGathers; });
+  return moves->mName + (aMoves > 0 ? "-" + std::to_string(aMoves) : "");
+}
+
+version_routes RoutesOf(const soak_deployment& aDeployment, const configuration_state& aState)
+{
+  version_routes routes;
+  for (const soak_route& each : aDeployment.mRoutes) {
+    if (aState.mLastRoute || &each != &aDeployment.mRoutes.back()) {
+      const bool moves = each.mName == MovedService(aDeployment, 0);
+      routes[each.mName] = each.mGathers ? ""
+                           : moves       ? MovedService(aDeployment, aState.mMoves)
+                                         : each.mName;
+    }
+  }
+  return routes;
+}
+
 std::string FormatConfiguration(const soak_deployment& aDeployment,
                                 const configuration_state& aState)
 {
@@ -47,9 +71,10 @@
     shards.emplace_back(ShardName(i));
     services.push_back(json::object{ { "name", ShardName(i) }, { "connectionLimit", 64 } });
   }
+  const version_routes serviceOf = RoutesOf(aDeployment, aState);
   json::array routes;
   for (const soak_route& each : aDeployment.mRoutes) {
-    if (!aState.mLastRoute && &each == &aDeployment.mRoutes.back()) {
+    if (!serviceOf.contains(each.mName)) {
       continue;
     }
     json::object route{ { "name", each.mName },
@@ -65,8 +90,9 @@
       route["topK"] = 5;
       route["minimumSuccessShare"] = 0.6;
     } else {
-      route["service"] = each.mName;
-      services.push_back(json::object{ { "name", each.mName }, { "connectionLimit", 200 } });
+      const std::string& service = serviceOf.at(each.mName);
+      route["service"] = service;
+      services.push_back(json::object{ { "name", service }, { "connectionLimit", 200 } });
     }
     routes.push_back(std::move(route));
   }
--- a/src/platform/soak/soak_main.cc
+++ b/src/platform/soak/soak_main.cc
@@ -33,8 +33,8 @@
   --reply-bytes N     Size of the replies that are not parts of a gather; 0 draws it from the seed
                       [default: 0].
   --keep-logs FOLDER  Keep the daemons' logs of the seeds that fail in this folder.
-  --without NAME      Leave this part out of each plan: a profile of clients, log_pipes or
-                      early_signals.
+  --without NAME      Leave this part out of each plan: a profile of clients, log_pipes,
+                      early_signals, stops or quota.
   --plan-only         Print the plans and exit.
   --help              Show this text.
   --version           Show the version.
@@ -64,9 +64,11 @@
   for (const auto& [found, count] : aResult.mCounts) {
     counts += std::string(" ") + ToString(found) + "=" + std::to_string(count);
   }
-  std::printf("%s%s refused=%zu ended_by_itself=%zu ended_before_main=%zu exceeded_grace=%zu %s\n",
+  std::printf("%s%s in_touch=%zu refused=%zu ended_by_itself=%zu ended_before_main=%zu "
+              "exceeded_grace=%zu %s\n",
               aResult.IsClean() ? "ok   " : "FAIL ",
               Describe(aPlan).c_str(),
+              aResult.mInTouch,
               aResult.mRefused,
               aResult.mEndedByThemselves,
               aResult.mEndedBeforeMain,
--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -201,6 +201,67 @@
   AddProfiles(aRandom, aPlan.mClients);
 }
 
+// Something that is to be in effect at the daemons, or several things.
+void AddChanges(plan_random& aRandom, milliseconds aFirst, milliseconds aLast, soak_plan& aPlan)
+{
+  const auto add = [&](soak_action aAction, std::size_t aTarget = 0) {
+    aPlan.mEvents.push_back({ aRandom.Between(aFirst, aLast), aAction, aTarget });
+  };
+  add(soak_action::MoveRoute);
+  if (aRandom.OneIn(2)) {
+    add(soak_action::DrainReplica, aRandom.Below(kReplicas));
+  }
+  if (aRandom.OneIn(2)) {
+    add(soak_action::RemoveReplica, aRandom.Below(kReplicas));
+  }
+  if (aRandom.OneIn(3)) {
+    add(soak_action::DropRoute);
+    aPlan.mEvents.push_back(
+      { aPlan.mEvents.back().mAt + milliseconds(4500), soak_action::RestoreRoute });
+  }
+  if (aRandom.OneIn(3)) {
+    add(soak_action::EvacuateZone, aRandom.Below(kZones));
+    aPlan.mEvents.push_back({ aPlan.mEvents.back().mAt + milliseconds(7500),
+                              soak_action::RestoreZone,
+                              aPlan.mEvents.back().mTarget });
+  }
+}
+
+// Returns of the store from a copy, with changes that the copy lacks and changes that follow. They
+// come early, so that a time without disturbance is left.
+void AddReturns(plan_random& aRandom, soak_plan& aPlan)
+{
+  constexpr milliseconds kCalmTime{ 6000 };
+  constexpr waiting_watches kWaiting[] = { waiting_watches::Cut,
+                                           waiting_watches::WaitOn,
+                                           waiting_watches::Silent };
+  if (aRandom.OneIn(2)) {
+    return;
+  }
+  aPlan.mStatesEra = !aRandom.OneIn(4);
+  const milliseconds duration = std::chrono::duration_cast<milliseconds>(aPlan.mOptions.mDuration);
+  milliseconds at = std::chrono::duration_cast<milliseconds>(
+    aRandom.Between(2 * kFirstEvent, std::max(2 * kFirstEvent, duration - kCalmTime)));
+  for (std::size_t i = 0, count = aRandom.OneIn(3) ? 2 : 1; i < count; ++i) {
+    const milliseconds copied =
+      std::max(milliseconds(0), at - milliseconds(200 + aRandom.Below(2500)));
+    const milliseconds away(aRandom.OneIn(2) ? 0 : aRandom.Below(1200));
+    const milliseconds back = at + away;
+    aPlan.mEvents.push_back({ copied, soak_action::CopyStore, i });
+    aPlan.mEvents.push_back({ at, soak_action::ReturnStore, i });
+    constexpr std::uint64_t kMaxWrites = 150;
+    aPlan.mReturns.push_back(
+      { kWaiting[aRandom.Below(std::size(kWaiting))],
+        static_cast<std::uint32_t>(aRandom.OneIn(3) ? 0 : aRandom.Below(kMaxWrites)),
+        away,
+        aRandom.Between(milliseconds(0), milliseconds(1300)),
+        aRandom.Between(milliseconds(100), milliseconds(2500)) });
+    AddChanges(aRandom, copied, at, aPlan);
+    AddChanges(aRandom, back, back + milliseconds(1500), aPlan);
+    at = back + milliseconds(300 + aRandom.Below(2500));
+  }
+}
+
 } // namespace
 
 const std::vector<soak_deployment>& SoakDeployments()
@@ -257,6 +318,7 @@
   AddStops(random, aOptions, plan.mEvents);
   AddOthers(random, aOptions, plan.mEvents);
   Widen(random, plan);
+  AddReturns(random, plan);
   std::stable_sort(
     plan.mEvents.begin(),
     plan.mEvents.end(),
@@ -275,6 +337,15 @@
   if (aNames.contains("early_signals")) {
     aPlan.mEarlySignals.clear();
   }
+  if (aNames.contains("stops")) {
+    std::erase_if(aPlan.mEvents, [](const soak_event& aEvent) {
+      return aEvent.mAction == soak_action::Terminate ||
+             aEvent.mAction == soak_action::TerminateTwice || aEvent.mAction == soak_action::Kill;
+    });
+  }
+  if (aNames.contains("quota")) {
+    aPlan.mQuota = micros(0);
+  }
   return aPlan;
 }
 
--- a/src/platform/soak/soak_plan.h
+++ b/src/platform/soak/soak_plan.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_PLATFORM_SOAK_SOAK_PLAN_H
 
 #include "base/time.h"
+#include "platform/standin.h"
 
 #include <cstdint>
 #include <set>
@@ -81,13 +82,28 @@
   StoreUp,
   EvacuateZone,
   RestoreZone,
+  MoveRoute, // a configuration with another service for the route that moves
+  CopyStore, // for a later return of the store from this copy
+  ReturnStore,
+};
+
+// The store returns from a copy of itself. What was written since is written again later.
+struct store_return
+{
+  waiting_watches mWaiting = waiting_watches::Cut;
+  std::uint32_t mWrites = 0; // of replicas, right after the copy was made
+  micros mAway{ 0 };         // before it returns, the store answers nothing but errors
+  micros mReplicaDelay{ 0 }; // until replicas write again
+  micros mOperatorDelay{ 0 };
+
+  auto operator<=>(const store_return&) const = default;
 };
 
 struct soak_event
 {
   micros mAt{ 0 }; // from the start of the traffic
   soak_action mAction = soak_action::Terminate;
-  std::size_t mTarget = 0; // daemon, replica or zone
+  std::size_t mTarget = 0; // daemon, replica, zone or return
 
   auto operator<=>(const soak_event&) const = default;
 };
@@ -134,13 +150,16 @@
   std::vector<soak_event> mEvents; // by time
   std::vector<early_signal> mEarlySignals;
   log_sink mLogSink = log_sink::File;
+  std::vector<store_return> mReturns;
+  bool mStatesEra = true; // the store does, in its answers
 
   bool operator==(const soak_plan&) const = default;
 };
 
 soak_plan MakeSoakPlan(const soak_options& aOptions);
 
-// The plan without the named profiles of clients, "log_pipes" and "early_signals".
+// The plan without the named profiles of clients, "log_pipes", "early_signals", "stops" (and
+// kills), and "quota".
 soak_plan Without(soak_plan aPlan, const std::set<std::string>& aNames);
 
 std::string Describe(const soak_plan& aPlan);
--- a/src/platform/soak/soak_plan_test.cc
+++ b/src/platform/soak/soak_plan_test.cc
@@ -115,6 +115,9 @@
   std::set<std::string> deployments;
   std::set<micros> quotas;
   std::set<log_sink> sinks;
+  std::set<bool> eras;
+  std::set<std::size_t> returns;
+  std::set<waiting_watches> waiting;
   std::set<soak_action> actions;
   std::set<soak_action> early;
   std::set<std::size_t> starts;
@@ -124,6 +127,11 @@
     deployments.insert(plan.mDeployment.mName);
     quotas.insert(plan.mQuota);
     sinks.insert(plan.mLogSink);
+    eras.insert(plan.mStatesEra);
+    returns.insert(plan.mReturns.size());
+    for (const store_return& each : plan.mReturns) {
+      waiting.insert(each.mWaiting);
+    }
     for (const soak_event& each : plan.mEvents) {
       actions.insert(each.mAction);
     }
@@ -139,7 +147,10 @@
   EXPECT_EQ(deployments.size(), SoakDeployments().size());
   EXPECT_EQ(quotas.size(), 2U);
   EXPECT_EQ(sinks.size(), 3U);
-  EXPECT_EQ(actions.size(), static_cast<std::size_t>(soak_action::RestoreZone) + 1);
+  EXPECT_EQ(eras.size(), 2U);
+  EXPECT_EQ(returns, (std::set<std::size_t>{ 0, 1, 2 }));
+  EXPECT_EQ(waiting.size(), 3U);
+  EXPECT_EQ(actions.size(), static_cast<std::size_t>(soak_action::ReturnStore) + 1);
   EXPECT_EQ(early, (std::set<soak_action>{ soak_action::Terminate, soak_action::Reload }));
   EXPECT_EQ(starts, (std::set<std::size_t>{ 0, 1 }));
   for (const char* each : { "kept",
@@ -172,6 +183,23 @@
   }
 }
 
+// Guards against a run without stops and quota that also lacks the returns of the store.
+TEST_P(plan_test, LeavesStopsAndQuotaOut)
+{
+  for (std::uint64_t seed = 0; seed < kSeeds; ++seed) {
+    const soak_plan plan = PlanOf(seed);
+    const soak_plan smaller = Without(plan, { "stops", "quota" });
+    EXPECT_EQ(smaller.mQuota, micros(0));
+    EXPECT_EQ(smaller.mReturns, plan.mReturns);
+    for (const soak_event& each : plan.mEvents) {
+      const bool stops = each.mAction == soak_action::Terminate ||
+                         each.mAction == soak_action::TerminateTwice ||
+                         each.mAction == soak_action::Kill;
+      EXPECT_EQ(std::count(smaller.mEvents.begin(), smaller.mEvents.end(), each) == 0, stops);
+    }
+  }
+}
+
 INSTANTIATE_TEST_SUITE_P(cases,
                          plan_test,
                          testing::Values(options_row{ "five_daemons", {} },
--- a/src/platform/soak/soak_plan_text.cc
+++ b/src/platform/soak/soak_plan_text.cc
@@ -36,6 +36,25 @@
       return "evacuate_zone";
     case soak_action::RestoreZone:
       return "restore_zone";
+    case soak_action::MoveRoute:
+      return "move_route";
+    case soak_action::CopyStore:
+      return "copy_store";
+    case soak_action::ReturnStore:
+      return "return_store";
+  }
+  return "";
+}
+
+const char* ToString(waiting_watches aWaiting)
+{
+  switch (aWaiting) {
+    case waiting_watches::Cut:
+      return "cut";
+    case waiting_watches::WaitOn:
+      return "wait_on";
+    case waiting_watches::Silent:
+      return "silent";
   }
   return "";
 }
@@ -74,6 +93,12 @@
     text += std::string(ToString(each.mAction)) + ":" + std::to_string(each.mDaemon) + "#" +
             std::to_string(each.mStart) + "+" + MsText(each.mAfter) + ",";
   }
+  text += std::string(" era=") + (aPlan.mStatesEra ? "stated" : "not_stated") + " returns=";
+  for (const store_return& each : aPlan.mReturns) {
+    text += std::string(ToString(each.mWaiting)) + "#" + std::to_string(each.mWrites) + "+" +
+            MsText(each.mAway) + "+" + MsText(each.mReplicaDelay) + "+" +
+            MsText(each.mOperatorDelay) + ",";
+  }
   text += " clients=";
   for (const soak_client_profile& each : aPlan.mClients) {
     text += std::string(each.mName) + ":" + std::to_string(each.mCount) + ",";
--- a/src/platform/soak/soak_replicas.cc
+++ b/src/platform/soak/soak_replicas.cc
@@ -12,6 +12,7 @@
 
 constexpr std::size_t kReplicasPerShard = 2;
 constexpr std::size_t kReplicasPerService = 4; // of a service that is no shard
+constexpr std::size_t kReplicasPerMove = 3;
 constexpr std::size_t kRecordBytes = 16;
 constexpr std::size_t kRecordsPerPart = 6;
 
@@ -22,6 +23,11 @@
   return static_cast<double>((mixed * 0xbf58476d1ce4e5b9U) >> 11U) / 9007199254740992.0;
 }
 
+acknowledged_change Leaves(const std::string& aReplica)
+{
+  return { change_kind::ReplicaLeaves, aReplica };
+}
+
 std::string Part(const std::string& aService)
 {
   std::string part;
@@ -47,9 +53,12 @@
       Add(aLoop, each.mName, kReplicasPerService);
     }
   }
+  for (std::uint64_t move = 1; move <= kSoakMoves && !aPlan.mReturns.empty(); ++move) {
+    Add(aLoop, MovedService(aPlan.mDeployment, move), kReplicasPerMove);
+  }
 }
 
-bool soak_replicas::Listen(store_standin& aStore)
+bool soak_replicas::Listen(soak_store& aStore)
 {
   for (std::size_t i = 0; i < mReplicas.size(); ++i) {
     if (!mReplicas[i].mReplica->ListenOn("127.0.0.1:0")) {
@@ -60,16 +69,27 @@
   return true;
 }
 
-void soak_replicas::Publish(store_standin& aStore, std::size_t aReplica, bool aDraining)
+void soak_replicas::Publish(soak_store& aStore, std::size_t aReplica, bool aDraining)
 {
   const entry& each = mReplicas[aReplica % mReplicas.size()];
-  aStore.Put(kReplicaPrefix + each.mId,
-             each.mReplica->PublishedEntry(each.mService, each.mZone, aDraining));
+  aStore.Write(kReplicaPrefix + each.mId,
+               each.mReplica->PublishedEntry(each.mService, each.mZone, aDraining),
+               aDraining ? std::optional(Leaves(each.mId)) : std::nullopt);
 }
 
-void soak_replicas::Remove(store_standin& aStore, std::size_t aReplica)
+void soak_replicas::Remove(soak_store& aStore, std::size_t aReplica)
 {
-  aStore.Delete(kReplicaPrefix + mReplicas[aReplica % mReplicas.size()].mId);
+  const std::string& id = mReplicas[aReplica % mReplicas.size()].mId;
+  aStore.Write(kReplicaPrefix + id, std::nullopt, Leaves(id));
+}
+
+std::map<std::string, replica_place> soak_replicas::Places() const
+{
+  std::map<std::string, replica_place> places;
+  for (const entry& each : mReplicas) {
+    places[each.mId] = { each.mService, each.mZone };
+  }
+  return places;
 }
 
 std::vector<replica_run> soak_replicas::Runs() const
--- a/src/platform/soak/soak_replicas.h
+++ b/src/platform/soak/soak_replicas.h
@@ -2,8 +2,10 @@
 #define REDWINGDOCK_PLATFORM_SOAK_SOAK_REPLICAS_H
 
 #include "platform/soak/soak_plan.h"
+#include "platform/soak/soak_store.h"
 #include "platform/standin.h"
 
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -18,9 +20,10 @@
   soak_replicas(io_loop& aLoop, const soak_plan& aPlan);
 
   // Opens the addresses of the replicas and publishes them.
-  bool Listen(store_standin& aStore);
-  void Publish(store_standin& aStore, std::size_t aReplica, bool aDraining);
-  void Remove(store_standin& aStore, std::size_t aReplica);
+  bool Listen(soak_store& aStore);
+  void Publish(soak_store& aStore, std::size_t aReplica, bool aDraining);
+  void Remove(soak_store& aStore, std::size_t aReplica);
+  std::map<std::string, replica_place> Places() const; // by id
   std::vector<replica_run> Runs() const;
 
   // Whether the answer to an attempt is a reply of these replicas to it.
--- a/src/platform/soak/soak_run.cc
+++ b/src/platform/soak/soak_run.cc
@@ -25,7 +25,7 @@
 soak_run::soak_run(const soak_plan& aPlan, const soak_place& aPlace)
   : mPlan(aPlan)
   , mLoop(kLoopThreads)
-  , mStore(mLoop)
+  , mStore(mLoop, aPlan.mStatesEra)
   , mStoreAddress(aPlace.mNetwork + ".2:8102")
   , mReplicas(mLoop, mPlan)
   , mDaemons(mLoop,
@@ -52,7 +52,18 @@
   const std::lock_guard lock(mConfigurationLock);
   aChange(mConfiguration);
   ++mConfiguration.mVersion;
-  mStore.Put(kConfigurationKey, FormatConfiguration(mPlan.mDeployment, mConfiguration));
+  mVersions[mConfiguration.mVersion] = RoutesOf(mPlan.mDeployment, mConfiguration);
+  mStore.Write(kConfigurationKey,
+               FormatConfiguration(mPlan.mDeployment, mConfiguration),
+               acknowledged_change{ change_kind::Version, "", mConfiguration.mVersion });
+}
+
+change_ledger soak_run::Written()
+{
+  const std::lock_guard lock(mConfigurationLock);
+  return {
+    mVersions, mStore.Changes(), mReplicas.Places(), mStore.Disturbances(), mPlan.mQuota > micros(0)
+  };
 }
 
 void soak_run::OnStart(std::size_t aDaemon, std::size_t aEarlierStarts)
@@ -99,7 +110,8 @@
     return std::nullopt;
   }
   const std::lock_guard lock(mRecordsLock);
-  return JudgeAll({ mRecords, mReplicas.Runs(), mDaemons.ProcessRecords() }, soak_bounds{});
+  return JudgeAll({ mRecords, mReplicas.Runs(), mDaemons.ProcessRecords(), Written() },
+                  soak_bounds{});
 }
 
 bool soak_run::WaitUntil(micros aLongest, const std::function<bool()>& aCondition)
@@ -154,10 +166,23 @@
       mStore.SetDown(aEvent.mAction == soak_action::StoreDown);
       break;
     case soak_action::EvacuateZone:
-      mStore.Put(kClosedZonePrefix + ZoneName(aEvent.mTarget), "{}");
+      mStore.Write(kClosedZonePrefix + ZoneName(aEvent.mTarget),
+                   "{}",
+                   acknowledged_change{ change_kind::ZoneCloses, ZoneName(aEvent.mTarget) });
       break;
     case soak_action::RestoreZone:
-      mStore.Delete(kClosedZonePrefix + ZoneName(aEvent.mTarget));
+      mStore.Write(kClosedZonePrefix + ZoneName(aEvent.mTarget),
+                   std::nullopt,
+                   acknowledged_change{ change_kind::ZoneOpens, ZoneName(aEvent.mTarget) });
+      break;
+    case soak_action::MoveRoute:
+      PublishConfiguration([](configuration_state& aState) { ++aState.mMoves; });
+      break;
+    case soak_action::CopyStore:
+      mStore.TakeCopy(mPlan.mReturns[aEvent.mTarget].mWrites);
+      break;
+    case soak_action::ReturnStore:
+      mStore.Return(mPlan.mReturns[aEvent.mTarget]);
       break;
   }
 }
--- a/src/platform/soak/soak_run.h
+++ b/src/platform/soak/soak_run.h
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -42,6 +43,7 @@
 private:
   bool WaitUntil(micros aLongest, const std::function<bool()>& aCondition);
   void PublishConfiguration(const std::function<void(configuration_state&)>& aChange);
+  change_ledger Written();
   void OnStart(std::size_t aDaemon, std::size_t aEarlierStarts);
   void Apply(const soak_event& aEvent);
   void StartClients();
@@ -51,7 +53,7 @@
 
   const soak_plan& mPlan;
   io_loop mLoop;
-  store_standin mStore;
+  soak_store mStore;
   const std::string mStoreAddress;
   soak_replicas mReplicas;
   soak_daemons mDaemons;
@@ -61,6 +63,7 @@
   std::atomic<bool> mInterrupted{ false }; // by SIGINT or SIGTERM; the daemons are to be killed
   std::mutex mConfigurationLock;
   configuration_state mConfiguration;
+  std::map<std::uint64_t, version_routes> mVersions;
   std::mutex mRandomLock;
   std::mt19937_64 mRandom;
   std::mutex mRecordsLock;
