Draw returns without an era only where a daemon can notice them

Its store stated no era; the daemon's watch waited after revision 52 through the return to revision 50, version 3 and the drain were written at 51 and 52, and the watch was answered at 53 with the rest. Without the era nothing in that answer differs from one of the known history. The platform announces the era in all answers of the store, so no daemon has to follow this case.

--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -232,6 +232,9 @@
 void AddReturns(plan_random& aRandom, soak_plan& aPlan)
 {
   constexpr milliseconds kCalmTime{ 6000 };
+  // Nothing but the era tells that revisions were given out twice once the counter has passed the
+  // known one. A store that does not state it must have lost more than a seed writes afterwards.
+  constexpr std::uint64_t kMaxWrites = 150;
   constexpr waiting_watches kWaiting[] = { waiting_watches::Cut,
                                            waiting_watches::WaitOn,
                                            waiting_watches::Silent };
@@ -249,13 +252,13 @@
     const milliseconds back = at + away;
     aPlan.mEvents.push_back({ copied, soak_action::CopyStore, i });
     aPlan.mEvents.push_back({ at, soak_action::ReturnStore, i });
-    constexpr std::uint64_t kMaxWrites = 150;
-    aPlan.mReturns.push_back(
-      { kWaiting[aRandom.Below(std::size(kWaiting))],
-        static_cast<std::uint32_t>(aRandom.OneIn(3) ? 0 : aRandom.Below(kMaxWrites)),
-        away,
-        aRandom.Between(milliseconds(0), milliseconds(1300)),
-        aRandom.Between(milliseconds(100), milliseconds(2500)) });
+    const waiting_watches waiting = kWaiting[aRandom.Below(std::size(kWaiting))];
+    const std::uint64_t writes = aRandom.OneIn(3) ? 0 : aRandom.Below(kMaxWrites);
+    aPlan.mReturns.push_back({ waiting,
+                               static_cast<std::uint32_t>(aPlan.mStatesEra ? writes : kMaxWrites),
+                               away,
+                               aRandom.Between(milliseconds(0), milliseconds(1300)),
+                               aRandom.Between(milliseconds(100), milliseconds(2500)) });
     AddChanges(aRandom, copied, at, aPlan);
     AddChanges(aRandom, back, back + milliseconds(1500), aPlan);
     at = back + milliseconds(300 + aRandom.Below(2500));
