Pass on the start of a daemon despite a late report of the earlier one

Cause: a report that is not newer than what is known showed that the zone has heard the known state when its beat was at least as high. Beats of two starts were compared; a new start begins at 1.

A report shows this only if it is of the same start.

restart_test row 0 failed before: reports to pass on were {}, expected { 5 }.

--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -42,7 +42,8 @@
   const bool fromOwnZone = aSenderZone == aView.mSelf.mZone;
   const auto known = aView.mMembers.find(state.mVm);
   if (known != aView.mMembers.end() && !IsNewer(known->second, state, sentAt)) {
-    if (fromOwnZone && state.mBeat >= known->second.mState.mBeat) {
+    if (fromOwnZone && state.mIncarnation == known->second.mState.mIncarnation &&
+        state.mBeat >= known->second.mState.mBeat) {
       known->second.mNeedsRelay = false; // the zone has heard it already
     }
     return aView;
--- a/src/fleet/members_test.cc
+++ b/src/fleet/members_test.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <gtest/gtest.h>
+#include <optional>
 #include <set>
 
 namespace redwingdock {
@@ -294,6 +295,69 @@
                                    0,
                                    std::chrono::seconds(8) }));
 
+// A state of the daemon vm-2 of another zone, as the daemon itself or a daemon of the own zone
+// sends it. A restart after the clock was set back has a lower incarnation.
+struct sent_state
+{
+  micros mArrivesAt{};
+  std::uint64_t mIncarnation = 0;
+  std::uint64_t mBeat = 0;
+  bool mServing = false;
+  std::optional<micros> mRelayedAge;
+};
+
+struct restart_row
+{
+  const char* mGuardsAgainst;
+  std::vector<sent_state> mStates;
+  std::uint64_t mKnown;                // incarnation that counts in the end
+  std::vector<std::uint64_t> mToRelay; // incarnations that the own zone has yet to be told of
+};
+
+class restart_test : public testing::TestWithParam<restart_row>
+{};
+
+TEST_P(restart_test, LatestStartCounts)
+{
+  const restart_row& row = GetParam();
+  fleet_view view;
+  view.mSelf = { "vm-1", 1, "peer-1", "call-1", "own", false };
+  instant now{};
+  for (const sent_state& each : row.mStates) {
+    now = instant(each.mArrivesAt);
+    const daemon_state state{ "vm-2",  each.mIncarnation, "peer-2",           "call-2",
+                              "other", each.mServing,     milliseconds(1200), each.mBeat };
+    heartbeat sent{ state };
+    if (each.mRelayedAge) {
+      sent = { { "vm-3", 1, "peer-3", "call-3", "own", false, milliseconds(1200), each.mBeat } };
+      sent.mMembers = { { state, *each.mRelayedAge } };
+    }
+    view = WithHeartbeat(view, sent, {}, now);
+  }
+  ASSERT_TRUE(view.mMembers.contains("vm-2")) << row.mGuardsAgainst;
+  EXPECT_EQ(view.mMembers.at("vm-2").mState.mIncarnation, row.mKnown) << row.mGuardsAgainst;
+  std::vector<std::uint64_t> relayed;
+  for (const member_report& each : ReportsToRelay(view, now)) {
+    relayed.push_back(each.mState.mIncarnation);
+  }
+  EXPECT_EQ(relayed, row.mToRelay) << row.mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  restart_test,
+  testing::Values(
+    restart_row{ "the zone is not told of a new start, because of a late report of the earlier one",
+                 { { milliseconds(100'000), 5, 1, true, {} },
+                   { milliseconds(100'200), 4, 900, true, milliseconds(900) } },
+                 5,
+                 { 5 } },
+    restart_row{ "a start is passed on again and again within the zone that knows it",
+                 { { milliseconds(100'000), 5, 1, true, {} },
+                   { milliseconds(100'200), 5, 1, true, milliseconds(200) } },
+                 5,
+                 {} }));
+
 TEST(members, ReportsThatDoNotFitAHeartbeatFollowInTheNext)
 {
   // Guards against daemons of a large fleet that are never passed on, because others come first by
