Deliver a forwarded answer only to the query that was forwarded

A caller could get the answer to another caller's request: a submit was told that it was complete, with the records of another one, though it had not run.

Cause: a query that is forwarded to another daemon is answered by its number. Every process counts its queries from 1, and any query that was forwarded, and any submit, took an answer with its number, from whatever daemon. After a restart of a daemon, the late answer to a query of the earlier process met a query of the new one with the same number. Attempts were not affected: they name their origin, with the incarnation.

The number in the message is now combined with the origin of the process, and an answer counts only from the daemon that was asked. Daemons return the number as it is, so the protocol does not change and earlier versions answer as before. An answer for a query that waits for another one with its key comes by another fact, which other daemons cannot send.

--- a/src/core/core.cc
+++ b/src/core/core.cc
@@ -58,10 +58,7 @@
   std::string operator()(const suspect_message&) const { return kSuspectsKey; }
   std::string operator()(const permit_release_message&) const { return kMembersKey; }
   std::string operator()(const forward_query_message&) const { return kSelfKey; }
-  std::string operator()(const query_answer_message& aMessage) const
-  {
-    return QueryKey(aMessage.mNumber);
-  }
+  std::string operator()(const query_answer_message&) const { return kSelfKey; }
 };
 
 } // namespace
--- a/src/query/query_controller.cc
+++ b/src/query/query_controller.cc
@@ -28,6 +28,14 @@
 // numbers that the front end assigns.
 constexpr std::uint64_t kForwardedQueryBit = 1ULL << 46U;
 
+// Returns the number of the message that forwards a query, and the other way round. Every process
+// counts its queries from 1. The number of the message depends on the process too, so that an
+// answer to an earlier process of this VM matches no query.
+std::uint64_t ForwardedNumber(std::uint64_t aNumber, const core_config& aConfig)
+{
+  return aNumber ^ Hash(OriginOf(aConfig));
+}
+
 const reason kStoppedReason{ "plan", "", "the daemon has stopped" };
 
 class query_controller
@@ -49,7 +57,8 @@
   void OnRetryPlacement(const std::string& aKey);
   void OnRestart(const std::string& aKey, const restart_query& aFact);
   void OnCallerDisconnected(const std::string& aKey);
-  void OnForwardedAnswer(const std::string& aKey, const query_answer& aAnswer);
+  void OnForwardedAnswer(const std::string& aKey, const forwarded_answer& aFact);
+  void OnKeyFinished(const std::string& aKey, const query_answer& aAnswer);
   void OnPeerDisconnected(const std::string& aKey, const peer_disconnected& aFact);
   void OnPeerChange(const std::string& aKey);
 
@@ -233,8 +242,8 @@
   if (!peer || !peer->mConnected || remaining.count() <= 0) {
     return false;
   }
-  if (!SendToPeer(
-        mContext, aVm, forward_query_message{ aState.mNumber, aState.mRequest, remaining })) {
+  const std::uint64_t number = ForwardedNumber(aState.mNumber, mContext.mConfig);
+  if (!SendToPeer(mContext, aVm, forward_query_message{ number, aState.mRequest, remaining })) {
     return false;
   }
   Log(aState, "is forwarded to " + aVm);
@@ -578,10 +587,17 @@
   mBoard.Erase<query_state>(aKey);
 }
 
-void query_controller::OnForwardedAnswer(const std::string& aKey, const query_answer& aAnswer)
+void query_controller::OnForwardedAnswer(const std::string& aKey, const forwarded_answer& aFact)
 {
   const auto state = mBoard.Read<query_state>(aKey);
-  if (state && (!state->mForwardedTo.empty() || state->mOperation == operation::Submit)) {
+  if (state && state->mForwardedTo == aFact.mFrom) {
+    Deliver(*state, aFact.mAnswer);
+  }
+}
+
+void query_controller::OnKeyFinished(const std::string& aKey, const query_answer& aAnswer)
+{
+  if (const auto state = mBoard.Read<query_state>(aKey)) {
     Deliver(*state, aAnswer);
   }
 }
@@ -771,12 +787,16 @@
     [controller](key aKey, const restart_query& aFact) { controller->OnRestart(aKey, aFact); });
   board.OnFact<caller_disconnected>(
     [controller](key aKey, const caller_disconnected&) { controller->OnCallerDisconnected(aKey); });
-  board.OnFact<received<query_answer_message>>(
-    [controller](key aKey, const received<query_answer_message>& aFact) {
-      controller->OnForwardedAnswer(aKey, aFact.mMessage.mAnswer);
-    });
+  board.OnFact<forwarded_answer>([controller](key aKey, const forwarded_answer& aFact) {
+    controller->OnForwardedAnswer(aKey, aFact);
+  });
+  board.OnFact<received<query_answer_message>>([&aContext](
+                                                 key, const received<query_answer_message>& aFact) {
+    const std::uint64_t number = ForwardedNumber(aFact.mMessage.mNumber, aContext.mConfig);
+    aContext.mBoard.Post(QueryKey(number), forwarded_answer{ aFact.mFrom, aFact.mMessage.mAnswer });
+  });
   board.OnFact<key_finished>([controller](key aKey, const key_finished& aFact) {
-    controller->OnForwardedAnswer(aKey, aFact.mAnswer);
+    controller->OnKeyFinished(aKey, aFact.mAnswer);
   });
   board.OnFact<peer_disconnected>([controller](key aKey, const peer_disconnected& aFact) {
     controller->OnPeerDisconnected(aKey, aFact);
--- a/src/query/query_facts.h
+++ b/src/query/query_facts.h
@@ -45,6 +45,15 @@
   auto operator<=>(const forwarded_query&) const = default;
 };
 
+// Another daemon's answer to a query that this one forwarded.
+struct forwarded_answer
+{
+  std::string mFrom;
+  query_answer mAnswer;
+
+  auto operator<=>(const forwarded_answer&) const = default;
+};
+
 // Posted to a query that waits for another one with the same request key, which has its answer.
 struct key_finished
 {
