Keep the later start of a daemon whose clock was set back

Callers were not sent to a daemon that had started again, or were sent to the state of its earlier start, for up to 6 s after its end, in fleets above 17 daemons.

Cause: incarnations come from the clock of the VM, which can be set back between two starts. A heartbeat of the later start counts all the same once the earlier one is silent for a second, but any report of the earlier start, which other zones pass on for seconds, replaced it again, because its incarnation is higher.

Between two starts the later state counts, however it arrives; incarnations decide only between states of the same second.

restart_test row 2 failed before: the incarnation was 9, expected 5.

--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -18,14 +18,17 @@
 // Addresses that have not answered yet and get a heartbeat in one interval.
 constexpr std::size_t kMaxUnknownTargets = 8;
 
-// Whether a report of the state, sent at aSentAt, is newer than what is known.
+// Whether a report of the state, sent at aSentAt, is newer than what is known. A daemon that starts
+// again after its clock was set back has a lower incarnation, so incarnations decide only between
+// states of about the same time.
 bool IsNewer(const fleet_member& aKnown, const daemon_state& aState, instant aSentAt)
 {
   if (aState.mIncarnation == aKnown.mState.mIncarnation) {
     return aState.mBeat > aKnown.mState.mBeat;
   }
-  return aState.mIncarnation > aKnown.mState.mIncarnation ||
-         aSentAt - aKnown.mHeardAt >= kMaxReorderTime;
+  const micros later = aSentAt - aKnown.mHeardAt;
+  return aState.mIncarnation > aKnown.mState.mIncarnation ? later > -kMaxReorderTime
+                                                          : later >= kMaxReorderTime;
 }
 
 fleet_view WithReport(fleet_view aView,
--- a/src/fleet/members_test.cc
+++ b/src/fleet/members_test.cc
@@ -356,6 +356,22 @@
                  { { milliseconds(100'000), 5, 1, true, {} },
                    { milliseconds(100'200), 5, 1, true, milliseconds(200) } },
                  5,
+                 {} },
+    restart_row{ "a report of the earlier start hides a start after the clock was set back",
+                 { { milliseconds(100'000), 9, 40, false, {} },
+                   { milliseconds(102'000), 5, 1, true, {} },
+                   { milliseconds(102'200), 9, 40, false, milliseconds(2200) } },
+                 5,
+                 { 5 } },
+    restart_row{ "a start after the clock was set back does not count",
+                 { { milliseconds(100'000), 9, 40, true, {} },
+                   { milliseconds(102'200), 5, 1, true, milliseconds(200) } },
+                 5,
+                 {} },
+    restart_row{ "a new start does not count while the earlier one was heard just before",
+                 { { milliseconds(100'000), 4, 40, true, {} },
+                   { milliseconds(100'400), 5, 1, true, milliseconds(900) } },
+                 5,
                  {} }));
 
 TEST(members, ReportsThatDoNotFitAHeartbeatFollowInTheNext)
