Listen again to a process whose predecessor's message came late

A daemon refused all messages of another one for as long as both ran: it did not confirm its view and did not learn its tables, VM list or released permits. With enough such witnesses the other daemon uses no permits, and its shards' callers get gaps.

Cause: of two incarnations under one name, the one whose first message arrives later is taken to be the later process, and the other one is refused for good. Their messages use different connections; when a daemon that knows neither is paused, the last message of the earlier process can be read after the first one of its successor.

An incarnation that was taken to be the earlier is current again once the other one has been silent for mTakeDelay. Its last confirmation has ended by then, and so has its work, as for a permit that is taken over, so that two processes are never confirmed within that time.

same_name_test, vote_test row 2 failed before: votes was false, expected true. Now 4 of 4 pass, and 42 of 42 of membership_test.

--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -506,24 +506,29 @@
 }
 
 // Records the incarnation that sent a message; false when it is an earlier process under that name.
+// Messages of two processes can arrive in the wrong order. One that was taken to be the earlier is
+// current again once the other has been silent for mTakeDelay, when its view is no longer confirmed
+// and its work has ended.
 bool membership_controller::RecordIncarnation(const std::string& aVm,
                                               const std::string& aIncarnation)
 {
   const auto known = mContext.mBoard.Read<seen_processes>(PeerKey(aVm));
   seen_processes seen = known ? *known : seen_processes{};
-  if (seen.mCurrent == aIncarnation) {
-    return true;
-  }
-  if (seen.mEarlier.contains(aIncarnation)) {
-    return false;
-  }
-  if (!seen.mCurrent.empty()) {
-    if (seen.mEarlier.size() >= kMaxEarlierProcesses) {
-      seen.mEarlier.clear();
+  const instant now = mContext.Now();
+  if (seen.mCurrent != aIncarnation) {
+    if (seen.mEarlier.contains(aIncarnation) && now - seen.mHeardAt < mContext.mConfig.mTakeDelay) {
+      return false;
+    }
+    if (!seen.mCurrent.empty()) {
+      if (seen.mEarlier.size() >= kMaxEarlierProcesses) {
+        seen.mEarlier.clear();
+      }
+      seen.mEarlier.insert(seen.mCurrent);
     }
-    seen.mEarlier.insert(seen.mCurrent);
+    seen.mEarlier.erase(aIncarnation);
+    seen.mCurrent = aIncarnation;
   }
-  seen.mCurrent = aIncarnation;
+  seen.mHeardAt = now;
   mContext.mBoard.Write(PeerKey(aVm), std::move(seen));
   return true;
 }
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -50,6 +50,7 @@
 struct seen_processes
 {
   std::string mCurrent;
+  instant mHeardAt{}; // last message of the current one
   std::set<std::string> mEarlier;
 
   auto operator<=>(const seen_processes&) const = default;
