Let a process use its permits again when no other one runs under its name

A daemon used no permits for as long as it ran: its share of the servers' capacity was idle, and servers that it leads stayed in their cold start.

Cause: a process stops using permits when a peer reports another process under its name as one that ran later than 10 s after its own start. The clock of a VM that was suspended does not count that time, so a daemon on it can report the process before a restart with too low an age. Nothing ended this.

The process now keeps the time of the latest sign of another process, and uses permits again once a peer reports to have heard this one 10 s after that. Peers listen to one process under a name, so they do not report this while the other one runs; without peers nothing changes.

--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -25,7 +25,8 @@
 constexpr std::size_t kMaxRevisionsPerVm = 8;    // VM list revisions remembered per VM
 constexpr std::size_t kMaxEarlierProcesses = 16; // earlier incarnations remembered per VM
 // Peers may relay state of an earlier process under this name for this long after the start of this
-// process. State that was current later comes from another process that is running.
+// process. State that was current later comes from another process that is running. Likewise, a
+// peer that has heard this process so long after another one does not hear that one any more.
 constexpr micros kMaxRelayedStateAge = std::chrono::seconds(10);
 
 struct view_tick
@@ -86,6 +87,7 @@
                       std::uint64_t aRevision,
                       instant aSince);
   void MergePeerEntry(const view_entry& aEntry);
+  void NoteOwnName(membership_state& aState, const view_entry& aEntry);
   void PostNewSuspects(const received<view_message>& aView);
 
   core_context& mContext;
@@ -390,7 +392,7 @@
     return;
   }
   instant since{};
-  const bool listed = SelfListed(view->mVms) && !aState.mSuperseded;
+  const bool listed = SelfListed(view->mVms) && aState.mSupersededAt == instant{};
   if (listed) {
     const auto read = mContext.mBoard.Read<vm_list_confirmation>(kTablesKey);
     // The read is stale when other daemons already have a newer list than the service returned.
@@ -579,6 +581,31 @@
   });
 }
 
+// Finds out from an entry under the name of this VM whether a later process runs under it. The
+// clock of a peer that was suspended has not counted that time, so it can report an earlier process
+// as one that runs.
+void membership_controller::NoteOwnName(membership_state& aState, const view_entry& aEntry)
+{
+  const instant heard = mContext.Now() - aEntry.mAge;
+  if (aEntry.mIncarnation == mContext.mConfig.mIncarnation) {
+    if (aState.mSupersededAt != instant{} && heard >= aState.mSupersededAt + kMaxRelayedStateAge) {
+      aState.mSupersededAt = instant{};
+      mContext.Log("members", "no other process runs under the name of this VM any more");
+    }
+    return;
+  }
+  if (heard <= aState.mStartedAt + kMaxRelayedStateAge) {
+    return;
+  }
+  if (aState.mSupersededAt == instant{}) {
+    mContext.Log("members",
+                 "another process runs under the name of this VM: incarnation " +
+                   aEntry.mIncarnation + "; permits are no longer used",
+                 log_level::Warning);
+  }
+  aState.mSupersededAt = std::max(aState.mSupersededAt, heard);
+}
+
 void membership_controller::PostNewSuspects(const received<view_message>& aView)
 {
   for (const suspect_entry& each : aView.mMessage.mSuspects) {
@@ -610,14 +637,7 @@
   const view_entry& sender = aView.mMessage.mEntries.front();
   for (const view_entry& entry : aView.mMessage.mEntries) {
     if (entry.mVm == config.mVm) {
-      if (entry.mIncarnation != config.mIncarnation && !state.mSuperseded &&
-          mContext.Now() - entry.mAge > state.mStartedAt + kMaxRelayedStateAge) {
-        state.mSuperseded = true;
-        mContext.Log("members",
-                     "another process runs under the name of this VM: incarnation " +
-                       entry.mIncarnation + "; permits are no longer used",
-                     log_level::Warning);
-      }
+      NoteOwnName(state, entry);
       continue;
     }
     if (list.mVms.empty() || list.Find(entry.mVm) != nullptr) {
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -76,7 +76,7 @@
   instant mConfirmNotBefore{}; // probes and reads started earlier do not confirm the view
   bool mConfirmed = false;     // last state written to the log
   bool mRecovered = false;     // knows enough lists to answer probes as a witness
-  bool mSuperseded = false;    // a later process runs under the name of this VM
+  instant mSupersededAt{};     // when a later process last ran under the name of this VM
 
   // Takeover rule: permits are used only after their earlier holders have stopped.
   fleet_knowledge mKnownRevisions;  // VM list revisions of the probed VMs
--- a/src/membership/same_name_test.cc
+++ b/src/membership/same_name_test.cc
@@ -39,6 +39,11 @@
     }
   }
 
+  void ViewFrom(const std::string& aIncarnation, const view_entry& aOther)
+  {
+    Post(aIncarnation, view_message{ { { "vm-2", aIncarnation, 1 }, aOther }, {} });
+  }
+
   // Posts a probe of vm-2. Returns whether the answer confirms its view.
   bool Votes(const std::string& aIncarnation)
   {
@@ -53,6 +58,11 @@
     return false;
   }
 
+  bool UsesPermits() const
+  {
+    return mContext.mBoard.Read<member_view>(kMembersKey)->mConfirmedUntil > mContext.Now();
+  }
+
 private:
   static core_config Config()
   {
@@ -126,5 +136,55 @@
                 { seconds(13), "first" } },
               false }));
 
+struct seen_entry
+{
+  micros mAt{};
+  const char* mIncarnation = ""; // under which vm-2 knows this VM
+  micros mAge{};
+};
+
+struct superseded_row
+{
+  const char* mGuardsAgainst;
+  std::vector<seen_entry> mEntries;
+  bool mUsesPermits; // 1 s after the last entry
+};
+
+class superseded_test : public testing::TestWithParam<superseded_row>
+{};
+
+TEST_P(superseded_test, StopsTheEarlierProcess)
+{
+  listed_daemon daemon;
+  for (const seen_entry& each : GetParam().mEntries) {
+    daemon.RunUntil(each.mAt);
+    daemon.ViewFrom("peer", { "vm-1", each.mIncarnation, 1, 0, 0, false, each.mAge });
+  }
+  daemon.RunUntil(GetParam().mEntries.back().mAt + seconds(1));
+  EXPECT_EQ(daemon.UsesPermits(), GetParam().mUsesPermits) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  superseded_test,
+  testing::Values(
+    superseded_row{ "the state of an earlier process that is still passed on stops its successor",
+                    { { seconds(8), "earlier", seconds(1) } },
+                    true },
+    superseded_row{ "two processes under one name use permits",
+                    { { seconds(15), "later", seconds(1) } },
+                    false },
+    superseded_row{ "a process that was paused uses permits while peers still report it",
+                    { { seconds(15), "later", seconds(1) }, { seconds(20), "own", seconds(0) } },
+                    false },
+    superseded_row{
+      "a daemon that was suspended stops the successor of a process for good, because "
+      "it reports the age of what it knows too low",
+      { { seconds(15), "earlier", seconds(1) }, { seconds(26), "own", seconds(1) } },
+      true },
+    superseded_row{ "a process that is cut off from its peers uses permits beside its successor",
+                    { { seconds(15), "later", seconds(0) }, { seconds(40), "later", seconds(20) } },
+                    false }));
+
 } // namespace
 } // namespace redwingdock
