Test that tables of a restored configuration service come into force

A table that is published after the configuration service returned from an older copy has a revision that was given out before. Daemons keep the table of the lost history until the revision has passed its, so the change is missed at all of them.

A row states the pair that may follow a newer one, because the check that no daemon returns to an older table holds for all others. Tables of the simulated service have their pools in the text, since two tables of one revision must differ.

--- a/src/membership/test_fleet.cc
+++ b/src/membership/test_fleet.cc
@@ -84,6 +84,18 @@
     aMessage);
 }
 
+// Tables of one revision with other pools have other texts.
+std::string TableText(const std::string& aName,
+                      std::uint64_t aRevision,
+                      const std::set<std::string>& aPools)
+{
+  std::string text = aName + " " + std::to_string(aRevision);
+  for (const std::string& pool : aPools) {
+    text += " " + pool;
+  }
+  return text;
+}
+
 template<typename T>
 result<T> LookUp(const std::map<std::string, T>& aTables,
                  const std::string& aText,
@@ -229,7 +241,7 @@
 
 std::string test_fleet::RoutesTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  std::string text = "routes " + std::to_string(aRevision);
+  const std::string text = TableText("routes", aRevision, aPools);
   route_spec route;
   route.mName = "route";
   route.mPools.assign(aPools.begin(), aPools.end());
@@ -239,7 +251,7 @@
 
 std::string test_fleet::PoolsTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  std::string text = "pools " + std::to_string(aRevision);
+  const std::string text = TableText("pools", aRevision, aPools);
   pools_table table{ aRevision, {}, {} };
   for (const std::string& name : aPools) {
     pool_spec pool;
--- a/src/tables/table_controller_test.cc
+++ b/src/tables/table_controller_test.cc
@@ -17,12 +17,13 @@
 constexpr micros kInForceLimit = seconds(9);
 
 // Checks after every event that no daemon returns to an older table and that every pair in force is
-// consistent.
+// consistent. Only the pair aRestored may follow a newer one.
 class table_observer
 {
 public:
-  explicit table_observer(const test_fleet& aFleet)
+  table_observer(const test_fleet& aFleet, std::optional<pair_revisions> aRestored)
     : mFleet(aFleet)
+    , mRestored(aRestored)
   {
   }
 
@@ -42,7 +43,9 @@
       if (now == last) {
         continue;
       }
-      if (now.mRoutes < last.mRoutes || now.mPools < last.mPools || now.mVms < last.mVms) {
+      const bool restored = mRestored == pair_revisions{ now.mRoutes, now.mPools };
+      const bool older = now.mRoutes < last.mRoutes || now.mPools < last.mPools;
+      if ((older && !restored) || now.mVms < last.mVms) {
         Report(process, "returned to an older table");
       }
       if (tables && CheckConsistency(*tables->mRoutes, *tables->mPools)) {
@@ -72,6 +75,7 @@
   }
 
   const test_fleet& mFleet;
+  const std::optional<pair_revisions> mRestored;
   std::map<std::string, revisions_seen> mLast;
 };
 
@@ -84,6 +88,9 @@
   std::function<void(test_fleet&)> mSchedule;
   std::vector<pair_revisions> mExpected; // at the end, all daemons have the same one of these
   std::function<void(fleet_options&)> mReplaceRules;
+  // For a service that returns from an older copy: the pair that is published then, and its pools.
+  std::optional<pair_revisions> mRestored;
+  std::set<std::string> mRestoredPools;
 };
 
 void PublishRoutes(test_fleet& aFleet, std::uint64_t aRevision, const std::set<std::string>& aPools)
@@ -104,7 +111,7 @@
     aCase.mReplaceRules(options);
   }
   test_fleet fleet(options);
-  table_observer observer(fleet);
+  table_observer observer(fleet, aCase.mRestored);
   fleet.SetCheck([&observer] { observer.Check(); });
   fleet.Publish(table_kind::Vms, 1, fleet.VmTable(1, { 0, 1, 2, 3, 4 }));
   PublishRoutes(fleet, 1, { "main" });
@@ -124,6 +131,11 @@
       const auto tables = process.mCore->mBoard.Read<tables_in_force>(kTablesKey);
       found.insert(tables ? pair_revisions{ tables->RoutesRevision(), tables->PoolsRevision() }
                           : pair_revisions{});
+      for (const std::string& pool : aCase.mRestoredPools) {
+        if (!tables || tables->FindPool(pool) == nullptr) {
+          errors.push_back(process.mAddress + " has no pool " + pool);
+        }
+      }
     }
   }
   if (found.size() != 1 ||
@@ -210,6 +222,18 @@
   aOptions.mConfigure = [](core_config& aConfig) { aConfig.mSeeds.clear(); };
 }
 
+// The service returns from a copy of 10 s and loses two revisions of the pools table.
+void RestoreService(test_fleet& aFleet)
+{
+  aFleet.At(seconds(10), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+  aFleet.At(seconds(12), [&] { PublishPools(aFleet, 3, { "main", "extra" }); });
+  aFleet.At(seconds(20), [&] {
+    aFleet.SetServiceUp(false);
+    PublishPools(aFleet, 1, { "main" });
+  });
+  aFleet.At(seconds(21), [&] { aFleet.SetServiceUp(true); });
+}
+
 const table_case kTableCases[] = {
   { "a table published after the readers died is not in force within 9 s",
     1,
@@ -348,6 +372,33 @@
     },
     { { 1, 1 } },
     ReplaceByOlderList },
+  { "a table below the revision in force, published after the service returned from an older copy, "
+    "is missed",
+    4,
+    {},
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "other" }); });
+    },
+    { { 1, 2 } },
+    ReplaceByOlder,
+    pair_revisions{ 1, 2 },
+    { "other" } },
+  { "a table at the revision in force, published after the service returned from an older copy, is "
+    "missed",
+    4,
+    {},
+    seconds(26) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+      aFleet.At(seconds(26), [&] { PublishPools(aFleet, 3, { "main", "other" }); });
+    },
+    { { 1, 3 } },
+    ReplaceByOlder,
+    pair_revisions{ 1, 3 },
+    { "other" } },
 };
 
 INSTANTIATE_TEST_SUITE_P(tables, table_controller_test, testing::ValuesIn(kTableCases));
