Give the revision of a table a history

A table_revision is the history and the number of a published table, with an order in which every table of a later history is newer. All comparisons of revisions of routes, pools and VM lists go through it, and daemons tell each other both; a daemon of an earlier version leaves the history out and ignores it. There is only the first history so far, so nothing changes and no message grows.

--- a/src/assembly/record_search_benchmark.cc
+++ b/src/assembly/record_search_benchmark.cc
@@ -196,7 +196,7 @@
     vm.mName = "vm-x" + std::to_string(aIndex);
     vm.mAddress = "127.1.0." + std::to_string(aIndex + 1) + ":7000";
     mList.mVms.push_back(vm);
-    ++mList.mRevision;
+    ++mList.mRevision.mNumber;
   }
 
   // Pools of 53 shards with 2 replicas each, because at the target size a query goes to 53
@@ -226,7 +226,7 @@
   {
     std::ostringstream text;
     if (aKind == table_kind::Vms) {
-      text << "revision: " << mList.mRevision << "\nvms:\n";
+      text << "revision: " << mList.mRevision.mNumber << "\nvms:\n";
       for (const vm_spec& vm : mList.mVms) {
         text << "  - {name: " << vm.mName << ", zone: " << vm.mZone << ", address: \""
              << vm.mAddress << "\", call_address: \"" << vm.mCallAddress << "\", state: live}\n";
@@ -241,7 +241,7 @@
 
   std::uint64_t Revision(table_kind aKind) const
   {
-    return aKind == table_kind::Vms     ? mList.mRevision
+    return aKind == table_kind::Vms     ? mList.mRevision.mNumber
            : aKind == table_kind::Pools ? mPoolsRevision
                                         : 1;
   }
--- a/src/codec/peer_codec.cc
+++ b/src/codec/peer_codec.cc
@@ -156,9 +156,12 @@
       wire::view_entry* outEntry = out->add_entries();
       outEntry->set_vm(entry.mVm);
       outEntry->set_incarnation(entry.mIncarnation);
-      outEntry->set_vm_revision(entry.mVmRevision);
-      outEntry->set_routes_revision(entry.mRoutesRevision);
-      outEntry->set_pools_revision(entry.mPoolsRevision);
+      outEntry->set_vm_revision(entry.mVmRevision.mNumber);
+      outEntry->set_vm_history(entry.mVmRevision.mHistory);
+      outEntry->set_routes_revision(entry.mRoutesRevision.mNumber);
+      outEntry->set_routes_history(entry.mRoutesRevision.mHistory);
+      outEntry->set_pools_revision(entry.mPoolsRevision.mNumber);
+      outEntry->set_pools_history(entry.mPoolsRevision.mHistory);
       outEntry->set_draining(entry.mDraining);
       outEntry->set_age(ToWire(entry.mAge));
     }
@@ -171,14 +174,16 @@
   {
     wire::probe* out = mOut->mutable_probe();
     out->set_sent_at(aMessage.mSentAt);
-    out->set_vm_revision(aMessage.mVmRevision);
+    out->set_vm_revision(aMessage.mVmRevision.mNumber);
+    out->set_vm_history(aMessage.mVmRevision.mHistory);
   }
 
   void operator()(const probe_reply_message& aMessage) const
   {
     wire::probe_reply* out = mOut->mutable_probe_reply();
     out->set_sent_at(aMessage.mSentAt);
-    out->set_vm_revision(aMessage.mVmRevision);
+    out->set_vm_revision(aMessage.mVmRevision.mNumber);
+    out->set_vm_history(aMessage.mVmRevision.mHistory);
     out->set_lists_you(aMessage.mListsYou);
     if (aMessage.mListAge) {
       out->set_list_age(ToWire(*aMessage.mListAge));
@@ -189,22 +194,27 @@
   void operator()(const table_pull_message& aMessage) const
   {
     wire::table_pull* out = mOut->mutable_table_pull();
-    out->set_routes_revision(aMessage.mRoutesRevision);
-    out->set_pools_revision(aMessage.mPoolsRevision);
-    out->set_vm_revision(aMessage.mVmRevision);
+    out->set_routes_revision(aMessage.mRoutesRevision.mNumber);
+    out->set_routes_history(aMessage.mRoutesRevision.mHistory);
+    out->set_pools_revision(aMessage.mPoolsRevision.mNumber);
+    out->set_pools_history(aMessage.mPoolsRevision.mHistory);
+    out->set_vm_revision(aMessage.mVmRevision.mNumber);
+    out->set_vm_history(aMessage.mVmRevision.mHistory);
   }
 
   void operator()(const table_message& aMessage) const
   {
     wire::table* out = mOut->mutable_table();
     out->set_kind(ToWire<wire::table_kind>(aMessage.mKind));
-    out->set_revision(aMessage.mRevision);
+    out->set_revision(aMessage.mRevision.mNumber);
+    out->set_history(aMessage.mRevision.mHistory);
     out->set_text(aMessage.mText);
     if (aMessage.mConfirmedAge) {
       out->set_confirmed_age(ToWire(*aMessage.mConfirmedAge));
     }
     out->set_in_force(aMessage.mInForce);
-    out->set_pair_revision(aMessage.mPairRevision);
+    out->set_pair_revision(aMessage.mPairRevision.mNumber);
+    out->set_pair_history(aMessage.mPairRevision.mHistory);
   }
 
   void operator()(const forward_part_message& aMessage) const
@@ -249,7 +259,8 @@
   void operator()(const permit_release_message& aMessage) const
   {
     wire::permit_release* out = mOut->mutable_permit_release();
-    out->set_vm_revision(aMessage.mVmRevision);
+    out->set_vm_revision(aMessage.mVmRevision.mNumber);
+    out->set_vm_history(aMessage.mVmRevision.mHistory);
     for (const std::string& server : aMessage.mServers) {
       out->add_servers(server);
     }
@@ -293,13 +304,12 @@
       case wire::peer_message::kView:
         return View(aMessage.view());
       case wire::peer_message::kProbe:
-        return probe_message{ aMessage.probe().sent_at(), aMessage.probe().vm_revision() };
+        return probe_message{ aMessage.probe().sent_at(),
+                              { aMessage.probe().vm_history(), aMessage.probe().vm_revision() } };
       case wire::peer_message::kProbeReply:
         return ProbeReply(aMessage.probe_reply());
       case wire::peer_message::kTablePull:
-        return table_pull_message{ aMessage.table_pull().routes_revision(),
-                                   aMessage.table_pull().pools_revision(),
-                                   aMessage.table_pull().vm_revision() };
+        return TablePull(aMessage.table_pull());
       case wire::peer_message::kTable:
         return Table(aMessage.table());
       case wire::peer_message::kForwardPart:
@@ -317,9 +327,10 @@
       case wire::peer_message::kSuspect:
         return suspect_message{ Suspect(aMessage.suspect()) };
       case wire::peer_message::kPermitRelease:
-        return permit_release_message{ aMessage.permit_release().vm_revision(),
-                                       { aMessage.permit_release().servers().begin(),
-                                         aMessage.permit_release().servers().end() } };
+        return permit_release_message{
+          { aMessage.permit_release().vm_history(), aMessage.permit_release().vm_revision() },
+          { aMessage.permit_release().servers().begin(), aMessage.permit_release().servers().end() }
+        };
       case wire::peer_message::kForwardQuery:
         return forward_query_message{
           aMessage.forward_query().number(),
@@ -418,9 +429,9 @@
     for (const wire::view_entry& each : aView.entries()) {
       view.mEntries.push_back({ Name("vm", each.vm()),
                                 each.incarnation(),
-                                each.vm_revision(),
-                                each.routes_revision(),
-                                each.pools_revision(),
+                                { each.vm_history(), each.vm_revision() },
+                                { each.routes_history(), each.routes_revision() },
+                                { each.pools_history(), each.pools_revision() },
                                 each.draining(),
                                 Duration("age", each.age(), kMaxDuration) });
     }
@@ -434,7 +445,7 @@
   {
     probe_reply_message reply;
     reply.mSentAt = aReply.sent_at();
-    reply.mVmRevision = aReply.vm_revision();
+    reply.mVmRevision = { aReply.vm_history(), aReply.vm_revision() };
     reply.mListsYou = aReply.lists_you();
     if (aReply.has_list_age()) {
       reply.mListAge = Duration("list age", aReply.list_age(), kMaxDuration);
@@ -451,17 +462,24 @@
              Duration("remaining", aEntry.remaining(), kMaxDuration) };
   }
 
+  static table_pull_message TablePull(const wire::table_pull& aPull)
+  {
+    return { { aPull.routes_history(), aPull.routes_revision() },
+             { aPull.pools_history(), aPull.pools_revision() },
+             { aPull.vm_history(), aPull.vm_revision() } };
+  }
+
   table_message Table(const wire::table& aTable)
   {
     table_message table;
     table.mKind = Enum("kind", aTable.kind(), table_kind::Vms);
-    table.mRevision = aTable.revision();
+    table.mRevision = { aTable.history(), aTable.revision() };
     table.mText = aTable.text();
     if (aTable.has_confirmed_age()) {
       table.mConfirmedAge = Duration("confirmed age", aTable.confirmed_age(), kMaxDuration);
     }
     table.mInForce = aTable.in_force();
-    table.mPairRevision = aTable.pair_revision();
+    table.mPairRevision = { aTable.pair_history(), aTable.pair_revision() };
     return table;
   }
 
--- a/src/codec/peer_codec_test.cc
+++ b/src/codec/peer_codec_test.cc
@@ -109,6 +109,14 @@
     forward_query_message{ 99, Query(), std::chrono::milliseconds(150) },
     forward_query_message{ 99, MinimalQuery(), micros(0) },
     query_answer_message{ 99, Answer() },
+    view_message{
+      { { "vm-xela-1", "5f2c", { 1, 5 }, { 2, 12 }, { 3, 31 }, true, std::chrono::seconds(1) } },
+      {} },
+    probe_message{ 17, { 1, 5 } },
+    probe_reply_message{ 17, { 1, 6 }, true, std::nullopt, false },
+    table_pull_message{ { 1, 12 }, { 2, 31 }, { 3, 5 } },
+    table_message{ table_kind::Pools, { 1, 31 }, "", std::nullopt, true, { 2, 12 } },
+    permit_release_message{ { 1, 6 }, { "cw-00a" } },
   };
   return messages;
 }
--- a/src/core/messages.h
+++ b/src/core/messages.h
@@ -15,9 +15,9 @@
 {
   std::string mVm;
   std::string mIncarnation;
-  std::uint64_t mVmRevision = 0;
-  std::uint64_t mRoutesRevision = 0;
-  std::uint64_t mPoolsRevision = 0;
+  table_revision mVmRevision;
+  table_revision mRoutesRevision;
+  table_revision mPoolsRevision;
   bool mDraining = false;
   micros mAge{ 0 };
 
@@ -49,7 +49,7 @@
 struct probe_message
 {
   std::int64_t mSentAt = 0;
-  std::uint64_t mVmRevision = 0;
+  table_revision mVmRevision;
 
   auto operator<=>(const probe_message&) const = default;
 };
@@ -62,7 +62,7 @@
 struct probe_reply_message
 {
   std::int64_t mSentAt = 0;
-  std::uint64_t mVmRevision = 0;
+  table_revision mVmRevision;
   bool mListsYou = false;
   std::optional<micros> mListAge;
   bool mKnewOther = false;
@@ -80,9 +80,9 @@
 // Asks for tables newer than the given revisions.
 struct table_pull_message
 {
-  std::uint64_t mRoutesRevision = 0;
-  std::uint64_t mPoolsRevision = 0;
-  std::uint64_t mVmRevision = 0;
+  table_revision mRoutesRevision;
+  table_revision mPoolsRevision;
+  table_revision mVmRevision;
 
   auto operator<=>(const table_pull_message&) const = default;
 };
@@ -94,11 +94,11 @@
 struct table_message
 {
   table_kind mKind = table_kind::Routes;
-  std::uint64_t mRevision = 0;
+  table_revision mRevision;
   std::string mText;
   std::optional<micros> mConfirmedAge;
   bool mInForce = false;
-  std::uint64_t mPairRevision = 0;
+  table_revision mPairRevision;
 
   auto operator<=>(const table_message&) const = default;
 };
@@ -159,7 +159,7 @@
 // of this revision, and has no work in flight on them.
 struct permit_release_message
 {
-  std::uint64_t mVmRevision = 0;
+  table_revision mVmRevision;
   std::vector<std::string> mServers;
 
   auto operator<=>(const permit_release_message&) const = default;
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -3,6 +3,7 @@
 
 #include "base/reason.h"
 #include "base/time.h"
+#include "core/table_revision.h"
 
 #include <compare>
 #include <cstdint>
@@ -69,7 +70,7 @@
 // Published table of the pools and of the zones that get no new work.
 struct pools_table
 {
-  std::uint64_t mRevision = 0;
+  table_revision mRevision;
   std::set<std::string> mClosedZones;
   std::vector<pool_spec> mPools;
 
@@ -107,7 +108,7 @@
 // Published table of the routes.
 struct routes_table
 {
-  std::uint64_t mRevision = 0;
+  table_revision mRevision;
   std::vector<route_spec> mRoutes;
 
   auto operator<=>(const routes_table&) const = default;
@@ -120,8 +121,8 @@
   std::shared_ptr<const routes_table> mRoutes;
   std::shared_ptr<const pools_table> mPools;
 
-  std::uint64_t RoutesRevision() const { return mRoutes ? mRoutes->mRevision : 0; }
-  std::uint64_t PoolsRevision() const { return mPools ? mPools->mRevision : 0; }
+  table_revision RoutesRevision() const { return mRoutes ? mRoutes->mRevision : table_revision{}; }
+  table_revision PoolsRevision() const { return mPools ? mPools->mRevision : table_revision{}; }
   const route_spec* FindRoute(const std::string& aName) const;
   const pool_spec* FindPool(const std::string& aName) const;
   const server_spec* FindServer(const std::string& aName) const;
@@ -154,7 +155,7 @@
 // Published list of the entry VMs.
 struct vm_list
 {
-  std::uint64_t mRevision = 0;
+  table_revision mRevision;
   std::vector<vm_spec> mVms; // by name
 
   const vm_spec* Find(const std::string& aName) const;
@@ -167,9 +168,9 @@
 {
   std::string mVm;
   std::string mIncarnation; // changes with every start of the process
-  std::uint64_t mVmRevision = 0;
-  std::uint64_t mRoutesRevision = 0;
-  std::uint64_t mPoolsRevision = 0;
+  table_revision mVmRevision;
+  table_revision mRoutesRevision;
+  table_revision mPoolsRevision;
   bool mDraining = false;
   instant mHeardAt{}; // latest time at which this was true: time of receipt less the reported age
   bool mConnected = false;
@@ -193,7 +194,7 @@
 // mReadStartedAt is when that read was started. Entry key: kTablesKey.
 struct vm_list_confirmation
 {
-  std::uint64_t mRevision = 0;
+  table_revision mRevision;
   instant mReadStartedAt{};
 
   auto operator<=>(const vm_list_confirmation&) const = default;
--- a/src/daemon/operator_view.cc
+++ b/src/daemon/operator_view.cc
@@ -45,9 +45,9 @@
   const auto tables = aBoard.Read<tables_in_force>(kTablesKey);
   const auto members = aBoard.Read<member_view>(kMembersKey);
   json::object object;
-  object.emplace("routes", tables ? tables->RoutesRevision() : 0);
-  object.emplace("pools", tables ? tables->PoolsRevision() : 0);
-  object.emplace("vms", members ? members->mVms.mRevision : 0);
+  object.emplace("routes", tables ? tables->RoutesRevision().mNumber : 0);
+  object.emplace("pools", tables ? tables->PoolsRevision().mNumber : 0);
+  object.emplace("vms", members ? members->mVms.mRevision.mNumber : 0);
   return object;
 }
 
@@ -72,9 +72,9 @@
       member.emplace("connected", state.mConnected);
       member.emplace("draining", state.mDraining);
       member.emplace("heard_ms_ago", ToMs(aNow - state.mHeardAt));
-      member.emplace("routes", state.mRoutesRevision);
-      member.emplace("pools", state.mPoolsRevision);
-      member.emplace("vms", state.mVmRevision);
+      member.emplace("routes", state.mRoutesRevision.mNumber);
+      member.emplace("pools", state.mPoolsRevision.mNumber);
+      member.emplace("vms", state.mVmRevision.mNumber);
     }
     members.emplace_back(std::move(member));
   }
--- a/src/gate/gate_test_rig.cc
+++ b/src/gate/gate_test_rig.cc
@@ -87,7 +87,7 @@
 {
   pools_table pools = *mPools;
   aChange(pools);
-  ++pools.mRevision;
+  ++pools.mRevision.mNumber;
   mPools = std::make_shared<const pools_table>(std::move(pools));
   for (std::size_t i = 0; i < mGates.size(); ++i) {
     Board(i).Write(kTablesKey, tables_in_force{ nullptr, mPools });
--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -84,7 +84,7 @@
   void RecordRevision(membership_state& aState,
                       const std::string& aVm,
                       const std::string& aIncarnation,
-                      std::uint64_t aRevision,
+                      const table_revision& aRevision,
                       instant aSince);
   void MergePeerEntry(const view_entry& aEntry);
   void NoteOwnName(membership_state& aState, const view_entry& aEntry);
@@ -188,7 +188,7 @@
   const bool first = before.mRevision == 0;
   // This daemon has missed lists between the two. Under such a list, other daemons can only have
   // taken over its permits while its view was not confirmed.
-  const bool gap = !first && aList.mRevision != before.mRevision + 1;
+  const bool gap = !first && !Follows(aList.mRevision, before.mRevision);
   const bool wasConfirmed = view && view->mConfirmedUntil > now;
   if (!first) {
     aState.mReplacedLists.push_back({ std::make_shared<const vm_list>(before), now });
@@ -213,10 +213,9 @@
                  aList,
                  SelfListed(aList) && view ? view->mConfirmedUntil : instant{} });
   mContext.Log("members",
-               "adopted VM list " + std::to_string(aList.mRevision) + " with " +
+               "adopted VM list " + ToString(aList.mRevision) + " with " +
                  std::to_string(aList.mVms.size()) + " VMs, previous revision " +
-                 std::to_string(before.mRevision) +
-                 (SelfListed(aList) ? "" : "; this VM is not listed"));
+                 ToString(before.mRevision) + (SelfListed(aList) ? "" : "; this VM is not listed"));
   for (const auto& [key, peer] : mContext.mBoard.List<peer_state>()) {
     if (aList.Find(peer->mVm) == nullptr) {
       mContext.mBoard.Erase<peer_state>(key);
@@ -325,7 +324,7 @@
   }
   if (!aState.mPendingClaims.empty() || !aState.mPendingReleases.empty()) {
     mContext.Log("members",
-                 "VM list " + std::to_string(list.mRevision) + ": " +
+                 "VM list " + ToString(list.mRevision) + ": " +
                    std::to_string(aState.mPendingClaims.size()) +
                    " permits wait for earlier holders, " +
                    std::to_string(aState.mPendingReleases.size()) + " permits to release");
@@ -420,7 +419,7 @@
     aState.mConfirmed = confirmed;
     mContext.Count(confirmed ? "members.confirmed" : "members.unconfirmed");
     mContext.Log("members",
-                 confirmed ? "view confirmed with VM list " + std::to_string(view->mVms.mRevision)
+                 confirmed ? "view confirmed with VM list " + ToString(view->mVms.mRevision)
                            : "view not confirmed; permits are not used until it is",
                  confirmed ? log_level::Info : log_level::Warning);
   }
@@ -462,7 +461,7 @@
   // A message names a server once all its permits that moved to the receiver are free. Without a
   // load entry from the gate the work in flight is unknown, and the receiver waits until the claim
   // expires.
-  std::map<std::pair<std::string, std::uint64_t>, std::map<std::string, bool>> moved;
+  std::map<std::pair<std::string, table_revision>, std::map<std::string, bool>> moved;
   for (const pending_release& each : aState.mPendingReleases) {
     const auto load = mContext.mBoard.Read<gate_load>(each.mServer);
     const bool free =
@@ -470,7 +469,7 @@
     auto& servers = moved[{ each.mNewHolder, each.mVmRevision }];
     servers.emplace(each.mServer, true).first->second &= free;
   }
-  std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> ready;
+  std::map<std::pair<std::string, table_revision>, std::set<std::string>> ready;
   for (const auto& [to, servers] : moved) {
     for (const auto& [server, free] : servers) {
       if (free) {
@@ -538,7 +537,7 @@
 void membership_controller::RecordRevision(membership_state& aState,
                                            const std::string& aVm,
                                            const std::string& aIncarnation,
-                                           std::uint64_t aRevision,
+                                           const table_revision& aRevision,
                                            instant aSince)
 {
   aState.mHighestKnownRevision = std::max(aState.mHighestKnownRevision, aRevision);
@@ -684,7 +683,7 @@
       sent < state.mStartedAt) {
     return;
   }
-  const std::uint64_t own = List().mRevision;
+  const table_revision own = List().mRevision;
   RecordRevision(state,
                  aReply.mFrom,
                  aReply.mFromIncarnation,
--- a/src/membership/membership_hooks.cc
+++ b/src/membership/membership_hooks.cc
@@ -2,7 +2,7 @@
 
 namespace redwingdock {
 
-bool ProbeReplyConfirms(const probe_reply_message& aReply, std::uint64_t aOwnRevision)
+bool ProbeReplyConfirms(const probe_reply_message& aReply, const table_revision& aOwnRevision)
 {
   return aReply.mListsYou && aReply.mVmRevision <= aOwnRevision;
 }
--- a/src/membership/membership_hooks.h
+++ b/src/membership/membership_hooks.h
@@ -15,7 +15,7 @@
 
 // Whether a probe reply helps to confirm the view of the prober: the witness lists the prober and
 // has no newer VM list than aOwnRevision, the prober's.
-bool ProbeReplyConfirms(const probe_reply_message& aReply, std::uint64_t aOwnRevision);
+bool ProbeReplyConfirms(const probe_reply_message& aReply, const table_revision& aOwnRevision);
 
 // Earliest start time of a probe or read that may confirm the view after a pause of the process
 // that ended at aNow.
@@ -33,12 +33,12 @@
                                          std::size_t aCount,
                                          std::uint64_t aRotation)>
     mViewTargets = PeersInRotation;
-  std::function<bool(const probe_reply_message&, std::uint64_t aOwnRevision)> mReplyConfirms =
-    ProbeReplyConfirms;
+  std::function<bool(const probe_reply_message&, const table_revision& aOwnRevision)>
+    mReplyConfirms = ProbeReplyConfirms;
   std::function<instant(const claim&, const claim_evidence&, const core_config&)> mClaimExpiry =
     ClaimExpiry;
   std::function<instant(instant aNow)> mConfirmableAfterPause = EarliestConfirmationAfterPause;
-  std::function<bool(std::uint64_t aNext, std::uint64_t aCurrent)> mMayReplaceList =
+  std::function<bool(const table_revision& aNext, const table_revision& aCurrent)> mMayReplaceList =
     std::greater<>();
   // Whether this process may answer probes as a witness. aRecovered is false while a restarted
   // process does not know which VM lists it answered for before the restart.
--- a/src/membership/membership_state.h
+++ b/src/membership/membership_state.h
@@ -26,7 +26,7 @@
 struct replaced_shape
 {
   permit_shape mShape;
-  std::uint64_t mPoolsRevision = 0; // of the pools table that changed it
+  table_revision mPoolsRevision; // of the pools table that changed it
   instant mReplacedAt{};
 
   auto operator<=>(const replaced_shape&) const = default;
@@ -39,7 +39,7 @@
   std::string mServer;
   std::uint32_t mIndex = 0; // of the permit
   std::string mNewHolder;
-  std::uint64_t mVmRevision = 0; // of the VM list that moved it
+  table_revision mVmRevision; // of the VM list that moved it
   instant mMovedAt{};
 
   auto operator<=>(const pending_release&) const = default;
@@ -64,9 +64,9 @@
   instant mStartedAt{};
 
   // The current VM list.
-  instant mListSince{};                    // when this process adopted it
-  bool mFirstList = true;                  // no earlier list in the life of this process
-  std::uint64_t mHighestKnownRevision = 0; // highest VM list revision that any daemon reported
+  instant mListSince{};                 // when this process adopted it
+  bool mFirstList = true;               // no earlier list in the life of this process
+  table_revision mHighestKnownRevision; // highest VM list revision that any daemon reported
   std::vector<replaced_list> mReplacedLists;
 
   // Confirmation rule: the daemon uses its permits only while its view is confirmed.
@@ -86,7 +86,7 @@
 
   // Shapes of the shards for which permits were last assigned.
   std::shared_ptr<const std::vector<permit_shape>> mShapes;
-  std::uint64_t mPoolsRevision = 0; // of the pools table that gave mShapes
+  table_revision mPoolsRevision; // of the pools table that gave mShapes
   std::vector<replaced_shape> mReplacedShapes;
 
   // Random at the start, incremented by each view tick. Selects the peers that get a view and the
--- a/src/membership/membership_test.cc
+++ b/src/membership/membership_test.cc
@@ -206,7 +206,7 @@
 
 void NewerListsConfirm(record_search_hooks& aHooks)
 {
-  aHooks.mMembership.mReplyConfirms = [](const probe_reply_message&, std::uint64_t) {
+  aHooks.mMembership.mReplyConfirms = [](const probe_reply_message&, const table_revision&) {
     return true;
   };
 }
@@ -344,7 +344,7 @@
     { { seconds(15), {}, { 0 } } },
     [](record_search_hooks& aHooks) {
       NewerListsConfirm(aHooks);
-      aHooks.mTables.mMayReplaceVmList = [](std::uint64_t, std::uint64_t aCurrent) {
+      aHooks.mTables.mMayReplaceVmList = [](const table_revision&, const table_revision& aCurrent) {
         return aCurrent == 0;
       };
     } },
--- a/src/membership/permit_plan.cc
+++ b/src/membership/permit_plan.cc
@@ -14,7 +14,7 @@
 {
   std::shared_ptr<const vm_list> mList;
   permit_assigner mAssigner;
-  std::uint64_t mReplacedByRevision = 0;
+  table_revision mReplacedByRevision;
   instant mReplacedAt{};
 };
 
@@ -23,9 +23,9 @@
   std::vector<earlier_list> lists;
   for (std::size_t i = 0; i < aState.mReplacedLists.size(); ++i) {
     const replaced_list& older = aState.mReplacedLists[i];
-    const std::uint64_t next = i + 1 < aState.mReplacedLists.size()
-                                 ? aState.mReplacedLists[i + 1].mList->mRevision
-                                 : aList.mRevision;
+    const table_revision next = i + 1 < aState.mReplacedLists.size()
+                                  ? aState.mReplacedLists[i + 1].mList->mRevision
+                                  : aList.mRevision;
     lists.push_back({ older.mList, permit_assigner(*older.mList), next, older.mReplacedAt });
   }
   return lists;
@@ -146,7 +146,7 @@
 
 std::vector<replaced_shape> ReplacedShapes(const std::vector<permit_shape>& aBefore,
                                            const std::vector<permit_shape>& aAfter,
-                                           std::uint64_t aPoolsRevision,
+                                           const table_revision& aPoolsRevision,
                                            instant aNow)
 {
   std::map<std::string, const permit_shape*> after;
--- a/src/membership/permit_plan.h
+++ b/src/membership/permit_plan.h
@@ -40,7 +40,7 @@
 // Returns the shapes of aBefore that aAfter changes for at least one server that is in both.
 std::vector<replaced_shape> ReplacedShapes(const std::vector<permit_shape>& aBefore,
                                            const std::vector<permit_shape>& aAfter,
-                                           std::uint64_t aPoolsRevision,
+                                           const table_revision& aPoolsRevision,
                                            instant aNow);
 
 } // namespace redwingdock
--- a/src/membership/takeover_rule.cc
+++ b/src/membership/takeover_rule.cc
@@ -11,7 +11,7 @@
 // Time at which the aNeeded-th of the VMs reached the revision; kNever when fewer have reached it.
 instant NthReachedAt(const fleet_knowledge& aKnown,
                      const std::vector<std::string>& aVms,
-                     std::uint64_t aRevision,
+                     const table_revision& aRevision,
                      std::size_t aNeeded)
 {
   std::vector<instant> since;
@@ -87,7 +87,7 @@
 
 instant RevisionReachedAt(const fleet_knowledge& aKnown,
                           const std::string& aVm,
-                          std::uint64_t aRevision)
+                          const table_revision& aRevision)
 {
   const auto found = aKnown.find(aVm);
   if (found == aKnown.end()) {
--- a/src/membership/takeover_rule.h
+++ b/src/membership/takeover_rule.h
@@ -20,7 +20,7 @@
 struct vm_knowledge
 {
   std::string mIncarnation;
-  std::map<std::uint64_t, instant>
+  std::map<table_revision, instant>
     mReachedAt;            // by revision, latest time at which the VM can have reached it
   bool mFirstList = false; // its process has had no earlier list
   bool mKnewOther = false; // it has seen another process under this daemon's name
@@ -34,7 +34,7 @@
 // have it.
 instant RevisionReachedAt(const fleet_knowledge& aKnown,
                           const std::string& aVm,
-                          std::uint64_t aRevision);
+                          const table_revision& aRevision);
 
 // Why a claim exists.
 enum class claim_kind
@@ -49,8 +49,8 @@
 {
   claim_kind mKind = claim_kind::List;
   std::string mHolder;
-  std::uint64_t mListRevision = 0; // VM list under which it holds the permit
-  std::uint64_t mEndRevision = 0;  // VM list or pools table that takes the permit away
+  table_revision mListRevision; // VM list under which it holds the permit
+  table_revision mEndRevision;  // VM list or pools table that takes the permit away
   std::vector<std::string> mWitnesses;
   bool mHolderCanAnswer = false; // still listed at the same address, so it can answer
   instant mSeenAt{};             // when this daemon adopted mEndRevision
@@ -64,8 +64,8 @@
 {
   const fleet_knowledge& mKnownRevisions;
   std::string mSelf;
-  instant mStartedAt{};                   // start of this process
-  std::uint64_t mHolderPoolsRevision = 0; // last reported by the holder
+  instant mStartedAt{};                // start of this process
+  table_revision mHolderPoolsRevision; // last reported by the holder
   instant mNow{};
 };
 
--- a/src/membership/view_exchange.cc
+++ b/src/membership/view_exchange.cc
@@ -24,9 +24,9 @@
   const auto drain = aContext.mBoard.Read<drain_state>(kSelfKey);
   return { aContext.mConfig.mVm,
            aContext.mConfig.mIncarnation,
-           view ? view->mVms.mRevision : 0,
-           tables ? tables->RoutesRevision() : 0,
-           tables ? tables->PoolsRevision() : 0,
+           view ? view->mVms.mRevision : table_revision{},
+           tables ? tables->RoutesRevision() : table_revision{},
+           tables ? tables->PoolsRevision() : table_revision{},
            drain && drain->mPhase != drain_phase::Serving,
            micros(0) };
 }
--- a/src/standin/admin.cc
+++ b/src/standin/admin.cc
@@ -96,14 +96,14 @@
 {
   if (aKind == table_kind::Routes) {
     const auto table = ParseRoutes(aText, "");
-    return table ? table->mRevision : 0;
+    return table ? table->mRevision.mNumber : 0;
   }
   if (aKind == table_kind::Pools) {
     const auto table = ParsePools(aText, "");
-    return table ? table->mRevision : 0;
+    return table ? table->mRevision.mNumber : 0;
   }
   const auto table = ParseVmList(aText, "");
-  return table ? table->mRevision : 0;
+  return table ? table->mRevision.mNumber : 0;
 }
 
 vm_spec ReadVm(yaml_mapping& aRoot)
@@ -169,7 +169,7 @@
     name = aRoot.Name("name");
     const auto current = ParsePools(TableText(aState, table_kind::Pools), "");
     if (const auto table = current ? EditPools(edit, name, *current) : std::nullopt) {
-      next = Publish(table_kind::Pools, table->mRevision, Render(*table));
+      next = Publish(table_kind::Pools, table->mRevision.mNumber, Render(*table));
     }
   } else if (const auto current = ParseVmList(TableText(aState, table_kind::Vms), "")) {
     std::optional<vm_list> table;
@@ -180,7 +180,7 @@
       table = EditVms(edit, name, *current);
     }
     if (table) {
-      next = Publish(table_kind::Vms, table->mRevision, Render(*table));
+      next = Publish(table_kind::Vms, table->mRevision.mNumber, Render(*table));
     }
   }
   if (next) {
--- a/src/standin/frontend.cc
+++ b/src/standin/frontend.cc
@@ -118,9 +118,9 @@
   if (const auto failure = CheckPools(*config, *parsedPools)) {
     return { std::nullopt, *failure };
   }
-  input.mRoutes = { parsedRoutes->mRevision, std::make_shared<const std::string>(*routes) };
-  input.mPools = { parsedPools->mRevision, std::make_shared<const std::string>(*pools) };
-  input.mVms = { parsedVms->mRevision, std::make_shared<const std::string>(*vms) };
+  input.mRoutes = { parsedRoutes->mRevision.mNumber, std::make_shared<const std::string>(*routes) };
+  input.mPools = { parsedPools->mRevision.mNumber, std::make_shared<const std::string>(*pools) };
+  input.mVms = { parsedVms->mRevision.mNumber, std::make_shared<const std::string>(*vms) };
   input.mParsedPools = *parsedPools;
   for (const dataset_config& dataset : config->mDatasets) {
     const auto lines = ReadFile(directory / dataset.mFile);
--- a/src/standin/table_edits.cc
+++ b/src/standin/table_edits.cc
@@ -53,7 +53,7 @@
 std::string Render(const pools_table& aTable)
 {
   std::ostringstream text;
-  text << "revision: " << aTable.mRevision << "\nclosed_zones: [";
+  text << "revision: " << aTable.mRevision.mNumber << "\nclosed_zones: [";
   const char* zoneSeparator = "";
   for (const std::string& zone : aTable.mClosedZones) {
     text << zoneSeparator << zone;
@@ -86,7 +86,8 @@
 std::string Render(const vm_list& aTable)
 {
   std::ostringstream text;
-  text << "revision: " << aTable.mRevision << "\nvms:" << (aTable.mVms.empty() ? " []\n" : "\n");
+  text << "revision: " << aTable.mRevision.mNumber
+       << "\nvms:" << (aTable.mVms.empty() ? " []\n" : "\n");
   for (const vm_spec& vm : aTable.mVms) {
     text << "  - {name: " << vm.mName << ", zone: " << vm.mZone << ", address: \"" << vm.mAddress
          << "\", call_address: \"" << vm.mCallAddress
@@ -105,7 +106,7 @@
   } else {
     aTable.mClosedZones.erase(aZone);
   }
-  ++aTable.mRevision;
+  ++aTable.mRevision.mNumber;
   return aTable;
 }
 
@@ -118,7 +119,7 @@
     return std::nullopt;
   }
   server->mDraining = aDraining;
-  ++aTable.mRevision;
+  ++aTable.mRevision.mNumber;
   return aTable;
 }
 
@@ -127,7 +128,7 @@
   for (pool_spec& pool : aTable.mPools) {
     if (std::erase_if(pool.mServers,
                       [&](const server_spec& aEntry) { return aEntry.mName == aServer; }) != 0) {
-      ++aTable.mRevision;
+      ++aTable.mRevision.mNumber;
       return aTable;
     }
   }
@@ -139,7 +140,7 @@
   for (vm_spec& vm : aTable.mVms) {
     if (vm.mName == aVm) {
       vm.mState = aState;
-      ++aTable.mRevision;
+      ++aTable.mRevision.mNumber;
       return aTable;
     }
   }
@@ -151,7 +152,7 @@
   if (std::erase_if(aTable.mVms, [&](const vm_spec& aEntry) { return aEntry.mName == aVm; }) == 0) {
     return std::nullopt;
   }
-  ++aTable.mRevision;
+  ++aTable.mRevision.mNumber;
   return aTable;
 }
 
@@ -160,7 +161,7 @@
   std::erase_if(aTable.mVms, [&](const vm_spec& aEntry) { return aEntry.mName == aVm.mName; });
   aTable.mVms.push_back(std::move(aVm));
   std::sort(aTable.mVms.begin(), aTable.mVms.end());
-  ++aTable.mRevision;
+  ++aTable.mRevision.mNumber;
   return aTable;
 }
 
--- a/src/tables/parse.cc
+++ b/src/tables/parse.cc
@@ -241,7 +241,7 @@
                                      [&](const pool_spec& aPool) { return aPool.mName == name; });
       if (pool == aPools.mPools.end()) {
         return failure("pool " + name + " is not in the pools table, revision " +
-                       std::to_string(aPools.mRevision));
+                       ToString(aPools.mRevision));
       }
       for (const shard_spec& shard : pool->mShards) {
         for (const auto& [map, ranges] : shard.mRanges) {
--- a/src/tables/table_controller.cc
+++ b/src/tables/table_controller.cc
@@ -33,7 +33,7 @@
 {
   std::string mVm;
   pair_revisions mPair;
-  std::uint64_t mVms = 0;
+  table_revision mVms;
 
   auto operator<=>(const peer_ahead&) const = default;
 };
@@ -53,17 +53,17 @@
 
 std::string FormatRevisions(const pair_revisions& aPair)
 {
-  return "routes " + std::to_string(aPair.mRoutes) + ", pools " + std::to_string(aPair.mPools);
+  return "routes " + ToString(aPair.mRoutes) + ", pools " + ToString(aPair.mPools);
 }
 
 // Returns the newest revision that was read, including refused ones.
-std::uint64_t LatestRevision(const table_state& aState, table_kind aKind)
+table_revision LatestRevision(const table_state& aState, table_kind aKind)
 {
   const auto refused = aState.mRefusedRevisions.find(aKind);
-  const std::uint64_t parsed = aKind == table_kind::Routes  ? aState.mLatestRoutes.Revision()
-                               : aKind == table_kind::Pools ? aState.mLatestPools.Revision()
-                                                            : aState.mVms.Revision();
-  return std::max(parsed, refused == aState.mRefusedRevisions.end() ? 0 : refused->second);
+  const table_revision parsed = aKind == table_kind::Routes  ? aState.mLatestRoutes.Revision()
+                                : aKind == table_kind::Pools ? aState.mLatestPools.Revision()
+                                                             : aState.mVms.Revision();
+  return refused == aState.mRefusedRevisions.end() ? parsed : std::max(parsed, refused->second);
 }
 
 class table_controller
@@ -238,7 +238,7 @@
 {
   std::uint64_t after = 0;
   if (aWait > micros(0)) {
-    after = LatestRevision(aState, aKind);
+    after = LatestRevision(aState, aKind).mNumber;
     aState.mReads[aKind].mWatchStartedAt = mContext.Now();
   } else {
     aState.mReads[aKind].mPlainReads.push_back(mContext.Now());
@@ -279,8 +279,8 @@
   if (!error.empty()) {
     mContext.Count("tables.refused_pairs");
     mContext.Log("tables",
-                 "refused routes " + std::to_string(aState.mLatestRoutes.Revision()) +
-                   " with pools " + std::to_string(aState.mLatestPools.Revision()) + ": " + error,
+                 "refused routes " + ToString(aState.mLatestRoutes.Revision()) + " with pools " +
+                   ToString(aState.mLatestPools.Revision()) + ": " + error,
                  log_level::Warning);
   }
   if (pair) {
@@ -359,8 +359,8 @@
       aRead.mKind == table_kind::Routes
         ? UpdateLatest(state, aRead.mKind, state.mLatestRoutes, aRead, mHooks.mParseRoutes)
         : UpdateLatest(state, aRead.mKind, state.mLatestPools, aRead, mHooks.mParsePools);
-    const std::uint64_t latest = aRead.mKind == table_kind::Routes ? state.mLatestRoutes.Revision()
-                                                                   : state.mLatestPools.Revision();
+    const table_revision latest = aRead.mKind == table_kind::Routes ? state.mLatestRoutes.Revision()
+                                                                    : state.mLatestPools.Revision();
     if (isNewer && !state.mRoundStartedAt) {
       StartRound(state);
     } else if (aRead.mRevision >= latest) {
@@ -428,7 +428,7 @@
     mContext.Log("tables", "refused VM list: " + Describe(list.mReason), log_level::Warning);
     return false;
   }
-  mContext.Log("tables", "accepted VM list " + std::to_string(list->mRevision) + " from " + aFrom);
+  mContext.Log("tables", "accepted VM list " + ToString(list->mRevision) + " from " + aFrom);
   const bool first = !aState.mVms.mTable;
   if (first) {
     aState.mLastReaderContact = mContext.Now(); // gives the listed readers mRelaySilence to answer
@@ -499,7 +499,7 @@
   const pair_revisions own =
     tables ? pair_revisions{ tables->RoutesRevision(), tables->PoolsRevision() } : pair_revisions{};
   const pair_revisions theirs{ peer.mRoutesRevision, peer.mPoolsRevision };
-  if (IsNewerPair(theirs, own) || peer.mVmRevision > (list ? list->mRevision : 0)) {
+  if (IsNewerPair(theirs, own) || peer.mVmRevision > (list ? list->mRevision : table_revision{})) {
     mContext.mBoard.Post(kTablesKey, peer_ahead{ aView.mFrom, theirs, peer.mVmRevision });
   }
 }
--- a/src/tables/table_controller_test.cc
+++ b/src/tables/table_controller_test.cc
@@ -37,9 +37,9 @@
       const auto tables = process.mCore->mBoard.Read<tables_in_force>(kTablesKey);
       const auto view = process.mCore->mBoard.Read<member_view>(kMembersKey);
       revisions_seen& last = mLast[process.mCore->mConfig.mIncarnation];
-      const revisions_seen now{ tables ? tables->RoutesRevision() : 0,
-                                tables ? tables->PoolsRevision() : 0,
-                                view ? view->mVms.mRevision : 0 };
+      const revisions_seen now{ tables ? tables->RoutesRevision() : table_revision{},
+                                tables ? tables->PoolsRevision() : table_revision{},
+                                view ? view->mVms.mRevision : table_revision{} };
       if (now == last) {
         continue;
       }
@@ -60,9 +60,9 @@
 private:
   struct revisions_seen
   {
-    std::uint64_t mRoutes = 0;
-    std::uint64_t mPools = 0;
-    std::uint64_t mVms = 0;
+    table_revision mRoutes;
+    table_revision mPools;
+    table_revision mVms;
 
     auto operator<=>(const revisions_seen&) const = default;
   };
@@ -142,8 +142,8 @@
       std::find(aCase.mExpected.begin(), aCase.mExpected.end(), *found.begin()) ==
         aCase.mExpected.end()) {
     for (const pair_revisions& pair : found) {
-      errors.push_back("in force: routes " + std::to_string(pair.mRoutes) + ", pools " +
-                       std::to_string(pair.mPools));
+      errors.push_back("in force: routes " + ToString(pair.mRoutes) + ", pools " +
+                       ToString(pair.mPools));
     }
   }
   return errors;
--- a/src/tables/table_hooks.h
+++ b/src/tables/table_hooks.h
@@ -12,8 +12,8 @@
 // Revisions of a routes table and a pools table; 0 stands for no table.
 struct pair_revisions
 {
-  std::uint64_t mRoutes = 0;
-  std::uint64_t mPools = 0;
+  table_revision mRoutes;
+  table_revision mPools;
 
   auto operator<=>(const pair_revisions&) const = default;
 };
@@ -33,8 +33,8 @@
   // Whether the first pair may replace the second one, which is in force.
   std::function<bool(const pair_revisions&, const pair_revisions&)> mMayReplace = IsNewerPair;
   // Whether a VM list of revision aNext may replace the current one.
-  std::function<bool(std::uint64_t aNext, std::uint64_t aCurrent)> mMayReplaceVmList =
-    std::greater<>();
+  std::function<bool(const table_revision& aNext, const table_revision& aCurrent)>
+    mMayReplaceVmList = std::greater<>();
   // Whether a daemon that is no reader reads the configuration service itself when it last heard
   // from a reader aSilence ago.
   std::function<bool(micros aSilence, micros aLimit)> mMayReadAsFallback = std::greater<>();
--- a/src/tables/table_state.h
+++ b/src/tables/table_state.h
@@ -24,7 +24,7 @@
   std::shared_ptr<const std::string> mText;
   std::shared_ptr<const T> mTable;
 
-  std::uint64_t Revision() const { return mTable ? mTable->mRevision : 0; }
+  table_revision Revision() const { return mTable ? mTable->mRevision : table_revision{}; }
   bool operator==(const published_table& aOther) const { return Revision() == aOther.Revision(); }
 };
 
@@ -47,7 +47,7 @@
 struct staged_table
 {
   published_table<T> mTable;
-  std::uint64_t mPairRevision = 0;
+  table_revision mPairRevision;
 
   bool operator==(const staged_table&) const = default;
 };
@@ -70,7 +70,7 @@
   // Newest valid tables that were read from the service.
   published_routes mLatestRoutes;
   published_pools mLatestPools;
-  std::map<table_kind, std::uint64_t> mRefusedRevisions; // newest invalid revision
+  std::map<table_kind, table_revision> mRefusedRevisions; // newest invalid revision
 
   staged_table<routes_table> mStagedRoutes;
   staged_table<pools_table> mStagedPools;
--- a/src/tables/table_state_test.cc
+++ b/src/tables/table_state_test.cc
@@ -6,13 +6,13 @@
 
 namespace {
 
-published_routes Routes(std::uint64_t aRevision)
+published_routes Routes(const table_revision& aRevision)
 {
   return { std::make_shared<const std::string>(),
            std::make_shared<const routes_table>(routes_table{ aRevision, {} }) };
 }
 
-published_pools Pools(std::uint64_t aRevision)
+published_pools Pools(const table_revision& aRevision)
 {
   return { std::make_shared<const std::string>(),
            std::make_shared<const pools_table>(pools_table{ aRevision, {}, {} }) };
--- a/src/testing/fake_fleet_benchmark.cc
+++ b/src/testing/fake_fleet_benchmark.cc
@@ -46,13 +46,13 @@
 std::uint64_t PoolsRevisionOf(const fake_fleet& aFleet, std::size_t aDaemon)
 {
   const auto tables = aFleet.Core(aDaemon).Board().Read<tables_in_force>(kTablesKey);
-  return tables ? tables->PoolsRevision() : 0;
+  return tables ? tables->PoolsRevision().mNumber : 0;
 }
 
 std::uint64_t VmsRevisionOf(const fake_fleet& aFleet, std::size_t aDaemon)
 {
   const auto view = aFleet.Core(aDaemon).Board().Read<member_view>(kMembersKey);
-  return view ? view->mVms.mRevision : 0;
+  return view ? view->mVms.mRevision.mNumber : 0;
 }
 
 std::size_t CountConfirmedViews(fake_fleet& aFleet)
