Follow a configuration service that returns from an older copy

Callers were served by tables that the service did not have: a pool that was closed or drained after its return kept its work, and new routes got refusals, at all daemons, until the revision had passed the lost ones.

Cause: a table was newer when its revision was higher. A service that returns from an older copy gives revisions out again, and watches waited behind the lost one.

Another text under a known number now starts the next history of that table. Daemons learn it from the readers as they learn any newer table; what a peer or a late read says of an earlier history stays older. A lower number alone shows nothing, since a stale service states lower ones too, so nothing reverts. After a failed read a plain read finds out what the service has, and the watch continues from there; this costs one read a table and reader after a failure.

--- a/src/membership/membership_test.cc
+++ b/src/membership/membership_test.cc
@@ -441,6 +441,29 @@
     },
     { { seconds(10), { 0, 1, 2, 3, 5 }, { 4 } } },
     AlwaysWaitsTakeDelay },
+  { "permits move with a list that is below the known one, because the service returned from an "
+    "older copy, and their earlier holder is cut off",
+    true,
+    seconds(60),
+    [](test_fleet& aFleet) {
+      const int next = aFleet.AddProcess("vm-5");
+      aFleet.StartAll();
+      aFleet.At(seconds(5), [&] { PublishVms(aFleet, 2, { 0, 1, 2, 3, 4 }); });
+      aFleet.At(seconds(6), [&] { PublishVms(aFleet, 3, { 0, 1, 2, 3, 4 }); });
+      aFleet.At(seconds(10), [&] {
+        aFleet.SetServiceUp(false);
+        PublishVms(aFleet, 1, { 0, 1, 2, 3, 4 });
+      });
+      aFleet.At(seconds(11), [&] { aFleet.SetServiceUp(true); });
+      aFleet.At(seconds(20), [&aFleet, next] {
+        LimitServiceTo(aFleet, { 1, 2, 3, 4, next });
+        aFleet.Partition({ { 1, 2, 3, 4, next } });
+        PublishVms(aFleet, 2, { 1, 2, 3, 4, next });
+        aFleet.Start(next);
+      });
+    },
+    { { seconds(26), {}, { 0 } }, { seconds(59), { 1, 2, 3, 4, 5 }, { 0 } } },
+    ClaimsExpireAtOnce },
   { "the configuration service is down for one hour and the fleet stops",
     false,
     minutes(62),
--- a/src/membership/test_fleet.cc
+++ b/src/membership/test_fleet.cc
@@ -84,14 +84,14 @@
     aMessage);
 }
 
-// Tables of one revision with other pools have other texts.
+// Tables of one revision with other pools or VMs have other texts.
 std::string TableText(const std::string& aName,
                       std::uint64_t aRevision,
-                      const std::set<std::string>& aPools)
+                      const std::set<std::string>& aItems)
 {
   std::string text = aName + " " + std::to_string(aRevision);
-  for (const std::string& pool : aPools) {
-    text += " " + pool;
+  for (const std::string& item : aItems) {
+    text += " " + item;
   }
   return text;
 }
@@ -224,7 +224,11 @@
 
 std::string test_fleet::VmTable(std::uint64_t aRevision, const std::vector<int>& aProcesses)
 {
-  std::string text = "vms " + std::to_string(aRevision);
+  std::set<std::string> names;
+  for (const int index : aProcesses) {
+    names.insert(mProcesses[index]->mName);
+  }
+  std::string text = TableText("vms", aRevision, names);
   vm_list list{ aRevision, {} };
   for (const int index : aProcesses) {
     const test_process& process = *mProcesses[index];
@@ -241,7 +245,7 @@
 
 std::string test_fleet::RoutesTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  const std::string text = TableText("routes", aRevision, aPools);
+  std::string text = TableText("routes", aRevision, aPools);
   route_spec route;
   route.mName = "route";
   route.mPools.assign(aPools.begin(), aPools.end());
@@ -251,7 +255,7 @@
 
 std::string test_fleet::PoolsTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  const std::string text = TableText("pools", aRevision, aPools);
+  std::string text = TableText("pools", aRevision, aPools);
   pools_table table{ aRevision, {}, {} };
   for (const std::string& name : aPools) {
     pool_spec pool;
--- a/src/tables/table_controller.cc
+++ b/src/tables/table_controller.cc
@@ -1,5 +1,6 @@
 #include "tables/table_controller.h"
 
+#include "base/hash.h"
 #include "core/controller_facts.h"
 #include "core/send.h"
 #include "tables/readers.h"
@@ -56,16 +57,6 @@
   return "routes " + ToString(aPair.mRoutes) + ", pools " + ToString(aPair.mPools);
 }
 
-// Returns the newest revision that was read, including refused ones.
-table_revision LatestRevision(const table_state& aState, table_kind aKind)
-{
-  const auto refused = aState.mRefusedRevisions.find(aKind);
-  const table_revision parsed = aKind == table_kind::Routes  ? aState.mLatestRoutes.Revision()
-                                : aKind == table_kind::Pools ? aState.mLatestPools.Revision()
-                                                             : aState.mVms.Revision();
-  return refused == aState.mRefusedRevisions.end() ? parsed : std::max(parsed, refused->second);
-}
-
 class table_controller
 {
 public:
@@ -93,6 +84,12 @@
   void StartReads(table_state& aState);
   void Read(table_state& aState, table_kind aKind, micros aWait);
   void StartRound(table_state& aState);
+  void OnServiceVmList(table_state& aState,
+                       const table_read& aRead,
+                       const table_revision& aRevision);
+  void OnServicePairTable(table_state& aState,
+                          const table_read& aRead,
+                          const table_revision& aRevision);
   void OnRoundAnswer(table_state& aState, table_kind aKind, instant aSince);
   void OnReadAnswer(table_state& aState, table_kind aKind, instant aSince);
   void OnStaleRead(table_state& aState);
@@ -104,7 +101,13 @@
                     table_kind aKind,
                     published_table<T>& aLatest,
                     const table_read& aRead,
+                    const table_revision& aRevision,
                     const std::function<result<T>(const std::string&, const std::string&)>& aParse);
+  void NoteTable(table_state& aState,
+                 table_kind aKind,
+                 const table_revision& aRevision,
+                 const std::string& aText,
+                 instant aSince);
   template<typename T>
   bool StageTable(staged_table<T>& aStaged,
                   const published_table<T>& aInForce,
@@ -112,9 +115,14 @@
                   const std::string& aFrom,
                   const std::function<result<T>(const std::string&, const std::string&)>& aParse);
   void PutInForce(table_state& aState, const table_pair& aPair, const std::string& aFrom);
+  void FollowPair(table_state& aState, const table_pair& aPair);
   void PutStagedInForce(table_state& aState, const std::string& aFrom);
   void PushVmList(const table_state& aState);
-  bool AcceptVmList(table_state& aState, const std::string& aText, const std::string& aFrom);
+  bool AcceptVmList(table_state& aState,
+                    const std::string& aText,
+                    const table_revision& aRevision,
+                    const std::string& aFrom,
+                    instant aSince);
 
   core_context& mContext;
   const table_hooks mHooks;
@@ -230,7 +238,9 @@
     if (!pending.mPlainReads.empty() || pending.mWatchStartedAt) {
       continue;
     }
-    Read(aState, kind, LatestRevision(aState, kind) > 0 ? config.mWatchWait : micros(0));
+    // A watch continues from what the service has, which is less than what is in force when the
+    // service is stale or has returned from an older copy.
+    Read(aState, kind, aState.mHistories[kind].mStated ? config.mWatchWait : micros(0));
   }
 }
 
@@ -238,7 +248,7 @@
 {
   std::uint64_t after = 0;
   if (aWait > micros(0)) {
-    after = LatestRevision(aState, aKind).mNumber;
+    after = aState.mHistories[aKind].mStated.value_or(0);
     aState.mReads[aKind].mWatchStartedAt = mContext.Now();
   } else {
     aState.mReads[aKind].mPlainReads.push_back(mContext.Now());
@@ -317,72 +327,131 @@
   table_kind aKind,
   published_table<T>& aLatest,
   const table_read& aRead,
+  const table_revision& aRevision,
   const std::function<result<T>(const std::string&, const std::string&)>& aParse)
 {
-  if (aRead.mRevision <= aLatest.Revision() || aRead.mRevision <= aState.mRefusedRevisions[aKind]) {
+  const table_revision& refused = aState.mRefusedRevisions[aKind];
+  if (aRevision <= aLatest.Revision() ||
+      (aRevision.mHistory == refused.mHistory && aRevision <= refused)) {
     return false;
   }
-  const result<T> table = aParse(aRead.mText, TableName(aKind));
+  result<T> table = aParse(aRead.mText, TableName(aKind));
   if (!table) {
     // An invalid table counts as unpublished, so that it does not block the other tables.
-    aState.mRefusedRevisions[aKind] = aRead.mRevision;
+    aState.mRefusedRevisions[aKind] = aRevision;
     mContext.Count("tables.refused");
     mContext.Log("tables",
-                 std::string("refused ") + TableName(aKind) + " " +
-                   std::to_string(aRead.mRevision) + ": " + Describe(table.mReason),
+                 std::string("refused ") + TableName(aKind) + " " + ToString(aRevision) + ": " +
+                   Describe(table.mReason),
                  log_level::Warning);
     return false;
   }
-  aLatest = { std::make_shared<const std::string>(aRead.mText), std::make_shared<const T>(*table) };
+  table.mValue->mRevision.mHistory = aRevision.mHistory;
+  aLatest = { std::make_shared<const std::string>(aRead.mText),
+              std::make_shared<const T>(std::move(*table.mValue)) };
   return true;
 }
 
+// Adds a table that was read, or got from another daemon, to the known history. Later histories are
+// followed, whoever has found them.
+void table_controller::NoteTable(table_state& aState,
+                                 table_kind aKind,
+                                 const table_revision& aRevision,
+                                 const std::string& aText,
+                                 instant aSince)
+{
+  table_history& history = aState.mHistories[aKind];
+  if (aRevision.mHistory > history.mNumber) {
+    mContext.Count("tables.new_histories");
+    mContext.Log("tables",
+                 std::string("the configuration service has returned from an older copy: it has ") +
+                   TableName(aKind) + " " + ToString(aRevision),
+                 log_level::Warning);
+  }
+  history = WithTable(std::move(history), aRevision, Hash(aText), aSince);
+}
+
 void table_controller::OnServiceTable(const table_read& aRead)
 {
+  const table_kind kind = aRead.mKind;
   table_state state = Load();
-  OnReadAnswer(state, aRead.mKind, aRead.mReadStartedAt);
-  if (aRead.mKind == table_kind::Vms) {
-    if (aRead.mRevision != state.mRefusedRevisions[table_kind::Vms] &&
-        mHooks.mMayReplaceVmList(aRead.mRevision, state.mVms.Revision())) {
-      if (!AcceptVmList(state, aRead.mText, "service")) {
-        state.mRefusedRevisions[table_kind::Vms] = aRead.mRevision;
-      }
-    } else if (aRead.mRevision < state.mVms.Revision()) {
-      OnStaleRead(state);
-    }
-    if (aRead.mRevision == state.mVms.Revision()) {
-      mContext.mBoard.Write(kTablesKey,
-                            vm_list_confirmation{ aRead.mRevision, aRead.mReadStartedAt });
-    }
-  } else {
-    const bool isNewer =
-      aRead.mKind == table_kind::Routes
-        ? UpdateLatest(state, aRead.mKind, state.mLatestRoutes, aRead, mHooks.mParseRoutes)
-        : UpdateLatest(state, aRead.mKind, state.mLatestPools, aRead, mHooks.mParsePools);
-    const table_revision latest = aRead.mKind == table_kind::Routes ? state.mLatestRoutes.Revision()
-                                                                    : state.mLatestPools.Revision();
-    if (isNewer && !state.mRoundStartedAt) {
-      StartRound(state);
-    } else if (aRead.mRevision >= latest) {
-      state.mRoundHasNewer = state.mRoundHasNewer || isNewer;
-      OnRoundAnswer(state, aRead.mKind, aRead.mReadStartedAt);
+  OnReadAnswer(state, kind, aRead.mReadStartedAt);
+  if (aRead.mReadStartedAt >= state.mHistories[kind].mSince) {
+    const table_revision revision =
+      mHooks.mRevisionOfAnswer(state.mHistories[kind], aRead.mRevision, Hash(aRead.mText));
+    state.mHistories[kind].mStated = aRead.mRevision;
+    if (kind == table_kind::Vms) {
+      OnServiceVmList(state, aRead, revision);
     } else {
-      OnStaleRead(state);
+      OnServicePairTable(state, aRead, revision);
     }
   }
   StartReads(state);
   Save(std::move(state));
 }
 
+void table_controller::OnServiceVmList(table_state& aState,
+                                       const table_read& aRead,
+                                       const table_revision& aRevision)
+{
+  if (aRevision.mHistory == aState.mHistories[table_kind::Vms].mNumber) {
+    NoteTable(aState, table_kind::Vms, aRevision, aRead.mText, aRead.mReadStartedAt);
+  }
+  table_revision& refused = aState.mRefusedRevisions[table_kind::Vms];
+  if (aRevision != refused && mHooks.mMayReplaceVmList(aRevision, aState.mVms.Revision())) {
+    if (!AcceptVmList(aState, aRead.mText, aRevision, "service", aRead.mReadStartedAt)) {
+      refused = aRevision;
+    }
+  } else if (aRevision < aState.mVms.Revision()) {
+    OnStaleRead(aState);
+  }
+  if (aRevision == aState.mVms.Revision()) {
+    mContext.mBoard.Write(kTablesKey, vm_list_confirmation{ aRevision, aRead.mReadStartedAt });
+  }
+}
+
+// An answer with an older table counts for a round too: the service has nothing newer of that
+// table.
+void table_controller::OnServicePairTable(table_state& aState,
+                                          const table_read& aRead,
+                                          const table_revision& aRevision)
+{
+  const bool isRoutes = aRead.mKind == table_kind::Routes;
+  const bool isNewer =
+    isRoutes ? UpdateLatest(
+                 aState, aRead.mKind, aState.mLatestRoutes, aRead, aRevision, mHooks.mParseRoutes)
+             : UpdateLatest(
+                 aState, aRead.mKind, aState.mLatestPools, aRead, aRevision, mHooks.mParsePools);
+  if (isNewer || aRevision.mHistory == aState.mHistories[aRead.mKind].mNumber) {
+    NoteTable(aState, aRead.mKind, aRevision, aRead.mText, aRead.mReadStartedAt);
+  }
+  if (isNewer && !aState.mRoundStartedAt) {
+    StartRound(aState);
+    return;
+  }
+  aState.mRoundHasNewer = aState.mRoundHasNewer || isNewer;
+  OnRoundAnswer(aState, aRead.mKind, aRead.mReadStartedAt);
+  const table_revision latest =
+    isRoutes ? aState.mLatestRoutes.Revision() : aState.mLatestPools.Revision();
+  if (aRevision < latest) {
+    OnStaleRead(aState);
+  }
+}
+
 void table_controller::OnServiceUnchanged(const table_unchanged& aUnchanged)
 {
   table_state state = Load();
   OnReadAnswer(state, aUnchanged.mKind, aUnchanged.mReadStartedAt);
-  if (aUnchanged.mKind != table_kind::Vms) {
-    OnRoundAnswer(state, aUnchanged.mKind, aUnchanged.mReadStartedAt);
-  } else if (aUnchanged.mRevision == state.mVms.Revision()) {
-    mContext.mBoard.Write(kTablesKey,
-                          vm_list_confirmation{ aUnchanged.mRevision, aUnchanged.mReadStartedAt });
+  table_history& history = state.mHistories[aUnchanged.mKind];
+  if (aUnchanged.mReadStartedAt >= history.mSince) {
+    history.mStated = aUnchanged.mRevision;
+    const table_revision revision{ history.mNumber, aUnchanged.mRevision };
+    if (aUnchanged.mKind != table_kind::Vms) {
+      OnRoundAnswer(state, aUnchanged.mKind, aUnchanged.mReadStartedAt);
+    } else if (revision == state.mVms.Revision()) {
+      mContext.mBoard.Write(kTablesKey,
+                            vm_list_confirmation{ revision, aUnchanged.mReadStartedAt });
+    }
   }
   StartReads(state);
   Save(std::move(state));
@@ -398,6 +467,7 @@
   }
   mContext.Count("tables.failed_reads");
   state.mReads[aFailed.mKind] = {};
+  state.mHistories[aFailed.mKind].mStated.reset(); // it may return from an older copy
   state.mServiceFailed = true;
   state.mRoundStartedAt.reset();
   const micros retry = mContext.mConfig.mReadRetry;
@@ -420,7 +490,9 @@
 
 bool table_controller::AcceptVmList(table_state& aState,
                                     const std::string& aText,
-                                    const std::string& aFrom)
+                                    const table_revision& aRevision,
+                                    const std::string& aFrom,
+                                    instant aSince)
 {
   result<vm_list> list = mHooks.mParseVmList(aText, TableName(table_kind::Vms));
   if (!list) {
@@ -428,6 +500,8 @@
     mContext.Log("tables", "refused VM list: " + Describe(list.mReason), log_level::Warning);
     return false;
   }
+  list.mValue->mRevision.mHistory = aRevision.mHistory;
+  NoteTable(aState, table_kind::Vms, list->mRevision, aText, aSince);
   mContext.Log("tables", "accepted VM list " + ToString(list->mRevision) + " from " + aFrom);
   const bool first = !aState.mVms.mTable;
   if (first) {
@@ -580,8 +654,8 @@
     aStaged.mPairRevision = aMessage.mPairRevision;
     return true;
   }
-  const result<T> table = aParse(aMessage.mText, aFrom);
-  if (!table || table->mRevision != aMessage.mRevision) {
+  result<T> table = aParse(aMessage.mText, aFrom);
+  if (!table || table->mRevision.mNumber != aMessage.mRevision.mNumber) {
     mContext.Count("tables.refused");
     mContext.Log("tables",
                  std::string("refused ") + TableName(aMessage.mKind) + " from " + aFrom + ": " +
@@ -589,12 +663,28 @@
                  log_level::Warning);
     return false;
   }
+  table.mValue->mRevision.mHistory = aMessage.mRevision.mHistory;
   aStaged = { { std::make_shared<const std::string>(aMessage.mText),
-                std::make_shared<const T>(*table) },
+                std::make_shared<const T>(std::move(*table.mValue)) },
               aMessage.mPairRevision };
   return true;
 }
 
+// Notes the tables of a pair of another daemon. Reads in progress may be of an earlier history, so
+// a round starts over.
+void table_controller::FollowPair(table_state& aState, const table_pair& aPair)
+{
+  const instant now = mContext.Now();
+  const bool isLater =
+    aPair.mRoutes.Revision().mHistory > aState.mHistories[table_kind::Routes].mNumber ||
+    aPair.mPools.Revision().mHistory > aState.mHistories[table_kind::Pools].mNumber;
+  NoteTable(aState, table_kind::Routes, aPair.mRoutes.Revision(), *aPair.mRoutes.mText, now);
+  NoteTable(aState, table_kind::Pools, aPair.mPools.Revision(), *aPair.mPools.mText, now);
+  if (isLater && aState.mRoundStartedAt) {
+    StartRound(aState);
+  }
+}
+
 // Puts the pair of another daemon into force once both of its tables have arrived.
 void table_controller::PutStagedInForce(table_state& aState, const std::string& aFrom)
 {
@@ -627,6 +717,7 @@
       continue;
     }
     PutInForce(aState, pair, aFrom);
+    FollowPair(aState, pair);
     aState.mNextPullNotBefore = instant{};
     return;
   }
@@ -643,7 +734,7 @@
     }
     if (!message.mText.empty() &&
         mHooks.mMayReplaceVmList(message.mRevision, state.mVms.Revision())) {
-      AcceptVmList(state, message.mText, aTable.mFrom);
+      AcceptVmList(state, message.mText, message.mRevision, aTable.mFrom, mContext.Now());
       state.mNextPullNotBefore = instant{};
     }
   } else {
--- a/src/tables/table_controller_test.cc
+++ b/src/tables/table_controller_test.cc
@@ -17,13 +17,12 @@
 constexpr micros kInForceLimit = seconds(9);
 
 // Checks after every event that no daemon returns to an older table and that every pair in force is
-// consistent. Only the pair aRestored may follow a newer one.
+// consistent.
 class table_observer
 {
 public:
-  table_observer(const test_fleet& aFleet, std::optional<pair_revisions> aRestored)
+  explicit table_observer(const test_fleet& aFleet)
     : mFleet(aFleet)
-    , mRestored(aRestored)
   {
   }
 
@@ -43,9 +42,7 @@
       if (now == last) {
         continue;
       }
-      const bool restored = mRestored == pair_revisions{ now.mRoutes, now.mPools };
-      const bool older = now.mRoutes < last.mRoutes || now.mPools < last.mPools;
-      if ((older && !restored) || now.mVms < last.mVms) {
+      if (now.mRoutes < last.mRoutes || now.mPools < last.mPools || now.mVms < last.mVms) {
         Report(process, "returned to an older table");
       }
       if (tables && CheckConsistency(*tables->mRoutes, *tables->mPools)) {
@@ -75,7 +72,6 @@
   }
 
   const test_fleet& mFleet;
-  const std::optional<pair_revisions> mRestored;
   std::map<std::string, revisions_seen> mLast;
 };
 
@@ -88,9 +84,8 @@
   std::function<void(test_fleet&)> mSchedule;
   std::vector<pair_revisions> mExpected; // at the end, all daemons have the same one of these
   std::function<void(fleet_options&)> mReplaceRules;
-  // For a service that returns from an older copy: the pair that is published then, and its pools.
-  std::optional<pair_revisions> mRestored;
-  std::set<std::string> mRestoredPools;
+  std::set<std::string> mExpectedPools{}; // in force at the end
+  std::size_t mExpectedVms = 5;           // in the VM list at the end
 };
 
 void PublishRoutes(test_fleet& aFleet, std::uint64_t aRevision, const std::set<std::string>& aPools)
@@ -111,7 +106,7 @@
     aCase.mReplaceRules(options);
   }
   test_fleet fleet(options);
-  table_observer observer(fleet, aCase.mRestored);
+  table_observer observer(fleet);
   fleet.SetCheck([&observer] { observer.Check(); });
   fleet.Publish(table_kind::Vms, 1, fleet.VmTable(1, { 0, 1, 2, 3, 4 }));
   PublishRoutes(fleet, 1, { "main" });
@@ -131,7 +126,11 @@
       const auto tables = process.mCore->mBoard.Read<tables_in_force>(kTablesKey);
       found.insert(tables ? pair_revisions{ tables->RoutesRevision(), tables->PoolsRevision() }
                           : pair_revisions{});
-      for (const std::string& pool : aCase.mRestoredPools) {
+      const auto view = process.mCore->mBoard.Read<member_view>(kMembersKey);
+      if (!view || view->mVms.mVms.size() != aCase.mExpectedVms) {
+        errors.push_back(process.mAddress + " has another VM list");
+      }
+      for (const std::string& pool : aCase.mExpectedPools) {
         if (!tables || tables->FindPool(pool) == nullptr) {
           errors.push_back(process.mAddress + " has no pool " + pool);
         }
@@ -217,6 +216,28 @@
   };
 }
 
+void NeverStartAHistory(fleet_options& aOptions)
+{
+  aOptions.mReplaceRules = [](record_search_hooks& aHooks) {
+    aHooks.mTables.mRevisionOfAnswer =
+      [](const table_history& aHistory, std::uint64_t aNumber, std::uint64_t) {
+        return table_revision{ aHistory.mNumber, aNumber };
+      };
+  };
+}
+
+// Takes any older table for one of a later history.
+void StartAHistoryWithOlder(fleet_options& aOptions)
+{
+  aOptions.mReplaceRules = [](record_search_hooks& aHooks) {
+    aHooks.mTables.mRevisionOfAnswer =
+      [](const table_history& aHistory, std::uint64_t aNumber, std::uint64_t) {
+        const bool older = !aHistory.mTexts.empty() && aHistory.mTexts.rbegin()->first > aNumber;
+        return table_revision{ aHistory.mNumber + (older ? 1 : 0), aNumber };
+      };
+  };
+}
+
 void AskNoPeers(fleet_options& aOptions)
 {
   aOptions.mConfigure = [](core_config& aConfig) { aConfig.mSeeds.clear(); };
@@ -381,9 +402,8 @@
       RestoreService(aFleet);
       aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "other" }); });
     },
-    { { 1, 2 } },
-    ReplaceByOlder,
-    pair_revisions{ 1, 2 },
+    { { 1, { 1, 2 } } },
+    NeverStartAHistory,
     { "other" } },
   { "a table at the revision in force, published after the service returned from an older copy, is "
     "missed",
@@ -395,10 +415,57 @@
       aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
       aFleet.At(seconds(26), [&] { PublishPools(aFleet, 3, { "main", "other" }); });
     },
-    { { 1, 3 } },
-    ReplaceByOlder,
-    pair_revisions{ 1, 3 },
+    { { 1, { 1, 3 } } },
+    NeverStartAHistory,
+    { "other" } },
+  { "a daemon that starts after the service returned from an older copy has other tables",
+    4,
+    { 4 },
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(23), [&] { aFleet.Start(4); });
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "other" }); });
+    },
+    { { 1, { 1, 2 } } },
+    NeverStartAHistory,
     { "other" } },
+  { "a VM list below the known one, published after the service returned from an older copy, is "
+    "missed",
+    4,
+    {},
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      aFleet.At(seconds(10), [&] {
+        aFleet.Publish(table_kind::Vms, 2, aFleet.VmTable(2, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(12), [&] {
+        aFleet.Publish(table_kind::Vms, 3, aFleet.VmTable(3, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(20), [&] {
+        aFleet.SetServiceUp(false);
+        aFleet.Publish(table_kind::Vms, 1, aFleet.VmTable(1, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(21), [&] { aFleet.SetServiceUp(true); });
+      aFleet.At(seconds(25), [&] {
+        aFleet.Publish(table_kind::Vms, 2, aFleet.VmTable(2, { 0, 1, 2, 3 }));
+      });
+    },
+    { { 1, 1 } },
+    NeverStartAHistory,
+    {},
+    4 },
+  { "a stale service that catches up reverts the tables in force",
+    4,
+    {},
+    seconds(60),
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(30), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+      aFleet.At(seconds(40), [&] { PublishPools(aFleet, 3, { "main", "extra" }); });
+    },
+    { { 1, 3 } },
+    StartAHistoryWithOlder },
 };
 
 INSTANTIATE_TEST_SUITE_P(tables, table_controller_test, testing::ValuesIn(kTableCases));
--- a/src/tables/table_hooks.h
+++ b/src/tables/table_hooks.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_TABLES_TABLE_HOOKS_H
 
 #include "tables/parse.h"
+#include "tables/table_history.h"
 
 #include <functional>
 
@@ -35,6 +36,9 @@
   // Whether a VM list of revision aNext may replace the current one.
   std::function<bool(const table_revision& aNext, const table_revision& aCurrent)>
     mMayReplaceVmList = std::greater<>();
+  // The revision of a table that the service returned under a number, by the hash of its text.
+  std::function<table_revision(const table_history&, std::uint64_t, std::uint64_t)>
+    mRevisionOfAnswer = RevisionOfAnswer;
   // Whether a daemon that is no reader reads the configuration service itself when it last heard
   // from a reader aSilence ago.
   std::function<bool(micros aSilence, micros aLimit)> mMayReadAsFallback = std::greater<>();
--- a/src/tables/table_state.h
+++ b/src/tables/table_state.h
@@ -71,6 +71,7 @@
   published_routes mLatestRoutes;
   published_pools mLatestPools;
   std::map<table_kind, table_revision> mRefusedRevisions; // newest invalid revision
+  std::map<table_kind, table_history> mHistories;
 
   staged_table<routes_table> mStagedRoutes;
   staged_table<pools_table> mStagedPools;
