Let the leader's stage end a late report of an earlier server process

Two of three holders did not use their permits on a server until it started again: a third of its slots was left, and its shard's queries were late or had gaps.

Cause: of two instances of a server, the one that is reported later is taken for the later process, and messages of the other one are refused from then on. A daemon that was paused with a reply of the earlier process forwards it late; a holder that knows only the later one then refuses the stages of the leader, gets no replies of its own without a stage, and tells the other holders.

A stage above 0 of the leader, with evidence from after the report, counts for an earlier instance too, as replies of the holder's own already do.

stage_test late_remote_evidence failed before: the stage was 0 at gates 1 and 2 after 6 s, expected 2.

--- a/src/gate/gate_controller_test.cc
+++ b/src/gate/gate_controller_test.cc
@@ -1050,6 +1050,15 @@
       aRig.RunFor(milliseconds(3));
     },
     { 0, 0, 0 } },
+  { "late_remote_evidence",
+    "a late report of an earlier process keeps a holder from its permit for good",
+    ThreeGatesOptions(),
+    [](gate_rig& aRig) {
+      aRig.Post(
+        2, kRigServer, server_evidence_received{ kRigServer, { "s-1-0", server_mode::Warm, {} } });
+      aRig.RunFor(seconds(6));
+    },
+    { 2, 2, 2 } },
   { "straggler",
     "one slow reply restarts the ramp",
     ThreeGatesOptions(),
--- a/src/gate/ramp.cc
+++ b/src/gate/ramp.cc
@@ -227,13 +227,17 @@
                             instant aNow,
                             const core_config& aConfig)
 {
-  if (IsPastInstance(aRamp, aMessage.mInstance)) {
+  const instant at = aNow - aMessage.mAge;
+  // Reports of two instances can arrive in the wrong order. The leader has replies of the current
+  // one.
+  const bool confirmed =
+    aFromLeader && !aLeads && aMessage.mStage > 0 && at >= aRamp.mInstanceSince;
+  if (IsPastInstance(aRamp, aMessage.mInstance) && !confirmed) {
     return { std::move(aRamp), "" };
   }
   if (!aFromLeader || aLeads) {
     return AfterHolderReport(std::move(aRamp), aMessage, aLeads, aTopStage, aNow, aConfig);
   }
-  const instant at = aNow - aMessage.mAge;
   if (aMessage.mInstance != aRamp.mInstance && !aMessage.mInstance.empty()) {
     // This daemon has had replies of another instance within mEvidenceTtl: either that instance was
     // replaced since, or the leader does not know of the replacement yet.
