--- a/src/fleet/members.cc
+++ b/src/fleet/members.cc
@@ -18,14 +18,17 @@
 // Addresses that have not answered yet and get a heartbeat in one interval.
 constexpr std::size_t kMaxUnknownTargets = 8;
 
-// Whether a report of the state, sent at aSentAt, is newer than what is known.
+// Whether a report of the state, sent at aSentAt, is newer than what is known. A daemon that starts
+// again after its clock was set back has a lower incarnation, so incarnations decide only between
+// states of about the same time.
 bool IsNewer(const fleet_member& aKnown, const daemon_state& aState, instant aSentAt)
 {
   if (aState.mIncarnation == aKnown.mState.mIncarnation) {
     return aState.mBeat > aKnown.mState.mBeat;
   }
-  return aState.mIncarnation > aKnown.mState.mIncarnation ||
-         aSentAt - aKnown.mHeardAt >= kMaxReorderTime;
+  const micros later = aSentAt - aKnown.mHeardAt;
+  return aState.mIncarnation > aKnown.mState.mIncarnation ? later > -kMaxReorderTime
+                                                          : later >= kMaxReorderTime;
 }
 
 fleet_view WithReport(fleet_view aView,
@@ -42,7 +45,8 @@
   const bool fromOwnZone = aSenderZone == aView.mSelf.mZone;
   const auto known = aView.mMembers.find(state.mVm);
   if (known != aView.mMembers.end() && !IsNewer(known->second, state, sentAt)) {
-    if (fromOwnZone && state.mBeat >= known->second.mState.mBeat) {
+    if (fromOwnZone && state.mIncarnation == known->second.mState.mIncarnation &&
+        state.mBeat >= known->second.mState.mBeat) {
       known->second.mNeedsRelay = false; // the zone has heard it already
     }
     return aView;
--- a/src/membership/membership_controller.cc
+++ b/src/membership/membership_controller.cc
@@ -25,7 +25,8 @@
 constexpr std::size_t kMaxRevisionsPerVm = 8;    // VM list revisions remembered per VM
 constexpr std::size_t kMaxEarlierProcesses = 16; // earlier incarnations remembered per VM
 // Peers may relay state of an earlier process under this name for this long after the start of this
-// process. State that was current later comes from another process that is running.
+// process. State that was current later comes from another process that is running. Likewise, a
+// peer that has heard this process so long after another one does not hear that one any more.
 constexpr micros kMaxRelayedStateAge = std::chrono::seconds(10);
 
 struct view_tick
@@ -83,9 +84,10 @@
   void RecordRevision(membership_state& aState,
                       const std::string& aVm,
                       const std::string& aIncarnation,
-                      std::uint64_t aRevision,
+                      const table_revision& aRevision,
                       instant aSince);
   void MergePeerEntry(const view_entry& aEntry);
+  void NoteOwnName(membership_state& aState, const view_entry& aEntry);
   void PostNewSuspects(const received<view_message>& aView);
 
   core_context& mContext;
@@ -186,7 +188,7 @@
   const bool first = before.mRevision == 0;
   // This daemon has missed lists between the two. Under such a list, other daemons can only have
   // taken over its permits while its view was not confirmed.
-  const bool gap = !first && aList.mRevision != before.mRevision + 1;
+  const bool gap = !first && !Follows(aList.mRevision, before.mRevision);
   const bool wasConfirmed = view && view->mConfirmedUntil > now;
   if (!first) {
     aState.mReplacedLists.push_back({ std::make_shared<const vm_list>(before), now });
@@ -211,10 +213,9 @@
                  aList,
                  SelfListed(aList) && view ? view->mConfirmedUntil : instant{} });
   mContext.Log("members",
-               "adopted VM list " + std::to_string(aList.mRevision) + " with " +
+               "adopted VM list " + ToString(aList.mRevision) + " with " +
                  std::to_string(aList.mVms.size()) + " VMs, previous revision " +
-                 std::to_string(before.mRevision) +
-                 (SelfListed(aList) ? "" : "; this VM is not listed"));
+                 ToString(before.mRevision) + (SelfListed(aList) ? "" : "; this VM is not listed"));
   for (const auto& [key, peer] : mContext.mBoard.List<peer_state>()) {
     if (aList.Find(peer->mVm) == nullptr) {
       mContext.mBoard.Erase<peer_state>(key);
@@ -323,7 +324,7 @@
   }
   if (!aState.mPendingClaims.empty() || !aState.mPendingReleases.empty()) {
     mContext.Log("members",
-                 "VM list " + std::to_string(list.mRevision) + ": " +
+                 "VM list " + ToString(list.mRevision) + ": " +
                    std::to_string(aState.mPendingClaims.size()) +
                    " permits wait for earlier holders, " +
                    std::to_string(aState.mPendingReleases.size()) + " permits to release");
@@ -390,7 +391,7 @@
     return;
   }
   instant since{};
-  const bool listed = SelfListed(view->mVms) && !aState.mSuperseded;
+  const bool listed = SelfListed(view->mVms) && aState.mSupersededAt == instant{};
   if (listed) {
     const auto read = mContext.mBoard.Read<vm_list_confirmation>(kTablesKey);
     // The read is stale when other daemons already have a newer list than the service returned.
@@ -418,7 +419,7 @@
     aState.mConfirmed = confirmed;
     mContext.Count(confirmed ? "members.confirmed" : "members.unconfirmed");
     mContext.Log("members",
-                 confirmed ? "view confirmed with VM list " + std::to_string(view->mVms.mRevision)
+                 confirmed ? "view confirmed with VM list " + ToString(view->mVms.mRevision)
                            : "view not confirmed; permits are not used until it is",
                  confirmed ? log_level::Info : log_level::Warning);
   }
@@ -460,7 +461,7 @@
   // A message names a server once all its permits that moved to the receiver are free. Without a
   // load entry from the gate the work in flight is unknown, and the receiver waits until the claim
   // expires.
-  std::map<std::pair<std::string, std::uint64_t>, std::map<std::string, bool>> moved;
+  std::map<std::pair<std::string, table_revision>, std::map<std::string, bool>> moved;
   for (const pending_release& each : aState.mPendingReleases) {
     const auto load = mContext.mBoard.Read<gate_load>(each.mServer);
     const bool free =
@@ -468,7 +469,7 @@
     auto& servers = moved[{ each.mNewHolder, each.mVmRevision }];
     servers.emplace(each.mServer, true).first->second &= free;
   }
-  std::map<std::pair<std::string, std::uint64_t>, std::set<std::string>> ready;
+  std::map<std::pair<std::string, table_revision>, std::set<std::string>> ready;
   for (const auto& [to, servers] : moved) {
     for (const auto& [server, free] : servers) {
       if (free) {
@@ -506,24 +507,29 @@
 }
 
 // Records the incarnation that sent a message; false when it is an earlier process under that name.
+// Messages of two processes can arrive in the wrong order. One that was taken to be the earlier is
+// current again once the other has been silent for mTakeDelay, when its view is no longer confirmed
+// and its work has ended.
 bool membership_controller::RecordIncarnation(const std::string& aVm,
                                               const std::string& aIncarnation)
 {
   const auto known = mContext.mBoard.Read<seen_processes>(PeerKey(aVm));
   seen_processes seen = known ? *known : seen_processes{};
-  if (seen.mCurrent == aIncarnation) {
-    return true;
-  }
-  if (seen.mEarlier.contains(aIncarnation)) {
-    return false;
-  }
-  if (!seen.mCurrent.empty()) {
-    if (seen.mEarlier.size() >= kMaxEarlierProcesses) {
-      seen.mEarlier.clear();
+  const instant now = mContext.Now();
+  if (seen.mCurrent != aIncarnation) {
+    if (seen.mEarlier.contains(aIncarnation) && now - seen.mHeardAt < mContext.mConfig.mTakeDelay) {
+      return false;
     }
-    seen.mEarlier.insert(seen.mCurrent);
+    if (!seen.mCurrent.empty()) {
+      if (seen.mEarlier.size() >= kMaxEarlierProcesses) {
+        seen.mEarlier.clear();
+      }
+      seen.mEarlier.insert(seen.mCurrent);
+    }
+    seen.mEarlier.erase(aIncarnation);
+    seen.mCurrent = aIncarnation;
   }
-  seen.mCurrent = aIncarnation;
+  seen.mHeardAt = now;
   mContext.mBoard.Write(PeerKey(aVm), std::move(seen));
   return true;
 }
@@ -531,7 +537,7 @@
 void membership_controller::RecordRevision(membership_state& aState,
                                            const std::string& aVm,
                                            const std::string& aIncarnation,
-                                           std::uint64_t aRevision,
+                                           const table_revision& aRevision,
                                            instant aSince)
 {
   aState.mHighestKnownRevision = std::max(aState.mHighestKnownRevision, aRevision);
@@ -574,6 +580,31 @@
   });
 }
 
+// Finds out from an entry under the name of this VM whether a later process runs under it. The
+// clock of a peer that was suspended has not counted that time, so it can report an earlier process
+// as one that runs.
+void membership_controller::NoteOwnName(membership_state& aState, const view_entry& aEntry)
+{
+  const instant heard = mContext.Now() - aEntry.mAge;
+  if (aEntry.mIncarnation == mContext.mConfig.mIncarnation) {
+    if (aState.mSupersededAt != instant{} && heard >= aState.mSupersededAt + kMaxRelayedStateAge) {
+      aState.mSupersededAt = instant{};
+      mContext.Log("members", "no other process runs under the name of this VM any more");
+    }
+    return;
+  }
+  if (heard <= aState.mStartedAt + kMaxRelayedStateAge) {
+    return;
+  }
+  if (aState.mSupersededAt == instant{}) {
+    mContext.Log("members",
+                 "another process runs under the name of this VM: incarnation " +
+                   aEntry.mIncarnation + "; permits are no longer used",
+                 log_level::Warning);
+  }
+  aState.mSupersededAt = std::max(aState.mSupersededAt, heard);
+}
+
 void membership_controller::PostNewSuspects(const received<view_message>& aView)
 {
   for (const suspect_entry& each : aView.mMessage.mSuspects) {
@@ -605,14 +636,7 @@
   const view_entry& sender = aView.mMessage.mEntries.front();
   for (const view_entry& entry : aView.mMessage.mEntries) {
     if (entry.mVm == config.mVm) {
-      if (entry.mIncarnation != config.mIncarnation && !state.mSuperseded &&
-          mContext.Now() - entry.mAge > state.mStartedAt + kMaxRelayedStateAge) {
-        state.mSuperseded = true;
-        mContext.Log("members",
-                     "another process runs under the name of this VM: incarnation " +
-                       entry.mIncarnation + "; permits are no longer used",
-                     log_level::Warning);
-      }
+      NoteOwnName(state, entry);
       continue;
     }
     if (list.mVms.empty() || list.Find(entry.mVm) != nullptr) {
@@ -659,7 +683,7 @@
       sent < state.mStartedAt) {
     return;
   }
-  const std::uint64_t own = List().mRevision;
+  const table_revision own = List().mRevision;
   RecordRevision(state,
                  aReply.mFrom,
                  aReply.mFromIncarnation,
--- a/src/membership/test_fleet.cc
+++ b/src/membership/test_fleet.cc
@@ -84,6 +84,18 @@
     aMessage);
 }
 
+// Tables of one revision with other pools or VMs have other texts.
+std::string TableText(const std::string& aName,
+                      std::uint64_t aRevision,
+                      const std::set<std::string>& aItems)
+{
+  std::string text = aName + " " + std::to_string(aRevision);
+  for (const std::string& item : aItems) {
+    text += " " + item;
+  }
+  return text;
+}
+
 template<typename T>
 result<T> LookUp(const std::map<std::string, T>& aTables,
                  const std::string& aText,
@@ -212,7 +224,11 @@
 
 std::string test_fleet::VmTable(std::uint64_t aRevision, const std::vector<int>& aProcesses)
 {
-  std::string text = "vms " + std::to_string(aRevision);
+  std::set<std::string> names;
+  for (const int index : aProcesses) {
+    names.insert(mProcesses[index]->mName);
+  }
+  std::string text = TableText("vms", aRevision, names);
   vm_list list{ aRevision, {} };
   for (const int index : aProcesses) {
     const test_process& process = *mProcesses[index];
@@ -229,7 +245,7 @@
 
 std::string test_fleet::RoutesTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  std::string text = "routes " + std::to_string(aRevision);
+  std::string text = TableText("routes", aRevision, aPools);
   route_spec route;
   route.mName = "route";
   route.mPools.assign(aPools.begin(), aPools.end());
@@ -239,7 +255,7 @@
 
 std::string test_fleet::PoolsTable(std::uint64_t aRevision, const std::set<std::string>& aPools)
 {
-  std::string text = "pools " + std::to_string(aRevision);
+  std::string text = TableText("pools", aRevision, aPools);
   pools_table table{ aRevision, {}, {} };
   for (const std::string& name : aPools) {
     pool_spec pool;
--- a/src/tables/table_controller_test.cc
+++ b/src/tables/table_controller_test.cc
@@ -36,9 +36,9 @@
       const auto tables = process.mCore->mBoard.Read<tables_in_force>(kTablesKey);
       const auto view = process.mCore->mBoard.Read<member_view>(kMembersKey);
       revisions_seen& last = mLast[process.mCore->mConfig.mIncarnation];
-      const revisions_seen now{ tables ? tables->RoutesRevision() : 0,
-                                tables ? tables->PoolsRevision() : 0,
-                                view ? view->mVms.mRevision : 0 };
+      const revisions_seen now{ tables ? tables->RoutesRevision() : table_revision{},
+                                tables ? tables->PoolsRevision() : table_revision{},
+                                view ? view->mVms.mRevision : table_revision{} };
       if (now == last) {
         continue;
       }
@@ -57,9 +57,9 @@
 private:
   struct revisions_seen
   {
-    std::uint64_t mRoutes = 0;
-    std::uint64_t mPools = 0;
-    std::uint64_t mVms = 0;
+    table_revision mRoutes;
+    table_revision mPools;
+    table_revision mVms;
 
     auto operator<=>(const revisions_seen&) const = default;
   };
@@ -84,6 +84,8 @@
   std::function<void(test_fleet&)> mSchedule;
   std::vector<pair_revisions> mExpected; // at the end, all daemons have the same one of these
   std::function<void(fleet_options&)> mReplaceRules;
+  std::set<std::string> mExpectedPools{}; // in force at the end
+  std::size_t mExpectedVms = 5;           // in the VM list at the end
 };
 
 void PublishRoutes(test_fleet& aFleet, std::uint64_t aRevision, const std::set<std::string>& aPools)
@@ -124,14 +126,23 @@
       const auto tables = process.mCore->mBoard.Read<tables_in_force>(kTablesKey);
       found.insert(tables ? pair_revisions{ tables->RoutesRevision(), tables->PoolsRevision() }
                           : pair_revisions{});
+      const auto view = process.mCore->mBoard.Read<member_view>(kMembersKey);
+      if (!view || view->mVms.mVms.size() != aCase.mExpectedVms) {
+        errors.push_back(process.mAddress + " has another VM list");
+      }
+      for (const std::string& pool : aCase.mExpectedPools) {
+        if (!tables || tables->FindPool(pool) == nullptr) {
+          errors.push_back(process.mAddress + " has no pool " + pool);
+        }
+      }
     }
   }
   if (found.size() != 1 ||
       std::find(aCase.mExpected.begin(), aCase.mExpected.end(), *found.begin()) ==
         aCase.mExpected.end()) {
     for (const pair_revisions& pair : found) {
-      errors.push_back("in force: routes " + std::to_string(pair.mRoutes) + ", pools " +
-                       std::to_string(pair.mPools));
+      errors.push_back("in force: routes " + ToString(pair.mRoutes) + ", pools " +
+                       ToString(pair.mPools));
     }
   }
   return errors;
@@ -205,11 +216,45 @@
   };
 }
 
+void NeverStartAHistory(fleet_options& aOptions)
+{
+  aOptions.mReplaceRules = [](record_search_hooks& aHooks) {
+    aHooks.mTables.mRevisionOfAnswer =
+      [](const table_history& aHistory, std::uint64_t aNumber, std::uint64_t) {
+        return table_revision{ aHistory.mNumber, aNumber };
+      };
+  };
+}
+
+// Takes any older table for one of a later history.
+void StartAHistoryWithOlder(fleet_options& aOptions)
+{
+  aOptions.mReplaceRules = [](record_search_hooks& aHooks) {
+    aHooks.mTables.mRevisionOfAnswer =
+      [](const table_history& aHistory, std::uint64_t aNumber, std::uint64_t) {
+        const bool older = !aHistory.mTexts.empty() && aHistory.mTexts.rbegin()->first > aNumber;
+        return table_revision{ aHistory.mNumber + (older ? 1 : 0), aNumber };
+      };
+  };
+}
+
 void AskNoPeers(fleet_options& aOptions)
 {
   aOptions.mConfigure = [](core_config& aConfig) { aConfig.mSeeds.clear(); };
 }
 
+// The service returns from a copy of 10 s and loses two revisions of the pools table.
+void RestoreService(test_fleet& aFleet)
+{
+  aFleet.At(seconds(10), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+  aFleet.At(seconds(12), [&] { PublishPools(aFleet, 3, { "main", "extra" }); });
+  aFleet.At(seconds(20), [&] {
+    aFleet.SetServiceUp(false);
+    PublishPools(aFleet, 1, { "main" });
+  });
+  aFleet.At(seconds(21), [&] { aFleet.SetServiceUp(true); });
+}
+
 const table_case kTableCases[] = {
   { "a table published after the readers died is not in force within 9 s",
     1,
@@ -348,6 +393,79 @@
     },
     { { 1, 1 } },
     ReplaceByOlderList },
+  { "a table below the revision in force, published after the service returned from an older copy, "
+    "is missed",
+    4,
+    {},
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "other" }); });
+    },
+    { { 1, { 1, 2 } } },
+    NeverStartAHistory,
+    { "other" } },
+  { "a table at the revision in force, published after the service returned from an older copy, is "
+    "missed",
+    4,
+    {},
+    seconds(26) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+      aFleet.At(seconds(26), [&] { PublishPools(aFleet, 3, { "main", "other" }); });
+    },
+    { { 1, { 1, 3 } } },
+    NeverStartAHistory,
+    { "other" } },
+  { "a daemon that starts after the service returned from an older copy has other tables",
+    4,
+    { 4 },
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(23), [&] { aFleet.Start(4); });
+      aFleet.At(seconds(25), [&] { PublishPools(aFleet, 2, { "main", "other" }); });
+    },
+    { { 1, { 1, 2 } } },
+    NeverStartAHistory,
+    { "other" } },
+  { "a VM list below the known one, published after the service returned from an older copy, is "
+    "missed",
+    4,
+    {},
+    seconds(25) + kInForceLimit,
+    [](test_fleet& aFleet) {
+      aFleet.At(seconds(10), [&] {
+        aFleet.Publish(table_kind::Vms, 2, aFleet.VmTable(2, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(12), [&] {
+        aFleet.Publish(table_kind::Vms, 3, aFleet.VmTable(3, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(20), [&] {
+        aFleet.SetServiceUp(false);
+        aFleet.Publish(table_kind::Vms, 1, aFleet.VmTable(1, { 0, 1, 2, 3, 4 }));
+      });
+      aFleet.At(seconds(21), [&] { aFleet.SetServiceUp(true); });
+      aFleet.At(seconds(25), [&] {
+        aFleet.Publish(table_kind::Vms, 2, aFleet.VmTable(2, { 0, 1, 2, 3 }));
+      });
+    },
+    { { 1, 1 } },
+    NeverStartAHistory,
+    {},
+    4 },
+  { "a stale service that catches up reverts the tables in force",
+    4,
+    {},
+    seconds(60),
+    [](test_fleet& aFleet) {
+      RestoreService(aFleet);
+      aFleet.At(seconds(30), [&] { PublishPools(aFleet, 2, { "main", "extra" }); });
+      aFleet.At(seconds(40), [&] { PublishPools(aFleet, 3, { "main", "extra" }); });
+    },
+    { { 1, 3 } },
+    StartAHistoryWithOlder },
 };
 
 INSTANTIATE_TEST_SUITE_P(tables, table_controller_test, testing::ValuesIn(kTableCases));
--- a/src/tables/table_hooks.h
+++ b/src/tables/table_hooks.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_TABLES_TABLE_HOOKS_H
 
 #include "tables/parse.h"
+#include "tables/table_history.h"
 
 #include <functional>
 
@@ -12,8 +13,8 @@
 // Revisions of a routes table and a pools table; 0 stands for no table.
 struct pair_revisions
 {
-  std::uint64_t mRoutes = 0;
-  std::uint64_t mPools = 0;
+  table_revision mRoutes;
+  table_revision mPools;
 
   auto operator<=>(const pair_revisions&) const = default;
 };
@@ -33,8 +34,11 @@
   // Whether the first pair may replace the second one, which is in force.
   std::function<bool(const pair_revisions&, const pair_revisions&)> mMayReplace = IsNewerPair;
   // Whether a VM list of revision aNext may replace the current one.
-  std::function<bool(std::uint64_t aNext, std::uint64_t aCurrent)> mMayReplaceVmList =
-    std::greater<>();
+  std::function<bool(const table_revision& aNext, const table_revision& aCurrent)>
+    mMayReplaceVmList = std::greater<>();
+  // The revision of a table that the service returned under a number, by the hash of its text.
+  std::function<table_revision(const table_history&, std::uint64_t, std::uint64_t)>
+    mRevisionOfAnswer = RevisionOfAnswer;
   // Whether a daemon that is no reader reads the configuration service itself when it last heard
   // from a reader aSilence ago.
   std::function<bool(micros aSilence, micros aLimit)> mMayReadAsFallback = std::greater<>();
