End the hold of an item that was written again and deleted

An evacuation that a return of the store lost, and that the operator wrote again and took back within one read, closed its zone until the end of the hold, 5 s after the listing. The read showed the deletion alone, which left the hold as it was. A deletion in the new history now replaces the hold.

The row of restored_sequence_test failed before. The other new rows passed before this change: two returns in a row, pages of two histories, a delayed deletion that spans the return, withheld replicas that write again, answers of an older era or of none, and heartbeats of other histories (restored_peer_test).

--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -584,6 +584,7 @@
     update.mState.mWithheld.erase(item->mKey);
     const auto found = update.mItems.find(item->mKey);
     if (found != update.mItems.end() && found->second->mRevision < item->mRevision) {
+      update.mState.mDelayedDeletions.erase(item->mKey); // it was written again in between
       RemoveOrDelay(aContext, item->mKey, update);
     }
   }
--- a/src/follow/restored_store_test.cc
+++ b/src/follow/restored_store_test.cc
@@ -1,3 +1,4 @@
+#include "follow/follow_state.h"
 #include "follow/new_history.h"
 #include "testing/forwarding_rig.h"
 
@@ -154,6 +155,11 @@
     },
     milliseconds(700),
     [](forwarding_rig& aRig) { aRig.FailStore(false); } },
+  { "history gone at the next watch",
+    [](forwarding_rig& aRig) {
+      aRig.Publish({ "operator/other", 0, closed_zone{ "zone-9" } });
+      aRig.RunFor(milliseconds(50)); // in the pause after the change
+    } },
 };
 
 struct restored_row
@@ -363,6 +369,72 @@
   aRig.FailStore(false);
 }
 
+// The pages of one listing come from the two histories.
+void ReturnBetweenPages(forwarding_rig& aRig)
+{
+  const int before = aRig.mListReads;
+  aRig.FailWatch();
+  for (int i = 0; i < 1000 && aRig.mListReads == before; ++i) {
+    aRig.RunFor(milliseconds(1));
+  }
+  aRig.Restore();
+}
+
+rig_action SetEra(std::uint64_t aEra)
+{
+  return [aEra](forwarding_rig& aRig) {
+    aRig.SetEra(aEra);
+    aRig.FailWatch();
+  };
+}
+
+follow_state StateOf(const forwarding_rig& aRig)
+{
+  const auto state = aRig.Board().Read<follow_state>(kStoreKey);
+  return state ? *state : follow_state{};
+}
+
+// A late answer to the current watch, from the history before.
+void AnswerOfOlderEra(forwarding_rig& aRig)
+{
+  const follow_state state = StateOf(aRig);
+  store_item item = ConfigurationItem(99, {});
+  item.mRevision = state.mAsOf.mRevision + 50;
+  store_changes_read late{ state.mReadNumber, {}, state.mAsOf };
+  late.mItems.push_back(std::make_shared<const store_item>(std::move(item)));
+  late.mAsOf.mRevision += 50;
+  --late.mAsOf.mEra;
+  aRig.Post(late);
+}
+
+rig_check HasEra(std::uint64_t aEra)
+{
+  return [aEra](const forwarding_rig& aRig) { return StateOf(aRig).mAsOf.mEra == aEra; };
+}
+
+bool HasNoHolds(const forwarding_rig& aRig)
+{
+  const follow_state state = StateOf(aRig);
+  return !state.mHolds && state.mDelayedDeletions.empty() && state.mWithheld.empty();
+}
+
+rig_check All(std::vector<rig_check> aChecks)
+{
+  return [checks = std::move(aChecks)](const forwarding_rig& aRig) {
+    return std::all_of(
+      checks.begin(), checks.end(), [&aRig](const rig_check& aEach) { return aEach(aRig); });
+  };
+}
+
+rig_action StartReplicaAgain(const std::string& aId)
+{
+  return [aId](forwarding_rig& aRig) {
+    store_item item = ReplicaItem(aId, "a", kZone);
+    std::get<replica_entry>(item.mValue).mBornMs = 300;
+    aRig.Publish(std::move(item));
+  };
+}
+
 struct timed_action
 {
   micros mAfter{ 0 }; // the previous one
@@ -517,7 +589,258 @@
                     { micros(0), PublishOthers(9) },
                     { seconds(1), Return },
                     { kWithheldZoneTime + seconds(1), DoNothing } },
-                  IsZoneClosed }));
+                  IsZoneClosed },
+    sequence_row{ "a version that two returns lose is taken back or the next one is missed",
+                  { { micros(0), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { micros(0), PublishVersion(8) },
+                    { seconds(1), Return },
+                    { milliseconds(500), PublishVersion(8) },
+                    { milliseconds(500), Return },
+                    { seconds(1), PublishVersion(9) },
+                    { seconds(1), DoNothing } },
+                  HasVersion(9),
+                  HasAtLeastVersion(8),
+                  3 },
+    sequence_row{ "a replica that two returns lose is dropped before it can be written again",
+                  { { micros(0), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Return },
+                    { milliseconds(1500), Return },
+                    { milliseconds(1900), PublishReplica("a-1", 2) },
+                    { seconds(3), DoNothing } },
+                  Uses("a-1"),
+                  Uses("a-1"),
+                  3,
+                  true },
+    sequence_row{ "pages of two histories are taken for one listing",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { micros(0), PublishReplica("a-2", 1) },
+                    { micros(0), PublishReplica("a-3", 1) },
+                    { micros(0), Copy },
+                    { seconds(1), PublishReplica("a-3", 2, true) },
+                    { micros(0), PublishOthers(9) },
+                    { micros(0), PublishVersion(8) },
+                    { seconds(3), ReturnBetweenPages },
+                    { seconds(1), PublishVersion(9) },
+                    { seconds(1), DoNothing } },
+                  All({ HasVersion(9), Uses("a-1"), Uses("a-2"), UsesNot("a-3") }),
+                  All({ Uses("a-1"), Uses("a-2"), UsesNot("a-3"), HasAtLeastVersion(8) }),
+                  7 },
+    sequence_row{ "a delayed deletion is forgotten because the copy has the entry",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), CutOff },
+                    { milliseconds(1500), RemoveReplica("a-1") },
+                    { seconds(1), Connect },
+                    { milliseconds(1200), Return },
+                    { seconds(4), DoNothing },
+                    { seconds(4), DoNothing } },
+                  UsesNot("a-1"),
+                  UsesNot("a-1"),
+                  7 },
+    sequence_row{ "a withheld replica that writes a newer state is not used",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), PublishReplica("a-1", 2) },
+                    { seconds(1), DoNothing } },
+                  Uses("a-1") },
+    sequence_row{ "a withheld replica that started again is not used",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), StartReplicaAgain("a-1") },
+                    { seconds(1), DoNothing } },
+                  Uses("a-1") },
+    sequence_row{ "holds of what the store has written again never end",
+                  { { micros(0), PublishReplica("a-1", 1) },
+                    { seconds(1), Copy },
+                    { micros(0), RemoveReplica("a-1") },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishReplica("a-2", 1) },
+                    { seconds(1), Return },
+                    { seconds(1), PublishReplica("a-2", 2) },
+                    { micros(0), CloseZone },
+                    { micros(0), RemoveReplica("a-1") },
+                    { seconds(2), DoNothing } },
+                  All({ HasNoHolds, Uses("a-2"), UsesNot("a-1"), IsZoneClosed }) },
+    sequence_row{ "a late answer of the history before is taken for a newer one",
+                  { { seconds(1), Copy },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), AnswerOfOlderEra },
+                    { seconds(1), PublishVersion(8) },
+                    { seconds(1), DoNothing } },
+                  All({ HasVersion(8), HasEra(2) }),
+                  HasEra(2),
+                  4,
+                  true },
+    sequence_row{ "a store whose era went back is never followed again",
+                  { { seconds(1), Copy },
+                    { seconds(1), Return },
+                    { seconds(1), SetEra(1) },
+                    { seconds(1), PublishVersion(8) },
+                    { seconds(8), DoNothing } },
+                  All({ HasVersion(8), HasEra(1) }),
+                  Always,
+                  0,
+                  true },
+    sequence_row{ "an answer of an era that went back is followed at once",
+                  { { seconds(1), Copy },
+                    { seconds(1), Return },
+                    { seconds(1), SetEra(1) },
+                    { seconds(1), PublishVersion(8) },
+                    { seconds(3), DoNothing } },
+                  All({ HasVersion(7), HasEra(2) }),
+                  Always,
+                  0,
+                  true },
+    sequence_row{ "an answer without an era is taken for one of another history",
+                  { { seconds(1), Copy },
+                    { seconds(1), Return },
+                    { seconds(1), SetEra(0) },
+                    { seconds(1), PublishVersion(8) },
+                    { seconds(1), DoNothing } },
+                  All({ HasVersion(8), HasEra(2) }),
+                  Always,
+                  0,
+                  true },
+    sequence_row{ "an evacuation that was lost, written again and taken back holds on",
+                  { { seconds(1), Copy },
+                    { micros(0), CloseZone },
+                    { micros(0), PublishOthers(9) },
+                    { seconds(1), Return },
+                    { seconds(1), PublishOthers(1) },
+                    { milliseconds(20), CloseZone },
+                    { milliseconds(20), OpenZone },
+                    { seconds(3), DoNothing } },
+                  IsZoneOpen }));
+
+heartbeat HeartbeatOf(const store_position& aPosition, std::uint64_t aConfirmations)
+{
+  heartbeat sent{ { "vm-2", 5, "127.0.0.9:7380", "call", "zone-2", true } };
+  sent.mStore = { aPosition, aConfirmations };
+  return sent;
+}
+
+struct peer_row
+{
+  const char* mGuardsAgainst;
+  bool mStatesEra;
+  // What another daemon states, from the position of this one.
+  std::function<store_position(store_position)> mPosition;
+  int mMinListings; // in 10 s
+  int mMaxListings;
+  int mMinChecks;
+};
+
+class restored_peer_test : public ::testing::TestWithParam<peer_row>
+{};
+
+// Another daemon states its copy again and again; the store has returned from a copy once.
+TEST_P(restored_peer_test, IsComparedByHistory)
+{
+  const peer_row& row = GetParam();
+  rig_options options;
+  options.mStoreStatesEra = row.mStatesEra;
+  forwarding_rig rig(options);
+  rig.RunFor(seconds(1));
+  rig.TakeCopy();
+  PublishOthers(9)(rig);
+  rig.RunFor(seconds(1));
+  Return(rig);
+  rig.RunFor(seconds(1));
+  const store_position position = row.mPosition(StateOf(rig).mAsOf);
+  const int listings = rig.mListReads;
+  const int checks = rig.mChecks;
+  for (std::uint64_t i = 1; i <= 25; ++i) {
+    rig.Post(heartbeat_received{ HeartbeatOf(position, i) });
+    rig.RunFor(milliseconds(400));
+  }
+  EXPECT_GE(rig.mListReads - listings, row.mMinListings) << row.mGuardsAgainst;
+  EXPECT_LE(rig.mListReads - listings, row.mMaxListings) << row.mGuardsAgainst;
+  EXPECT_GE(rig.mChecks - checks, row.mMinChecks) << row.mGuardsAgainst;
+}
+
+// Alone, a daemon checks at ages of 1.8 to 3 s.
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  restored_peer_test,
+  ::testing::Values(
+    peer_row{ "a daemon on the old history makes others list or confirms their copies",
+              true,
+              [](store_position aOwn) {
+                return store_position{ aOwn.mEra - 1, aOwn.mRevision + 100 };
+              },
+              0,
+              0,
+              3 },
+    peer_row{ "a daemon on the old history confirms a copy of the same revision",
+              true,
+              [](store_position aOwn) {
+                return store_position{ aOwn.mEra - 1, aOwn.mRevision };
+              },
+              0,
+              0,
+              3 },
+    peer_row{ "a newer era of another daemon is not looked for, or again and again",
+              true,
+              [](store_position aOwn) {
+                return store_position{ aOwn.mEra + 1, aOwn.mRevision - 1 };
+              },
+              1,
+              1,
+              2 },
+    peer_row{ "a daemon of an earlier version makes others list",
+              true,
+              [](store_position aOwn) {
+                return store_position{ 0, aOwn.mRevision + 100 };
+              },
+              0,
+              0,
+              3 },
+    peer_row{ "a daemon of an earlier version confirms a copy that may be of another history",
+              true,
+              [](store_position aOwn) {
+                return store_position{ 0, aOwn.mRevision };
+              },
+              0,
+              0,
+              3 },
+    peer_row{ "a daemon on the old history makes others list again and again",
+              false,
+              [](store_position aOwn) {
+                return store_position{ 0, aOwn.mRevision + 100 };
+              },
+              1,
+              1,
+              2 }));
+
+TEST(restored_peer, ANewerEraIsListedInTime)
+{
+  // Guards against a daemon whose watch waits on through the return and that learns of it late.
+  rig_options options;
+  options.mStoreStatesEra = true;
+  forwarding_rig rig(options);
+  rig.RunFor(seconds(1));
+  rig.TakeCopy();
+  PublishOthers(9)(rig);
+  rig.RunFor(seconds(1));
+  const store_position before = StateOf(rig).mAsOf;
+  rig.Restore();
+  PublishVersion(9)(rig);
+  rig.Post(heartbeat_received{ HeartbeatOf({ before.mEra + 1, before.mRevision - 9 }, 1) });
+  rig.RunFor(milliseconds(600));
+  EXPECT_TRUE(HasVersion(9)(rig));
+  EXPECT_TRUE(HasEra(2)(rig));
+}
 
 } // namespace
 } // namespace redwingdock::testing
--- a/src/testing/fake_store.h
+++ b/src/testing/fake_store.h
@@ -45,6 +45,9 @@
   // revision passes the one that it waits for.
   void Restore();
 
+  // As no store should: the era goes back, or is no longer stated.
+  void SetEra(std::uint64_t aEra) { mEra = aEra; }
+
   store_position Position() const { return { mEra, mState.mRevision }; }
   store_page_read PageAfter(const read_store_page& aCommand) const;
   bool HasHistoryAfter(std::uint64_t aRevision) const;
--- a/src/testing/forwarding_rig.h
+++ b/src/testing/forwarding_rig.h
@@ -80,6 +80,7 @@
   void DropHistory() { mStore.DropHistory(); }
   void TakeCopy() { mStore.TakeCopy(); }
   void Restore() { mStore.Restore(); }
+  void SetEra(std::uint64_t aEra) { mStore.SetEra(aEra); }
 
   // Sets the action of a replica for its Nth attempt, counted from 0. Without a script the replica
   // answers after 10 ms.
