--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -768,7 +768,8 @@
     }
     const auto item = update.mItems.find(it->first);
     if (item != update.mItems.end()) {
-      update.mDeparted.mItems.try_emplace(it->first, item->second, now + kDepartedMemory);
+      update.mDeparted.mItems.emplace(it->first,
+                                      departed_item{ item->second, now + kDepartedMemory });
       update.mItems.erase(item);
     }
     it = deletions.erase(it);
