--- a/src/testing/store_schedule.cc
+++ b/src/testing/store_schedule.cc
@@ -78,6 +78,7 @@
   bool mIsClosed = false;
   bool mWasClosed = false; // before
   instant mSince{};
+  std::uint64_t mRevision = 0; // of the closed zone's item, when it was last known
 };
 
 // What a daemon has used since its start.
@@ -663,7 +664,7 @@
                           ? std::tuple(std::int64_t{ 0 }, std::uint64_t{ 0 })
                           : std::tuple(seen->second.mBornMs, seen->second.mSequence);
     if (mStatesEra && state < before) {
-      Fail(vm + "an older state of " + id + " replaces a newer one");
+      Fail(std::string(vm).append("an older state of ").append(id).append(" replaces a newer one"));
     }
     if (mStatesEra && state == before && seen->second.mUnused && !entry->mDraining) {
       Fail(vm + id + " is used again although nothing newer was written");
@@ -705,11 +706,17 @@
     // new.
     if (!use.mIsClosed && isClosed && use.mWasClosed && mWantedClosedAt[zone] < use.mSince &&
         use.mSince <= mWantedClosedAt[zone] + kReadOpenTime &&
+        mFleet.mStore.Find(ZoneKey(zone)) != nullptr &&
+        mFleet.mStore.Find(ZoneKey(zone))->mRevision == use.mRevision &&
         Now() <= mReturnedAt + kOperatorTime) {
       Fail(vm + zone + " is closed although the operator has opened it");
     }
     if (isClosed != use.mIsClosed) {
-      use = { isClosed, use.mIsClosed, Now() };
+      use = { isClosed, use.mIsClosed, Now(), use.mRevision };
+    }
+    const auto items = mFleet.Board(aDaemon).Read<published_items>(kStoreKey);
+    if (isClosed && items && items->mItems.contains(ZoneKey(zone))) {
+      use.mRevision = items->mItems.at(ZoneKey(zone))->mRevision;
     }
   }
 }
@@ -788,8 +795,10 @@
   if (mStatesEra && known && known->mClosedZones != closed) {
     Fail(vm + " has other closed zones than the operator");
   }
+  // Each end of a hold of replicas or zones may need one more check.
   const std::uint64_t mostChecks =
-    1 + static_cast<std::uint64_t>((Now() - instant{}) / kMinCheckInterval);
+    1 + kHoldKinds * (mResult.mTotals.mReturns + mResult.mTotals.mOutages) +
+    static_cast<std::uint64_t>((Now() - instant{}) / kMinCheckInterval);
   if (mFleet.Checks(aDaemon) > mostChecks) {
     Fail(vm + " checked the store " + std::to_string(mFleet.Checks(aDaemon)) + " times");
   }
