--- a/src/follow/follow_controller.cc
+++ b/src/follow/follow_controller.cc
@@ -623,6 +623,7 @@
     update.mState.mWithheld.erase(item->mKey);
     const auto found = update.mItems.find(item->mKey);
     if (found != update.mItems.end() && found->second->mRevision < item->mRevision) {
+      update.mState.mDelayedDeletions.erase(item->mKey); // it was written again in between
       RemoveOrDelay(aContext, item->mKey, update);
     }
   }
@@ -821,7 +822,8 @@
     }
     const auto item = update.mItems.find(it->first);
     if (item != update.mItems.end()) {
-      update.mDeparted.mItems.try_emplace(it->first, item->second, now + kDepartedMemory);
+      update.mDeparted.mItems.emplace(it->first,
+                                      departed_item{ item->second, now + kDepartedMemory });
       update.mItems.erase(item);
     }
     it = deletions.erase(it);
--- a/src/testing/store_schedule.cc
+++ b/src/testing/store_schedule.cc
@@ -666,7 +666,7 @@
                           ? std::tuple(std::int64_t{ 0 }, std::uint64_t{ 0 })
                           : std::tuple(seen->second.mBornMs, seen->second.mSequence);
     if (mStatesEra && state < before) {
-      Fail(vm + "an older state of " + id + " replaces a newer one");
+      Fail(std::string(vm).append("an older state of ").append(id).append(" replaces a newer one"));
     }
     if (mStatesEra && state == before && seen->second.mUnused && !entry->mDraining) {
       Fail(vm + id + " is used again although nothing newer was written");
@@ -800,8 +800,10 @@
   if (mStatesEra && known && known->mClosedZones != closed) {
     Fail(vm + " has other closed zones than the operator");
   }
+  // Each end of a hold of replicas or zones may need one more check.
   const std::uint64_t mostChecks =
-    1 + static_cast<std::uint64_t>((Now() - instant{}) / kMinCheckInterval);
+    1 + kHoldKinds * (mResult.mTotals.mReturns + mResult.mTotals.mOutages) +
+    static_cast<std::uint64_t>((Now() - instant{}) / kMinCheckInterval);
   if (mFleet.Checks(aDaemon) > mostChecks) {
     Fail(vm + " checked the store " + std::to_string(mFleet.Checks(aDaemon)) + " times");
   }
