Let a request that is sent too late cross the close in the test of slow readers

A request that the test itself sends after the linger may go without an answer. That it does not run, and everything sent in time, is judged as before.

--- a/src/platform/planned_stop_test.cc
+++ b/src/platform/planned_stop_test.cc
@@ -300,8 +300,9 @@
   // The kernel buffers up to about 3 MB of a connection of the loopback interface.
   constexpr std::size_t kBytesPerS = 2'500'000;
   const slow_reader_row& row = GetParam();
+  constexpr milliseconds kLinger{ 400 };
   forward_config config;
-  config.mStop = WithLinger(StopBudget(seconds(3)), milliseconds(400));
+  config.mStop = WithLinger(StopBudget(seconds(3)), kLinger);
   edge_fixture fixture(config);
   fixture.Publish();
   ASSERT_TRUE(fixture.WaitUntilReady());
@@ -322,14 +323,22 @@
     << "the replies were not handed over";
   const instant stopAt = SteadyNow();
   fixture.mDaemon->RequestStop();
+  bool crossesClose = false;
   if (row.mNextAt > milliseconds(0)) {
     fixture.WaitFor(row.mNextAt);
     client.Send(RequestWithId("/long/x", "next"));
+    // The daemon reads no further requests after the linger, and a busy machine can delay this one.
+    crossesClose = SteadyNow() - stopAt >= kLinger;
   }
   fixture.mDaemon->WaitForEnd();
   EXPECT_LE(SteadyNow() - stopAt, config.mStop.mFlush + milliseconds(50)) << row.mGuardsAgainst;
   fixture.mDaemon.reset();
-  EXPECT_EQ(StatusesOf(client.WaitUntilClosed()), row.mStatuses) << row.mGuardsAgainst;
+  const std::vector<unsigned> statuses = StatusesOf(client.WaitUntilClosed());
+  std::vector<unsigned> expected = row.mStatuses;
+  if (crossesClose && statuses.size() < expected.size()) {
+    expected.pop_back();
+  }
+  EXPECT_EQ(statuses, expected) << row.mGuardsAgainst;
   EXPECT_LE(TotalRuns(fixture), row.mMaxRuns) << row.mGuardsAgainst;
   fixture.mLoop.Stop();
 }
