Relay no failure of a replica that would tell the client "not run"

Clients of unsafe requests were answered 408, 429 or 503 although a replica had run the request. They take these statuses for a promise that it has not run, and send it again: the order runs twice.

Cause: the attempt was judged in two places. AttemptMayHaveRun held a reply without X-Not-Executed for a run, and AnswerFailure relayed the same reply with its status, which says the opposite. The decoder took the status for a plain number; that it is a statement to a client is known only there.

DecodeReply now ends such an attempt as Ambiguous, without a reply. A reply that is not there cannot be relayed, so the client gets 502, on safe routes as well, where the promise is no truer. The replica has answered, so this is no evidence that the request crashes replicas, and what the replica says of itself (Server-Leaving, Retry-After) still counts. MayHaveRun(attempt_end) is an exhaustive switch that refusals and repeats go by.

The client loses the body of the failure. It is not sent with 502: a stamp may go only with the status of the replica, Retry-After would ask for a repeat, and the text of a 503 speaks of trying again. The log line attempt_failed has the status, end=ambiguous and the replica.

--- a/src/core/forwarding.cc
+++ b/src/core/forwarding.cc
@@ -7,6 +7,8 @@
   switch (aEnd) {
     case attempt_end::Answered:
       return "answered";
+    case attempt_end::Ambiguous:
+      return "ambiguous";
     case attempt_end::Rejected:
       return "rejected";
     case attempt_end::Misplaced:
@@ -21,6 +23,22 @@
   return "unknown";
 }
 
+bool MayHaveRun(attempt_end aEnd)
+{
+  switch (aEnd) {
+    case attempt_end::Answered:
+    case attempt_end::Ambiguous:
+    case attempt_end::Lost:
+    case attempt_end::Expired:
+      return true;
+    case attempt_end::Rejected:
+    case attempt_end::Misplaced:
+    case attempt_end::NotSent:
+      return false;
+  }
+  return true;
+}
+
 const char* ToString(replica_status aStatus)
 {
   switch (aStatus) {
--- a/src/core/forwarding.h
+++ b/src/core/forwarding.h
@@ -102,7 +102,10 @@
 // How an attempt ended.
 enum class attempt_end
 {
-  Answered,  // mReply is set
+  Answered, // mReply is set
+  // A failure with a status that tells a client that the request did not run, which the replica did
+  // not state. The request may have run. The reply cannot be relayed, so mReply is not set.
+  Ambiguous,
   Rejected,  // the replica replied that it did not run the request
   Misplaced, // another process listens on the address and did not run the request
   NotSent,   // no connection could be opened, or none was free
@@ -112,6 +115,10 @@
 
 const char* ToString(attempt_end aEnd);
 
+// Whether a replica may have run the request in an attempt that ended so. All answers to clients
+// and all repeats go by this.
+bool MayHaveRun(attempt_end aEnd);
+
 // Fact: an attempt ended.
 struct attempt_ended
 {
@@ -121,7 +128,7 @@
   reply_pointer mReply;
   reason mReason;
   bool mNewConnection = false; // for NotSent and Lost: no earlier reply on this connection
-  replica_notice mNotice;      // for Answered, Rejected and Lost with a reply
+  replica_notice mNotice;      // for Answered, Ambiguous, Rejected and Lost with a reply
 
   auto operator<=>(const attempt_ended&) const = default;
 };
@@ -182,7 +189,7 @@
 // Kind of a final answer, with the members of forward_answer that it uses.
 enum class answer_kind
 {
-  Relayed,  // mReply unchanged
+  Relayed,  // mReply unchanged; a replica ran the request
   Gathered, // merged: mShardStamps, mMissing and mBody
   NotRun,   // no replica ran the request or will run it; the client may retry after mRetryAfter
   NoRoute,
--- a/src/forward/crash_controller.cc
+++ b/src/forward/crash_controller.cc
@@ -201,7 +201,7 @@
   const std::uint64_t fingerprint = state->mContent.mFingerprint;
   if (aFact.mEnd == attempt_end::Lost && !WasAnsweredRecently(aContext, fingerprint)) {
     aContext.mBoard.Post(CrashKey(fingerprint), run_lost{ fingerprint, aFact.mReplica });
-  } else if (aFact.mEnd == attempt_end::Answered) {
+  } else if (aFact.mEnd == attempt_end::Answered || aFact.mEnd == attempt_end::Ambiguous) {
     aContext.mBoard.Update<answered_requests>(
       AnsweredKey(fingerprint), [&aContext, fingerprint](const answered_requests* aOld) {
         return std::optional(
--- a/src/forward/crash_controller_test.cc
+++ b/src/forward/crash_controller_test.cc
@@ -392,6 +392,62 @@
                   replica_status::Ended,
                   true }));
 
+const replica_action kRunLost{ attempt_end::Lost, milliseconds(2) };
+const replica_action kRunFailed{ attempt_end::Answered, milliseconds(2), 500 };
+const replica_action kRunAmbiguous{ attempt_end::Ambiguous, milliseconds(2) };
+
+struct ended_replica_row
+{
+  const char* mGuardsAgainst;
+  std::vector<replica_action> mActions; // in turn, each by a replica that ends soon after it
+  bool mIsRefused;
+};
+
+class ended_replica_test : public ::testing::TestWithParam<ended_replica_row>
+{};
+
+TEST_P(ended_replica_test, CountsOnlyAfterALostRun)
+{
+  const std::vector<replica_action>& actions = GetParam().mActions;
+  forwarding_rig rig({});
+  std::size_t sends = 0;
+  for (const char* id : { "a-1", "a-2", "a-3", "a-4" }) {
+    rig.Publish(ReplicaItem(id, "a", "zone-1"));
+    rig.Script(id, [&actions, &sends](int) { return actions[sends++ % actions.size()]; });
+    rig.ScriptCheck(id, [] { return replica_status::Ended; });
+  }
+  rig.Publish(ConfigurationItem(7, { PlainRoute("a", false) }));
+  rig.RunFor(seconds(1));
+  bool refused = false;
+  for (std::uint64_t i = 1; i <= 8; ++i) {
+    rig.Post(request_arrived{ i, { "id", "search.example", "/q/x", micros(0), kCrashing } });
+    rig.RunFor(milliseconds(500));
+    ASSERT_EQ(rig.mAnswers[i].size(), 1U);
+    refused = refused || rig.mAnswers[i].front().mAnswer.mKind == answer_kind::NotRun;
+  }
+  EXPECT_EQ(refused, GetParam().mIsRefused) << GetParam().mGuardsAgainst;
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  actions,
+  ended_replica_test,
+  ::testing::Values(
+    ended_replica_row{ "a request that ends its replicas is not refused", { kRunLost }, true },
+    ended_replica_row{ "a request is refused although replicas answered it with a failure",
+                       { kRunFailed },
+                       false },
+    ended_replica_row{ "a request is refused although some replicas answered it with a failure",
+                       { kRunFailed, kRunLost },
+                       false },
+    ended_replica_row{ "a request is refused although replicas answered it, with a status that "
+                       "leaves open whether it ran",
+                       { kRunAmbiguous },
+                       false },
+    ended_replica_row{ "a request is refused although some replicas answered it, with a status "
+                       "that leaves open whether it ran",
+                       { kRunAmbiguous, kRunLost },
+                       false }));
+
 struct record_bound_row
 {
   const char* mGuardsAgainst;
--- a/src/forward/forward_state.cc
+++ b/src/forward/forward_state.cc
@@ -12,8 +12,7 @@
 
 bool AttemptMayHaveRun(const forward_attempt& aAttempt)
 {
-  return aAttempt.mOpen || aAttempt.mEnd == attempt_end::Answered ||
-         aAttempt.mEnd == attempt_end::Lost || aAttempt.mEnd == attempt_end::Expired;
+  return aAttempt.mOpen || MayHaveRun(aAttempt.mEnd);
 }
 
 } // namespace
--- a/src/forward/replica_load.cc
+++ b/src/forward/replica_load.cc
@@ -136,6 +136,7 @@
     case attempt_end::Answered:
       next = WithAnswer(std::move(next), aNow);
       return WithFailureSample(WithLatencySample(std::move(next), *attempt, aNow), 0, aNow);
+    case attempt_end::Ambiguous:
     case attempt_end::Rejected:
     case attempt_end::Lost:
     case attempt_end::Expired:
--- a/src/platform/request_codec.cc
+++ b/src/platform/request_codec.cc
@@ -24,6 +24,8 @@
   "Connection", "Keep-Alive", "Proxy-Connection", "Transfer-Encoding",
   "TE",         "Trailer",    "Upgrade",          "Content-Length"
 };
+// Status codes with which a client is told that its request did not run and never will.
+constexpr std::array kNotRunStatuses = { 408U, 421U, 429U, 503U };
 // Request header fields that this daemon sets; values from the client are dropped.
 constexpr std::array kReplacedFields = { kDeadlineRemainingHeader, kExpectedInstanceHeader };
 
@@ -53,6 +55,12 @@
   return false;
 }
 
+bool PromisesNotRun(unsigned aStatus)
+{
+  return std::find(kNotRunStatuses.begin(), kNotRunStatuses.end(), aStatus) !=
+         kNotRunStatuses.end();
+}
+
 std::string FieldValue(const http_message& aMessage, const char* aName)
 {
   const std::string* value = aMessage.Find(aName);
@@ -171,6 +179,17 @@
                "the replica did not run the request, status " + std::to_string(aMessage.mStatus) },
              notice };
   }
+  // A client takes such a status as a statement that its request did not run. A replica makes that
+  // statement only with X-Not-Executed, so the reply must not be relayed.
+  if (PromisesNotRun(aMessage.mStatus)) {
+    return { attempt_end::Ambiguous,
+             nullptr,
+             { "read reply",
+               aReplica,
+               "status " + std::to_string(aMessage.mStatus) +
+                 " without header X-Not-Executed: the request may have run" },
+             notice };
+  }
   if (aMessage.Find("Content-Encoding") != nullptr) {
     return {
       attempt_end::Lost, nullptr, { "read reply", aReplica, "unsupported Content-Encoding" }, notice
