Let the replicas of the soak fail requests that they have run

The soak checks that no request was answered 408, 421, 429 or 503 and ran, but its replicas answered 200 or nothing, so no answer could break the check.

Half of the seeds now fail 8% of the requests with 500, 504, 408, 429 or 503, after the run and without X-Not-Executed.

--- a/src/platform/soak/soak_plan.cc
+++ b/src/platform/soak/soak_plan.cc
@@ -322,6 +322,7 @@
   AddOthers(random, aOptions, plan.mEvents);
   Widen(random, plan);
   AddReturns(random, plan);
+  plan.mFaults.mFailures = random.OneIn(2) ? 0.08 : 0;
   std::stable_sort(
     plan.mEvents.begin(),
     plan.mEvents.end(),
--- a/src/platform/soak/soak_plan.h
+++ b/src/platform/soak/soak_plan.h
@@ -45,6 +45,7 @@
   double mStalls = 0;      // the replica works for longer than any client waits
   double mResets = 0;      // the replica closes the connection instead of the reply
   double mSlow = 0;        // the replica works for up to 4.5 s
+  double mFailures = 0;    // the request runs and fails, also with statuses that mean "not run"
 
   auto operator<=>(const replica_faults&) const = default;
 };
--- a/src/platform/soak/soak_plan_test.cc
+++ b/src/platform/soak/soak_plan_test.cc
@@ -116,6 +116,7 @@
   std::set<micros> quotas;
   std::set<log_sink> sinks;
   std::set<bool> eras;
+  std::set<bool> failures;
   std::set<std::size_t> returns;
   std::set<waiting_watches> waiting;
   std::set<soak_action> actions;
@@ -128,6 +129,7 @@
     quotas.insert(plan.mQuota);
     sinks.insert(plan.mLogSink);
     eras.insert(plan.mStatesEra);
+    failures.insert(plan.mFaults.mFailures > 0);
     returns.insert(plan.mReturns.size());
     for (const store_return& each : plan.mReturns) {
       waiting.insert(each.mWaiting);
@@ -148,6 +150,7 @@
   EXPECT_EQ(quotas.size(), 2U);
   EXPECT_EQ(sinks.size(), 3U);
   EXPECT_EQ(eras.size(), 2U);
+  EXPECT_EQ(failures.size(), 2U);
   EXPECT_EQ(returns, (std::set<std::size_t>{ 0, 1, 2 }));
   EXPECT_EQ(waiting.size(), 3U);
   EXPECT_EQ(actions.size(), static_cast<std::size_t>(soak_action::ReturnStore) + 1);
--- a/src/platform/soak/soak_plan_text.cc
+++ b/src/platform/soak/soak_plan_text.cc
@@ -83,7 +83,8 @@
     " lost_replies=" + std::to_string(aPlan.mFaults.mLostReplies) +
     " stalls=" + std::to_string(aPlan.mFaults.mStalls) +
     " resets=" + std::to_string(aPlan.mFaults.mResets) +
-    " slow=" + std::to_string(aPlan.mFaults.mSlow) + " events=";
+    " slow=" + std::to_string(aPlan.mFaults.mSlow) +
+    " failures=" + std::to_string(aPlan.mFaults.mFailures) + " events=";
   for (const soak_event& each : aPlan.mEvents) {
     text += std::string(ToString(each.mAction)) + ":" + std::to_string(each.mTarget) + "@" +
             MsText(each.mAt) + ",";
--- a/src/platform/soak/soak_replicas.cc
+++ b/src/platform/soak/soak_replicas.cc
@@ -3,6 +3,8 @@
 #include "platform/protocol_names.h"
 #include "platform/soak/soak_configuration.h"
 
+#include <array>
+
 namespace redwingdock::platform {
 
 namespace {
@@ -15,6 +17,8 @@
 constexpr std::size_t kReplicasPerMove = 3;
 constexpr std::size_t kRecordBytes = 16;
 constexpr std::size_t kRecordsPerPart = 6;
+// Of requests that have run. A client takes the last three for statements that its request has not.
+constexpr std::array<unsigned, 5> kFailureStatuses = { 500, 504, 408, 429, 503 };
 
 // A number from 0 to 1 that depends only on the texts.
 double ShareOf(const std::string& aText, std::uint64_t aSeed)
@@ -140,6 +144,9 @@
     behaviour.mDelay =
       milliseconds(500) +
       milliseconds(static_cast<int>(4000 * ShareOf(*id, mPlan.mOptions.mSeed + 1)));
+  } else if (drawn(faults.mFailures)) {
+    const double which = ShareOf(*id + aReplica, mPlan.mOptions.mSeed + 2);
+    behaviour.mStatus = kFailureStatuses[static_cast<std::size_t>(which * kFailureStatuses.size())];
   }
   return behaviour;
 }
