Take a replica's own 421 for a run, not for another process at its address

An unsafe request whose replica answered 421 after it had run the request was sent to the next replica and ran twice, or was answered 503 as not run. The daemon sent nothing more to either replica, since their addresses counted as taken.

Cause: each 421 was taken for the reply of another process, whatever it said of its sender.

A 421 with the id of the expected replica, or with a stamp, is Ambiguous now, unless X-Not-Executed states that the request did not run. A 421 with neither still means another process, as the platform's own examples show it.

--- a/src/platform/failed_run_test.cc
+++ b/src/platform/failed_run_test.cc
@@ -44,6 +44,7 @@
   bool mHasStamp = true;
   std::string mLines = ""; // further lines of the head
   bool mClose = false;     // closes the connection behind the reply
+  bool mHasInstance = false;
 };
 
 // A replica that runs each request and answers it with a failure. It replies 421 without running
@@ -87,6 +88,7 @@
     head += mForm.mHasId ? std::string(kAttemptIdHeader) + ": " + id + "\r\n" : "";
     head +=
       mForm.mHasStamp ? std::string(kResponseStampHeader) + ": " + mId + "." + id + "\r\n" : "";
+    head += mForm.mHasInstance ? std::string(kInstanceHeader) + ": " + mId + "\r\n" : "";
     head += "Content-Length: " + std::to_string(sizeof(kBody) - 1) + "\r\n\r\n";
     return { head + kBody, mForm.mClose };
   }
@@ -245,6 +247,36 @@
   }
 }
 
+// A replica that answers 421 to a request that expects this replica.
+class own_421_test : public failed_run_test
+{};
+
+// Guards against an unsafe request that runs twice, or is answered as not run, because the reply
+// counts as one of another process at the address.
+TEST_P(own_421_test, IsNoRejection)
+{
+  mFixture.mStore.Put("servers/i-a", EntryAt("b", mFirst.Address()));
+  mFixture.mStore.Put("servers/i-a2", EntryAt("b", mSecond.Address()));
+  mFixture.mStore.Put("op/config", kConfiguration);
+  ASSERT_TRUE(mFixture.WaitUntilReady());
+  for (int i = 0; i < 4; ++i) {
+    SetStatus(421);
+    EXPECT_EQ(Answer("POST", "/u/x", "once-" + std::to_string(i)), kBadGateway);
+    EXPECT_EQ(mFirst.Runs() + mSecond.Runs(), 1) << "the request was sent to another replica, or "
+                                                    "to none because the address counts as taken";
+  }
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  forms,
+  own_421_test,
+  testing::Values(failure_form{ "id_and_stamp" },
+                  failure_form{ "stamp", false, true },
+                  failure_form{ "instance", true, false, "", false, true },
+                  failure_form{ "instance_and_stamp", true, true, "", false, true },
+                  failure_form{ "close", true, true, "Connection: close\r\n", true }),
+  [](const auto& aInfo) { return std::string(aInfo.param.mName); });
+
 INSTANTIATE_TEST_SUITE_P(
   forms,
   failed_run_test,
--- a/src/platform/protocol_names.h
+++ b/src/platform/protocol_names.h
@@ -12,6 +12,8 @@
 // Signature of a replica over its reply.
 inline constexpr char kResponseStampHeader[] = "X-Response-Stamp";
 inline constexpr char kExpectedInstanceHeader[] = "X-Expected-Instance";
+// Id of the replica that replies.
+inline constexpr char kInstanceHeader[] = "X-Instance";
 // If present, the replica did not run the request.
 inline constexpr char kNotExecutedHeader[] = "X-Not-Executed";
 inline constexpr char kShardStampsHeader[] = "X-Shard-Stamps";
--- a/src/platform/request_codec.cc
+++ b/src/platform/request_codec.cc
@@ -114,6 +114,17 @@
              : micros(0) };
 }
 
+// Whether the reply is that of another process at the address of the replica, which does not run
+// requests for this one. A reply with the id of the replica is not, and neither is a signed one
+// unless it states that the request did not run.
+bool IsMisplaced(const http_message& aMessage, const std::string& aReplica)
+{
+  constexpr unsigned kMisdirected = 421;
+  return aMessage.mStatus == kMisdirected && FieldValue(aMessage, kInstanceHeader) != aReplica &&
+         (aMessage.Find(kNotExecutedHeader) != nullptr ||
+          aMessage.Find(kResponseStampHeader) == nullptr);
+}
+
 std::string FormatSeconds(micros aTime)
 {
   char text[32];
@@ -164,8 +175,7 @@
 
 decoded_reply DecodeReply(http_message aMessage, const std::string& aReplica)
 {
-  constexpr unsigned kMisdirected = 421;
-  if (aMessage.mStatus == kMisdirected) {
+  if (IsMisplaced(aMessage, aReplica)) {
     return { attempt_end::Misplaced,
              nullptr,
              { "send", aReplica, "another process answered at the address of the replica" } };
