Give up a connection's place in the limit of its address exactly once

A daemon with several threads answered 503 to every request for a service until it was restarted, while the replicas were sound: "connection limit reached" on each attempt.

Cause: Closed and CloseLeastRecentlyUsed both lowered peer::mCount. A flag of the connection was to keep them from doing so for the same connection, but Closed took it out of the map, flag and all, before the other thread looked for it. The unsigned count wrapped.

A connection now holds a connection_place, which can be moved and not copied; destroying it or giving it up is the only way to lower the count. Closed gives it up before the connection can no longer be found, so that a thread that replaces the connection finds the place free. The gauge redwingdock_replica_places stands beside redwingdock_replica_connections; when the count wrapped it would have been some 4 billion.

--- a/src/daemon/http_pool.cc
+++ b/src/daemon/http_pool.cc
@@ -91,40 +91,42 @@
     if (!aPeer.mIdle.empty()) {
       oldest = aPeer.mIdle.front().mId;
       aPeer.mIdle.erase(aPeer.mIdle.begin());
-      --aPeer.mCount; // makes room for the connection that replaces it
     }
   });
   mConnections.With(oldest, [](connection& aState) {
-    aState.mCounted = false;
+    aState.mPlace.GiveUp(); // makes room for the connection that replaces it
     aState.mTcp->Close("replaced by a new connection");
   });
 }
 
-bool http_pool::Reserve(const std::string& aAddress, std::uint32_t aLimit)
+connection_place http_pool::Reserve(const std::string& aAddress, std::uint32_t aLimit)
 {
-  bool reserved = false;
-  mPeers.WithOrInsert(aAddress, [&](peer& aPeer) {
-    reserved = aPeer.mCount < aLimit;
-    aPeer.mCount += reserved ? 1 : 0;
-  });
-  return reserved;
+  connection_place place;
+  mPeers.WithOrInsert(aAddress,
+                      [&](const peer& aPeer) { place = TakePlace(aPeer.mPlaces, aLimit); });
+  return place;
 }
 
-void http_pool::Release(const std::string& aAddress, std::uint64_t aConnection)
+void http_pool::RemoveIdle(const std::string& aAddress, std::uint64_t aConnection)
 {
   mPeers.With(aAddress, [aConnection](peer& aPeer) {
     std::erase_if(aPeer.mIdle,
                   [aConnection](const idle_connection& aIdle) { return aIdle.mId == aConnection; });
-    --aPeer.mCount;
   });
 }
 
+std::size_t http_pool::PlacesHeld() const
+{
+  std::size_t held = 0;
+  mPeers.ForEach([&held](const std::string&, const peer& aPeer) { held += aPeer.mPlaces->Held(); });
+  return held;
+}
+
 bool http_pool::SendOn(std::uint64_t aConnection, std::unique_ptr<exchange>& aExchange)
 {
   const std::uint64_t id = aExchange->mRequest.mId;
   bool sent = false;
   bool cancelled = false;
-  bool counted = false;
   mConnections.With(aConnection, [&](connection& aState) {
     mConnectionByRequest.Insert(id, aConnection);
     aState.mReader.SetLimits({ aExchange->mRequest.mReplyLimit });
@@ -139,11 +141,8 @@
     }
     aState.mTcp->Close("ended while idle");
     cancelled = !mConnectionByRequest.Take(id);
-    counted = std::exchange(aState.mCounted, false);
+    aState.mPlace.GiveUp();
   });
-  if (counted) {
-    Release(aExchange->mRequest.mAddress, aConnection);
-  }
   if (cancelled) {
     aExchange.reset();
   }
@@ -153,7 +152,8 @@
 void http_pool::Open(std::unique_ptr<exchange> aExchange)
 {
   const std::string address = aExchange->mRequest.mAddress;
-  if (!Reserve(address, aExchange->mRequest.mConnections)) {
+  connection_place place = Reserve(address, aExchange->mRequest.mConnections);
+  if (!place.IsHeld()) {
     aExchange->mDone(
       { pool_outcome::NotSent, false, {}, { "connect", address, "connection limit reached" } });
     return;
@@ -170,6 +170,7 @@
                      http_reader(http_side::Client, { aExchange->mRequest.mReplyLimit }),
                      std::move(aExchange) };
   opened.mCharge = memory_charge(mBudget);
+  opened.mPlace = std::move(place);
   mConnectionByRequest.Insert(request, id);
   mConnections.Insert(id, std::move(opened));
   // Connecting under the lock of the shard keeps the hooks waiting until mTcp is set.
@@ -291,14 +292,15 @@
 
 void http_pool::Closed(std::uint64_t aConnection, const tcp_close_info& aInfo)
 {
+  // Its place is free before it is gone, so that a thread that replaces it and does not find it any
+  // more can open another connection.
+  mConnections.With(aConnection, [](connection& aState) { aState.mPlace.GiveUp(); });
   std::optional<connection> closed = mConnections.Take(aConnection);
   if (!closed) {
     return;
   }
   mIncompleteBytes -= closed->mIncompleteBytes;
-  if (closed->mCounted) {
-    Release(closed->mAddress, aConnection);
-  }
+  RemoveIdle(closed->mAddress, aConnection);
   if (!closed->mExchange) {
     return;
   }
--- a/src/daemon/http_pool.h
+++ b/src/daemon/http_pool.h
@@ -2,6 +2,7 @@
 #define REDWINGDOCK_DAEMON_HTTP_POOL_H
 
 #include "base/sharded_map.h"
+#include "daemon/connection_places.h"
 #include "daemon/http_text.h"
 #include "daemon/memory_budget.h"
 #include "daemon/tcp.h"
@@ -94,6 +95,8 @@
   void Cancel(std::uint64_t aId, bool aCloseIdle);
 
   std::size_t Connections() const { return mConnections.Size(); }
+  // Connections that count against the limits of their addresses.
+  std::size_t PlacesHeld() const;
   std::uint64_t Opened() const { return mNextConnection; }
 
 private:
@@ -115,11 +118,12 @@
     bool mRequestSent = false;           // an established connection accepted the request
     bool mUnexpectedBytes = false;       // other bytes than the expected reply arrived; no reuse
     bool mAnsweredBefore = false;        // an earlier request was answered
-    bool mCounted = true;                // included in peer::mCount
     std::size_t mIncompleteBytes = 0;    // received since the last complete reply
     std::uint32_t mSkippedReplies = 0;   // since the request was sent
     repeat_keys mAnswered{};
     memory_charge mCharge{}; // of the incomplete bytes
+    // Given up when the connection is closed, by whichever thread closes it first.
+    connection_place mPlace{};
   };
 
   struct idle_connection
@@ -133,7 +137,7 @@
   struct peer
   {
     std::vector<idle_connection> mIdle; // most recently used last
-    std::uint32_t mCount = 0;
+    std::shared_ptr<connection_places> mPlaces = std::make_shared<connection_places>();
   };
 
   // Removes and returns the most recently used idle connection whose last reply came at aUsedSince
@@ -143,9 +147,9 @@
                          std::uint64_t aRepeatKey = 0);
   // Closes the least recently used idle connection.
   void CloseLeastRecentlyUsed(const std::string& aAddress);
-  // Counts a new connection to the address; false when aLimit connections exist.
-  bool Reserve(const std::string& aAddress, std::uint32_t aLimit);
-  void Release(const std::string& aAddress, std::uint64_t aConnection);
+  // Takes a place for a new connection to the address, or none when aLimit connections exist.
+  connection_place Reserve(const std::string& aAddress, std::uint32_t aLimit);
+  void RemoveIdle(const std::string& aAddress, std::uint64_t aConnection);
   // Sends the request on an idle connection. Returns false when that was closed before, by either
   // side, or has received bytes; aExchange then stays with the caller, unless the request was
   // cancelled meanwhile.
--- a/src/daemon/http_pool_test.cc
+++ b/src/daemon/http_pool_test.cc
@@ -462,6 +462,105 @@
     arrived_row{ "a request is sent after the server has closed the connection", Reply(1) + "$" },
     arrived_row{ "a request is sent after bytes that belong to no request", Reply(1) }));
 
+struct places_row
+{
+  const char* mGuardsAgainst;
+  std::size_t mThreads;
+  micros mMaxIdleAge;
+};
+
+class places_test : public testing::TestWithParam<places_row>
+{};
+
+// A server that closes each connection a moment after its reply, while the pool replaces it.
+TEST_P(places_test, AreFreeOnceAllConnectionsHaveEnded)
+{
+  constexpr int kRounds = 20;
+  constexpr int kBursts = 60;          // of a round
+  constexpr std::size_t kRequests = 8; // of a burst
+  constexpr int kMaxCloseDelayUs = 300;
+  constexpr int kSingleRequests = 40; // after a round, with a limit of one connection
+  const places_row& row = GetParam();
+  io_loop serverLoop(2);
+  io_loop loop(row.mThreads);
+  std::atomic<int> replies{ 0 };
+  std::mutex lock;
+  std::vector<std::shared_ptr<tcp_connection>> accepted;
+  auto listener =
+    Listen(serverLoop, "127.0.0.1:0", [&](const std::shared_ptr<tcp_connection>& aConnection) {
+      tcp_hooks hooks;
+      hooks.mOnBytes = [&, weak = std::weak_ptr(aConnection)](std::string_view) {
+        if (const std::shared_ptr<tcp_connection> connection = weak.lock()) {
+          connection->Send(Reply(1));
+          serverLoop.After(micros(++replies * 37 % kMaxCloseDelayUs),
+                           [connection] { connection->Close("idle"); });
+        }
+      };
+      {
+        const std::lock_guard held(lock);
+        accepted.push_back(aConnection);
+      }
+      aConnection->Start(std::move(hooks));
+    });
+  const std::string address = (*listener)->Address();
+  http_pool pool(loop);
+  serverLoop.Start();
+  loop.Start();
+  std::atomic<std::uint64_t> id{ 0 };
+  const auto start = [&](std::uint32_t aConnections, std::function<void(pool_outcome)> aDone) {
+    pool.Start({ .mId = ++id,
+                 .mAddress = address,
+                 .mText = FormatRequest("GET", "/", "h", ""),
+                 .mConnections = aConnections,
+                 .mMaxIdleAge = row.mMaxIdleAge },
+               [done = std::move(aDone)](const pool_result& aResult) { done(aResult.mOutcome); });
+  };
+  for (int round = 0; round < kRounds; ++round) {
+    for (int burst = 0; burst < kBursts; ++burst) {
+      const auto ended = std::make_shared<std::promise<void>>();
+      const auto open = std::make_shared<std::atomic<std::size_t>>(kRequests);
+      for (std::size_t i = 0; i < kRequests; ++i) {
+        loop.Post([&start, ended, open] {
+          start(64, [ended, open](pool_outcome) {
+            if (--*open == 0) {
+              ended->set_value();
+            }
+          });
+        });
+      }
+      ended->get_future().wait();
+    }
+    ASSERT_TRUE(test_util::WaitUntil([&pool] { return pool.Connections() == 0; }));
+    {
+      const std::lock_guard held(lock);
+      accepted.clear();
+    }
+    for (int i = 0; i < kSingleRequests; ++i) {
+      std::promise<pool_outcome> single;
+      start(1, [&single](pool_outcome aOutcome) { single.set_value(aOutcome); });
+      ASSERT_NE(single.get_future().get(), pool_outcome::NotSent)
+        << row.mGuardsAgainst << ", after round " << round << ", request " << i;
+    }
+    ASSERT_TRUE(test_util::WaitUntil([&pool] { return pool.Connections() == 0; }));
+  }
+  loop.Stop();
+  serverLoop.Stop();
+}
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  places_test,
+  testing::Values(
+    places_row{ "a connection that its server closes while it is replaced is counted off twice",
+                4,
+                micros(1) },
+    places_row{ "the same with one thread of the loop, beside the thread that starts requests",
+                1,
+                micros(1) },
+    places_row{ "a connection that its server closes while it is taken is counted off twice",
+                4,
+                micros(0) }));
+
 TEST(http_pool, RefusedConnectionIsNotSent)
 {
   // Guards against a request that is reported as sent although nothing was written.
--- a/src/platform/edge_daemon.cc
+++ b/src/platform/edge_daemon.cc
@@ -551,6 +551,7 @@
       { "redwingdock_unsent_reply_bytes", static_cast<double>(mCallerServer.UnsentBytes()) },
       { "redwingdock_stop_signals", static_cast<double>(mStopSignals) },
       { "redwingdock_replica_connections", static_cast<double>(mReplicaPool.Connections()) },
+      { "redwingdock_replica_places", static_cast<double>(mReplicaPool.PlacesHeld()) },
       { "redwingdock_replica_connections_opened", static_cast<double>(mReplicaPool.Opened()) },
       { "redwingdock_log_lines_lost", static_cast<double>(LostLogLines()) },
       { "redwingdock_unexpected_errors", static_cast<double>(mUnexpectedErrors) },
