Read bounds in milliseconds that are written as fractions

After a bound of the settings changed from 5000 to 5000.0, each daemon that was started again exited with 65, until no daemon was left.

Cause: the platform writes bounds as whole numbers or fractions, and the template hands them on as they are, but times in milliseconds were read as digits only. They are read as numbers now, to the microsecond, with the limits as before.

--- a/src/platform/edge_settings.cc
+++ b/src/platform/edge_settings.cc
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 
 namespace redwingdock::platform {
 
@@ -13,10 +14,14 @@
 constexpr std::uint64_t kMinuteMs = 60'000;
 constexpr std::uint64_t kMaxStopMs = 3'600'000;
 
+// A number of milliseconds from 1 to aMax. The platform writes bounds as whole numbers or
+// fractions.
 void ReadMilliseconds(yaml_mapping& aMapping, const char* aKey, std::uint64_t aMax, micros& aValue)
 {
-  aValue = std::chrono::milliseconds(
-    aMapping.Integer(aKey, 1, aMax, static_cast<std::uint64_t>(ToMs(aValue))));
+  constexpr double kMicrosPerMs = 1000;
+  const double read =
+    aMapping.Number(aKey, 1, static_cast<double>(aMax), static_cast<double>(ToMs(aValue)));
+  aValue = micros(std::llround(read * kMicrosPerMs));
 }
 
 // The seeds give another service's address on the machines of the peers. Peers listen on the same
--- a/src/platform/edge_settings_test.cc
+++ b/src/platform/edge_settings_test.cc
@@ -46,6 +46,56 @@
   EXPECT_EQ(settings->mLimits, (process_limits{ std::size_t{ 781 } * 512 * 1024, 6150 }));
 }
 
+struct number_row
+{
+  const char* mGuardsAgainst;
+  std::string mWritten; // a number of milliseconds
+  micros mRead;
+};
+
+class number_test : public testing::TestWithParam<number_row>
+{
+protected:
+  // The settings without their limits of forwarding.
+  static std::string Head() { return kSettings.substr(0, kSettings.find("forwarding:")); }
+
+  static forward_config Forwarding(const std::string& aText)
+  {
+    const result<edge_settings> settings = ParseEdgeSettings(aText, "boot.yaml");
+    EXPECT_TRUE(settings) << Describe(settings.mReason);
+    return settings ? settings->mCore.mForward : forward_config{};
+  }
+};
+
+// The platform writes bounds as whole numbers or as fractions.
+TEST_P(number_test, IsReadAsItIsWritten)
+{
+  const number_row& row = GetParam();
+  const std::string written = row.mWritten;
+  for (const char* key : { "change_bound_ms", "drain_bound_ms", "closed_zone_bound_ms" }) {
+    EXPECT_EQ(Forwarding(Head() + "forwarding: {" + key + ": " + written + "}\n").mChangeBound,
+              row.mRead)
+      << row.mGuardsAgainst << ", " << key;
+  }
+  EXPECT_EQ(Forwarding(Head() + "forwarding: {disturbance_ms: " + written + "}\n").mDisturbanceTime,
+            row.mRead)
+    << row.mGuardsAgainst;
+}
+
+constexpr char kRefusedBound[] = "a bound that is written as a fraction keeps the program from "
+                                 "starting";
+
+INSTANTIATE_TEST_SUITE_P(
+  cases,
+  number_test,
+  testing::Values(
+    number_row{ "a whole number is not read", "2500", std::chrono::milliseconds(2500) },
+    number_row{ kRefusedBound, "2500.0", std::chrono::milliseconds(2500) },
+    number_row{ kRefusedBound, "2500.", std::chrono::milliseconds(2500) },
+    number_row{ kRefusedBound, "2.5e3", std::chrono::milliseconds(2500) },
+    number_row{ "the part of a millisecond is lost", "2500.125", micros(2'500'125) },
+    number_row{ "a bound that is not exact in binary is too low", "1.001", micros(1001) }));
+
 struct stop_row
 {
   const char* mGuardsAgainst;
@@ -142,6 +192,18 @@
     refused_row{ "an address without port", "10.1.0.9:8104", "10.1.0.9", "listen.callers" },
     refused_row{ "an unknown key", "workers: 1", "worker: 1", "worker" },
     refused_row{ "a ratio out of bounds", "ratio: 0.1", "ratio: -1", "repeat_ratio" },
+    refused_row{ "a bound that is no number",
+                 "change_bound_ms: 6000",
+                 "change_bound_ms: true",
+                 "change_bound_ms" },
+    refused_row{ "a bound that is not finite",
+                 "change_bound_ms: 6000",
+                 "change_bound_ms: inf",
+                 "change_bound_ms" },
+    refused_row{ "no time for a change",
+                 "change_bound_ms: 6000",
+                 "change_bound_ms: 0.0",
+                 "change_bound_ms" },
     refused_row{ "a window that the budget cannot enforce",
                  "repeat_slack: 20\n",
                  "repeat_slack: 20\n  repeat_window_ms: 20000\n",
