--- a/src/platform/failed_run_test.cc
+++ b/src/platform/failed_run_test.cc
@@ -17,7 +17,7 @@
 
 constexpr char kBody[] = "the order could not be completed";
 constexpr char kBadGateway[] = "HTTP/1.1 502 Bad Gateway\r\nContent-Length: 0\r\n\r\n";
-// With these a client is told that its request has not run. PROTOCOL.md, Answers.
+// A client that gets one of these takes its request for one that has not run.
 constexpr std::array<unsigned, 4> kNotRunStatuses = { 408, 421, 429, 503 };
 
 bool PromisesNotRun(unsigned aStatus)
@@ -125,17 +125,17 @@
     mFixture.mLoop.Stop();
   }
 
-  // Publishes the replicas and the configuration, and waits until they are in force. Service a has
-  // the replicas of aFirst.
-  bool Serve(service_replicas aFirst)
+  // Publishes the configuration and the replicas, those of service a as stated, and waits until
+  // they are in force.
+  bool Serve(service_replicas aOfServiceA)
   {
     const auto sound = [this](const char* aService) {
       return mFixture.mReplicas.at(aService)->PublishedEntry(aService, "zone-1", false);
     };
     mFixture.mStore.Put("servers/i-a",
-                        aFirst == service_replicas::Sound ? sound("a")
-                                                          : EntryAt("a", mFirst.Address()));
-    if (aFirst == service_replicas::TwoFailing) {
+                        aOfServiceA == service_replicas::Sound ? sound("a")
+                                                               : EntryAt("a", mFirst.Address()));
+    if (aOfServiceA == service_replicas::TwoFailing) {
       mFixture.mStore.Put("servers/i-a2", EntryAt("a", mSecond.Address()));
     }
     mFixture.mStore.Put("servers/i-b", EntryAt("b", mOnce.Address()));
